--- a/cmd/wheatroadd/main.go
+++ b/cmd/wheatroadd/main.go
@@ -23,7 +23,7 @@
 
 func main() {
 	root := &cobra.Command{Use: "wheatroadd", Short: "The wheatroad scheduling daemon", Version: buildinfo.Version, SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(newRunCommand(), newCheckCommand())
+	root.AddCommand(newRunCommand(), newServeCommand(), newCheckCommand())
 	err := root.Execute()
 	if err == nil {
 		return
--- /dev/null
+++ b/internal/catalog/catalog.go
@@ -0,0 +1,129 @@
+// Package catalog is the confirmed configuration as traffic and scheduling see it:
+// queues, the pools that run them, tenants with their keys and guarantees.
+package catalog
+
+import (
+	"strings"
+	"time"
+
+	"github.com/wheatroad/wheatroad/internal/taskgraph"
+)
+
+// Queue accepts jobs and sends them to one pool.
+type Queue struct {
+	Name string `json:"name"`
+	// Host and PathPrefix select the queue for a request.
+	Host       string `json:"host"`
+	PathPrefix string `json:"path_prefix"`
+	Pool       string `json:"pool"`
+	// Priority 0 comes first and may preempt others.
+	Priority    int     `json:"priority"`
+	MaxAttempts int     `json:"max_attempts"`
+	Stretch     float64 `json:"stretch"`
+	// TargetMillis is added to Stretch times a job's chain of work: its objective.
+	TargetMillis int64 `json:"target_ms"`
+	// Public queues take requests without a key.
+	Public bool `json:"public"`
+}
+
+// Objective returns how long a job of the queue should take from its submission.
+func (q *Queue) Objective(chain time.Duration) time.Duration {
+	return time.Duration(q.Stretch*float64(chain)) + time.Duration(q.TargetMillis)*time.Millisecond
+}
+
+// Pool is a group of workers.
+type Pool struct {
+	Name string `json:"name"`
+	// EnforcesCapacity says that workers refuse what does not fit.
+	EnforcesCapacity bool `json:"enforces_capacity"`
+	// Spare pools hold machines that are off.
+	Spare bool `json:"spare"`
+}
+
+// Tenant is a customer with keys and a guarantee.
+type Tenant struct {
+	Name       string           `json:"name"`
+	Keys       []string         `json:"keys"`
+	Guaranteed taskgraph.Amount `json:"guaranteed"`
+}
+
+// Limits bound what callers can ask.
+type Limits struct {
+	MaxHeaderBytes int `json:"max_header_bytes"`
+	MaxBodyBytes   int `json:"max_body_bytes"`
+}
+
+// Catalog is one version of the configuration. It is immutable once indexed.
+type Catalog struct {
+	Version int64    `json:"version"`
+	Queues  []Queue  `json:"queues"`
+	Pools   []Pool   `json:"pools"`
+	Tenants []Tenant `json:"tenants"`
+	Limits  Limits   `json:"limits"`
+
+	tenantByKey map[string]string
+	hosts       map[string][]*Queue
+}
+
+// Index prepares the catalog for look-ups. It must run once before any other use.
+func (c *Catalog) Index() {
+	c.tenantByKey = map[string]string{}
+	for i := range c.Tenants {
+		for _, key := range c.Tenants[i].Keys {
+			c.tenantByKey[key] = c.Tenants[i].Name
+		}
+	}
+	c.hosts = map[string][]*Queue{}
+	for i := range c.Queues {
+		queue := &c.Queues[i]
+		c.hosts[queue.Host] = append(c.hosts[queue.Host], queue)
+	}
+}
+
+// Match returns the queue with the longest prefix of path on host, or nil.
+func (c *Catalog) Match(host, path string) *Queue {
+	var best *Queue
+	for _, queue := range c.hosts[host] {
+		if strings.HasPrefix(path, queue.PathPrefix) && (best == nil || len(queue.PathPrefix) > len(best.PathPrefix)) {
+			best = queue
+		}
+	}
+	return best
+}
+
+// TenantOf returns the tenant that holds a key.
+func (c *Catalog) TenantOf(key string) (string, bool) {
+	tenant, ok := c.tenantByKey[key]
+	return tenant, ok
+}
+
+// Queue returns a queue by name, or nil.
+func (c *Catalog) Queue(name string) *Queue {
+	for i := range c.Queues {
+		if c.Queues[i].Name == name {
+			return &c.Queues[i]
+		}
+	}
+	return nil
+}
+
+// Guarantee returns what is guaranteed to a tenant.
+func (c *Catalog) Guarantee(tenant string) taskgraph.Amount {
+	for i := range c.Tenants {
+		if c.Tenants[i].Name == tenant {
+			return c.Tenants[i].Guaranteed
+		}
+	}
+	return taskgraph.Amount{}
+}
+
+// PoolNames lists the pools that run queues, in order of declaration.
+func (c *Catalog) PoolNames() []string {
+	names := make([]string, 0, len(c.Pools))
+	for i := range c.Pools {
+		if !c.Pools[i].Spare {
+			names = append(names, c.Pools[i].Name)
+		}
+	}
+	return names
+}
--- a/internal/fault/kind.go
+++ b/internal/fault/kind.go
@@ -13,6 +13,7 @@
 	Unauthenticated   Kind = "unauthenticated"
 	Forbidden         Kind = "forbidden"
 	NotFound          Kind = "not_found"
+	UnknownJob        Kind = "unknown_job"
 	DuplicateID       Kind = "duplicate_id"
 	NeverFits         Kind = "never_fits"
 	TenantLimit       Kind = "tenant_limit"
@@ -62,6 +63,7 @@
 	Unauthenticated:   {Status: 401, Outcome: NotRun},
 	Forbidden:         {Status: 403, Outcome: NotRun},
 	NotFound:          {Status: 404, Outcome: NotRun},
+	UnknownJob:        {Status: 410, Outcome: NotRun},
 	DuplicateID:       {Status: 409, Outcome: NotRun},
 	NeverFits:         {Status: 422, Outcome: NotRun},
 	TenantLimit:       {Status: 429, Outcome: NotRun, RetryAfter: later},
--- /dev/null
+++ b/internal/node/follow.go
@@ -0,0 +1,150 @@
+package node
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wheatroad/wheatroad/internal/pool"
+	"github.com/wheatroad/wheatroad/internal/rows"
+)
+
+// follow reads the changes of a table for ever; again is called when they must be
+// read anew.
+func (n *Node) follow(table string, after int64, apply func(rows.Row), answered func(), again func()) {
+	n.ports.Feed(table, after, func(listing rows.Listing, err error) {
+		switch {
+		case errors.Is(err, rows.ErrHistoryGone):
+			n.edges.Record.Count("feed_gaps", table)
+			n.edges.Record.Decided("feed read anew", "table", table, "after", after)
+			again()
+		case err != nil:
+			n.edges.Record.Count("retries", "feed")
+			n.edges.Loop.After(retryPause, func() { n.follow(table, after, apply, answered, again) })
+		default:
+			for i := range listing.Rows {
+				apply(listing.Rows[i])
+			}
+			answered()
+			n.follow(table, listing.Version, apply, answered, again)
+		}
+	})
+}
+
+// readConfiguration reads the configuration, then follows it.
+func (n *Node) readConfiguration() {
+	codec := n.edges.Codec
+	key := codec.ConfigurationKey()
+	n.ports.Scan(key.Table, key.Part, func(listing rows.Listing, err error) {
+		if err != nil {
+			n.edges.Loop.After(retryPause, n.readConfiguration)
+			return
+		}
+		for i := range listing.Rows {
+			n.applyConfiguration(listing.Rows[i])
+		}
+		n.confirm(time.Now())
+		n.follow(key.Table, listing.Version, n.applyConfiguration, func() { n.confirm(time.Now()) }, n.readConfiguration)
+	})
+}
+
+func (n *Node) applyConfiguration(row rows.Row) {
+	if row.Key == n.edges.Codec.ConfigurationKey() && !row.Gone {
+		n.adopt(row.Value, "feed")
+	}
+}
+
+// adopt puts a configuration in force unless a newer one is.
+func (n *Node) adopt(document []byte, source string) {
+	decoded, err := n.edges.Codec.DecodeCatalog(document)
+	if err != nil {
+		n.edges.Record.Count("refusals", "configuration_invalid")
+		n.edges.Record.Decided("configuration refused", "source", source, "reason", err.Error())
+		return
+	}
+	if current := n.catalog.Load(); current != nil && decoded.Version <= current.Version {
+		return
+	}
+	decoded.Index()
+	n.catalogDocument.Store(&document)
+	n.catalog.Store(decoded)
+	n.edges.Record.Decided("configuration in force", "version", decoded.Version, "source", source)
+	for _, name := range decoded.PoolNames() {
+		n.watchPool(name)
+	}
+}
+
+// confirm notes that the configuration was the newest at a time.
+func (n *Node) confirm(at time.Time) {
+	if known := n.confirmed.Load(); known == nil || at.After(*known) {
+		n.confirmed.Store(&at)
+	}
+}
+
+// readMembers reads the nodes' rows, then follows them and the leases.
+func (n *Node) readMembers() {
+	n.ports.Scan(pool.NodeTable, "", func(listing rows.Listing, err error) {
+		if err != nil {
+			n.edges.Loop.After(retryPause, n.readMembers)
+			return
+		}
+		clear(n.members)
+		for i := range listing.Rows {
+			n.applyNodeRow(listing.Rows[i])
+		}
+		for _, name := range sortedKeys(n.watches) {
+			n.readLease(name)
+		}
+		n.publish()
+		n.follow(pool.NodeTable, listing.Version, n.applyNodeRow, func() {}, n.readMembers)
+	})
+}
+
+// applyNodeRow takes in a member or a lease.
+func (n *Node) applyNodeRow(row rows.Row) {
+	if row.Part == "" {
+		n.applyMember(row)
+	} else if row.Name == pool.LeaseRow {
+		n.applyLease(row)
+	}
+	n.publish()
+}
+
+func (n *Node) applyMember(row rows.Row) {
+	if row.Gone {
+		delete(n.members, row.Name)
+		return
+	}
+	var m member
+	if err := json.Unmarshal(row.Value, &m); err == nil {
+		n.members[m.Name] = m
+	}
+}
+
+func (n *Node) applyLease(row rows.Row) {
+	if n.leases[row.Part].version >= row.Version {
+		return
+	}
+	lease := leaseView{version: row.Version}
+	if !row.Gone {
+		if err := json.Unmarshal(row.Value, &lease.Lease); err != nil {
+			return
+		}
+	}
+	n.leases[row.Part] = lease
+	if p := n.owned[row.Part]; p != nil && p.Token() < row.Version {
+		p.Abandon("lease taken by " + lease.Owner)
+	}
+	n.leaseChanged(row.Part)
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/node/gossip.go
@@ -0,0 +1,202 @@
+package node
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/wheatroad/wheatroad/internal/fault"
+)
+
+// pingRequest asks a pool's owner how it is.
+type pingRequest struct {
+	Pool string `json:"pool"`
+}
+
+// pingReply is an owner's account of itself.
+type pingReply struct {
+	Owner bool `json:"owner"`
+	// StoreAgeMillis is how long ago the store last answered the node.
+	StoreAgeMillis int64          `json:"store_age_ms"`
+	Waiting        map[string]int `json:"waiting,omitempty"`
+	catalogNews
+}
+
+// catalogNews says how new a node's configuration is.
+type catalogNews struct {
+	Version int64 `json:"version"`
+	// AgeMillis is how long ago the configuration was known to be the newest.
+	AgeMillis int64 `json:"age_ms"`
+	// Document is the configuration, if the asking node's is older.
+	Document []byte `json:"document,omitempty"`
+}
+
+// pingOwners asks the owners of all pools how they are, again and again.
+func (n *Node) pingOwners() {
+	for _, name := range sortedKeys(n.watches) {
+		if n.owned[name] == nil {
+			n.pingOwner(n.watches[name])
+		}
+	}
+	n.edges.Loop.After(pingPeriod, n.pingOwners)
+}
+
+func (n *Node) pingOwner(w *watch) {
+	lease := n.leases[w.pool]
+	if lease.Owner == "" || lease.Owner == n.options.Name {
+		n.leaseChanged(w.pool)
+		return
+	}
+	n.callPeer(lease.Address, methodPing, pingRequest{Pool: w.pool}, func(document []byte, err error) {
+		if n.leases[w.pool].version != lease.version {
+			return
+		}
+		if err != nil {
+			n.pingFailed(w, err)
+			return
+		}
+		var reply pingReply
+		if json.Unmarshal(document, &reply) == nil {
+			n.pingAnswered(w, reply)
+		}
+	})
+}
+
+func (n *Node) pingAnswered(w *watch, reply pingReply) {
+	n.takeNews(reply.catalogNews)
+	owner := n.leases[w.pool].Owner
+	switch {
+	case !reply.Owner:
+		// The process is a new life, or was deposed without our knowing.
+		w.failures++
+		n.replaceIfSuspect(w, "owner "+owner+" does not own")
+	case time.Duration(reply.StoreAgeMillis)*time.Millisecond > storeDead && n.storeAge() < storeDead/2:
+		w.failures++
+		n.replaceIfSuspect(w, "owner "+owner+" lost the store")
+	default:
+		w.failures = 0
+		w.answeredAt = n.now()
+		n.waiting[w.pool] = waitingCounts{counts: reply.Waiting, at: time.Now()}
+		n.publish()
+	}
+}
+
+// pingFailed counts a failure. A refused connection says that the process is gone,
+// silence says so only the second time.
+func (n *Node) pingFailed(w *watch, err error) {
+	w.failures++
+	if fault.IsKind(err, fault.NoOwner) {
+		w.failures++
+	}
+	n.edges.Record.Count("retries", "ping")
+	n.replaceIfSuspect(w, "owner "+n.leases[w.pool].Owner+" does not answer")
+}
+
+// replaceIfSuspect takes a pool from an owner that others do not see either.
+func (n *Node) replaceIfSuspect(w *watch, reason string) {
+	if !n.suspect(w) || n.stopping.Load() {
+		return
+	}
+	n.askWitnesses(w, func(seen bool) {
+		if seen {
+			n.edges.Record.Count("takeovers", "owner_seen_by_others")
+			return
+		}
+		n.acquireLater(w, reason)
+	})
+}
+
+// witnessCount is how many other nodes are asked whether they see an owner.
+const witnessCount = 3
+
+// askWitnesses asks other nodes whether they see a pool's owner. A node that no
+// other answers is itself cut off and counts as if the owner were seen.
+func (n *Node) askWitnesses(w *watch, done func(seen bool)) {
+	others := n.otherMembers(n.leases[w.pool].Owner)
+	if len(others) == 0 {
+		done(false)
+		return
+	}
+	asked := others[:min(witnessCount, len(others))]
+	left, answers, seen := len(asked), 0, false
+	for _, other := range asked {
+		n.callPeer(other.Address, methodSeen, pingRequest{Pool: w.pool}, func(document []byte, err error) {
+			left--
+			var reply seenReply
+			if err == nil && json.Unmarshal(document, &reply) == nil {
+				answers++
+				seen = seen || reply.Seen
+			}
+			if left == 0 {
+				done(seen)
+			}
+		})
+	}
+}
+
+// seenReply says whether a node sees a pool's owner in good health.
+type seenReply struct {
+	Seen bool `json:"seen"`
+}
+
+// seenLimit is how old a good answer of an owner may be.
+const seenLimit = 900 * time.Millisecond
+
+// otherMembers lists the members besides this node and one more, in random order.
+func (n *Node) otherMembers(but string) []member {
+	var others []member
+	for _, name := range sortedKeys(n.members) {
+		if name != n.options.Name && name != but {
+			others = append(others, n.members[name])
+		}
+	}
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return others
+}
+
+// takeNews takes in what another node knows of the configuration.
+func (n *Node) takeNews(news catalogNews) {
+	if len(news.Document) > 0 {
+		n.adopt(news.Document, "peer")
+	}
+	current := n.catalog.Load()
+	if current != nil && current.Version >= news.Version {
+		n.confirm(time.Now().Add(-time.Duration(news.AgeMillis) * time.Millisecond))
+	}
+}
+
+// news says how new this node's configuration is, with the document for a node
+// whose version is older. It may be called anywhere.
+func (n *Node) news(theirs int64) catalogNews {
+	news := catalogNews{AgeMillis: age(n.confirmed.Load()).Milliseconds()}
+	if current := n.catalog.Load(); current != nil {
+		news.Version = current.Version
+		if current.Version > theirs {
+			news.Document = *n.catalogDocument.Load()
+		}
+	}
+	return news
+}
+
+// seekPeriod is how often a node without news from the store asks another.
+const seekPeriod = 400 * time.Millisecond
+
+// seekAge is the age of the configuration's confirmation from which others are asked.
+const seekAge = feedWait + 300*time.Millisecond
+
+// seekConfiguration asks other nodes for the configuration while the store does
+// not tell it.
+func (n *Node) seekConfiguration() {
+	if age(n.confirmed.Load()) > seekAge {
+		others := n.otherMembers("")
+		for _, other := range others[:min(2, len(others))] {
+			n.callPeer(other.Address, methodNews, struct{}{}, func(document []byte, err error) {
+				var news catalogNews
+				if err == nil && json.Unmarshal(document, &news) == nil {
+					n.takeNews(news)
+				}
+			})
+		}
+	}
+	n.edges.Loop.After(seekPeriod, n.seekConfiguration)
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,175 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/wheatroad/wheatroad/internal/catalog"
+	"github.com/wheatroad/wheatroad/internal/pool"
+	"github.com/wheatroad/wheatroad/internal/rows"
+)
+
+// member is another node as its row has it.
+type member struct {
+	Name        string `json:"name"`
+	Incarnation string `json:"incarnation"`
+	Address     string `json:"address"`
+}
+
+// leaseView is a pool's lease as this node last read it.
+type leaseView struct {
+	pool.Lease
+	version int64
+}
+
+// view is an immutable copy of what traffic needs to know.
+type view struct {
+	members []member
+	leases  map[string]leaseView
+	owned   map[string]*pool.Pool
+	// waiting caches the owners' counts of waiting jobs by pool.
+	waiting map[string]waitingCounts
+}
+
+// waitingCounts are an owner's counts by queue at a time.
+type waitingCounts struct {
+	counts map[string]int
+	at     time.Time
+}
+
+// Node is the control state of one process. Unless said otherwise its methods run
+// on the loop.
+type Node struct {
+	options Options
+	edges   Edges
+	ports   *ports
+	catalog atomic.Pointer[catalog.Catalog]
+	// catalogDocument is the row that the catalog was read from.
+	catalogDocument atomic.Pointer[[]byte]
+	// confirmed is when the catalog was last known to be the newest.
+	confirmed atomic.Pointer[time.Time]
+	view      atomic.Pointer[view]
+	// storeAnswered is when the store last answered this node, storeFailed when it
+	// last did not.
+	storeAnswered atomic.Pointer[time.Time]
+	storeFailed   atomic.Pointer[time.Time]
+	stopping      atomic.Bool
+
+	members  map[string]member
+	leases   map[string]leaseView
+	watches  map[string]*watch
+	owned    map[string]*pool.Pool
+	waiting  map[string]waitingCounts
+	feeding  bool
+	seeds    int64
+	released func()
+}
+
+// New returns a node that does nothing until Start.
+func New(ctx context.Context, options Options, edges Edges) *Node {
+	n := &Node{
+		options: options, edges: edges,
+		members: map[string]member{}, leases: map[string]leaseView{},
+		watches: map[string]*watch{}, owned: map[string]*pool.Pool{},
+		waiting: map[string]waitingCounts{},
+	}
+	n.ports = &ports{ctx: ctx, node: n}
+	n.view.Store(&view{})
+	return n
+}
+
+// Start begins the node's work.
+func (n *Node) Start() {
+	n.join()
+	n.readConfiguration()
+	n.readMembers()
+	n.pingOwners()
+	n.seekConfiguration()
+}
+
+// now returns the loop's time.
+func (n *Node) now() time.Time { return n.edges.Loop.Now() }
+
+func (n *Node) publish() {
+	v := &view{leases: map[string]leaseView{}, owned: map[string]*pool.Pool{}, waiting: map[string]waitingCounts{}}
+	for _, name := range sortedKeys(n.members) {
+		if name != n.options.Name {
+			v.members = append(v.members, n.members[name])
+		}
+	}
+	for name, lease := range n.leases {
+		v.leases[name] = lease
+	}
+	for name, p := range n.owned {
+		v.owned[name] = p
+	}
+	for name, counts := range n.waiting {
+		v.waiting[name] = counts
+	}
+	n.view.Store(v)
+}
+
+// noteStore notes whether the store answered. It may be called anywhere.
+func (n *Node) noteStore(err error) {
+	now := time.Now()
+	if err == nil {
+		n.storeAnswered.Store(&now)
+		return
+	}
+	n.storeFailed.Store(&now)
+}
+
+// storeAge returns how long ago the store last answered.
+func (n *Node) storeAge() time.Duration { return age(n.storeAnswered.Load()) }
+
+// storeLost reports whether the store's last answer is older than its last failure.
+func (n *Node) storeLost() bool {
+	answered, failed := n.storeAnswered.Load(), n.storeFailed.Load()
+	return failed != nil && (answered == nil || failed.After(*answered))
+}
+
+const forever = time.Hour
+
+func age(at *time.Time) time.Duration {
+	if at == nil {
+		return forever
+	}
+	return time.Since(*at)
+}
+
+func memberKey(name string) rows.Key { return rows.Key{Table: pool.NodeTable, Name: name} }
+
+// join writes this node's row until it is there.
+func (n *Node) join() {
+	if n.stopping.Load() {
+		return
+	}
+	own := member{Name: n.options.Name, Incarnation: n.options.Incarnation, Address: n.options.PeerAddress}
+	transaction := rows.Transaction{Puts: []rows.Put{{Key: memberKey(own.Name), Value: pool.Encode(own)}}}
+	n.ports.Commit(transaction, func(_ rows.Result, err error) {
+		if err != nil {
+			n.edges.Loop.After(retryPause, n.join)
+			return
+		}
+		n.edges.Record.Decided("joined", "node", own.Name, "address", own.Address)
+	})
+}
+
+// Stop leaves the planned way: it hands over the pools, then calls done.
+func (n *Node) Stop(done func()) {
+	n.stopping.Store(true)
+	n.released = done
+	n.ports.Commit(rows.Transaction{Removes: []rows.Key{memberKey(n.options.Name)}}, func(rows.Result, error) {})
+	for _, name := range sortedKeys(n.owned) {
+		n.owned[name].Release()
+	}
+	n.checkReleased()
+}
+
+func (n *Node) checkReleased() {
+	if n.released != nil && len(n.owned) == 0 {
+		n.released()
+		n.released = nil
+	}
+}
--- /dev/null
+++ b/internal/node/options.go
@@ -0,0 +1,66 @@
+package node
+
+import (
+	"time"
+
+	"github.com/wheatroad/wheatroad/internal/catalog"
+	"github.com/wheatroad/wheatroad/internal/fleet"
+	"github.com/wheatroad/wheatroad/internal/loop"
+	"github.com/wheatroad/wheatroad/internal/peer"
+	"github.com/wheatroad/wheatroad/internal/pool"
+	"github.com/wheatroad/wheatroad/internal/rows"
+)
+
+// Codec reads the rows that the platform writes.
+type Codec interface {
+	ConfigurationTable() string
+	ConfigurationKey() rows.Key
+	WorkerTable() string
+	DecodeCatalog(value []byte) (*catalog.Catalog, error)
+	DecodeWorker(id string, value []byte) (*fleet.Worker, error)
+}
+
+// Recorder counts and logs.
+type Recorder = pool.Recorder
+
+// Options configure a node.
+type Options struct {
+	Name        string
+	Incarnation string
+	// PeerAddress is where other nodes reach this one.
+	PeerAddress string
+	Bounds      pool.Bounds
+	// ConfigurationAge is how old the configuration's confirmation may be before
+	// callers are turned away.
+	ConfigurationAge time.Duration
+}
+
+// Edges are what a node reaches the outside through.
+type Edges struct {
+	Store  rows.Store
+	Orders fleet.Orders
+	Peers  *peer.Client
+	Codec  Codec
+	Loop   loop.Loop
+	Record Recorder
+}
+
+// Periods of the node's own work.
+const (
+	feedWait      = time.Second
+	feedTimeout   = feedWait + 800*time.Millisecond
+	storeTimeout  = 1500 * time.Millisecond
+	submitTimeout = 900 * time.Millisecond
+	orderTimeout  = 700 * time.Millisecond
+	holdSlack     = 800 * time.Millisecond
+	pingPeriod    = 500 * time.Millisecond
+	pingTimeout   = 600 * time.Millisecond
+	// pingFailures in a row make an owner suspect.
+	pingFailures = 2
+	// storeDead is the age of the store's last answer at which a node counts as
+	// having lost the store.
+	storeDead = 2200 * time.Millisecond
+	// rankDelay separates the nodes that would take a pool.
+	rankDelay  = 200 * time.Millisecond
+	retryPause = 200 * time.Millisecond
+)
--- /dev/null
+++ b/internal/node/ownership.go
@@ -0,0 +1,179 @@
+package node
+
+import (
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wheatroad/wheatroad/internal/catalog"
+	"github.com/wheatroad/wheatroad/internal/pool"
+	"github.com/wheatroad/wheatroad/internal/rows"
+)
+
+// watch is what a node knows of a pool's owner.
+type watch struct {
+	pool string
+	// read is true once the lease row is read.
+	read bool
+	// failures counts pings in a row without an answer.
+	failures   int
+	answeredAt time.Time
+	acquiring  bool
+	scheduled  bool
+	serial     int
+}
+
+// watchPool begins to care for a pool.
+func (n *Node) watchPool(name string) {
+	if n.watches[name] != nil {
+		return
+	}
+	n.watches[name] = &watch{pool: name, answeredAt: n.now()}
+	n.readLease(name)
+}
+
+func (n *Node) readLease(name string) {
+	n.ports.Scan(pool.NodeTable, name, func(listing rows.Listing, err error) {
+		if err != nil {
+			n.edges.Loop.After(retryPause, func() { n.readLease(name) })
+			return
+		}
+		n.watches[name].read = true
+		for i := range listing.Rows {
+			n.applyNodeRow(listing.Rows[i])
+		}
+		n.leaseChanged(name)
+	})
+}
+
+// leaseChanged takes the pool if it has no owner.
+func (n *Node) leaseChanged(name string) {
+	w := n.watches[name]
+	if w == nil {
+		return
+	}
+	w.failures = 0
+	lease := n.leases[name]
+	switch {
+	case !w.read || n.owned[name] != nil:
+	case lease.Owner == "":
+		n.acquireLater(w, "no owner")
+	case lease.Owner == n.options.Name && lease.Incarnation != n.options.Incarnation:
+		n.acquire(w, "own earlier life")
+	}
+}
+
+// rank is this node's place in the order in which nodes take a pool.
+func (n *Node) rank(name string) int {
+	own := rankHash(name, n.options.Name)
+	rank := 0
+	owner := n.leases[name].Owner
+	for other := range n.members {
+		if other != n.options.Name && other != owner && rankHash(name, other) < own {
+			rank++
+		}
+	}
+	return rank
+}
+
+func rankHash(poolName, node string) uint64 { return xxhash.Sum64String(poolName + "/" + node) }
+
+// acquireLater tries to take a pool after a delay that differs among nodes.
+func (n *Node) acquireLater(w *watch, reason string) {
+	if w.scheduled || n.stopping.Load() {
+		return
+	}
+	w.scheduled = true
+	version := n.leases[w.pool].version
+	n.edges.Loop.After(time.Duration(n.rank(w.pool))*rankDelay, func() {
+		w.scheduled = false
+		if n.leases[w.pool].version == version {
+			n.acquire(w, reason)
+		}
+	})
+}
+
+// acquire takes a pool by a write that requires the lease as last read.
+func (n *Node) acquire(w *watch, reason string) {
+	if w.acquiring || n.owned[w.pool] != nil || n.stopping.Load() {
+		return
+	}
+	w.acquiring = true
+	w.serial++
+	nonce := n.options.Incarnation + "/" + strconv.Itoa(w.serial)
+	n.edges.Record.Decided("acquiring", "pool", w.pool, "reason", reason, "version", n.leases[w.pool].version)
+	options := n.poolOptions(w.pool)
+	n.ports.Commit(pool.Acquire(options, n.leases[w.pool].version, nonce), func(result rows.Result, err error) {
+		w.acquiring = false
+		switch {
+		case err != nil:
+			// If the write took effect after all, the feed shows it.
+			n.edges.Record.Count("retries", "acquire")
+			n.edges.Loop.After(retryPause, func() { n.leaseChangedAfterFailure(w, reason) })
+		case result.Committed:
+			n.own(w.pool, result.Version, nonce)
+		default:
+			n.lostRace(w, result, nonce)
+		}
+	})
+}
+
+// leaseChangedAfterFailure tries again while the reason stands.
+func (n *Node) leaseChangedAfterFailure(w *watch, reason string) {
+	lease := n.leases[w.pool]
+	if lease.Owner == "" || n.suspect(w) || lease.Owner == n.options.Name {
+		n.acquire(w, reason)
+	}
+}
+
+// lostRace takes in the lease that stood in the way.
+func (n *Node) lostRace(w *watch, result rows.Result, nonce string) {
+	for i := range result.Current {
+		row := result.Current[i]
+		var lease pool.Lease
+		if json.Unmarshal(row.Value, &lease) == nil && lease.Incarnation == n.options.Incarnation && row.Version > 0 {
+			// An earlier try of this life took effect: take it anew, so that the head
+			// row is surely ours.
+			n.leases[w.pool] = leaseView{Lease: lease, version: row.Version}
+			n.acquire(w, "own earlier try")
+			return
+		}
+		n.applyNodeRow(row)
+	}
+}
+
+func (n *Node) poolOptions(name string) pool.Options {
+	return pool.Options{
+		Pool: name, Node: n.options.Name, Incarnation: n.options.Incarnation,
+		Address: n.options.PeerAddress, Bounds: n.options.Bounds,
+		Catalog: func() *catalog.Catalog { return n.catalog.Load() },
+		Ended:   func(reason string) { n.disown(name) },
+	}
+}
+
+func (n *Node) own(name string, token int64, nonce string) {
+	options := n.poolOptions(name)
+	lease := pool.Lease{Owner: options.Node, Incarnation: options.Incarnation, Address: options.Address, Nonce: nonce}
+	if n.leases[name].version < token {
+		n.leases[name] = leaseView{Lease: lease, version: token}
+	}
+	p := pool.New(options, n.edges.Loop, n.ports, n.edges.Record, token)
+	n.owned[name] = p
+	n.publish()
+	if n.stopping.Load() {
+		p.Release()
+		return
+	}
+	p.Start()
+}
+
+func (n *Node) disown(name string) {
+	delete(n.owned, name)
+	n.publish()
+	n.checkReleased()
+}
+
+// suspect reports whether a pool's owner should be replaced.
+func (n *Node) suspect(w *watch) bool { return w.failures >= pingFailures }
--- /dev/null
+++ b/internal/node/peers.go
@@ -0,0 +1,158 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/wheatroad/wheatroad/internal/fault"
+	"github.com/wheatroad/wheatroad/internal/loop"
+	"github.com/wheatroad/wheatroad/internal/peer/peerpb"
+	"github.com/wheatroad/wheatroad/internal/pool"
+	"github.com/wheatroad/wheatroad/internal/taskgraph"
+)
+
+// Methods of calls between nodes.
+const (
+	methodPing    = "ping"
+	methodSeen    = "seen"
+	methodNews    = "news"
+	methodSubmit  = "submit"
+	methodLookup  = "lookup"
+	methodCancel  = "cancel"
+	methodWaiting = "waiting"
+)
+
+// envelope is the document of a call between nodes.
+type envelope struct {
+	// Version is the caller's configuration.
+	Version int64           `json:"version"`
+	Body    json.RawMessage `json:"body"`
+}
+
+// jobRequest names a job or a queue for another node.
+type jobRequest struct {
+	Pool  string         `json:"pool"`
+	ID    string         `json:"id,omitempty"`
+	Queue string         `json:"queue,omitempty"`
+	Job   *pool.Accepted `json:"job,omitempty"`
+}
+
+type lookupReply struct {
+	State taskgraph.State `json:"state"`
+}
+
+type waitingReply struct {
+	Waiting int `json:"waiting"`
+}
+
+// call sends a request to another node and waits for the answer. It may be called
+// anywhere.
+func (n *Node) call(ctx context.Context, address, method string, body any) ([]byte, error) {
+	content, err := json.Marshal(body)
+	if err != nil {
+		return nil, fault.New(fault.Internal, "%s: %v", method, err)
+	}
+	var version int64
+	if current := n.catalog.Load(); current != nil {
+		version = current.Version
+	}
+	document, err := json.Marshal(envelope{Version: version, Body: content})
+	if err != nil {
+		return nil, fault.New(fault.Internal, "%s: %v", method, err)
+	}
+	request := &peerpb.Request{Body: &peerpb.Request_PoolCall{PoolCall: &peerpb.PoolCall{Method: method, Document: document}}}
+	return n.edges.Peers.Call(ctx, address, request)
+}
+
+// callPeer is call for the loop: done runs on it.
+func (n *Node) callPeer(address, method string, body any, done func([]byte, error)) {
+	go func() {
+		ctx, cancel := context.WithTimeout(n.ports.ctx, pingTimeout)
+		defer cancel()
+		document, err := n.call(ctx, address, method, body)
+		n.edges.Loop.Post(func() { done(document, err) })
+	}()
+}
+
+// ServePeer answers another node's request. It may be called anywhere.
+func (n *Node) ServePeer(ctx context.Context, request *peerpb.Request) ([]byte, error) {
+	call := request.GetPoolCall()
+	if call == nil {
+		return nil, fault.New(fault.InvalidRequest, "not a call about a pool")
+	}
+	var message envelope
+	if err := json.Unmarshal(call.Document, &message); err != nil {
+		return nil, fault.New(fault.InvalidRequest, "%s: %v", call.Method, err)
+	}
+	reply, err := n.servePeer(ctx, call.Method, message)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(reply)
+}
+
+func (n *Node) servePeer(ctx context.Context, method string, message envelope) (any, error) {
+	switch method {
+	case methodNews:
+		return n.news(message.Version), nil
+	case methodPing, methodSeen:
+		var request pingRequest
+		if err := json.Unmarshal(message.Body, &request); err != nil {
+			return nil, fault.New(fault.InvalidRequest, "%s: %v", method, err)
+		}
+		if method == methodSeen {
+			return n.serveSeen(ctx, request)
+		}
+		return n.servePing(ctx, request, message.Version)
+	}
+	var request jobRequest
+	if err := json.Unmarshal(message.Body, &request); err != nil {
+		return nil, fault.New(fault.InvalidRequest, "%s: %v", method, err)
+	}
+	gateway := &Gateway{node: n}
+	switch method {
+	case methodSubmit:
+		if request.Job == nil {
+			return nil, fault.New(fault.InvalidRequest, "submit without a job")
+		}
+		return struct{}{}, gateway.commitJob(ctx, request.Pool, request.Job)
+	case methodLookup:
+		state, err := gateway.lookupHere(ctx, request.Pool, request.ID)
+		return lookupReply{State: state}, err
+	case methodCancel:
+		return struct{}{}, gateway.commitCancel(ctx, request.Pool, request.ID)
+	case methodWaiting:
+		count, err := gateway.waitingHere(ctx, request.Pool, request.Queue)
+		return waitingReply{Waiting: count}, err
+	}
+	return nil, fault.New(fault.InvalidRequest, "method %q is not known", method)
+}
+
+func (n *Node) servePing(ctx context.Context, request pingRequest, version int64) (pingReply, error) {
+	reply := pingReply{StoreAgeMillis: n.storeAge().Milliseconds(), catalogNews: n.news(version)}
+	err := loop.Call(ctx, n.edges.Loop, func() {
+		p := n.owned[request.Pool]
+		if p == nil {
+			return
+		}
+		reply.Owner = true
+		if p.Loaded() {
+			reply.Waiting = p.Waiting()
+		}
+	})
+	return reply, err
+}
+
+func (n *Node) serveSeen(ctx context.Context, request pingRequest) (seenReply, error) {
+	var reply seenReply
+	err := loop.Call(ctx, n.edges.Loop, func() {
+		w := n.watches[request.Pool]
+		reply.Seen = n.owned[request.Pool] != nil ||
+			w != nil && w.failures == 0 && n.now().Sub(w.answeredAt) < seenLimit
+	})
+	return reply, err
+}
+
+// handOverLimit bounds the wait for a loop that must answer a traffic goroutine.
+const handOverLimit = 500 * time.Millisecond
--- /dev/null
+++ b/internal/node/ports.go
@@ -0,0 +1,93 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/wheatroad/wheatroad/internal/fleet"
+	"github.com/wheatroad/wheatroad/internal/rows"
+)
+
+// ports make calls to the outside on goroutines of their own and bring the answers
+// to the loop. They implement pool.Ports.
+type ports struct {
+	ctx  context.Context
+	node *Node
+}
+
+// run calls work with a time limit and posts what it returns.
+func run[T any](p *ports, limit time.Duration, work func(context.Context) (T, error), done func(T, error)) {
+	go func() {
+		ctx, cancel := context.WithTimeout(p.ctx, limit)
+		defer cancel()
+		result, err := work(ctx)
+		p.node.edges.Loop.Post(func() { done(result, err) })
+	}()
+}
+
+// Commit implements pool.Ports.
+func (p *ports) Commit(transaction rows.Transaction, done func(rows.Result, error)) {
+	run(p, storeTimeout, func(ctx context.Context) (rows.Result, error) {
+		return p.commit(ctx, transaction)
+	}, done)
+}
+
+func (p *ports) commit(ctx context.Context, transaction rows.Transaction) (rows.Result, error) {
+	result, err := p.node.edges.Store.Commit(ctx, transaction)
+	p.node.noteStore(err)
+	return result, err
+}
+
+// Scan implements pool.Ports.
+func (p *ports) Scan(table, part string, done func(rows.Listing, error)) {
+	run(p, storeTimeout, func(ctx context.Context) (rows.Listing, error) {
+		return p.scan(ctx, table, part, "")
+	}, done)
+}
+
+func (p *ports) scan(ctx context.Context, table, part, prefix string) (rows.Listing, error) {
+	listing, err := p.node.edges.Store.Scan(ctx, table, part, prefix)
+	p.node.noteStore(err)
+	return listing, err
+}
+
+// Feed implements pool.Ports.
+func (p *ports) Feed(table string, after int64, done func(rows.Listing, error)) {
+	run(p, feedTimeout, func(ctx context.Context) (rows.Listing, error) {
+		listing, err := p.node.edges.Store.Feed(ctx, table, after, feedWait)
+		p.node.noteStore(err)
+		return listing, err
+	}, done)
+}
+
+// Start implements pool.Ports.
+func (p *ports) Start(to *fleet.Worker, order fleet.Start, done func(fleet.Reply, error)) {
+	target := *to
+	run(p, orderTimeout, func(ctx context.Context) (fleet.Reply, error) {
+		return p.node.edges.Orders.Start(ctx, &target, order)
+	}, done)
+}
+
+// Stop implements pool.Ports.
+func (p *ports) Stop(to *fleet.Worker, order fleet.Stop, done func(fleet.Reply, error)) {
+	target := *to
+	run(p, orderTimeout, func(ctx context.Context) (fleet.Reply, error) {
+		return p.node.edges.Orders.Stop(ctx, &target, order)
+	}, done)
+}
+
+// Hold implements pool.Ports.
+func (p *ports) Hold(to *fleet.Worker, order fleet.Hold, done func(fleet.Reply, error)) {
+	target := *to
+	run(p, order.Wait+holdSlack, func(ctx context.Context) (fleet.Reply, error) {
+		return p.node.edges.Orders.Hold(ctx, &target, order)
+	}, done)
+}
+
+// DecodeWorker implements pool.Ports.
+func (p *ports) DecodeWorker(id string, value []byte) (*fleet.Worker, error) {
+	return p.node.edges.Codec.DecodeWorker(id, value)
+}
+
+// WorkerTable implements pool.Ports.
+func (p *ports) WorkerTable() string { return p.node.edges.Codec.WorkerTable() }
--- /dev/null
+++ b/internal/pool/cycle.go
@@ -0,0 +1,365 @@
+package pool
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/wheatroad/wheatroad/internal/placement"
+	"github.com/wheatroad/wheatroad/internal/taskgraph"
+)
+
+// Choices of the scheduling policy.
+const (
+	// reservationLimit bounds the units for which room is kept in one cycle.
+	reservationLimit = 4
+	// remotePatience times its estimate is how long a unit waits for a place near
+	// its data, or on one rack, before it runs elsewhere.
+	remotePatience = 1.0
+	// stopLossPerCoreSecond prices work that a stop throws away.
+	stopLossPerCoreSecond = 1.0
+)
+
+// wake runs a scheduling cycle soon.
+func (p *Pool) wake() {
+	if p.waking || !p.loaded || p.gone || p.releasing {
+		return
+	}
+	p.waking = true
+	p.loop.Post(func() {
+		p.waking = false
+		if !p.gone && !p.releasing {
+			p.cycle()
+		}
+	})
+}
+
+// snapshot is what one cycle decides over.
+type snapshot struct {
+	now     time.Time
+	workers []placement.Worker
+	owners  []*worker
+	index   map[*worker]int
+	racks   *placement.Racks
+	units   []placement.Unit
+	running []*unit
+	// reservations is how many more units may keep room free.
+	reservations int
+	// backfill has the time at which reserved room is wanted, by worker.
+	reserved map[int]time.Duration
+}
+
+// cycle places waiting units, the most pressing first.
+func (p *Pool) cycle() {
+	waiting := p.waitingUnits()
+	if len(waiting) == 0 {
+		return
+	}
+	s := p.snapshot()
+	refused := map[placementClass]bool{}
+	for _, u := range waiting {
+		class := classOf(u)
+		if refused[class] {
+			continue
+		}
+		if !p.place(s, u) && len(u.avoid) == 0 {
+			refused[class] = true
+		}
+	}
+}
+
+// placementClass groups units for which the answer is the same in one cycle.
+type placementClass struct {
+	step *step
+	gang bool
+}
+
+func classOf(u *unit) placementClass {
+	return placementClass{step: u.step, gang: u.spec().Gang}
+}
+
+// waitingUnits lists the units that want a place, the most pressing first.
+func (p *Pool) waitingUnits() []*unit {
+	var waiting []*unit
+	for _, j := range p.jobs {
+		if j.next.Final() {
+			continue
+		}
+		for _, t := range j.times {
+			for _, s := range t.steps {
+				for _, u := range s.units {
+					if u.state == unitWaiting {
+						waiting = append(waiting, u)
+					}
+				}
+			}
+		}
+	}
+	slices.SortFunc(waiting, compareUnits)
+	return waiting
+}
+
+func compareUnits(a, b *unit) int {
+	if a.job.Queue.Priority != b.job.Queue.Priority {
+		return a.job.Queue.Priority - b.job.Queue.Priority
+	}
+	if order := a.job.acceptedAt.Compare(b.job.acceptedAt); order != 0 {
+		return order
+	}
+	if order := strings.Compare(a.job.id, b.job.id); order != 0 {
+		return order
+	}
+	if a.time.number != b.time.number {
+		return a.time.number - b.time.number
+	}
+	if a.step.index != b.step.index {
+		return a.step.index - b.step.index
+	}
+	return a.index - b.index
+}
+
+func (p *Pool) snapshot() *snapshot {
+	now := p.loop.Now()
+	s := &snapshot{now: now, index: map[*worker]int{}, reservations: reservationLimit, reserved: map[int]time.Duration{}}
+	numbers := map[*unit]int{}
+	for _, w := range p.sortedWorkers() {
+		entry := placement.Worker{Rack: w.rack, Free: w.Capacity, Usable: p.usable(w, now), Slowness: 1}
+		place := len(s.workers)
+		for _, m := range w.sortedMembers() {
+			room := m.unit.spec().Room()
+			entry.Free = entry.Free.Minus(room)
+			number, known := numbers[m.unit]
+			if !known {
+				number = len(s.units)
+				numbers[m.unit] = number
+				s.units = append(s.units, p.describeUnit(m.unit, now))
+				s.running = append(s.running, m.unit)
+			}
+			s.units[number].Places = append(s.units[number].Places, place)
+			entry.Holders = append(entry.Holders, placement.Holder{Unit: number, Room: room})
+		}
+		for _, room := range w.strangers {
+			entry.Free = entry.Free.Minus(room)
+		}
+		s.index[w] = place
+		s.workers = append(s.workers, entry)
+		s.owners = append(s.owners, w)
+	}
+	s.racks = placement.NewRacks(s.workers)
+	return s
+}
+
+// usable reports whether a worker may take new work.
+func (p *Pool) usable(w *worker, now time.Time) bool {
+	return w.greeted && w.unanswered == 0 && !w.leaving() && now.After(w.penaltyUntil)
+}
+
+// describeUnit renders a unit that holds room.
+func (p *Pool) describeUnit(u *unit, now time.Time) placement.Unit {
+	described := placement.Unit{Room: u.spec().Room(), Remaining: p.remaining(u, now), Loss: -1}
+	switch {
+	case u.state == unitStopping || u.state == unitEnded:
+		described.Remaining = min(described.Remaining, p.options.Bounds.StopTimeout)
+		described.Loss = 0
+	case u.state == unitActive && u.job.Queue.Priority > 0:
+		described.Loss = p.stopLoss(u, now)
+	}
+	return described
+}
+
+// stopLoss prices what a stop of the unit throws away.
+func (p *Pool) stopLoss(u *unit, now time.Time) float64 {
+	lost := now.Sub(u.startedAt)
+	if u.spec().Checkpoints {
+		lost = min(lost, p.options.Bounds.CheckpointInterval)
+	}
+	cores := u.spec().Amount.Cores() * float64(len(u.members))
+	return stopLossPerCoreSecond * cores * lost.Seconds()
+}
+
+// request renders what a unit asks for.
+func (s *snapshot) request(u *unit) *placement.Request {
+	spec := u.spec()
+	request := &placement.Request{Room: spec.Room(), Count: len(u.members), MaxPerWorker: spec.MaxPerWorker}
+	request.Allowed = func(i int) bool {
+		w := s.owners[i]
+		return !u.avoid[w.ID] && w.HasLabel(spec.RequiredLabel)
+	}
+	if spec.MaxPerWorker > 0 {
+		request.Present = func(i int) int {
+			count := 0
+			for m := range s.owners[i].members {
+				if m.unit.step == u.step {
+					count++
+				}
+			}
+			return count
+		}
+	}
+	return request
+}
+
+// place finds a place for a unit and begins it. It returns false if none is found.
+func (p *Pool) place(s *snapshot, u *unit) bool {
+	request := s.request(u)
+	if places := p.findPlace(s, u, request); places != nil {
+		p.beginAt(s, u, request, places)
+		return true
+	}
+	if u.job.Queue.Priority == 0 && p.preemptFor(s, u, request) {
+		return false
+	}
+	p.reserveFor(s, u, request)
+	return false
+}
+
+func (p *Pool) beginAt(s *snapshot, u *unit, request *placement.Request, places []int) {
+	placement.Reserve(s.workers, places, request.Room)
+	workers := make([]*worker, len(places))
+	for i, place := range places {
+		workers[i] = s.owners[place]
+	}
+	p.begin(u, workers)
+}
+
+// findPlace looks for room that is free now.
+func (p *Pool) findPlace(s *snapshot, u *unit, request *placement.Request) []int {
+	spec := u.spec()
+	visible := s.visibleTo(spec.Estimate())
+	if rack := spec.PreferredRack; rack != "" {
+		if places := placement.Fit(visible, s.racks.Members[rack], request); places != nil {
+			return places
+		}
+	}
+	if spec.SameRack && len(u.members) > 1 && spec.PreferredRack == "" {
+		if places := placement.FitOneRack(visible, s.racks, request); places != nil {
+			return places
+		}
+	}
+	if p.bound(s, u) {
+		return nil
+	}
+	if len(u.members) > 1 && spec.Gang {
+		if places := placement.FitOneRack(visible, s.racks, request); places != nil {
+			return places
+		}
+	}
+	return placement.Fit(visible, s.racks.All, request)
+}
+
+// bound reports whether a unit still waits for a place where it runs at full speed.
+func (p *Pool) bound(s *snapshot, u *unit) bool {
+	spec := u.spec()
+	near := spec.PreferredRack != "" && len(s.racks.Members[spec.PreferredRack]) > 0
+	together := spec.SameRack && len(u.members) > 1
+	if !near && !together {
+		return false
+	}
+	waited := s.now.Sub(u.readyAt)
+	return waited < time.Duration(remotePatience*float64(spec.Estimate()))
+}
+
+// visibleTo returns the workers with reserved room hidden from units that would not
+// be gone in time.
+func (s *snapshot) visibleTo(estimate time.Duration) []placement.Worker {
+	if len(s.reserved) == 0 {
+		return s.workers
+	}
+	visible := slices.Clone(s.workers)
+	for i, until := range s.reserved {
+		if estimate > until {
+			visible[i].Usable = false
+		}
+	}
+	return visible
+}
+
+// scopes lists the groups of workers in which a unit should stand, best first.
+func (s *snapshot) scopes(u *unit) [][]int {
+	spec := u.spec()
+	if members := s.racks.Members[spec.PreferredRack]; spec.PreferredRack != "" && len(members) > 0 {
+		return [][]int{members}
+	}
+	if spec.SameRack && len(u.members) > 1 {
+		groups := make([][]int, 0, len(s.racks.Names))
+		for _, name := range s.racks.Names {
+			groups = append(groups, s.racks.Members[name])
+		}
+		return groups
+	}
+	return [][]int{s.racks.All}
+}
+
+// preemptFor stops what is cheapest so that a unit can start, and keeps the room.
+func (p *Pool) preemptFor(s *snapshot, u *unit, request *placement.Request) bool {
+	places, victims := bestPreemption(s, s.scopes(u), request)
+	if places == nil {
+		places, victims = bestPreemption(s, [][]int{s.racks.All}, request)
+	}
+	if places == nil {
+		return false
+	}
+	for _, number := range victims {
+		victim := s.running[number]
+		for _, i := range s.units[number].Places {
+			s.workers[i].Free = s.workers[i].Free.Plus(s.units[number].Room)
+		}
+		s.units[number].Loss = -1
+		s.units[number].Places = nil
+		p.stopUnit(victim, "preempted")
+	}
+	placement.Reserve(s.workers, places, request.Room)
+	return true
+}
+
+func bestPreemption(s *snapshot, scopes [][]int, request *placement.Request) (places, victims []int) {
+	lowest := 0.0
+	for _, scope := range scopes {
+		found, stopped, loss := placement.Preempt(s.workers, scope, s.units, request)
+		if found != nil && (places == nil || loss < lowest) {
+			places, victims, lowest = found, stopped, loss
+		}
+	}
+	return places, victims
+}
+
+// reserveFor keeps the room where a unit fits first from units that would be in
+// its way.
+func (p *Pool) reserveFor(s *snapshot, u *unit, request *placement.Request) {
+	if s.reservations == 0 || len(u.members) == 1 && request.Room.GPUs <= 1 {
+		return
+	}
+	var best []int
+	var bestAt time.Duration
+	for _, scope := range s.scopes(u) {
+		places, at := placement.EarliestFit(s.workers, scope, s.units, request)
+		if places != nil && (best == nil || at < bestAt) {
+			best, bestAt = places, at
+		}
+	}
+	if best == nil {
+		return
+	}
+	s.reservations--
+	for _, i := range best {
+		if until, known := s.reserved[i]; !known || bestAt < until {
+			s.reserved[i] = bestAt
+		}
+	}
+}
+
+// guaranteed reports whether a job's tenant may claim its guarantee for it.
+func (p *Pool) guaranteed(j *job) bool {
+	if j.Queue.Priority != 0 {
+		return false
+	}
+	used := taskgraph.Amount{}
+	for _, other := range p.jobs {
+		if other.Tenant == j.Tenant && other.Queue.Priority == 0 && !other.next.Final() {
+			for i := range other.Spec.Steps {
+				used = used.Plus(other.Spec.Steps[i].Amount.Times(other.Spec.Steps[i].Count))
+			}
+		}
+	}
+	return used.GPUs <= p.options.Catalog().Guarantee(j.Tenant).GPUs
+}
--- /dev/null
+++ b/internal/pool/job.go
@@ -0,0 +1,275 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/wheatroad/wheatroad/internal/fleet"
+	"github.com/wheatroad/wheatroad/internal/taskgraph"
+)
+
+// unitState is where a unit is on its way.
+type unitState int
+
+const (
+	// unitWaiting units want a place.
+	unitWaiting unitState = iota
+	// unitCommitting units have a place that is being written.
+	unitCommitting
+	// unitActive units have been ordered to start.
+	unitActive
+	// unitStopping units have been ordered to stop.
+	unitStopping
+	// unitEnded units are done; members may still be listed by workers.
+	unitEnded
+)
+
+// memberState is what is known of one run of one task.
+type memberState int
+
+const (
+	// memberNone members have no run.
+	memberNone memberState = iota
+	// memberStarting members have been ordered to start, without an answer yet.
+	memberStarting
+	// memberUncertain members got no answer to their start.
+	memberUncertain
+	// memberRunning members run.
+	memberRunning
+)
+
+// job is an accepted job.
+type job struct {
+	id string
+	Accepted
+	// acceptedAt is on the loop's clock.
+	acceptedAt time.Time
+	times      []*jobTime
+	// state is what the store says; next is what it will say.
+	state     taskgraph.State
+	next      taskgraph.State
+	endedAt   time.Time
+	cancelled bool
+	// begun is true once a task was started.
+	begun bool
+	dirty bool
+}
+
+// jobTime is one time of a job's steps.
+type jobTime struct {
+	number int
+	due    time.Time
+	steps  []*step
+	ended  int
+}
+
+// step is one step of one time.
+type step struct {
+	spec  *taskgraph.Step
+	index int
+	// units exist once the earlier steps have ended.
+	units    []*unit
+	ended    int
+	complete bool
+}
+
+// unit is what is placed at once: one task, or all tasks of a gang.
+type unit struct {
+	job   *job
+	time  *jobTime
+	step  *step
+	index int
+	state unitState
+	// run is the number of the latest run; 0 before the first.
+	run        int
+	failures   int
+	checkpoint string
+	members    []*member
+	readyAt    time.Time
+	startedAt  time.Time
+	// stopReason says why the unit is being stopped.
+	stopReason string
+	// avoid has the workers on which the unit failed.
+	avoid map[string]bool
+}
+
+// member is one task of a unit.
+type member struct {
+	unit  *unit
+	index int
+	state memberState
+	// worker is nil unless a run of the member may exist there.
+	worker *worker
+	// stopSent and stopAnswered tell how far a stop has come.
+	stopSent     bool
+	stopAnswered bool
+	stopTimer    func()
+	sentAt       time.Time
+	percent      int
+	percentAt    time.Time
+	percentFirst time.Time
+}
+
+func (m *member) name() taskgraph.TaskName {
+	u := m.unit
+	return taskgraph.TaskName{Job: u.job.id, Time: u.time.number, Step: u.step.index, Index: m.index}
+}
+
+func (u *unit) spec() *taskgraph.Step { return u.step.spec }
+
+// active counts the members that may run somewhere.
+func (u *unit) active() int {
+	count := 0
+	for _, m := range u.members {
+		if m.worker != nil {
+			count++
+		}
+	}
+	return count
+}
+
+func newJob(id string, accepted Accepted, acceptedAt time.Time) *job {
+	return &job{id: id, Accepted: accepted, acceptedAt: acceptedAt, state: taskgraph.Queued, next: taskgraph.Queued}
+}
+
+// timeAt returns time k, creating it if need be.
+func (j *job) timeAt(k int) *jobTime {
+	for len(j.times) <= k {
+		number := len(j.times)
+		created := &jobTime{number: number, due: j.Spec.Due(number)}
+		for i := range j.Spec.Steps {
+			created.steps = append(created.steps, &step{spec: &j.Spec.Steps[i], index: i})
+		}
+		j.times = append(j.times, created)
+	}
+	return j.times[k]
+}
+
+// unitCount is how many units a step has.
+func (s *step) unitCount() int {
+	if s.spec.Gang {
+		return 1
+	}
+	return s.spec.Count
+}
+
+// createUnits makes the step's units.
+func (s *step) createUnits(j *job, t *jobTime, now time.Time) {
+	s.units = make([]*unit, s.unitCount())
+	for i := range s.units {
+		created := &unit{job: j, time: t, step: s, index: i, readyAt: now}
+		if s.spec.Gang {
+			for index := range s.spec.Count {
+				created.members = append(created.members, &member{unit: created, index: index})
+			}
+		} else {
+			created.members = []*member{{unit: created, index: i}}
+		}
+		s.units[i] = created
+	}
+}
+
+// unitOf returns the unit and member of a task name, or nil.
+func (j *job) memberOf(name taskgraph.TaskName) *member {
+	if name.Time >= len(j.times) || name.Step >= len(j.Spec.Steps) {
+		return nil
+	}
+	s := j.times[name.Time].steps[name.Step]
+	if s.units == nil || name.Index >= s.spec.Count {
+		return nil
+	}
+	if s.spec.Gang {
+		return s.units[0].members[name.Index]
+	}
+	return s.units[name.Index].members[0]
+}
+
+// progress renders the job's row.
+func (j *job) progress() Progress {
+	record := Progress{State: j.next}
+	if !j.endedAt.IsZero() {
+		record.EndedMillis = j.endedAt.UnixMilli()
+	}
+	if j.next.Final() {
+		return record
+	}
+	for _, t := range j.times {
+		for _, s := range t.steps {
+			if rendered, any := s.progress(t.number); any {
+				record.Steps = append(record.Steps, rendered)
+			}
+		}
+	}
+	return record
+}
+
+func (s *step) progress(number int) (stepProgress, bool) {
+	record := stepProgress{Time: number, Step: s.index, Complete: s.complete}
+	if s.complete || s.units == nil {
+		return record, s.complete
+	}
+	if s.ended > 0 {
+		record.Ended = newBitset(len(s.units))
+	}
+	for _, u := range s.units {
+		if u.state == unitEnded {
+			bitset(record.Ended).set(u.index)
+		} else if u.run > 0 {
+			record.Units = append(record.Units, u.progress())
+		}
+	}
+	return record, s.ended > 0 || len(record.Units) > 0
+}
+
+func (u *unit) progress() unitProgress {
+	record := unitProgress{Index: u.index, Run: u.run, Failures: u.failures, Checkpoint: u.checkpoint}
+	if u.active() > 0 {
+		record.Workers = make([]string, len(u.members))
+		for i, m := range u.members {
+			if m.worker != nil {
+				record.Workers[i] = m.worker.ID
+			}
+		}
+	}
+	return record
+}
+
+// worker is a worker and what the owner believes of it.
+type worker struct {
+	fleet.Worker
+	rack string
+	// listed is false once the worker's row is gone.
+	listed bool
+	// greeted is true once the worker has answered under this owner's token.
+	greeted bool
+	// members that may run here.
+	members map[*member]bool
+	// strangers are runs that the worker lists and the owner does not want.
+	strangers map[stranger]taskgraph.Amount
+	// clock is the worker's clock in milliseconds at clockAt.
+	clock   int64
+	clockAt time.Time
+	// deadline is the latest lease end, on the worker's clock, that was sent.
+	deadline int64
+	lastSeen int64
+	// processed is the highest end that was taken in but perhaps not written yet.
+	processed int64
+	// holding is true while a hold is under way.
+	holding   bool
+	holdTimer func()
+	// unanswered counts calls without an answer since the last one.
+	unanswered int
+	silentAt   time.Time
+	// penaltyUntil keeps new work away.
+	penaltyUntil time.Time
+	// strikes count failures that look like the worker's own.
+	strikes int
+}
+
+// stranger is a run that does not belong where it is.
+type stranger struct {
+	task taskgraph.TaskName
+	run  int
+}
+
+// draining reports whether the worker leaves.
+func (w *worker) leaving() bool { return w.Draining || !w.listed }
--- /dev/null
+++ b/internal/pool/options.go
@@ -0,0 +1,62 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/wheatroad/wheatroad/internal/catalog"
+	"github.com/wheatroad/wheatroad/internal/fleet"
+	"github.com/wheatroad/wheatroad/internal/rows"
+)
+
+// Bounds are the periods that the platform sets.
+type Bounds struct {
+	// MaxHold bounds the lease of what runs on a worker.
+	MaxHold time.Duration
+	// StopTimeout bounds how long a stop takes.
+	StopTimeout time.Duration
+	// GangTimeout is how long members of a gang wait for the others.
+	GangTimeout time.Duration
+	// Reclaim is the time in which a guaranteed job must begin.
+	Reclaim time.Duration
+	// CheckpointInterval is the work between two checkpoints.
+	CheckpointInterval time.Duration
+	// StatusRetention is how long a job's state must be readable after its end.
+	StatusRetention time.Duration
+	// RemoteFactor is how much longer a step takes away from its rack.
+	RemoteFactor float64
+}
+
+// Options configure a pool's owner.
+type Options struct {
+	Pool string
+	// Node, Incarnation and Address identify the owner to other nodes.
+	Node        string
+	Incarnation string
+	Address     string
+	Bounds      Bounds
+	// Catalog returns the configuration in force.
+	Catalog func() *catalog.Catalog
+	// Ended is called once the node is no longer the owner.
+	Ended func(reason string)
+}
+
+// Ports reach the outside. Each call returns at once; done runs on the pool's
+// loop, exactly once.
+type Ports interface {
+	Commit(transaction rows.Transaction, done func(rows.Result, error))
+	Scan(table, part string, done func(rows.Listing, error))
+	Feed(table string, after int64, done func(rows.Listing, error))
+	Start(to *fleet.Worker, order fleet.Start, done func(fleet.Reply, error))
+	Stop(to *fleet.Worker, order fleet.Stop, done func(fleet.Reply, error))
+	Hold(to *fleet.Worker, order fleet.Hold, done func(fleet.Reply, error))
+	// DecodeWorker reads a worker's row, and WorkerTable names their table.
+	DecodeWorker(id string, value []byte) (*fleet.Worker, error)
+	WorkerTable() string
+}
+
+// Recorder counts and logs.
+type Recorder interface {
+	Count(counter, reason string)
+	// Decided logs one line for a decision that touches a job or a belief.
+	Decided(decision string, keysAndValues ...any)
+}
--- /dev/null
+++ b/internal/settings/node.go
@@ -0,0 +1,130 @@
+package settings
+
+import (
+	"os"
+	"time"
+
+	"github.com/BurntSushi/toml"
+
+	"github.com/wheatroad/wheatroad/internal/job"
+)
+
+// Node is the content of a settings file of `wheatroadd serve`: a node on a
+// platform that is spoken to through an adapter.
+type Node struct {
+	// Name is unlike that of any other node.
+	Name string `toml:"name"`
+	Zone string `toml:"zone"`
+	// Callers and Readiness are IP addresses and ports to listen on.
+	Callers   string `toml:"callers"`
+	Readiness string `toml:"readiness"`
+	// Peers is the address that other nodes reach this one at.
+	Peers string `toml:"peers"`
+	// Metrics is the address that serves counters; empty serves none.
+	Metrics string `toml:"metrics"`
+	// Store is the address of the platform's store.
+	Store     string     `toml:"store"`
+	MemoryMB  int        `toml:"memory_mb"`
+	Bounds    NodeBounds `toml:"bounds"`
+	Log       Log        `toml:"log"`
+	Stretches Stretches  `toml:"stop"`
+}
+
+// NodeBounds are the platform's periods, in milliseconds unless said otherwise.
+type NodeBounds struct {
+	MaxHoldMillis         int64   `toml:"max_hold_ms"`
+	StopTimeoutMillis     int64   `toml:"stop_timeout_ms"`
+	GangTimeoutMillis     int64   `toml:"gang_timeout_ms"`
+	ReclaimMillis         int64   `toml:"reclaim_ms"`
+	CheckpointSeconds     float64 `toml:"checkpoint_interval_s"`
+	StatusSeconds         float64 `toml:"status_s"`
+	RemoteFactor          float64 `toml:"remote_factor"`
+	ConfigurationMillis   int64   `toml:"config_apply_ms"`
+	ConfigurationStretch  int64   `toml:"max_stretch_ms"`
+	GraceSeconds          float64 `toml:"grace_period_s"`
+	UnacknowledgedTimeout int64   `toml:"unacknowledged_ms"`
+}
+
+// Stretches are how long a planned stop lasts.
+type Stretches struct {
+	// ServeSeconds is how long callers are still served after the signal.
+	ServeSeconds float64 `toml:"serve_s"`
+}
+
+// Millis returns a number of milliseconds as a duration.
+func Millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// Seconds returns a number of seconds as a duration.
+func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// DefaultNode returns settings in which only what has no good default is missing.
+func DefaultNode() Node {
+	return Node{
+		MemoryMB: 256,
+		Bounds: NodeBounds{
+			MaxHoldMillis: 6000, StopTimeoutMillis: 1000, GangTimeoutMillis: 3000, ReclaimMillis: 3000,
+			CheckpointSeconds: 1, StatusSeconds: 120, RemoteFactor: 3,
+			ConfigurationMillis: 2000, ConfigurationStretch: 5000, GraceSeconds: 6, UnacknowledgedTimeout: 1500,
+		},
+		Stretches: Stretches{ServeSeconds: 3},
+		Log:       Log{Format: "json"},
+	}
+}
+
+// ReadNode reads and checks a settings file. The error is of type Problems, or says
+// why the file could not be read.
+func ReadNode(path string) (*Node, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return ParseNode(string(text))
+}
+
+// ParseNode reads and checks settings from TOML text.
+func ParseNode(text string) (*Node, error) {
+	s := DefaultNode()
+	meta, err := toml.Decode(text, &s)
+	if err != nil {
+		return nil, Problems{{Key: "file", Detail: err.Error()}}
+	}
+	c := &checker{}
+	for _, key := range meta.Undecoded() {
+		c.require(false, key.String(), "is not a known key")
+	}
+	s.check(c)
+	if len(c.problems) > 0 {
+		return nil, c.problems
+	}
+	return &s, nil
+}
+
+func (s *Node) check(c *checker) {
+	c.require(job.ValidName(s.Name), "name", "must be 1 to 63 letters, digits, '.', '_' or '-'")
+	c.address("callers", s.Callers)
+	c.address("readiness", s.Readiness)
+	c.address("peers", s.Peers)
+	c.address("store", s.Store)
+	if s.Metrics != "" {
+		c.address("metrics", s.Metrics)
+	}
+	c.require(s.MemoryMB >= 32, "memory_mb", "must be at least 32")
+	b := &s.Bounds
+	positive := map[string]int64{
+		"bounds.max_hold_ms": b.MaxHoldMillis, "bounds.stop_timeout_ms": b.StopTimeoutMillis,
+		"bounds.gang_timeout_ms": b.GangTimeoutMillis, "bounds.reclaim_ms": b.ReclaimMillis,
+		"bounds.config_apply_ms": b.ConfigurationMillis, "bounds.unacknowledged_ms": b.UnacknowledgedTimeout,
+	}
+	for _, key := range []string{
+		"bounds.max_hold_ms", "bounds.stop_timeout_ms", "bounds.gang_timeout_ms", "bounds.reclaim_ms",
+		"bounds.config_apply_ms", "bounds.unacknowledged_ms",
+	} {
+		c.require(positive[key] > 0, key, "must be positive")
+	}
+	c.require(b.CheckpointSeconds >= 0, "bounds.checkpoint_interval_s", "must not be negative")
+	c.require(b.StatusSeconds > 0, "bounds.status_s", "must be positive")
+	c.require(b.RemoteFactor >= 1, "bounds.remote_factor", "must be at least 1")
+	c.require(b.GraceSeconds > 0, "bounds.grace_period_s", "must be positive")
+	c.require(s.Stretches.ServeSeconds >= 0 && s.Stretches.ServeSeconds < b.GraceSeconds, "stop.serve_s", "must be less than bounds.grace_period_s")
+	c.require(s.Log.Format == "json" || s.Log.Format == "text", "log.format", "must be json or text")
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -36,6 +36,10 @@
 		"worker_orders":     {"wheatroad.worker.orders", "Orders sent to workers, by action.", "action"},
 		"attempts":          {"wheatroad.job.attempts", "What became of attempts, by event.", "event"},
 		"requests":          {"wheatroad.requests", "Requests answered, by endpoint.", "endpoint"},
+		"takeovers":         {"wheatroad.pool.ownership.changes", "Pools acquired, lost or left to their owner, by event.", "event"},
+		"feed_gaps":         {"wheatroad.feed.gaps", "Feeds read anew because their history was gone, by table.", "table"},
+		"start_failures":    {"wheatroad.worker.start.failures", "Starts that did not succeed, by reason.", "reason"},
+		"stops":             {"wheatroad.unit.stops", "Units stopped, by reason.", "reason"},
 		"forwards":          {"wheatroad.forwards", "Requests forwarded to another node, by result.", "result"},
 	}
 }
@@ -94,5 +98,10 @@
 	t.log.Info(message, keysAndValues...)
 }
 
+// Decided logs one line for a decision that touches a job or a belief.
+func (t *Telemetry) Decided(decision string, keysAndValues ...any) {
+	t.log.Info(decision, keysAndValues...)
+}
+
 // Handler serves the counters.
 func (t *Telemetry) Handler() http.Handler { return t.handler }
