Preempt at once when it is cheap, otherwise wait while the slack allows

Cause: stops take up to stop_timeout_ms, and estimates of what ends when are off by factors of 0.3 to 9, so waiting made urgent jobs late; stopping runs also counted as free before their end was listed, which got starts rejected. Change: loss against gain; stopping members keep their room until listed.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -3,6 +3,7 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -96,7 +97,7 @@
 		return nil
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
-		return compareFloat(a.left, b.left)
+		return cmp.Compare(a.left, b.left)
 	})
 	return take(candidates, request.Count)
 }
@@ -111,16 +112,6 @@
 	return places
 }
 
-func compareFloat(a, b float64) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // Racks groups workers by rack, in the order of the racks' first workers.
 type Racks struct {
 	Names   []string
@@ -181,50 +172,64 @@
 	Loss float64
 }
 
-// Release is a moment at which units free their room.
-type Release struct {
+// Promise is room that a request will get once running units have ended.
+type Promise struct {
+	Places []int
+	// After is how long the request waits.
 	After time.Duration
-	Units []int
+	// Spare has, for each place, the room that others may hold beyond then.
+	Spare map[int]taskgraph.Amount
 }
 
 // EarliestFit returns when and where the request fits among workers if running
 // units end as expected and nothing new starts. The result is nil if never.
-func EarliestFit(workers []Worker, among []int, units []Unit, request *Request) ([]int, time.Duration) {
+func EarliestFit(workers []Worker, among []int, units []Unit, request *Request) *Promise {
 	trial := slices.Clone(workers)
-	inside := map[int]bool{}
+	inside := make(map[int]bool, len(among))
 	for _, i := range among {
 		inside[i] = true
 	}
+	if places := Fit(trial, among, request); places != nil {
+		return promise(trial, places, 0, request)
+	}
+	for _, number := range endingOrder(workers, among, units) {
+		for _, i := range units[number].Places {
+			if inside[i] {
+				trial[i].Free = trial[i].Free.Plus(units[number].Room)
+			}
+		}
+		if places := Fit(trial, among, request); places != nil {
+			return promise(trial, places, units[number].Remaining, request)
+		}
+	}
+	return nil
+}
+
+// endingOrder lists the units that hold room among workers, the first to end first.
+func endingOrder(workers []Worker, among []int, units []Unit) []int {
 	var order []int
 	seen := map[int]bool{}
 	for _, i := range among {
 		for _, holder := range workers[i].Holders {
-			if !seen[holder.Unit] {
+			if !seen[holder.Unit] && len(units[holder.Unit].Places) > 0 {
 				seen[holder.Unit] = true
 				order = append(order, holder.Unit)
 			}
 		}
 	}
-	slices.SortStableFunc(order, func(a, b int) int { return int(units[a].Remaining - units[b].Remaining) })
-	if places := Fit(trial, among, request); places != nil {
-		return places, 0
-	}
-	for _, number := range order {
-		freed := false
-		for _, i := range units[number].Places {
-			if inside[i] {
-				trial[i].Free = trial[i].Free.Plus(units[number].Room)
-				freed = true
-			}
-		}
-		if !freed {
-			continue
-		}
-		if places := Fit(trial, among, request); places != nil {
-			return places, units[number].Remaining
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(units[a].Remaining, units[b].Remaining) })
+	return order
+}
+
+func promise(trial []Worker, places []int, after time.Duration, request *Request) *Promise {
+	spare := map[int]taskgraph.Amount{}
+	for _, i := range places {
+		if _, known := spare[i]; !known {
+			spare[i] = trial[i].Free
 		}
+		spare[i] = spare[i].Minus(request.Room)
 	}
-	return nil, 0
+	return &Promise{Places: places, After: after, Spare: spare}
 }
 
 // Preempt returns where the request fits among workers if victims are stopped, the
@@ -280,7 +285,7 @@
 		}
 	}
 	slices.SortStableFunc(candidates, func(a, b int) int {
-		return compareFloat(units[a].Loss/(useful[a]+1), units[b].Loss/(useful[b]+1))
+		return cmp.Compare(units[a].Loss/(useful[a]+1), units[b].Loss/(useful[b]+1))
 	})
 	return candidates
 }
@@ -289,7 +294,7 @@
 func spare(workers []Worker, among []int, units []Unit, request *Request, chosen []int) []int {
 	kept := slices.Clone(chosen)
 	byLoss := slices.Clone(chosen)
-	slices.SortStableFunc(byLoss, func(a, b int) int { return compareFloat(units[b].Loss, units[a].Loss) })
+	slices.SortStableFunc(byLoss, func(a, b int) int { return cmp.Compare(units[b].Loss, units[a].Loss) })
 	for _, number := range byLoss {
 		without := slices.DeleteFunc(slices.Clone(kept), func(other int) bool { return other == number })
 		trial := slices.Clone(workers)
--- a/internal/pool/cycle.go
+++ b/internal/pool/cycle.go
@@ -16,8 +16,18 @@
 	// remotePatience times its estimate is how long a unit waits for a place near
 	// its data, or on one rack, before it runs elsewhere.
 	remotePatience = 1.0
-	// stopLossPerCoreSecond prices work that a stop throws away.
-	stopLossPerCoreSecond = 1.0
+	// gainInTime and gainLate price the start of a unit of priority 0, by its own
+	// work: what may be thrown away for one that can still end in time, and for one
+	// that cannot.
+	gainInTime = 5.0
+	gainLate   = 1.0
+	// cheapShare of the gain is what a stop may cost if waiting would do as well by
+	// estimates, which are rough.
+	cheapShare = 0.3
+	// waitMargin is kept from a unit's slack when it waits for others to end.
+	waitMargin = 150 * time.Millisecond
+	// reclaimMargin is kept from the time in which a guaranteed job must begin.
+	reclaimMargin = 600 * time.Millisecond
 )
 
 // wake runs a scheduling cycle soon.
@@ -45,8 +55,15 @@
 	running []*unit
 	// reservations is how many more units may keep room free.
 	reservations int
-	// backfill has the time at which reserved room is wanted, by worker.
-	reserved map[int]time.Duration
+	// reserved has room kept for units that wait, by worker.
+	reserved map[int]reservation
+}
+
+// reservation is room on one worker that is wanted at a time.
+type reservation struct {
+	after time.Duration
+	// spare is what others may hold beyond then.
+	spare taskgraph.Amount
 }
 
 // cycle places waiting units, the most pressing first.
@@ -120,7 +137,7 @@
 
 func (p *Pool) snapshot() *snapshot {
 	now := p.loop.Now()
-	s := &snapshot{now: now, index: map[*worker]int{}, reservations: reservationLimit, reserved: map[int]time.Duration{}}
+	s := &snapshot{now: now, index: map[*worker]int{}, reservations: reservationLimit, reserved: map[int]reservation{}}
 	numbers := map[*unit]int{}
 	for _, w := range p.sortedWorkers() {
 		entry := placement.Worker{Rack: w.rack, Free: w.Capacity, Usable: p.usable(w, now), Slowness: 1}
@@ -174,7 +191,7 @@
 		lost = min(lost, p.options.Bounds.CheckpointInterval)
 	}
 	cores := u.spec().Amount.Cores() * float64(len(u.members))
-	return stopLossPerCoreSecond * cores * lost.Seconds()
+	return cores * lost.Seconds()
 }
 
 // request renders what a unit asks for.
@@ -206,10 +223,11 @@
 		p.beginAt(s, u, request, places)
 		return true
 	}
-	if u.job.Queue.Priority == 0 && p.preemptFor(s, u, request) {
+	promise := s.earliest(u, request)
+	if u.job.Queue.Priority == 0 && p.preemptFor(s, u, request, promise) {
 		return false
 	}
-	p.reserveFor(s, u, request)
+	s.reserveFor(u, request, promise)
 	return false
 }
 
@@ -266,9 +284,9 @@
 		return s.workers
 	}
 	visible := slices.Clone(s.workers)
-	for i, until := range s.reserved {
-		if estimate > until {
-			visible[i].Usable = false
+	for i, reserved := range s.reserved {
+		if estimate > reserved.after {
+			visible[i].Free = visible[i].Free.Least(reserved.spare)
 		}
 	}
 	return visible
@@ -291,60 +309,99 @@
 }
 
 // preemptFor stops what is cheapest so that a unit can start, and keeps the room.
-func (p *Pool) preemptFor(s *snapshot, u *unit, request *placement.Request) bool {
-	places, victims := bestPreemption(s, s.scopes(u), request)
+// It returns false if waiting is better or nothing helps.
+func (p *Pool) preemptFor(s *snapshot, u *unit, request *placement.Request, promise *placement.Promise) bool {
+	places, victims, loss := bestPreemption(s, s.scopes(u), request)
 	if places == nil {
-		places, victims = bestPreemption(s, [][]int{s.racks.All}, request)
+		places, victims, loss = bestPreemption(s, [][]int{s.racks.All}, request)
 	}
 	if places == nil {
 		return false
 	}
+	gain := p.preemptionGain(s, u)
+	if !p.mustBegin(s, u) && (loss > gain || loss > cheapShare*gain && p.mayWait(s, u, promise)) {
+		return false
+	}
 	for _, number := range victims {
-		victim := s.running[number]
 		for _, i := range s.units[number].Places {
 			s.workers[i].Free = s.workers[i].Free.Plus(s.units[number].Room)
 		}
 		s.units[number].Loss = -1
 		s.units[number].Places = nil
-		p.stopUnit(victim, "preempted")
+		p.stopUnit(s.running[number], "preempted")
 	}
 	placement.Reserve(s.workers, places, request.Room)
 	return true
 }
 
-func bestPreemption(s *snapshot, scopes [][]int, request *placement.Request) (places, victims []int) {
-	lowest := 0.0
+// mayWait reports whether a unit can wait for room that is promised to it.
+func (p *Pool) mayWait(s *snapshot, u *unit, promise *placement.Promise) bool {
+	if promise == nil || u.slack(s.now) < promise.After+waitMargin {
+		return false
+	}
+	latest := u.job.acceptedAt.Add(p.options.Bounds.Reclaim - p.options.Bounds.StopTimeout - reclaimMargin)
+	return s.now.Add(promise.After).Before(latest)
+}
+
+// mustBegin reports whether a guarantee obliges the unit to begin soon.
+func (p *Pool) mustBegin(s *snapshot, u *unit) bool {
+	latest := u.job.acceptedAt.Add(p.options.Bounds.Reclaim - p.options.Bounds.StopTimeout - reclaimMargin)
+	return s.now.After(latest.Add(-tickPeriod)) && p.guaranteed(u.job)
+}
+
+// preemptionGain is the loss that a unit of priority 0 is worth.
+func (p *Pool) preemptionGain(s *snapshot, u *unit) float64 {
+	spec := u.spec()
+	work := spec.Amount.Cores() * float64(len(u.members)) * spec.Estimate().Seconds()
+	if u.slack(s.now) > 0 {
+		return gainInTime * work
+	}
+	return gainLate * work
+}
+
+func bestPreemption(s *snapshot, scopes [][]int, request *placement.Request) (places, victims []int, lowest float64) {
 	for _, scope := range scopes {
 		found, stopped, loss := placement.Preempt(s.workers, scope, s.units, request)
 		if found != nil && (places == nil || loss < lowest) {
 			places, victims, lowest = found, stopped, loss
 		}
 	}
-	return places, victims
+	return places, victims, lowest
 }
 
-// reserveFor keeps the room where a unit fits first from units that would be in
-// its way.
-func (p *Pool) reserveFor(s *snapshot, u *unit, request *placement.Request) {
-	if s.reservations == 0 || len(u.members) == 1 && request.Room.GPUs <= 1 {
-		return
+// earliest returns where the unit fits first if it waits, or nil.
+func (s *snapshot) earliest(u *unit, request *placement.Request) *placement.Promise {
+	if s.reservations == 0 && u.job.Queue.Priority > 0 {
+		return nil
 	}
-	var best []int
-	var bestAt time.Duration
+	var best *placement.Promise
 	for _, scope := range s.scopes(u) {
-		places, at := placement.EarliestFit(s.workers, scope, s.units, request)
-		if places != nil && (best == nil || at < bestAt) {
-			best, bestAt = places, at
+		promise := placement.EarliestFit(s.workers, scope, s.units, request)
+		if promise != nil && (best == nil || promise.After < best.After) {
+			best = promise
 		}
 	}
-	if best == nil {
+	return best
+}
+
+// reserveFor keeps the room where a unit fits first from units that would be in
+// its way.
+func (s *snapshot) reserveFor(u *unit, request *placement.Request, promise *placement.Promise) {
+	if promise == nil {
 		return
 	}
-	s.reservations--
-	for _, i := range best {
-		if until, known := s.reserved[i]; !known || bestAt < until {
-			s.reserved[i] = bestAt
+	if u.job.Queue.Priority > 0 {
+		s.reservations--
+	}
+	for i, spare := range promise.Spare {
+		known, any := s.reserved[i]
+		if any {
+			spare = spare.Least(known.spare)
+		}
+		if !any || promise.After < known.after {
+			known.after = promise.After
 		}
+		s.reserved[i] = reservation{after: known.after, spare: spare}
 	}
 }
 
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -43,7 +43,11 @@
 	Accepted
 	// acceptedAt is on the loop's clock.
 	acceptedAt time.Time
-	times      []*jobTime
+	// objective is how long the job, or one time of it, should take.
+	objective time.Duration
+	// tails has for each step the longest chain of work that begins with it.
+	tails []time.Duration
+	times []*jobTime
 	// state is what the store says; next is what it will say.
 	state     taskgraph.State
 	next      taskgraph.State
@@ -128,7 +132,25 @@
 }
 
 func newJob(id string, accepted Accepted, acceptedAt time.Time) *job {
-	return &job{id: id, Accepted: accepted, acceptedAt: acceptedAt, state: taskgraph.Queued, next: taskgraph.Queued}
+	return &job{
+		id: id, Accepted: accepted, acceptedAt: acceptedAt,
+		objective: accepted.Queue.Objective(accepted.Spec.CriticalPath()), tails: accepted.Spec.Tails(),
+		state: taskgraph.Queued, next: taskgraph.Queued,
+	}
+}
+
+// wantedAt returns when the unit's work, with all that follows it, should end.
+func (u *unit) wantedAt() time.Time {
+	begin := u.job.acceptedAt
+	if !u.time.due.IsZero() {
+		begin = u.time.due
+	}
+	return begin.Add(u.job.objective)
+}
+
+// slack is how much later than now the unit may start and still end in time.
+func (u *unit) slack(now time.Time) time.Duration {
+	return u.wantedAt().Sub(now) - u.job.tails[u.step.index]
 }
 
 // timeAt returns time k, creating it if need be.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -365,6 +365,7 @@
 		return
 	}
 	p.checkWorkers()
+	p.checkStops()
 	p.checkUnits()
 	p.dropOldJobs()
 	p.wake()
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -339,8 +339,11 @@
 // memberNotListed settles a member that the worker neither runs nor lists as ended.
 func (p *Pool) memberNotListed(m *member, sentAt time.Time) {
 	switch {
-	case m.stopAnswered && m.sentAt.Before(sentAt):
-		p.memberEnded(m, fleet.Stopped)
+	case m.stopAnswered:
+		// The end of a stop is listed; without one in time there was no run.
+		if sentAt.Sub(m.sentAt) > p.options.Bounds.StopTimeout {
+			p.memberEnded(m, fleet.Stopped)
+		}
 	case m.state == memberUncertain && m.sentAt.IsZero():
 		// An earlier owner's start; the worker has seen this owner's token.
 		p.memberEnded(m, fleet.Lapsed)
@@ -432,6 +435,22 @@
 	return clock > deadline+lapseMargin.Milliseconds()
 }
 
+// checkStops looks at workers whose stops should be over.
+func (p *Pool) checkStops() {
+	now := p.loop.Now()
+	for _, w := range p.sortedWorkers() {
+		for _, m := range w.sortedMembers() {
+			if m.stopAnswered && now.Sub(m.sentAt) > p.options.Bounds.StopTimeout+stopMargin {
+				p.look(w)
+				break
+			}
+		}
+	}
+}
+
+// stopMargin is added to the time that a stop may take.
+const stopMargin = 50 * time.Millisecond
+
 // checkWorkers ends what ran on workers that stayed silent past their lease.
 func (p *Pool) checkWorkers() {
 	for _, w := range p.sortedWorkers() {
--- a/internal/taskgraph/spec.go
+++ b/internal/taskgraph/spec.go
@@ -45,6 +45,11 @@
 	return Amount{CPU: a.CPU * n, MemoryMB: a.MemoryMB * n, GPUs: a.GPUs * n}
 }
 
+// Least returns the lesser of two amounts, in each kind of capacity.
+func (a Amount) Least(b Amount) Amount {
+	return Amount{CPU: min(a.CPU, b.CPU), MemoryMB: min(a.MemoryMB, b.MemoryMB), GPUs: min(a.GPUs, b.GPUs)}
+}
+
 // Within reports whether the amount fits into room.
 func (a Amount) Within(room Amount) bool {
 	return a.CPU <= room.CPU && a.MemoryMB <= room.MemoryMB && a.GPUs <= room.GPUs
@@ -139,6 +144,19 @@
 	return longest
 }
 
+// Tails returns for each step the estimated duration of the longest chain of steps
+// that begins with it.
+func (s *Spec) Tails() []time.Duration {
+	tails := make([]time.Duration, len(s.Steps))
+	for i := len(s.Steps) - 1; i >= 0; i-- {
+		tails[i] += s.Steps[i].Estimate()
+		for _, earlier := range s.Steps[i].After {
+			tails[earlier] = max(tails[earlier], tails[i])
+		}
+	}
+	return tails
+}
+
 // LongRunning reports whether any step lasts until the job is cancelled.
 func (s *Spec) LongRunning() bool {
 	for i := range s.Steps {
