Fill the fullest racks first

Cause: single tasks scattered over all racks left no rack free for gangs. Change: Fit orders by the rack's free room, then by the worker's.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -15,10 +15,10 @@
 	Rack string
 	// Free is the room left now, after the reservations made in this cycle.
 	Free taskgraph.Amount
+	// RackFree is the free room of the worker's rack, in cores.
+	RackFree float64
 	// Usable is false for workers that take no new work.
 	Usable bool
-	// Slowness is 1 for a sound worker and higher for a slower one.
-	Slowness float64
 	// Holders are the runs on the worker.
 	Holders []Holder
 }
@@ -71,13 +71,16 @@
 type candidate struct {
 	worker int
 	fits   int
+	// rackFree is the free room of the worker's rack.
+	rackFree float64
 	// left is the room that would be left after as many tasks as fit.
 	left float64
 }
 
-// Fit places the request on the given workers, those first that are left the
-// fullest, so that whole workers stay free for wide tasks. It returns one worker a
-// task, or nil if the request does not fit whole.
+// Fit places the request on the given workers: first on the fullest racks, and there
+// on workers that are left the fullest, so that whole workers and racks stay free
+// for wide tasks and gangs. It returns one worker a task, or nil if the request does
+// not fit whole.
 func Fit(workers []Worker, among []int, request *Request) []int {
 	var candidates []candidate
 	total := 0
@@ -90,13 +93,16 @@
 			continue
 		}
 		left := workers[i].Free.Minus(request.Room.Times(fits)).Cores()
-		candidates = append(candidates, candidate{worker: i, fits: fits, left: left})
+		candidates = append(candidates, candidate{worker: i, fits: fits, left: left, rackFree: workers[i].RackFree})
 		total += fits
 	}
 	if total < request.Count {
 		return nil
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
+		if order := cmp.Compare(a.rackFree, b.rackFree); order != 0 {
+			return order
+		}
 		return cmp.Compare(a.left, b.left)
 	})
 	return take(candidates, request.Count)
@@ -154,6 +160,21 @@
 	return best
 }
 
+// MeasureRacks sets every worker's RackFree.
+func MeasureRacks(workers []Worker, racks *Racks) {
+	for _, name := range racks.Names {
+		free := 0.0
+		for _, i := range racks.Members[name] {
+			if workers[i].Usable {
+				free += workers[i].Free.Cores()
+			}
+		}
+		for _, i := range racks.Members[name] {
+			workers[i].RackFree = free
+		}
+	}
+}
+
 // Reserve takes the room of placed tasks from the workers' free room.
 func Reserve(workers []Worker, places []int, room taskgraph.Amount) {
 	for _, i := range places {
--- a/internal/pool/cycle.go
+++ b/internal/pool/cycle.go
@@ -23,7 +23,7 @@
 	gainLate   = 1.0
 	// cheapShare of the gain is what a stop may cost if waiting would do as well by
 	// estimates, which are rough.
-	cheapShare = 0.3
+	cheapShare = 0.5
 	// waitMargin is kept from a unit's slack when it waits for others to end.
 	waitMargin = 150 * time.Millisecond
 	// reclaimMargin is kept from the time in which a guaranteed job must begin.
@@ -140,7 +140,7 @@
 	s := &snapshot{now: now, index: map[*worker]int{}, reservations: reservationLimit, reserved: map[int]reservation{}}
 	numbers := map[*unit]int{}
 	for _, w := range p.sortedWorkers() {
-		entry := placement.Worker{Rack: w.rack, Free: w.Capacity, Usable: p.usable(w, now), Slowness: 1}
+		entry := placement.Worker{Rack: w.rack, Free: w.Capacity, Usable: p.usable(w, now)}
 		place := len(s.workers)
 		for _, m := range w.sortedMembers() {
 			room := m.unit.spec().Room()
@@ -163,6 +163,7 @@
 		s.owners = append(s.owners, w)
 	}
 	s.racks = placement.NewRacks(s.workers)
+	placement.MeasureRacks(s.workers, s.racks)
 	return s
 }
 
