--- a/internal/pool/cycle.go
+++ b/internal/pool/cycle.go
@@ -323,16 +323,31 @@
 	if !p.mustBegin(s, u) && (loss > gain || loss > cheapShare*gain && p.mayWait(s, u, promise)) {
 		return false
 	}
+	s.promise(victims, places, request.Room)
+	for _, number := range victims {
+		p.stopUnit(s.running[number], "preempted")
+	}
+	return true
+}
+
+// promise gives the room of victims to places. What the victims hold beyond that
+// is not free before they have stopped, so no other unit of this cycle gets it.
+func (s *snapshot) promise(victims, places []int, room taskgraph.Amount) {
+	before := map[int]taskgraph.Amount{}
 	for _, number := range victims {
 		for _, i := range s.units[number].Places {
+			if _, known := before[i]; !known {
+				before[i] = s.workers[i].Free
+			}
 			s.workers[i].Free = s.workers[i].Free.Plus(s.units[number].Room)
 		}
 		s.units[number].Loss = -1
 		s.units[number].Places = nil
-		p.stopUnit(s.running[number], "preempted")
 	}
-	placement.Reserve(s.workers, places, request.Room)
-	return true
+	placement.Reserve(s.workers, places, room)
+	for i, free := range before {
+		s.workers[i].Free = s.workers[i].Free.Least(free)
+	}
 }
 
 // mayWait reports whether a unit can wait for room that is promised to it.
