Leave the emptiest rack to urgent jobs while the slack of others lasts

Cause: urgent gangs had to stop others, which takes up to stop_timeout_ms. Change: units with a slack over 0.3 of their objective avoid the emptiest rack.

--- a/internal/pool/cycle.go
+++ b/internal/pool/cycle.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -16,6 +17,10 @@
 	// remotePatience times its estimate is how long a unit waits for a place near
 	// its data, or on one rack, before it runs elsewhere.
 	remotePatience = 1.0
+	// headroomRacks are left to urgent jobs by units whose slack is more than
+	// patientShare of their objective.
+	headroomRacks = 1
+	patientShare  = 0.3
 	// gainInTime and gainLate price the start of a unit of priority 0, by its own
 	// work: what may be thrown away for one that can still end in time, and for one
 	// that cannot.
@@ -245,6 +250,9 @@
 func (p *Pool) findPlace(s *snapshot, u *unit, request *placement.Request) []int {
 	spec := u.spec()
 	visible := s.visibleTo(spec.Estimate())
+	if p.patient(s, u) {
+		visible = s.withoutHeadroom(visible)
+	}
 	if rack := spec.PreferredRack; rack != "" {
 		if places := placement.Fit(visible, s.racks.Members[rack], request); places != nil {
 			return places
@@ -278,6 +286,30 @@
 	return waited < time.Duration(remotePatience*float64(spec.Estimate()))
 }
 
+// patient reports whether a unit can leave the emptiest racks to urgent jobs.
+func (p *Pool) patient(s *snapshot, u *unit) bool {
+	return u.job.Queue.Priority > 0 && u.spec().PreferredRack == "" &&
+		u.slack(s.now) > time.Duration(patientShare*float64(u.job.objective))
+}
+
+// withoutHeadroom hides the emptiest racks.
+func (s *snapshot) withoutHeadroom(workers []placement.Worker) []placement.Worker {
+	if len(s.racks.Names) <= headroomRacks {
+		return workers
+	}
+	names := slices.Clone(s.racks.Names)
+	slices.SortStableFunc(names, func(a, b string) int {
+		return cmp.Compare(s.workers[s.racks.Members[b][0]].RackFree, s.workers[s.racks.Members[a][0]].RackFree)
+	})
+	visible := slices.Clone(workers)
+	for _, name := range names[:headroomRacks] {
+		for _, i := range s.racks.Members[name] {
+			visible[i].Usable = false
+		}
+	}
+	return visible
+}
+
 // visibleTo returns the workers with reserved room hidden from units that would not
 // be gone in time.
 func (s *snapshot) visibleTo(estimate time.Duration) []placement.Worker {
