Hold lower priorities back from free racks; let pressing gangs stop lower ones

Change: patient units leave 15% (priority 1) or half (2 and below) of the racks; a gang whose slack is under 0.2 of its objective may stop lower priorities.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -34,6 +34,8 @@
 type Request struct {
 	Room  taskgraph.Amount
 	Count int
+	// Priority is the request's; 0 comes first.
+	Priority int
 	// Allowed reports whether a worker may take tasks of the request; nil allows all.
 	Allowed func(worker int) bool
 	// MaxPerWorker bounds the tasks on one worker, of which Present has some there.
@@ -191,6 +193,8 @@
 	Remaining time.Duration
 	// Loss is the price of stopping the unit now; negative if it may not be stopped.
 	Loss float64
+	// Priority is the unit's; only requests of a lower number may stop it.
+	Priority int
 }
 
 // Promise is room that a request will get once running units have ended.
@@ -287,6 +291,12 @@
 	}
 }
 
+// yieldsTo reports whether a unit may be stopped for a request. Units without loss
+// are stopping already.
+func (u *Unit) yieldsTo(request *Request) bool {
+	return u.Loss == 0 || u.Loss > 0 && u.Priority > request.Priority
+}
+
 // preemptible lists units that may be stopped, cheapest for the room they free first.
 func preemptible(workers []Worker, among []int, units []Unit, request *Request) []int {
 	var candidates []int
@@ -296,7 +306,7 @@
 			continue
 		}
 		for _, holder := range workers[i].Holders {
-			if units[holder.Unit].Loss < 0 {
+			if !units[holder.Unit].yieldsTo(request) {
 				continue
 			}
 			if _, seen := useful[holder.Unit]; !seen {
--- a/internal/pool/cycle.go
+++ b/internal/pool/cycle.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -13,14 +14,21 @@
 // Choices of the scheduling policy.
 const (
 	// reservationLimit bounds the units for which room is kept in one cycle.
-	reservationLimit = 4
+	reservationLimit = 16
 	// remotePatience times its estimate is how long a unit waits for a place near
 	// its data, or on one rack, before it runs elsewhere.
 	remotePatience = 1.0
-	// headroomRacks are left to urgent jobs by units whose slack is more than
-	// patientShare of their objective.
-	headroomRacks = 1
-	patientShare  = 0.3
+	// patientShare of its objective is the slack above which a unit leaves the
+	// emptiest racks to others.
+	patientShare = 0.3
+	// backfillFactor times its estimate is how long a unit is taken to run where
+	// room is reserved for another.
+	backfillFactor = 1
+	// pressingShare of its objective is the slack below which a gang without
+	// priority 0 may stop others of lower priority.
+	pressingShare = 0.2
+	// leastLoss keeps the loss of a running unit above that of a stopping one.
+	leastLoss = 0.1
 	// gainInTime and gainLate price the start of a unit of priority 0, by its own
 	// work: what may be thrown away for one that can still end in time, and for one
 	// that cannot.
@@ -35,6 +43,10 @@
 	reclaimMargin = 600 * time.Millisecond
 )
 
+// headroomShares are the shares of racks that patient units of each priority leave
+// to others; the last holds for all lower priorities too.
+var headroomShares = []float64{0, 0.15, 0.5}
+
 // wake runs a scheduling cycle soon.
 func (p *Pool) wake() {
 	if p.waking || !p.loaded || p.gone || p.releasing {
@@ -179,13 +191,13 @@
 
 // describeUnit renders a unit that holds room.
 func (p *Pool) describeUnit(u *unit, now time.Time) placement.Unit {
-	described := placement.Unit{Room: u.spec().Room(), Remaining: p.remaining(u, now), Loss: -1}
+	described := placement.Unit{Room: u.spec().Room(), Remaining: p.remaining(u, now), Loss: -1, Priority: u.job.Queue.Priority}
 	switch {
 	case u.state == unitStopping || u.state == unitEnded:
 		described.Remaining = min(described.Remaining, p.options.Bounds.StopTimeout)
 		described.Loss = 0
 	case u.state == unitActive && u.job.Queue.Priority > 0:
-		described.Loss = p.stopLoss(u, now)
+		described.Loss = max(leastLoss, p.stopLoss(u, now))
 	}
 	return described
 }
@@ -203,7 +215,7 @@
 // request renders what a unit asks for.
 func (s *snapshot) request(u *unit) *placement.Request {
 	spec := u.spec()
-	request := &placement.Request{Room: spec.Room(), Count: len(u.members), MaxPerWorker: spec.MaxPerWorker}
+	request := &placement.Request{Room: spec.Room(), Count: len(u.members), Priority: u.job.Queue.Priority, MaxPerWorker: spec.MaxPerWorker}
 	request.Allowed = func(i int) bool {
 		w := s.owners[i]
 		return !u.avoid[w.ID] && w.HasLabel(spec.RequiredLabel)
@@ -230,7 +242,7 @@
 		return true
 	}
 	promise := s.earliest(u, request)
-	if u.job.Queue.Priority == 0 && p.preemptFor(s, u, request, promise) {
+	if p.pressing(s, u) && p.preemptFor(s, u, request, promise) {
 		return false
 	}
 	s.reserveFor(u, request, promise)
@@ -251,7 +263,7 @@
 	spec := u.spec()
 	visible := s.visibleTo(spec.Estimate())
 	if p.patient(s, u) {
-		visible = s.withoutHeadroom(visible)
+		visible = s.withoutHeadroom(visible, u.job.Queue.Priority)
 	}
 	if rack := spec.PreferredRack; rack != "" {
 		if places := placement.Fit(visible, s.racks.Members[rack], request); places != nil {
@@ -292,9 +304,11 @@
 		u.slack(s.now) > time.Duration(patientShare*float64(u.job.objective))
 }
 
-// withoutHeadroom hides the emptiest racks.
-func (s *snapshot) withoutHeadroom(workers []placement.Worker) []placement.Worker {
-	if len(s.racks.Names) <= headroomRacks {
+// withoutHeadroom hides the emptiest racks, the more the less urgent the priority.
+func (s *snapshot) withoutHeadroom(workers []placement.Worker, priority int) []placement.Worker {
+	share := headroomShares[min(priority, len(headroomShares)-1)]
+	hidden := int(math.Ceil(share * float64(len(s.racks.Names))))
+	if len(s.racks.Names) <= hidden {
 		return workers
 	}
 	names := slices.Clone(s.racks.Names)
@@ -302,7 +316,7 @@
 		return cmp.Compare(s.workers[s.racks.Members[b][0]].RackFree, s.workers[s.racks.Members[a][0]].RackFree)
 	})
 	visible := slices.Clone(workers)
-	for _, name := range names[:headroomRacks] {
+	for _, name := range names[:hidden] {
 		for _, i := range s.racks.Members[name] {
 			visible[i].Usable = false
 		}
@@ -318,7 +332,7 @@
 	}
 	visible := slices.Clone(s.workers)
 	for i, reserved := range s.reserved {
-		if estimate > reserved.after {
+		if backfillFactor*estimate > reserved.after {
 			visible[i].Free = visible[i].Free.Least(reserved.spare)
 		}
 	}
@@ -382,6 +396,16 @@
 	}
 }
 
+// pressing reports whether a unit may stop others: those of priority 0 always, gangs
+// of others while their slack is nearly used up.
+func (p *Pool) pressing(s *snapshot, u *unit) bool {
+	if u.job.Queue.Priority == 0 {
+		return true
+	}
+	slack := u.slack(s.now)
+	return len(u.members) > 1 && slack > 0 && slack < time.Duration(pressingShare*float64(u.job.objective))
+}
+
 // mayWait reports whether a unit can wait for room that is promised to it.
 func (p *Pool) mayWait(s *snapshot, u *unit, promise *placement.Promise) bool {
 	if promise == nil || u.slack(s.now) < promise.After+waitMargin {
