Let patient units wait after a preemption; price gains with a base

Change: for 1.5 s after a preemption, patient units of lower priority are not placed; what an urgent start may throw away has a base besides its work, and a victim that would become late counts so.

--- a/internal/pool/cycle.go
+++ b/internal/pool/cycle.go
@@ -24,16 +24,17 @@
 	// backfillFactor times its estimate is how long a unit is taken to run where
 	// room is reserved for another.
 	backfillFactor = 1
+	// pressurePeriod is how long patient units of lower priority wait after others
+	// were stopped for want of room.
+	pressurePeriod = 1500 * time.Millisecond
 	// pressingShare of its objective is the slack below which a gang without
 	// priority 0 may stop others of lower priority.
 	pressingShare = 0.2
 	// leastLoss keeps the loss of a running unit above that of a stopping one.
 	leastLoss = 0.1
-	// gainInTime and gainLate price the start of a unit of priority 0, by its own
-	// work: what may be thrown away for one that can still end in time, and for one
-	// that cannot.
-	gainInTime = 5.0
-	gainLate   = 1.0
+	// gainLate times its work is what the start of a unit that is late already may
+	// throw away.
+	gainLate = 1.0
 	// cheapShare of the gain is what a stop may cost if waiting would do as well by
 	// estimates, which are rough.
 	cheapShare = 0.5
@@ -47,6 +48,11 @@
 // to others; the last holds for all lower priorities too.
 var headroomShares = []float64{0, 0.15, 0.5}
 
+// timelyGains price, by priority, that a unit ends in time: what may be thrown away
+// for it, in core-seconds, with a part for each core-second of its own work. The
+// last holds for all lower priorities too.
+var timelyGains = []struct{ base, perWork float64 }{{600, 6}, {400, 0.5}, {200, 0.1}}
+
 // wake runs a scheduling cycle soon.
 func (p *Pool) wake() {
 	if p.waking || !p.loaded || p.gone || p.releasing {
@@ -202,16 +208,26 @@
 	return described
 }
 
-// stopLoss prices what a stop of the unit throws away.
+// stopLoss prices, in core-seconds, what a stop of the unit throws away, and its
+// lateness if the stop would make it late.
 func (p *Pool) stopLoss(u *unit, now time.Time) float64 {
 	lost := now.Sub(u.startedAt)
+	restart := u.spec().Estimate()
 	if u.spec().Checkpoints {
 		lost = min(lost, p.options.Bounds.CheckpointInterval)
+		restart = p.remaining(u, now)
+	}
+	loss := u.spec().Amount.Cores() * float64(len(u.members)) * lost.Seconds()
+	left := u.wantedAt().Sub(now) - u.job.tails[u.step.index] + u.spec().Estimate()
+	if left > p.remaining(u, now) && left < restart+restartMargin {
+		loss += timelyGain(u)
 	}
-	cores := u.spec().Amount.Cores() * float64(len(u.members))
-	return cores * lost.Seconds()
+	return loss
 }
 
+// restartMargin is how long a stopped unit waits, as a guess, until it runs again.
+const restartMargin = 2 * time.Second
+
 // request renders what a unit asks for.
 func (s *snapshot) request(u *unit) *placement.Request {
 	spec := u.spec()
@@ -263,6 +279,9 @@
 	spec := u.spec()
 	visible := s.visibleTo(spec.Estimate())
 	if p.patient(s, u) {
+		if u.job.Queue.Priority > p.pressurePriority && s.now.Before(p.pressureUntil) {
+			return nil
+		}
 		visible = s.withoutHeadroom(visible, u.job.Queue.Priority)
 	}
 	if rack := spec.PreferredRack; rack != "" {
@@ -365,11 +384,15 @@
 	if places == nil {
 		return false
 	}
-	gain := p.preemptionGain(s, u)
+	gain := preemptionGain(u, s.now)
 	if !p.mustBegin(s, u) && (loss > gain || loss > cheapShare*gain && p.mayWait(s, u, promise)) {
 		return false
 	}
 	s.promise(victims, places, request.Room)
+	if len(victims) > 0 {
+		p.pressurePriority = u.job.Queue.Priority
+		p.pressureUntil = s.now.Add(pressurePeriod)
+	}
 	for _, number := range victims {
 		p.stopUnit(s.running[number], "preempted")
 	}
@@ -421,14 +444,24 @@
 	return s.now.After(latest.Add(-tickPeriod)) && p.guaranteed(u.job)
 }
 
-// preemptionGain is the loss that a unit of priority 0 is worth.
-func (p *Pool) preemptionGain(s *snapshot, u *unit) float64 {
-	spec := u.spec()
-	work := spec.Amount.Cores() * float64(len(u.members)) * spec.Estimate().Seconds()
-	if u.slack(s.now) > 0 {
-		return gainInTime * work
+// preemptionGain is the loss, in core-seconds, that a unit's start is worth.
+func preemptionGain(u *unit, now time.Time) float64 {
+	if u.slack(now) <= 0 {
+		return gainLate * u.work()
 	}
-	return gainLate * work
+	return timelyGain(u)
+}
+
+// timelyGain is what it is worth, in core-seconds, that a unit ends in time.
+func timelyGain(u *unit) float64 {
+	gain := timelyGains[min(u.job.Queue.Priority, len(timelyGains)-1)]
+	return gain.base + gain.perWork*u.work()
+}
+
+// work is the unit's estimated work in core-seconds.
+func (u *unit) work() float64 {
+	spec := u.spec()
+	return spec.Amount.Cores() * float64(len(u.members)) * spec.Estimate().Seconds()
 }
 
 func bestPreemption(s *snapshot, scopes [][]int, request *placement.Request) (places, victims []int, lowest float64) {
--- a/internal/pool/orders.go
+++ b/internal/pool/orders.go
@@ -101,7 +101,7 @@
 		u.job.next = taskgraph.Running
 	}
 	p.record.Decided("placed", "job", u.job.id, "step", u.step.index, "unit", u.index, "run", run,
-		"waited_ms", p.loop.Now().Sub(u.readyAt).Milliseconds(), "estimate_ms", u.spec().EstimateMillis, "slack_ms", u.slack(p.loop.Now()).Milliseconds(), "workers", workerIDs(places))
+		"waited_ms", p.loop.Now().Sub(u.readyAt).Milliseconds(), "estimate_ms", u.spec().EstimateMillis, "cores", u.spec().Amount.Cores()*float64(len(u.members)), "slack_ms", u.slack(p.loop.Now()).Milliseconds(), "workers", workerIDs(places))
 	p.persist(u.job)
 	p.afterWrite(func() {
 		if u.state == unitCommitting && u.run == run {
@@ -198,7 +198,7 @@
 	u.state = unitStopping
 	u.stopReason = reason
 	p.record.Count("stops", reason)
-	p.record.Decided("stopped", "job", u.job.id, "step", u.step.index, "unit", u.index, "run", u.run, "reason", reason)
+	p.record.Decided("stopped", "job", u.job.id, "step", u.step.index, "unit", u.index, "run", u.run, "reason", reason, "checkpoints", u.spec().Checkpoints)
 	for _, m := range u.members {
 		if m.worker != nil {
 			p.sendStop(m)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -41,6 +41,9 @@
 	// storeAnsweredAt is when the store last answered.
 	storeAnsweredAt time.Time
 	nextDue         func()
+	// pressureUntil is how long patient units below pressurePriority wait.
+	pressureUntil    time.Time
+	pressurePriority int
 	// earlyCancels are cancellations read before their job.
 	earlyCancels map[string]bool
 }
