--- a/internal/pool/cycle.go
+++ b/internal/pool/cycle.go
@@ -20,13 +20,13 @@
 	remotePatience = 1.0
 	// patientShare of its objective is the slack above which a unit leaves the
 	// emptiest racks to others.
-	patientShare = 0.3
+	patientShare = 0.2
 	// backfillFactor times its estimate is how long a unit is taken to run where
 	// room is reserved for another.
 	backfillFactor = 1
 	// pressurePeriod is how long patient units of lower priority wait after others
 	// were stopped for want of room.
-	pressurePeriod = 1500 * time.Millisecond
+	pressurePeriod = 2000 * time.Millisecond
 	// pressingShare of its objective is the slack below which a gang without
 	// priority 0 may stop others of lower priority.
 	pressingShare = 0.2
