--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -242,7 +242,7 @@
 func (g *Gateway) lookupStored(ctx context.Context, poolName, id string) (taskgraph.State, error) {
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
-	jobs, err := g.node.ports.scan(ctx, pool.JobTable, poolName, id)
+	jobs, err := g.node.ports.scan(ctx, pool.JobTable, pool.JobPart(poolName, id), id)
 	if err != nil {
 		return "", storeUnread(err)
 	}
@@ -304,7 +304,7 @@
 }
 
 func (g *Gateway) commitCancel(ctx context.Context, poolName, id string) error {
-	jobs, err := g.node.ports.scan(ctx, pool.JobTable, poolName, id)
+	jobs, err := g.node.ports.scan(ctx, pool.JobTable, pool.JobPart(poolName, id), id)
 	if err != nil {
 		return storeUnread(err)
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -44,6 +44,8 @@
 	// pressureUntil is how long patient units below pressurePriority wait.
 	pressureUntil    time.Time
 	pressurePriority int
+	// dropping is true while the rows of an old job are removed.
+	dropping bool
 	// earlyCancels are cancellations read before their job.
 	earlyCancels map[string]bool
 }
@@ -145,13 +147,31 @@
 // readRows reads jobs and progress, then follows the table of jobs.
 func (p *Pool) readRows() {
 	p.scanAll(ProgressTable, p.options.Pool, retryPause, func(progress rows.Listing) {
-		p.scanAll(JobTable, p.options.Pool, retryPause, func(jobs rows.Listing) {
+		p.scanJobs(func(jobs rows.Listing) {
 			p.load(progress, jobs)
 			p.followJobs(jobs.Version)
 		})
 	})
 }
 
+// scanJobs reads all parts of the table of jobs as one listing, whose version is
+// the lowest of the parts'.
+func (p *Pool) scanJobs(done func(rows.Listing)) {
+	all := rows.Listing{}
+	left := jobParts
+	for number := range jobParts {
+		p.scanAll(JobTable, jobPart(p.options.Pool, number), retryPause, func(listing rows.Listing) {
+			all.Rows = append(all.Rows, listing.Rows...)
+			if all.Version == 0 || listing.Version < all.Version {
+				all.Version = listing.Version
+			}
+			if left--; left == 0 {
+				done(all)
+			}
+		})
+	}
+}
+
 func (p *Pool) load(progress, jobs rows.Listing) {
 	records := map[string]Progress{}
 	for i := range progress.Rows {
@@ -169,6 +189,11 @@
 	for i := range jobs.Rows {
 		p.applyJobRow(jobs.Rows[i], records)
 	}
+	for id := range records {
+		if p.jobs[id] == nil {
+			p.writer.remove(ProgressKey(p.options.Pool, id))
+		}
+	}
 	p.loaded = true
 	p.record.Decided("rows read", "pool", p.options.Pool, "jobs", len(p.jobs), "version", jobs.Version)
 	p.greetAll()
@@ -177,11 +202,11 @@
 
 func (p *Pool) followJobs(after int64) {
 	p.follow(JobTable, after, retryPause, func(row rows.Row) {
-		if row.Part == p.options.Pool {
+		if strings.HasPrefix(row.Part, p.options.Pool+partSeparator) {
 			p.applyJobRow(row, nil)
 		}
 	}, func() {
-		p.scanAll(JobTable, p.options.Pool, retryPause, func(listing rows.Listing) {
+		p.scanJobs(func(listing rows.Listing) {
 			for i := range listing.Rows {
 				p.applyJobRow(listing.Rows[i], nil)
 			}
@@ -375,18 +400,34 @@
 	p.loop.After(tickPeriod, p.tick)
 }
 
-// dropOldJobs removes the rows of jobs that ended long ago.
+// dropOldJobs removes the rows of a job that ended long ago. Its progress goes
+// last, so that the job cannot appear to be new.
 func (p *Pool) dropOldJobs() {
+	if p.dropping || p.releasing {
+		return
+	}
 	limit := time.Now().Add(-p.options.Bounds.StatusRetention - retentionMargin)
 	for id, j := range p.jobs {
-		if j.state.Final() && j.endedAt.Before(limit) && !p.writer.busy() {
-			delete(p.jobs, id)
-			p.writer.remove(AcceptedKey(p.options.Pool, id), CancelledKey(p.options.Pool, id), ProgressKey(p.options.Pool, id))
+		if j.state.Final() && j.endedAt.Before(limit) {
+			p.dropJob(id)
 			return
 		}
 	}
 }
 
+func (p *Pool) dropJob(id string) {
+	p.dropping = true
+	removes := []rows.Key{AcceptedKey(p.options.Pool, id), CancelledKey(p.options.Pool, id)}
+	p.ports.Commit(rows.Transaction{Removes: removes}, func(_ rows.Result, err error) {
+		p.dropping = false
+		if p.gone || err != nil {
+			return
+		}
+		delete(p.jobs, id)
+		p.writer.remove(ProgressKey(p.options.Pool, id))
+	})
+}
+
 // State returns what the store says of a job; the result is false if this owner
 // does not know the job.
 func (p *Pool) State(id string) (taskgraph.State, bool) {
--- a/internal/pool/records.go
+++ b/internal/pool/records.go
@@ -2,8 +2,11 @@
 
 import (
 	"encoding/json"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/wheatroad/wheatroad/internal/catalog"
 	"github.com/wheatroad/wheatroad/internal/rows"
 	"github.com/wheatroad/wheatroad/internal/taskgraph"
@@ -86,14 +89,30 @@
 	Workers []string `json:"w,omitempty"`
 }
 
+// jobParts is over how many parts a pool's accepted jobs are spread, so that
+// submissions do not wait for each other or for the owner's writes.
+const jobParts = 8
+
+// partSeparator stands between a pool's name and the number of a part.
+const partSeparator = "/"
+
+// JobPart is the part that holds a job's accepted row.
+func JobPart(pool, id string) string {
+	return jobPart(pool, int(xxhash.Sum64String(id)%jobParts))
+}
+
+func jobPart(pool string, number int) string {
+	return pool + partSeparator + strconv.Itoa(number)
+}
+
 // AcceptedKey is the key of an accepted job's row.
 func AcceptedKey(pool, id string) rows.Key {
-	return rows.Key{Table: JobTable, Part: pool, Name: id + acceptedSuffix}
+	return rows.Key{Table: JobTable, Part: JobPart(pool, id), Name: id + acceptedSuffix}
 }
 
 // CancelledKey is the key of a job's cancellation.
 func CancelledKey(pool, id string) rows.Key {
-	return rows.Key{Table: JobTable, Part: pool, Name: id + cancelledSuffix}
+	return rows.Key{Table: JobTable, Part: JobPart(pool, id), Name: id + cancelledSuffix}
 }
 
 // ProgressKey is the key of a job's progress.
