Write progress and accepted jobs where the store still takes them

Change: accepted jobs may stand in three of eight parts, the owner's progress in three, each with a head row that the owner claims; the newest row of a job counts.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -37,7 +37,7 @@
 func (n *Node) readConfiguration() {
 	codec := n.edges.Codec
 	key := codec.ConfigurationKey()
-	n.ports.Scan(key.Table, key.Part, func(listing rows.Listing, err error) {
+	n.ports.Scan(key.Table, key.Part, "", func(listing rows.Listing, err error) {
 		if err != nil {
 			n.edges.Loop.After(retryPause, n.readConfiguration)
 			return
@@ -85,7 +85,7 @@
 
 // readMembers reads the nodes' rows, then follows them and the leases.
 func (n *Node) readMembers() {
-	n.ports.Scan(pool.NodeTable, "", func(listing rows.Listing, err error) {
+	n.ports.Scan(pool.NodeTable, "", "", func(listing rows.Listing, err error) {
 		if err != nil {
 			n.edges.Loop.After(retryPause, n.readMembers)
 			return
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -160,20 +160,29 @@
 	return fault.New(fault.OutcomeUnknown, "the store gave no answer")
 }
 
-// commitJob writes an accepted job. Repeating it is harmless.
+// commitJob writes an accepted job into the first of its parts that takes it.
+// Repeating it is harmless.
 func (g *Gateway) commitJob(ctx context.Context, poolName string, job *pool.Accepted) error {
-	key := pool.AcceptedKey(poolName, job.Spec.ID)
-	result, err := g.node.ports.commit(ctx, rows.Transaction{
-		Conditions: []rows.Condition{{Key: key, Version: rows.Absent}},
-		Puts:       []rows.Put{{Key: key, Value: pool.Encode(job)}},
-	})
-	if err != nil {
-		return storeFailure(err)
-	}
-	if result.Committed {
-		return nil
+	value := pool.Encode(job)
+	var failure error
+	for _, part := range pool.JobParts(poolName, job.Spec.ID) {
+		key := pool.AcceptedKey(part, job.Spec.ID)
+		result, err := g.node.ports.commit(ctx, rows.Transaction{
+			Conditions: []rows.Condition{{Key: key, Version: rows.Absent}},
+			Puts:       []rows.Put{{Key: key, Value: value}},
+		})
+		switch {
+		case err == nil && result.Committed:
+			return nil
+		case err == nil:
+			return sameJob(result, job)
+		}
+		failure = worse(failure, storeFailure(err))
+		if ctx.Err() != nil {
+			break
+		}
 	}
-	return sameJob(result, job)
+	return failure
 }
 
 // sameJob tells a repeated submission from another job under the same identifier.
@@ -242,32 +251,62 @@
 func (g *Gateway) lookupStored(ctx context.Context, poolName, id string) (taskgraph.State, error) {
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
-	jobs, err := g.node.ports.scan(ctx, pool.JobTable, pool.JobPart(poolName, id), id)
+	accepted, cancelled, err := g.storedJob(ctx, poolName, id)
 	if err != nil {
-		return "", storeUnread(err)
+		return "", err
 	}
-	if len(jobs.Rows) == 0 {
+	if accepted == "" {
 		return "", fault.New(fault.UnknownJob, "no such job")
 	}
-	progress, err := g.node.ports.scan(ctx, pool.ProgressTable, poolName, id)
-	if err != nil {
-		return "", storeUnread(err)
+	state, err := g.storedState(ctx, poolName, id)
+	if err == nil && cancelled && !state.Final() {
+		return taskgraph.Cancelled, nil
 	}
-	var record pool.Progress
-	if len(progress.Rows) > 0 {
-		if err := json.Unmarshal(progress.Rows[0].Value, &record); err != nil {
-			return "", fault.New(fault.Internal, "the job's progress cannot be read")
+	return state, err
+}
+
+// storedJob returns the part that holds a job, empty if there is none, and whether
+// the job is cancelled. Absence takes an answer of every part.
+func (g *Gateway) storedJob(ctx context.Context, poolName, id string) (accepted string, cancelled bool, err error) {
+	for _, part := range pool.JobParts(poolName, id) {
+		listing, failure := g.node.ports.scan(ctx, pool.JobTable, part, id)
+		if failure != nil {
+			err = storeUnread(failure)
+			continue
+		}
+		if hasRow(listing, pool.AcceptedKey(part, id)) {
+			accepted = part
+		}
+		cancelled = cancelled || hasRow(listing, pool.CancelledKey(part, id))
+		if accepted != "" {
+			return accepted, cancelled, nil
 		}
 	}
-	switch {
-	case record.State.Final():
-		return record.State, nil
-	case hasRow(jobs, pool.CancelledKey(poolName, id)):
-		return taskgraph.Cancelled, nil
-	case record.State == "":
+	return accepted, cancelled, err
+}
+
+// storedState returns the state in the newest of a job's rows of progress.
+func (g *Gateway) storedState(ctx context.Context, poolName, id string) (taskgraph.State, error) {
+	var newest pool.Progress
+	for _, part := range pool.ProgressParts(poolName) {
+		listing, err := g.node.ports.scan(ctx, pool.ProgressTable, part, id)
+		if err != nil {
+			return "", storeUnread(err)
+		}
+		for i := range listing.Rows {
+			var record pool.Progress
+			if err := json.Unmarshal(listing.Rows[i].Value, &record); err != nil {
+				return "", fault.New(fault.Internal, "the job's progress cannot be read")
+			}
+			if newest.State == "" || record.NewerThan(&newest) {
+				newest = record
+			}
+		}
+	}
+	if newest.State == "" {
 		return taskgraph.Queued, nil
 	}
-	return record.State, nil
+	return newest.State, nil
 }
 
 func storeUnread(err error) error {
@@ -303,25 +342,30 @@
 	AtMillis int64 `json:"at_ms"`
 }
 
+// commitCancel writes a cancellation beside the job's accepted row, or into another
+// of its parts if that one is away.
 func (g *Gateway) commitCancel(ctx context.Context, poolName, id string) error {
-	jobs, err := g.node.ports.scan(ctx, pool.JobTable, pool.JobPart(poolName, id), id)
+	accepted, cancelled, err := g.storedJob(ctx, poolName, id)
 	if err != nil {
-		return storeUnread(err)
+		return err
 	}
-	if len(jobs.Rows) == 0 {
+	if accepted == "" {
 		return fault.New(fault.UnknownJob, "no such job")
 	}
-	key := pool.CancelledKey(poolName, id)
-	if hasRow(jobs, key) {
+	if cancelled {
 		return nil
 	}
-	_, err = g.node.ports.commit(ctx, rows.Transaction{
-		Puts: []rows.Put{{Key: key, Value: pool.Encode(cancellation{AtMillis: time.Now().UnixMilli()})}},
-	})
-	if err != nil {
-		return storeFailure(err)
+	value := pool.Encode(cancellation{AtMillis: time.Now().UnixMilli()})
+	parts := append([]string{accepted}, pool.JobParts(poolName, id)...)
+	var failure error
+	for _, part := range parts {
+		_, err := g.node.ports.commit(ctx, rows.Transaction{Puts: []rows.Put{{Key: pool.CancelledKey(part, id), Value: value}}})
+		if err == nil {
+			return nil
+		}
+		failure = worse(failure, storeFailure(err))
 	}
-	return nil
+	return failure
 }
 
 // waitingAge is how old a cached count of waiting jobs may be.
--- a/internal/node/ports.go
+++ b/internal/node/ports.go
@@ -39,9 +39,9 @@
 }
 
 // Scan implements pool.Ports.
-func (p *ports) Scan(table, part string, done func(rows.Listing, error)) {
+func (p *ports) Scan(table, part, prefix string, done func(rows.Listing, error)) {
 	run(p, storeTimeout, func(ctx context.Context) (rows.Listing, error) {
-		return p.scan(ctx, table, part, "")
+		return p.scan(ctx, table, part, prefix)
 	}, done)
 }
 
--- a/internal/pool/options.go
+++ b/internal/pool/options.go
@@ -44,7 +44,7 @@
 // loop, exactly once.
 type Ports interface {
 	Commit(transaction rows.Transaction, done func(rows.Result, error))
-	Scan(table, part string, done func(rows.Listing, error))
+	Scan(table, part, prefix string, done func(rows.Listing, error))
 	Feed(table string, after int64, done func(rows.Listing, error))
 	Start(to *fleet.Worker, order fleet.Start, done func(fleet.Reply, error))
 	Stop(to *fleet.Worker, order fleet.Stop, done func(fleet.Reply, error))
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -58,7 +58,7 @@
 		jobs: map[string]*job{}, workers: map[string]*worker{},
 		storeAnsweredAt: l.Now(), earlyCancels: map[string]bool{},
 	}
-	p.writer = writer{pool: p, headVersion: token}
+	p.writer = writer{pool: p}
 	return p
 }
 
@@ -68,10 +68,7 @@
 	lease := Lease{Owner: options.Node, Incarnation: options.Incarnation, Address: options.Address, Nonce: nonce}
 	return rows.Transaction{
 		Conditions: []rows.Condition{{Key: LeaseKey(options.Pool), Version: version}},
-		Puts: []rows.Put{
-			{Key: LeaseKey(options.Pool), Value: mustEncode(lease)},
-			{Key: headKey(options.Pool), Value: mustEncode(head{Nonce: nonce})},
-		},
+		Puts:       []rows.Put{{Key: LeaseKey(options.Pool), Value: mustEncode(lease)}},
 	}
 }
 
@@ -101,15 +98,24 @@
 	p.options.Ended(reason)
 }
 
+// scanPrefix is scanAll for names with a prefix.
+func (p *Pool) scanPrefix(table, part, prefix string, done func(rows.Listing)) {
+	p.scanUntil(table, part, prefix, retryPause, done)
+}
+
 // scanAll repeats a scan until it answers.
 func (p *Pool) scanAll(table, part string, pause time.Duration, done func(rows.Listing)) {
-	p.ports.Scan(table, part, func(listing rows.Listing, err error) {
+	p.scanUntil(table, part, "", pause, done)
+}
+
+func (p *Pool) scanUntil(table, part, prefix string, pause time.Duration, done func(rows.Listing)) {
+	p.ports.Scan(table, part, prefix, func(listing rows.Listing, err error) {
 		if p.gone {
 			return
 		}
 		if err != nil {
 			p.record.Count("retries", "scan")
-			p.loop.After(pause, func() { p.scanAll(table, part, nextPause(pause), done) })
+			p.loop.After(pause, func() { p.scanUntil(table, part, prefix, nextPause(pause), done) })
 			return
 		}
 		p.storeAnsweredAt = p.loop.Now()
@@ -144,13 +150,26 @@
 	})
 }
 
-// readRows reads jobs and progress, then follows the table of jobs.
+// readRows claims and reads the progress, then reads the jobs and follows them.
 func (p *Pool) readRows() {
-	p.scanAll(ProgressTable, p.options.Pool, retryPause, func(progress rows.Listing) {
-		p.scanJobs(func(jobs rows.Listing) {
-			p.load(progress, jobs)
-			p.followJobs(jobs.Version)
+	var progress []rows.Row
+	left := progressParts
+	for part := range progressParts {
+		p.writer.claim(part, func() {
+			p.scanAll(ProgressTable, progressPart(p.options.Pool, part), retryPause, func(listing rows.Listing) {
+				progress = append(progress, listing.Rows...)
+				if left--; left == 0 {
+					p.readJobs(progress)
+				}
+			})
 		})
+	}
+}
+
+func (p *Pool) readJobs(progress []rows.Row) {
+	p.scanJobs(func(jobs rows.Listing) {
+		p.load(progress, jobs)
+		p.followJobs(jobs.Version)
 	})
 }
 
@@ -172,26 +191,28 @@
 	}
 }
 
-func (p *Pool) load(progress, jobs rows.Listing) {
+func (p *Pool) load(progress []rows.Row, jobs rows.Listing) {
 	records := map[string]Progress{}
-	for i := range progress.Rows {
-		row := &progress.Rows[i]
-		var record Progress
+	for i := range progress {
+		row := &progress[i]
 		if row.Name == headRow {
 			continue
 		}
+		var record Progress
 		if err := json.Unmarshal(row.Value, &record); err != nil {
 			p.record.Count("refusals", "progress_row_invalid")
 			continue
 		}
-		records[row.Name] = record
+		if known, any := records[row.Name]; !any || record.NewerThan(&known) {
+			records[row.Name] = record
+		}
 	}
 	for i := range jobs.Rows {
 		p.applyJobRow(jobs.Rows[i], records)
 	}
 	for id := range records {
 		if p.jobs[id] == nil {
-			p.writer.remove(ProgressKey(p.options.Pool, id))
+			p.writer.remove(id)
 		}
 	}
 	p.loaded = true
@@ -417,15 +438,23 @@
 
 func (p *Pool) dropJob(id string) {
 	p.dropping = true
-	removes := []rows.Key{AcceptedKey(p.options.Pool, id), CancelledKey(p.options.Pool, id)}
-	p.ports.Commit(rows.Transaction{Removes: removes}, func(_ rows.Result, err error) {
-		p.dropping = false
-		if p.gone || err != nil {
-			return
-		}
-		delete(p.jobs, id)
-		p.writer.remove(ProgressKey(p.options.Pool, id))
-	})
+	parts := JobParts(p.options.Pool, id)
+	left, failed := len(parts), false
+	for _, part := range parts {
+		removes := []rows.Key{AcceptedKey(part, id), CancelledKey(part, id)}
+		p.ports.Commit(rows.Transaction{Removes: removes}, func(_ rows.Result, err error) {
+			failed = failed || err != nil
+			if left--; left > 0 {
+				return
+			}
+			p.dropping = false
+			if p.gone || failed {
+				return
+			}
+			delete(p.jobs, id)
+			p.writer.remove(id)
+		})
+	}
 }
 
 // State returns what the store says of a job; the result is false if this owner
--- a/internal/pool/records.go
+++ b/internal/pool/records.go
@@ -56,19 +56,33 @@
 // AcceptedAt returns when the job was accepted.
 func (a *Accepted) AcceptedAt() time.Time { return time.UnixMilli(a.AcceptedMillis) }
 
-// head is the content of the head row.
+// head is the content of the head row of a part.
 type head struct {
+	// Token is the owner's; Nonce tells the owner's transactions apart.
+	Token int64  `json:"token"`
 	Nonce string `json:"nonce"`
 }
 
-// Progress is the owner's row of a job.
+// Progress is the owner's row of a job. Of several in different parts the newest
+// counts.
 type Progress struct {
-	State taskgraph.State `json:"state"`
+	// Token is the owner's, and Serial numbers its rows.
+	Token  int64           `json:"token"`
+	Serial int             `json:"serial"`
+	State  taskgraph.State `json:"state"`
 	// EndedMillis is the time of day at which the job ended, since 1970.
 	EndedMillis int64          `json:"ended_ms,omitempty"`
 	Steps       []stepProgress `json:"steps,omitempty"`
 }
 
+// NewerThan reports whether the row was written after another.
+func (p *Progress) NewerThan(other *Progress) bool {
+	if p.Token != other.Token {
+		return p.Token > other.Token
+	}
+	return p.Serial > other.Serial
+}
+
 // stepProgress is the progress of one step of one time.
 type stepProgress struct {
 	Time     int  `json:"k,omitempty"`
@@ -96,28 +110,58 @@
 // partSeparator stands between a pool's name and the number of a part.
 const partSeparator = "/"
 
-// JobPart is the part that holds a job's accepted row.
-func JobPart(pool, id string) string {
-	return jobPart(pool, int(xxhash.Sum64String(id)%jobParts))
+// jobPartChoices is in how many parts a job's accepted row may stand: where one
+// part of the store is away, the row goes into the next. Rows of one job in several
+// parts are one job.
+const jobPartChoices = 3
+
+// JobParts lists the parts that may hold a job's accepted row, the first choice
+// first.
+func JobParts(pool, id string) []string {
+	first := int(xxhash.Sum64String(id) % jobParts)
+	parts := make([]string, jobPartChoices)
+	for i := range parts {
+		parts[i] = jobPart(pool, (first+i)%jobParts)
+	}
+	return parts
+}
+
+// progressParts is over how many parts the owner may write its rows: where one part
+// of the store is away, the rows go into the next.
+const progressParts = 3
+
+func progressPart(pool string, number int) string {
+	if number == 0 {
+		return pool
+	}
+	return pool + partSeparator + "p" + strconv.Itoa(number)
 }
 
 func jobPart(pool string, number int) string {
 	return pool + partSeparator + strconv.Itoa(number)
 }
 
-// AcceptedKey is the key of an accepted job's row.
-func AcceptedKey(pool, id string) rows.Key {
-	return rows.Key{Table: JobTable, Part: JobPart(pool, id), Name: id + acceptedSuffix}
+// AcceptedKey is the key of an accepted job's row in a part.
+func AcceptedKey(part, id string) rows.Key {
+	return rows.Key{Table: JobTable, Part: part, Name: id + acceptedSuffix}
 }
 
-// CancelledKey is the key of a job's cancellation.
-func CancelledKey(pool, id string) rows.Key {
-	return rows.Key{Table: JobTable, Part: JobPart(pool, id), Name: id + cancelledSuffix}
+// CancelledKey is the key of a job's cancellation in a part.
+func CancelledKey(part, id string) rows.Key {
+	return rows.Key{Table: JobTable, Part: part, Name: id + cancelledSuffix}
+}
+
+// ProgressParts lists the parts that may hold a job's progress.
+func ProgressParts(pool string) []string {
+	parts := make([]string, progressParts)
+	for i := range parts {
+		parts[i] = progressPart(pool, i)
+	}
+	return parts
 }
 
-// ProgressKey is the key of a job's progress.
-func ProgressKey(pool, id string) rows.Key {
-	return rows.Key{Table: ProgressTable, Part: pool, Name: id}
+func progressKey(part, id string) rows.Key {
+	return rows.Key{Table: ProgressTable, Part: part, Name: id}
 }
 
 // LeaseKey is the key of a pool's lease.
@@ -125,8 +169,8 @@
 	return rows.Key{Table: NodeTable, Part: pool, Name: LeaseRow}
 }
 
-func headKey(pool string) rows.Key {
-	return rows.Key{Table: ProgressTable, Part: pool, Name: headRow}
+func headKey(part string) rows.Key {
+	return rows.Key{Table: ProgressTable, Part: part, Name: headRow}
 }
 
 // mustEncode renders a record. Records are structs of plain fields.
--- a/internal/pool/writer.go
+++ b/internal/pool/writer.go
@@ -18,14 +18,17 @@
 )
 
 // writer puts the owner's rows into the store, one transaction at a time. Each
-// requires the head row as the one before left it and replaces it, so a
-// transaction that comes late changes nothing.
+// requires the head row of its part as the one before left it and replaces it, so a
+// transaction that comes late changes nothing. Where a part of the store is away,
+// the same rows go into the next one.
 type writer struct {
-	pool        *Pool
-	headVersion int64
-	serial      int
-	dirty       []*job
-	removes     []rows.Key
+	pool *Pool
+	// headVersions are the versions of the parts' head rows.
+	headVersions [progressParts]int64
+	part         int
+	serial       int
+	dirty        []*job
+	removes      []string
 	// after runs once everything dirty now is written.
 	after []func()
 	// sending is true while a transaction is under way.
@@ -53,8 +56,9 @@
 	p.writer.flushSoon()
 }
 
-func (w *writer) remove(keys ...rows.Key) {
-	w.removes = append(w.removes, keys...)
+// remove drops a job's progress.
+func (w *writer) remove(id string) {
+	w.removes = append(w.removes, id)
 	w.flushSoon()
 }
 
@@ -65,14 +69,17 @@
 	}
 }
 
-// batch is one transaction and what depends on it.
+// batch is a set of rows that is written at once, and what depends on it.
 type batch struct {
-	transaction rows.Transaction
-	nonce       string
-	jobs        []*job
-	progress    []Progress
-	after       []func()
-	sentAt      time.Time
+	serial   int
+	jobs     []*job
+	progress []Progress
+	values   [][]byte
+	removes  []string
+	after    []func()
+	sentAt   time.Time
+	// failures counts tries without success.
+	failures int
 }
 
 func (w *writer) flush() {
@@ -84,7 +91,7 @@
 		w.runAfter(w.takeAfter())
 		return
 	}
-	w.send(w.nextBatch(), retryPause)
+	w.send(w.nextBatch())
 }
 
 func (w *writer) takeAfter() []func() {
@@ -101,45 +108,85 @@
 
 func (w *writer) nextBatch() *batch {
 	w.serial++
-	pool := w.pool.options.Pool
-	b := &batch{nonce: w.pool.options.Incarnation + "." + strconv.Itoa(w.serial), sentAt: w.pool.loop.Now()}
-	b.transaction.Conditions = []rows.Condition{{Key: headKey(pool), Version: w.headVersion}}
-	b.transaction.Puts = []rows.Put{{Key: headKey(pool), Value: mustEncode(head{Nonce: b.nonce})}}
+	b := &batch{serial: w.serial, sentAt: w.pool.loop.Now()}
 	bytes := 0
 	for len(w.dirty) > 0 && len(b.jobs) < batchLimit && bytes < batchBytes {
 		j := w.dirty[0]
 		w.dirty = w.dirty[1:]
 		j.dirty = false
 		progress := j.progress()
+		progress.Token, progress.Serial = w.pool.token, b.serial
 		value := mustEncode(progress)
 		bytes += len(value)
 		b.jobs = append(b.jobs, j)
 		b.progress = append(b.progress, progress)
-		b.transaction.Puts = append(b.transaction.Puts, rows.Put{Key: ProgressKey(pool, j.id), Value: value})
+		b.values = append(b.values, value)
 	}
 	if len(w.dirty) == 0 {
 		b.after = w.takeAfter()
-		b.transaction.Removes = w.removes
-		w.removes = nil
+		count := min(len(w.removes), batchLimit-len(b.jobs))
+		b.removes, w.removes = w.removes[:count], w.removes[count:]
 	}
 	return b
 }
 
-func (w *writer) send(b *batch, pause time.Duration) {
-	w.pool.ports.Commit(b.transaction, func(result rows.Result, err error) {
+// transaction renders a batch for a part.
+func (w *writer) transaction(b *batch, part int) rows.Transaction {
+	name := progressPart(w.pool.options.Pool, part)
+	transaction := rows.Transaction{
+		Conditions: []rows.Condition{{Key: headKey(name), Version: w.headVersions[part]}},
+		Puts:       []rows.Put{{Key: headKey(name), Value: w.pool.head(strconv.Itoa(b.serial))}},
+	}
+	for i, j := range b.jobs {
+		transaction.Puts = append(transaction.Puts, rows.Put{Key: progressKey(name, j.id), Value: b.values[i]})
+	}
+	for _, id := range b.removes {
+		transaction.Removes = append(transaction.Removes, progressKey(name, id))
+	}
+	return transaction
+}
+
+// head renders this owner's head row.
+func (p *Pool) head(nonce string) []byte {
+	return mustEncode(head{Token: p.token, Nonce: p.options.Incarnation + "." + nonce})
+}
+
+func (w *writer) send(b *batch) {
+	part := w.part
+	w.pool.ports.Commit(w.transaction(b, part), func(result rows.Result, err error) {
 		switch {
 		case w.pool.gone:
 		case err != nil:
-			w.pool.record.Count("retries", commitRetryReason(err))
-			w.pool.loop.After(pause, func() { w.send(b, nextPause(pause)) })
+			w.retry(b, err)
 		case result.Committed:
-			w.finish(b, result.Version)
+			w.headVersions[part] = result.Version
+			w.finish(b)
 		default:
-			w.conditionFailed(b, result)
+			w.conditionFailed(b, part, result)
 		}
 	})
 }
 
+// retry sends a batch again, to the next part. Its rows are the same there, so it
+// does not matter which of the tries take effect.
+func (w *writer) retry(b *batch, err error) {
+	w.pool.record.Count("retries", commitRetryReason(err))
+	w.part = (w.part + 1) % progressParts
+	b.failures++
+	if b.failures%progressParts != 0 {
+		w.send(b)
+		return
+	}
+	pause := retryPause
+	for range min(b.failures/progressParts, retryDoublings) {
+		pause = nextPause(pause)
+	}
+	w.pool.loop.After(pause, func() { w.send(b) })
+}
+
+// retryDoublings bounds how often the pause between tries doubles.
+const retryDoublings = 4
+
 func commitRetryReason(err error) string {
 	if errors.Is(err, rows.ErrRefused) {
 		return "commit_refused"
@@ -147,22 +194,27 @@
 	return "commit_no_answer"
 }
 
-// conditionFailed tells a try whose answer was lost from another owner's write.
-func (w *writer) conditionFailed(b *batch, result rows.Result) {
+// conditionFailed tells an own try whose answer was lost from another owner's write.
+func (w *writer) conditionFailed(b *batch, part int, result rows.Result) {
 	w.pool.storeAnsweredAt = w.pool.loop.Now()
 	for i := range result.Current {
 		row := &result.Current[i]
 		var current head
-		if row.Name == headRow && json.Unmarshal(row.Value, &current) == nil && current.Nonce == b.nonce {
-			w.finish(b, row.Version)
+		if row.Name != headRow || json.Unmarshal(row.Value, &current) != nil || current.Token != w.pool.token {
+			continue
+		}
+		w.headVersions[part] = row.Version
+		if current.Nonce == w.pool.options.Incarnation+"."+strconv.Itoa(b.serial) {
+			w.finish(b)
 			return
 		}
+		w.send(b)
+		return
 	}
 	w.pool.Abandon("fenced by the store")
 }
 
-func (w *writer) finish(b *batch, version int64) {
-	w.headVersion = version
+func (w *writer) finish(b *batch) {
 	w.pool.storeAnsweredAt = w.pool.loop.Now()
 	w.sending = false
 	for i, j := range b.jobs {
@@ -173,3 +225,42 @@
 		w.flushSoon()
 	}
 }
+
+// claim makes this owner the only one that can write a part of the progress.
+func (w *writer) claim(part int, done func()) {
+	p := w.pool
+	name := progressPart(p.options.Pool, part)
+	p.scanPrefix(ProgressTable, name, headRow, func(listing rows.Listing) {
+		version := rows.Absent
+		for i := range listing.Rows {
+			var current head
+			if listing.Rows[i].Name != headRow || json.Unmarshal(listing.Rows[i].Value, &current) != nil {
+				continue
+			}
+			if current.Token > p.token {
+				p.Abandon("a newer owner has the progress")
+				return
+			}
+			version = listing.Rows[i].Version
+		}
+		w.claimAt(part, version, done)
+	})
+}
+
+func (w *writer) claimAt(part int, version int64, done func()) {
+	key := headKey(progressPart(w.pool.options.Pool, part))
+	w.pool.ports.Commit(rows.Transaction{
+		Conditions: []rows.Condition{{Key: key, Version: version}},
+		Puts:       []rows.Put{{Key: key, Value: w.pool.head("claim")}},
+	}, func(result rows.Result, err error) {
+		switch {
+		case w.pool.gone:
+		case err == nil && result.Committed:
+			w.headVersions[part] = result.Version
+			done()
+		default:
+			w.pool.record.Count("retries", "claim")
+			w.pool.loop.After(retryPause, func() { w.claim(part, done) })
+		}
+	})
+}
