--- a/internal/emulator/clock.go
+++ b/internal/emulator/clock.go
@@ -108,3 +108,12 @@
 		fn()
 	}
 }
+
+// NewProcess returns a process that runs on a clock.
+func NewProcess(clock *Clock) *Process { return &Process{clock: clock} }
+
+// Kill ends the process at once.
+func (p *Process) Kill() { p.dead = true }
+
+// Freeze lets the process stand still until a time.
+func (p *Process) Freeze(until time.Time) { p.frozenUntil = until }
--- a/internal/pool/orders.go
+++ b/internal/pool/orders.go
@@ -104,7 +104,15 @@
 		"waited_ms", p.loop.Now().Sub(u.readyAt).Milliseconds(), "estimate_ms", u.spec().EstimateMillis, "cores", u.spec().Amount.Cores()*float64(len(u.members)), "slack_ms", u.slack(p.loop.Now()).Milliseconds(), "workers", workerIDs(places))
 	p.persist(u.job)
 	p.afterWrite(func() {
-		if u.state == unitCommitting && u.run == run {
+		switch {
+		case u.state != unitCommitting || u.run != run:
+		case u.active() < len(u.members):
+			// A worker was lost before any start was sent.
+			p.clearMembers(u)
+			u.state = unitWaiting
+			p.persist(u.job)
+			p.wake()
+		default:
 			p.startUnit(u)
 		}
 	})
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -345,8 +345,10 @@
 			p.memberEnded(m, fleet.Stopped)
 		}
 	case m.state == memberUncertain && m.sentAt.IsZero():
-		// An earlier owner's start; the worker has seen this owner's token.
-		p.memberEnded(m, fleet.Lapsed)
+		// An earlier owner's start that will not come, as the worker has seen this
+		// owner's token; but the run may be ending by a stop of that owner.
+		m.stopAnswered = true
+		m.sentAt = p.loop.Now()
 	case m.state == memberUncertain && m.sentAt.Before(sentAt):
 		// The start may still be carried out; a stop bars it.
 		p.sendStop(m)
--- /dev/null
+++ b/internal/simulation/judge.go
@@ -0,0 +1,146 @@
+package simulation
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/wheatroad/wheatroad/internal/catalog"
+	"github.com/wheatroad/wheatroad/internal/fleet"
+	"github.com/wheatroad/wheatroad/internal/taskgraph"
+)
+
+// Judge watches all runs and notes every broken promise. It also counts what the
+// owners record.
+type Judge struct {
+	world *World
+	// Broken lists what went wrong, in the order in which it was seen.
+	Broken []string
+	// Trace has the owners' decisions.
+	Trace  []string
+	Counts map[string]int
+	jobs   map[string]*judgedJob
+	tasks  map[taskgraph.TaskName]*judgedTask
+}
+
+type judgedJob struct {
+	spec        *taskgraph.Spec
+	queue       catalog.Queue
+	cancelledAt time.Time
+}
+
+type judgedTask struct {
+	running map[*run]bool
+	done    bool
+	// doneRuns has runs that ended as done, noted those whose end is taken note of.
+	doneRuns map[int]bool
+	noted    bool
+	failures int
+	starts   int
+}
+
+func newJudge(w *World) *Judge {
+	return &Judge{world: w, Counts: map[string]int{}, jobs: map[string]*judgedJob{}, tasks: map[taskgraph.TaskName]*judgedTask{}}
+}
+
+// Count implements pool.Recorder.
+func (j *Judge) Count(counter, reason string) { j.Counts[counter+"/"+reason]++ }
+
+// Decided implements pool.Recorder.
+func (j *Judge) Decided(decision string, keysAndValues ...any) {
+	at := j.world.Clock.Now().Sub(j.world.epoch)
+	j.Trace = append(j.Trace, fmt.Sprintf("%v %s %v", at, decision, keysAndValues))
+}
+
+func (j *Judge) broken(format string, args ...any) {
+	at := j.world.Clock.Now().Sub(j.world.epoch)
+	j.Broken = append(j.Broken, fmt.Sprintf("%v: ", at)+fmt.Sprintf(format, args...))
+}
+
+func (j *Judge) accepted(spec *taskgraph.Spec, queue catalog.Queue) {
+	j.jobs[spec.ID] = &judgedJob{spec: spec, queue: queue}
+}
+
+func (j *Judge) cancelled(id string) { j.jobs[id].cancelledAt = j.world.Clock.Now() }
+
+func (j *Judge) task(name taskgraph.TaskName) *judgedTask {
+	known := j.tasks[name]
+	if known == nil {
+		known = &judgedTask{running: map[*run]bool{}, doneRuns: map[int]bool{}}
+		j.tasks[name] = known
+	}
+	return known
+}
+
+// cancelLimit is the time after a cancellation from which a start is wrong.
+const cancelLimit = 3 * time.Second
+
+func (j *Judge) started(r *run, order fleet.Start) {
+	job := j.jobs[r.name.Job]
+	t := j.task(r.name)
+	t.starts++
+	switch {
+	case len(t.running) > 0:
+		j.broken("%v run %d starts on %s beside another run", r.name, r.number, r.worker.ID)
+	case t.noted:
+		j.broken("%v run %d starts after an end that was taken note of", r.name, r.number)
+	case t.failures >= job.queue.MaxAttempts:
+		j.broken("%v run %d starts after all its attempts", r.name, r.number)
+	case !job.cancelledAt.IsZero() && j.world.Clock.Now().Sub(job.cancelledAt) > cancelLimit:
+		j.broken("%v run %d starts long after the cancellation", r.name, r.number)
+	}
+	if order.Payload != job.spec.Payload {
+		j.broken("%v run %d starts with another payload", r.name, r.number)
+	}
+	j.checkOrder(r, job)
+	t.running[r] = true
+	j.Decided("begun", "task", r.name.String(), "run", r.number, "worker", r.worker.ID)
+}
+
+func (j *Judge) checkOrder(r *run, job *judgedJob) {
+	for _, earlier := range job.spec.Steps[r.name.Step].After {
+		step := &job.spec.Steps[earlier]
+		for index := range step.Count {
+			name := taskgraph.TaskName{Job: r.name.Job, Time: r.name.Time, Step: earlier, Index: index}
+			if !j.task(name).done {
+				j.broken("%v starts before %v has ended", r.name, name)
+				return
+			}
+		}
+	}
+}
+
+func (j *Judge) ended(r *run, how fleet.How) {
+	t := j.task(r.name)
+	delete(t.running, r)
+	j.Decided("over", "task", r.name.String(), "run", r.number, "worker", r.worker.ID, "how", how)
+	switch how {
+	case fleet.Done:
+		t.done = true
+		t.doneRuns[r.number] = true
+		if j.world.step(r.name).Gang {
+			j.gangDone(r)
+		}
+	case fleet.Failed:
+		t.failures++
+	}
+}
+
+// gangDone counts one member's end for all.
+func (j *Judge) gangDone(r *run) {
+	for index := range j.world.step(r.name).Count {
+		name := r.name
+		name.Index = index
+		j.task(name).done = true
+	}
+}
+
+// noted notes that an end was acknowledged, which counts unless the worker's lease
+// ran out in between.
+func (j *Judge) noted(w *Worker, entry fleet.Ended) {
+	if entry.How == fleet.Done && w.endedAt[entry.Number] == w.lapses {
+		j.task(entry.Task).noted = true
+	}
+}
+
+// Starts returns how often a task was started.
+func (j *Judge) Starts(name taskgraph.TaskName) int { return j.task(name).starts }
--- /dev/null
+++ b/internal/simulation/worker.go
@@ -0,0 +1,247 @@
+package simulation
+
+import (
+	"time"
+
+	"github.com/wheatroad/wheatroad/internal/emulator"
+	"github.com/wheatroad/wheatroad/internal/fleet"
+	"github.com/wheatroad/wheatroad/internal/taskgraph"
+)
+
+// Worker is one life of a worker.
+type Worker struct {
+	fleet.Worker
+	world *World
+	clock *emulator.Clock
+	token int64
+	// leaseEnd is when all that runs is killed.
+	leaseEnd time.Time
+	runs     map[taskgraph.TaskName]*run
+	barred   map[taskgraph.TaskName]int
+	ended    []fleet.Ended
+	number   int64
+	// lapses counts how often the lease ran out; endedAt has the count at each end.
+	lapses  int
+	endedAt map[int64]int
+	waiters []func()
+	// Dead workers run nothing and answer nothing.
+	Dead bool
+	// Cut workers run on and answer nothing.
+	Cut bool
+	// Replaced workers are gone; another instance answers at their address.
+	Replaced bool
+	// LoseOrder decides the fate of each order; holds are always answered.
+	LoseOrder func() Fate
+	// Failing workers fail all that they start, Standing ones make no progress.
+	Failing  bool
+	Standing bool
+	// Slowness is how many times longer work takes; 0 means 1.
+	Slowness float64
+}
+
+// run is one run of a task.
+type run struct {
+	name       taskgraph.TaskName
+	number     int
+	worker     *Worker
+	begunAt    time.Time
+	working    bool
+	saved      time.Duration
+	checkpoint string
+	stopping   bool
+	over       bool
+}
+
+// StopTime is how long a stop takes.
+const StopTime = 300 * time.Millisecond
+
+// clockMillis is the worker's clock.
+func (w *Worker) clockMillis() int64 { return w.clock.Now().Sub(w.world.epoch).Milliseconds() }
+
+func (w *Worker) extend(deadline int64) {
+	if deadline == 0 {
+		return
+	}
+	end := w.world.epoch.Add(time.Duration(deadline) * time.Millisecond)
+	if limit := w.clock.Now().Add(w.world.Bounds.MaxHold); end.After(limit) {
+		end = limit
+	}
+	if end.After(w.leaseEnd) {
+		w.leaseEnd = end
+		w.clock.At(end, w.lapse)
+	}
+}
+
+func (w *Worker) lapse() {
+	if w.Dead || w.clock.Now().Before(w.leaseEnd) {
+		return
+	}
+	w.lapses++
+	for _, r := range w.sortedRuns() {
+		w.end(r, fleet.Lapsed, "")
+	}
+}
+
+func (w *Worker) start(order fleet.Start) (fleet.Reply, error) {
+	reply := fleet.Reply{ClockMillis: w.clockMillis()}
+	if order.Token < w.token {
+		return reply, fleet.ErrFenced
+	}
+	w.token = order.Token
+	if present := w.runs[order.Task]; present != nil && present.number == order.Run {
+		return reply, nil
+	}
+	if order.Run <= w.barred[order.Task] {
+		w.extend(order.DeadlineMillis)
+		return reply, fleet.ErrSuperseded
+	}
+	if order.DeadlineMillis < reply.ClockMillis {
+		return reply, fleet.ErrLate
+	}
+	w.extend(order.DeadlineMillis)
+	step := w.world.step(order.Task)
+	if !step.Room().Within(w.free()) {
+		return reply, fleet.ErrNoRoom
+	}
+	w.begin(order)
+	return reply, nil
+}
+
+func (w *Worker) free() taskgraph.Amount {
+	free := w.Capacity
+	for _, r := range w.runs {
+		free = free.Minus(w.world.step(r.name).Room())
+	}
+	return free
+}
+
+func (w *Worker) begin(order fleet.Start) {
+	r := &run{name: order.Task, number: order.Run, worker: w, begunAt: w.clock.Now(), checkpoint: order.Checkpoint}
+	w.runs[order.Task] = r
+	w.world.Judge.started(r, order)
+	if w.Failing {
+		w.clock.After(failAfter, func() { w.end(r, fleet.Failed, "") })
+		return
+	}
+	w.world.assemble(r)
+}
+
+const failAfter = 100 * time.Millisecond
+
+// work runs a task to its end.
+func (w *Worker) work(r *run) {
+	if r.working || r.over {
+		return
+	}
+	r.working = true
+	if w.Standing {
+		return
+	}
+	duration := w.world.Work(r.name) - w.world.saved(r.checkpoint)
+	if w.Slowness > 1 {
+		duration = time.Duration(float64(duration) * w.Slowness)
+	}
+	w.clock.After(duration, func() {
+		if !r.over && !r.stopping && !w.Dead {
+			w.world.finish(r)
+		}
+	})
+}
+
+// end lists a run as ended.
+func (w *Worker) end(r *run, how fleet.How, checkpoint string) {
+	if r.over || w.Dead {
+		return
+	}
+	r.over = true
+	delete(w.runs, r.name)
+	w.barred[r.name] = max(w.barred[r.name], r.number)
+	w.number++
+	w.endedAt[w.number] = w.lapses
+	w.ended = append(w.ended, fleet.Ended{Number: w.number, Task: r.name, Run: r.number, How: how, Checkpoint: checkpoint})
+	w.world.Judge.ended(r, how)
+	w.world.memberEnded(r, how)
+	waiters := w.waiters
+	w.waiters = nil
+	for _, wake := range waiters {
+		w.clock.After(0, wake)
+	}
+}
+
+func (w *Worker) stop(order fleet.Stop) (fleet.Reply, error) {
+	reply := fleet.Reply{ClockMillis: w.clockMillis()}
+	if order.Token < w.token {
+		return reply, fleet.ErrFenced
+	}
+	w.token = order.Token
+	w.barred[order.Task] = max(w.barred[order.Task], order.Run)
+	if r := w.runs[order.Task]; r != nil && r.number <= order.Run && !r.stopping {
+		r.stopping = true
+		w.clock.After(StopTime, func() { w.end(r, fleet.Stopped, "") })
+	}
+	return reply, nil
+}
+
+// hold answers at once, or when a run ends, through done.
+func (w *Worker) hold(order fleet.Hold, done func(fleet.Reply, error)) {
+	if order.Token < w.token {
+		done(fleet.Reply{ClockMillis: w.clockMillis()}, fleet.ErrFenced)
+		return
+	}
+	w.token = order.Token
+	w.extend(order.DeadlineMillis)
+	kept := w.ended[:0]
+	for _, entry := range w.ended {
+		if entry.Number > order.LastSeen {
+			kept = append(kept, entry)
+		} else {
+			w.world.Judge.noted(w, entry)
+		}
+	}
+	w.ended = kept
+	if order.Wait == 0 || len(w.ended) > 0 {
+		done(w.account(), nil)
+		return
+	}
+	answered := false
+	answer := func() {
+		if !answered && !w.Dead && !w.Cut {
+			answered = true
+			done(w.account(), nil)
+		}
+	}
+	w.waiters = append(w.waiters, answer)
+	w.clock.After(order.Wait, answer)
+}
+
+func (w *Worker) account() fleet.Reply {
+	reply := fleet.Reply{ClockMillis: w.clockMillis(), Ended: append([]fleet.Ended(nil), w.ended...)}
+	for _, r := range w.sortedRuns() {
+		if !r.stopping {
+			reply.Running = append(reply.Running, fleet.Running{Task: r.name, Run: r.number, Percent: w.percent(r)})
+		}
+	}
+	return reply
+}
+
+func (w *Worker) percent(r *run) int {
+	if !r.working || w.Standing {
+		return 0
+	}
+	share := float64(w.clock.Now().Sub(r.begunAt)) / float64(w.world.Work(r.name))
+	return min(99, int(100*share))
+}
+
+// Crash ends the worker's life.
+func (w *Worker) Crash() {
+	w.Dead = true
+	for _, r := range w.sortedRuns() {
+		r.over = true
+		w.world.Judge.ended(r, fleet.Lapsed)
+		w.world.memberEnded(r, fleet.Lapsed)
+	}
+	w.runs = map[taskgraph.TaskName]*run{}
+}
+
+// Runs returns how many runs the worker has.
+func (w *Worker) Runs() int { return len(w.runs) }
--- /dev/null
+++ b/internal/simulation/world.go
@@ -0,0 +1,350 @@
+package simulation
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/wheatroad/wheatroad/internal/catalog"
+	"github.com/wheatroad/wheatroad/internal/emulator"
+	"github.com/wheatroad/wheatroad/internal/fleet"
+	"github.com/wheatroad/wheatroad/internal/pool"
+	"github.com/wheatroad/wheatroad/internal/rows"
+	"github.com/wheatroad/wheatroad/internal/taskgraph"
+)
+
+// PoolName names the pool of a world.
+const PoolName = "workers"
+
+// workerTable holds the workers' rows.
+const workerTable = "workers"
+
+// World is a store and workers in virtual time.
+type World struct {
+	Clock   *emulator.Clock
+	Store   *Store
+	Judge   *Judge
+	Bounds  pool.Bounds
+	Catalog *catalog.Catalog
+	// Work is how long a task takes.
+	Work    func(taskgraph.TaskName) time.Duration
+	Workers []*Worker
+	epoch   time.Time
+	jobs    map[string]*taskgraph.Spec
+	owners  int
+}
+
+// orderLatency is the way of an order to a worker and back.
+const orderLatency = 2 * time.Millisecond
+
+// orderSilence is how long the owner waits for an answer to an order.
+const orderSilence = 700 * time.Millisecond
+
+// NewWorld returns a world with racks of equal workers of eight accelerators each.
+func NewWorld(racks, perRack int) *World {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	clock := emulator.NewClock(start)
+	w := &World{
+		Clock: clock, Store: NewStore(clock), epoch: start, jobs: map[string]*taskgraph.Spec{},
+		Bounds: pool.Bounds{
+			MaxHold: 6 * time.Second, StopTimeout: 400 * time.Millisecond, GangTimeout: 3 * time.Second,
+			Reclaim: 3 * time.Second, CheckpointInterval: time.Second, StatusRetention: 120 * time.Second, RemoteFactor: 3,
+		},
+		Catalog: &catalog.Catalog{Version: 1, Pools: []catalog.Pool{{Name: PoolName, EnforcesCapacity: true}}},
+		Work:    func(taskgraph.TaskName) time.Duration { return time.Second },
+	}
+	w.Judge = newJudge(w)
+	for rack := range racks {
+		for i := range perRack {
+			w.AddWorker(fmt.Sprintf("w-%d-%d", rack, i), fmt.Sprintf("r-%d", rack))
+		}
+	}
+	return w
+}
+
+// WorkerCapacity is the room of each worker.
+var WorkerCapacity = taskgraph.Amount{CPU: 64000, MemoryMB: 262144, GPUs: 8}
+
+// AddWorker adds a worker and its row.
+func (w *World) AddWorker(id, rack string) *Worker {
+	added := &Worker{
+		Worker: fleet.Worker{ID: id, Pool: PoolName, Address: id, Labels: []string{"a", rack}, Capacity: WorkerCapacity},
+		world:  w, clock: w.Clock,
+		runs: map[taskgraph.TaskName]*run{}, barred: map[taskgraph.TaskName]int{}, endedAt: map[int64]int{},
+	}
+	w.Workers = append(w.Workers, added)
+	w.PutWorkerRow(added)
+	return added
+}
+
+// PutWorkerRow writes a worker's row as the worker stands.
+func (w *World) PutWorkerRow(worker *Worker) {
+	value, err := json.Marshal(worker.Worker)
+	if err != nil {
+		panic(err)
+	}
+	w.Store.Apply(rows.Transaction{Puts: []rows.Put{{Key: rows.Key{Table: workerTable, Name: worker.ID}, Value: value}}})
+}
+
+// RemoveWorkerRow drops a worker's row.
+func (w *World) RemoveWorkerRow(worker *Worker) {
+	w.Store.Apply(rows.Transaction{Removes: []rows.Key{{Table: workerTable, Name: worker.ID}}})
+}
+
+func (w *World) worker(id string) *Worker {
+	for _, candidate := range w.Workers {
+		if candidate.ID == id {
+			return candidate
+		}
+	}
+	return nil
+}
+
+// Submit accepts a job at once.
+func (w *World) Submit(spec taskgraph.Spec, queue catalog.Queue) {
+	if err := spec.Validate(); err != nil {
+		panic(err)
+	}
+	queue.Pool = PoolName
+	w.jobs[spec.ID] = &spec
+	accepted := pool.Accepted{Spec: spec, Tenant: "tenant", Queue: queue, AcceptedMillis: w.Clock.Now().UnixMilli()}
+	key := pool.AcceptedKey(pool.JobParts(PoolName, spec.ID)[0], spec.ID)
+	w.Store.Apply(rows.Transaction{Puts: []rows.Put{{Key: key, Value: pool.Encode(accepted)}}})
+	w.Judge.accepted(&spec, queue)
+}
+
+// Cancel cancels a job at once.
+func (w *World) Cancel(id string) {
+	key := pool.CancelledKey(pool.JobParts(PoolName, id)[0], id)
+	w.Store.Apply(rows.Transaction{Puts: []rows.Put{{Key: key, Value: []byte("{}")}}})
+	w.Judge.cancelled(id)
+}
+
+// StoredState returns what the store says of a job.
+func (w *World) StoredState(id string) taskgraph.State {
+	var newest pool.Progress
+	for _, part := range pool.ProgressParts(PoolName) {
+		for _, row := range w.Store.List(pool.ProgressTable, part, id).Rows {
+			var record pool.Progress
+			if err := json.Unmarshal(row.Value, &record); err != nil {
+				panic(err)
+			}
+			if newest.State == "" || record.NewerThan(&newest) {
+				newest = record
+			}
+		}
+	}
+	return newest.State
+}
+
+func (w *World) step(name taskgraph.TaskName) *taskgraph.Step {
+	return &w.jobs[name.Job].Steps[name.Step]
+}
+
+// Owner is a process that owns the pool.
+type Owner struct {
+	*pool.Pool
+	Process *emulator.Process
+	// Ended says why the owner gave up, if it did.
+	Ended string
+	world *World
+}
+
+// Own takes the pool as a new process.
+func (w *World) Own() *Owner {
+	w.owners++
+	name := fmt.Sprintf("node-%d", w.owners)
+	owner := &Owner{world: w, Process: emulator.NewProcess(w.Clock)}
+	options := pool.Options{
+		Pool: PoolName, Node: name, Incarnation: name, Address: name, Bounds: w.Bounds,
+		Catalog: func() *catalog.Catalog { return w.Catalog },
+		Ended:   func(reason string) { owner.Ended = reason },
+	}
+	version := rows.Absent
+	if listing := w.Store.List(pool.NodeTable, PoolName, pool.LeaseRow); len(listing.Rows) > 0 {
+		version = listing.Rows[0].Version
+	}
+	result := w.Store.Apply(pool.Acquire(options, version, name))
+	owner.Pool = pool.New(options, owner.Process, &ports{world: w, process: owner.Process}, w.Judge, result.Version)
+	owner.Process.Post(owner.Pool.Start)
+	return owner
+}
+
+// Run lets virtual time pass.
+func (w *World) Run(d time.Duration) { w.Clock.Run(w.Clock.Now().Add(d)) }
+
+// ports connect an owner to the world.
+type ports struct {
+	world   *World
+	process *emulator.Process
+}
+
+// answered brings an answer to the process.
+func answered[T any](p *ports, done func(T, error)) func(T, error) {
+	return func(result T, err error) { p.process.Post(func() { done(result, err) }) }
+}
+
+// Commit implements pool.Ports.
+func (p *ports) Commit(transaction rows.Transaction, done func(rows.Result, error)) {
+	p.world.Store.Commit(transaction, answered(p, done))
+}
+
+// Scan implements pool.Ports.
+func (p *ports) Scan(table, part, prefix string, done func(rows.Listing, error)) {
+	p.world.Store.Scan(table, part, prefix, answered(p, done))
+}
+
+// Feed implements pool.Ports.
+func (p *ports) Feed(table string, after int64, done func(rows.Listing, error)) {
+	p.world.Store.Feed(table, after, answered(p, done))
+}
+
+// Start implements pool.Ports.
+func (p *ports) Start(to *fleet.Worker, order fleet.Start, done func(fleet.Reply, error)) {
+	p.order(to.ID, func(w *Worker) (fleet.Reply, error) { return w.start(order) }, answered(p, done))
+}
+
+// Stop implements pool.Ports.
+func (p *ports) Stop(to *fleet.Worker, order fleet.Stop, done func(fleet.Reply, error)) {
+	p.order(to.ID, func(w *Worker) (fleet.Reply, error) { return w.stop(order) }, answered(p, done))
+}
+
+func (p *ports) order(id string, carryOut func(*Worker) (fleet.Reply, error), done func(fleet.Reply, error)) {
+	clock := p.world.Clock
+	clock.After(orderLatency/2, func() {
+		w := p.world.worker(id)
+		if w.Replaced {
+			clock.After(orderLatency/2, func() { done(fleet.Reply{}, fleet.ErrOtherInstance) })
+			return
+		}
+		fate := Answered
+		if w.LoseOrder != nil {
+			fate = w.LoseOrder()
+		}
+		if w.Dead || w.Cut {
+			fate = NeverDone
+		}
+		switch fate {
+		case Answered:
+			reply, err := carryOut(w)
+			clock.After(orderLatency/2, func() { done(reply, err) })
+			return
+		case AnswerLost:
+			_, _ = carryOut(w)
+		case DoneLate:
+			clock.After(lateBy, func() {
+				if !w.Dead {
+					_, _ = carryOut(w)
+				}
+			})
+		}
+		clock.After(orderSilence, func() { done(fleet.Reply{}, fleet.ErrNoAnswer) })
+	})
+}
+
+// Hold implements pool.Ports.
+func (p *ports) Hold(to *fleet.Worker, order fleet.Hold, done func(fleet.Reply, error)) {
+	clock := p.world.Clock
+	answer := answered(p, done)
+	over := false
+	once := func(reply fleet.Reply, err error) {
+		if !over {
+			over = true
+			answer(reply, err)
+		}
+	}
+	clock.After(order.Wait+orderSilence, func() { once(fleet.Reply{}, fleet.ErrNoAnswer) })
+	clock.After(orderLatency/2, func() {
+		w := p.world.worker(to.ID)
+		if w.Replaced {
+			clock.After(orderLatency/2, func() { once(fleet.Reply{}, fleet.ErrOtherInstance) })
+			return
+		}
+		if w.Dead || w.Cut {
+			return
+		}
+		w.hold(order, func(reply fleet.Reply, err error) {
+			clock.After(orderLatency/2, func() { once(reply, err) })
+		})
+	})
+}
+
+// DecodeWorker implements pool.Ports.
+func (p *ports) DecodeWorker(_ string, value []byte) (*fleet.Worker, error) {
+	var decoded fleet.Worker
+	err := json.Unmarshal(value, &decoded)
+	return &decoded, err
+}
+
+// WorkerTable implements pool.Ports.
+func (p *ports) WorkerTable() string { return workerTable }
+
+// gang lists the runs of the same run number of a gang.
+func (w *World) gang(r *run) []*run {
+	var members []*run
+	for _, worker := range w.Workers {
+		for _, other := range worker.sortedRuns() {
+			if other.number == r.number && other.name.Job == r.name.Job && other.name.Time == r.name.Time && other.name.Step == r.name.Step {
+				members = append(members, other)
+			}
+		}
+	}
+	return members
+}
+
+// assemble starts the work of a run, or of a gang once all of it is there.
+func (w *World) assemble(r *run) {
+	if !w.step(r.name).Gang {
+		r.worker.work(r)
+		return
+	}
+	members := w.gang(r)
+	if len(members) < w.step(r.name).Count {
+		w.Clock.After(w.Bounds.GangTimeout, func() {
+			if !r.working {
+				r.worker.end(r, fleet.Alone, "")
+			}
+		})
+		return
+	}
+	for _, member := range members {
+		member.worker.work(member)
+	}
+}
+
+// finish ends a run, and with it its gang, as done.
+func (w *World) finish(r *run) {
+	if !w.step(r.name).Gang {
+		r.worker.end(r, fleet.Done, "")
+		return
+	}
+	for _, member := range w.gang(r) {
+		member.worker.end(member, fleet.Done, "")
+	}
+}
+
+// memberEnded breaks the rest of a gang.
+func (w *World) memberEnded(r *run, how fleet.How) {
+	if how == fleet.Done || !w.step(r.name).Gang || !r.working {
+		return
+	}
+	for _, member := range w.gang(r) {
+		if !member.stopping {
+			member.worker.end(member, fleet.Broken, "")
+		}
+	}
+}
+
+// saved is the work that a checkpoint holds.
+func (w *World) saved(string) time.Duration { return 0 }
+
+// sortedRuns lists the worker's runs in the order of their names.
+func (w *Worker) sortedRuns() []*run {
+	sorted := make([]*run, 0, len(w.runs))
+	for _, r := range w.runs {
+		sorted = append(sorted, r)
+	}
+	sort.Slice(sorted, func(i, j int) bool { return sorted[i].name.String() < sorted[j].name.String() })
+	return sorted
+}
