--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,93 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wheatroad/wheatroad/internal/taskgraph"
+)
+
+func gpus(n int) taskgraph.Amount { return taskgraph.Amount{GPUs: n} }
+
+// racksOf makes usable workers with the given free accelerators, two a rack.
+func racksOf(free ...int) ([]Worker, *Racks) {
+	workers := make([]Worker, len(free))
+	for i, n := range free {
+		workers[i] = Worker{Rack: string(rune('a' + i/2)), Free: gpus(n), Usable: true}
+	}
+	racks := NewRacks(workers)
+	MeasureRacks(workers, racks)
+	return workers, racks
+}
+
+func TestFitTakesTheFullestRackFirst(t *testing.T) {
+	workers, racks := racksOf(8, 8, 8, 2)
+	require.Equal(t, []int{3, 3}, Fit(workers, racks.All, &Request{Room: gpus(1), Count: 2}))
+	require.Equal(t, []int{2, 0, 1}, Fit(workers, racks.All, &Request{Room: gpus(8), Count: 3}))
+	require.Nil(t, Fit(workers, racks.All, &Request{Room: gpus(8), Count: 4}))
+}
+
+func TestFitKeepsBounds(t *testing.T) {
+	workers, racks := racksOf(8, 8)
+	workers[0].Usable = false
+	require.Equal(t, []int{1}, Fit(workers, racks.All, &Request{Room: gpus(1), Count: 1}))
+	present := func(int) int { return 1 }
+	require.Nil(t, Fit(workers, racks.All, &Request{Room: gpus(1), Count: 2, MaxPerWorker: 2, Present: present}))
+}
+
+func TestEarliestFitWaitsForTheFirstEnds(t *testing.T) {
+	workers, racks := racksOf(0, 0)
+	units := []Unit{
+		{Places: []int{0}, Room: gpus(8), Remaining: 3 * time.Second},
+		{Places: []int{1}, Room: gpus(8), Remaining: time.Second},
+	}
+	workers[0].Holders = []Holder{{Unit: 0, Room: gpus(8)}}
+	workers[1].Holders = []Holder{{Unit: 1, Room: gpus(8)}}
+	promise := EarliestFit(workers, racks.All, units, &Request{Room: gpus(4), Count: 1})
+	require.Equal(t, []int{1}, promise.Places)
+	require.Equal(t, time.Second, promise.After)
+	require.Equal(t, gpus(4), promise.Spare[1])
+	require.Nil(t, EarliestFit(workers, racks.All, units, &Request{Room: gpus(9), Count: 1}))
+}
+
+func TestPreemptStopsTheCheapest(t *testing.T) {
+	workers, racks := racksOf(0, 0)
+	units := []Unit{
+		{Places: []int{0}, Room: gpus(8), Loss: 50, Priority: 2},
+		{Places: []int{1}, Room: gpus(8), Loss: 10, Priority: 2},
+	}
+	workers[0].Holders = []Holder{{Unit: 0, Room: gpus(8)}}
+	workers[1].Holders = []Holder{{Unit: 1, Room: gpus(8)}}
+	places, victims, loss := Preempt(workers, racks.All, units, &Request{Room: gpus(8), Count: 1, Priority: 1})
+	require.Equal(t, []int{1}, places)
+	require.Equal(t, []int{1}, victims)
+	require.InDelta(t, 10, loss, 0)
+	places, _, _ = Preempt(workers, racks.All, units, &Request{Room: gpus(8), Count: 1, Priority: 2})
+	require.Nil(t, places, "equals do not stop each other")
+}
+
+// TestFitAgainstSearch compares Fit with a count over every worker.
+func TestFitAgainstSearch(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		free := make([]int, 6)
+		for i := range free {
+			free[i] = random.IntN(9)
+		}
+		workers, racks := racksOf(free...)
+		request := &Request{Room: gpus(1 + random.IntN(4)), Count: 1 + random.IntN(8)}
+		total := 0
+		for _, n := range free {
+			total += n / request.Room.GPUs
+		}
+		places := Fit(workers, racks.All, request)
+		require.Equal(t, total >= request.Count, places != nil, "seed %d", seed)
+		Reserve(workers, places, request.Room)
+		for i := range workers {
+			require.GreaterOrEqual(t, workers[i].Free.GPUs, 0, "seed %d", seed)
+		}
+	}
+}
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -17,9 +17,6 @@
 // PoolName names the pool of a world.
 const PoolName = "workers"
 
-// workerTable holds the workers' rows.
-const workerTable = "workers"
-
 // World is a store and workers in virtual time.
 type World struct {
 	Clock   *emulator.Clock
@@ -30,9 +27,12 @@
 	// Work is how long a task takes.
 	Work    func(taskgraph.TaskName) time.Duration
 	Workers []*Worker
-	epoch   time.Time
-	jobs    map[string]*taskgraph.Spec
-	owners  int
+	// WorkerTable holds the workers' rows, which EncodeWorker renders.
+	WorkerTable  string
+	EncodeWorker func(*fleet.Worker) []byte
+	epoch        time.Time
+	jobs         map[string]*taskgraph.Spec
+	owners       int
 }
 
 // orderLatency is the way of an order to a worker and back.
@@ -51,8 +51,9 @@
 			MaxHold: 6 * time.Second, StopTimeout: 400 * time.Millisecond, GangTimeout: 3 * time.Second,
 			Reclaim: 3 * time.Second, CheckpointInterval: time.Second, StatusRetention: 120 * time.Second, RemoteFactor: 3,
 		},
-		Catalog: &catalog.Catalog{Version: 1, Pools: []catalog.Pool{{Name: PoolName, EnforcesCapacity: true}}},
-		Work:    func(taskgraph.TaskName) time.Duration { return time.Second },
+		Catalog:     &catalog.Catalog{Version: 1, Pools: []catalog.Pool{{Name: PoolName, EnforcesCapacity: true}}},
+		WorkerTable: "workers", EncodeWorker: encodeWorker,
+		Work: func(taskgraph.TaskName) time.Duration { return time.Second },
 	}
 	w.Judge = newJudge(w)
 	for rack := range racks {
@@ -80,16 +81,38 @@
 
 // PutWorkerRow writes a worker's row as the worker stands.
 func (w *World) PutWorkerRow(worker *Worker) {
-	value, err := json.Marshal(worker.Worker)
+	key := rows.Key{Table: w.WorkerTable, Name: worker.ID}
+	w.Store.Apply(rows.Transaction{Puts: []rows.Put{{Key: key, Value: w.EncodeWorker(&worker.Worker)}}})
+}
+
+func encodeWorker(worker *fleet.Worker) []byte {
+	value, err := json.Marshal(worker)
 	if err != nil {
 		panic(err)
 	}
-	w.Store.Apply(rows.Transaction{Puts: []rows.Put{{Key: rows.Key{Table: workerTable, Name: worker.ID}, Value: value}}})
+	return value
 }
 
 // RemoveWorkerRow drops a worker's row.
 func (w *World) RemoveWorkerRow(worker *Worker) {
-	w.Store.Apply(rows.Transaction{Removes: []rows.Key{{Table: workerTable, Name: worker.ID}}})
+	w.Store.Apply(rows.Transaction{Removes: []rows.Key{{Table: w.WorkerTable, Name: worker.ID}}})
+}
+
+// Order carries out an order on a worker and answers through done. Unanswered orders
+// never call it.
+func (w *World) Order(id string, order any, done func(fleet.Reply, error)) {
+	worker := w.worker(id)
+	if worker == nil || worker.Dead || worker.Cut {
+		return
+	}
+	switch order := order.(type) {
+	case fleet.Start:
+		done(worker.start(order))
+	case fleet.Stop:
+		done(worker.stop(order))
+	case fleet.Hold:
+		worker.hold(order, done)
+	}
 }
 
 func (w *World) worker(id string) *Worker {
@@ -103,14 +126,19 @@
 
 // Submit accepts a job at once.
 func (w *World) Submit(spec taskgraph.Spec, queue catalog.Queue) {
-	if err := spec.Validate(); err != nil {
-		panic(err)
-	}
 	queue.Pool = PoolName
-	w.jobs[spec.ID] = &spec
+	w.Expect(spec, queue)
 	accepted := pool.Accepted{Spec: spec, Tenant: "tenant", Queue: queue, AcceptedMillis: w.Clock.Now().UnixMilli()}
 	key := pool.AcceptedKey(pool.JobParts(PoolName, spec.ID)[0], spec.ID)
 	w.Store.Apply(rows.Transaction{Puts: []rows.Put{{Key: key, Value: pool.Encode(accepted)}}})
+}
+
+// Expect tells the workers and the judge of a job that will be accepted.
+func (w *World) Expect(spec taskgraph.Spec, queue catalog.Queue) {
+	if err := spec.Validate(); err != nil {
+		panic(err)
+	}
+	w.jobs[spec.ID] = &spec
 	w.Judge.accepted(&spec, queue)
 }
 
@@ -278,7 +306,7 @@
 }
 
 // WorkerTable implements pool.Ports.
-func (p *ports) WorkerTable() string { return workerTable }
+func (p *ports) WorkerTable() string { return p.world.WorkerTable }
 
 // gang lists the runs of the same run number of a gang.
 func (w *World) gang(r *run) []*run {
