--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -61,8 +61,6 @@
 	watches  map[string]*watch
 	owned    map[string]*pool.Pool
 	waiting  map[string]waitingCounts
-	feeding  bool
-	seeds    int64
 	released func()
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -40,7 +40,6 @@
 	waking    bool
 	// storeAnsweredAt is when the store last answered.
 	storeAnsweredAt time.Time
-	nextDue         func()
 	// pressureUntil is how long patient units below pressurePriority wait.
 	pressureUntil    time.Time
 	pressurePriority int
--- a/internal/simulation/worker.go
+++ b/internal/simulation/worker.go
@@ -46,7 +46,6 @@
 	worker     *Worker
 	begunAt    time.Time
 	working    bool
-	saved      time.Duration
 	checkpoint string
 	stopping   bool
 	over       bool
