--- /dev/null
+++ b/internal/cli/trace.go
@@ -0,0 +1,125 @@
+package cli
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"sort"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+)
+
+// traceLine is a log line that names a job.
+type traceLine struct {
+	at   string
+	node string
+	text string
+	// decides is true for lines after which the job's fate is settled.
+	decides bool
+}
+
+// logRecord has the fields of a log line that the trace reads.
+type logRecord struct {
+	Timestamp string `json:"ts"`
+	Decision  string `json:"msg"`
+	Job       string `json:"job"`
+}
+
+// decidingLines are the decisions that settle what a caller is told.
+var decidingLines = map[string]bool{
+	"job not accepted": true, "job ended": true, "lookup refused": true, "cancellation refused": true,
+}
+
+func newTraceCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "trace ID [LOGFILE...]",
+		Short:   "Put the log lines of all nodes about one job in order and name the deciding one",
+		Example: "  wheatroadctl trace 5c0e7a21d94b36f8 node-1.log node-2.log",
+		Args:    cobra.MinimumNArgs(1),
+		RunE: func(command *cobra.Command, args []string) error {
+			lines, err := readTrace(command.InOrStdin(), args[0], args[1:])
+			if err != nil {
+				return err
+			}
+			return printTrace(command.OutOrStdout(), args[0], lines)
+		},
+	}
+}
+
+// readTrace reads the lines about a job from files, or from input if there are none.
+func readTrace(input io.Reader, id string, files []string) ([]traceLine, error) {
+	if len(files) == 0 {
+		return scanTrace(input, "", id)
+	}
+	var lines []traceLine
+	for _, name := range files {
+		file, err := os.Open(name)
+		if err != nil {
+			return nil, err
+		}
+		found, err := scanTrace(file, name, id)
+		file.Close()
+		if err != nil {
+			return nil, errors.Wrap(err, name)
+		}
+		lines = append(lines, found...)
+	}
+	sort.SliceStable(lines, func(i, j int) bool { return lines[i].at < lines[j].at })
+	return lines, nil
+}
+
+const maxLogLine = 1 << 20
+
+// scanTrace reads lines of JSON; words before the JSON are taken for the node.
+func scanTrace(input io.Reader, node, id string) ([]traceLine, error) {
+	scanner := bufio.NewScanner(input)
+	scanner.Buffer(nil, maxLogLine)
+	var lines []traceLine
+	for scanner.Scan() {
+		text := scanner.Text()
+		begin := strings.IndexByte(text, '{')
+		if begin < 0 || !strings.Contains(text, id) {
+			continue
+		}
+		var record logRecord
+		if err := json.Unmarshal([]byte(text[begin:]), &record); err != nil || record.Job != id {
+			continue
+		}
+		source := node
+		if prefix := strings.TrimSpace(text[:begin]); prefix != "" {
+			source = prefix
+		}
+		lines = append(lines, traceLine{at: record.Timestamp, node: source, text: text[begin:], decides: decidingLines[record.Decision]})
+	}
+	return lines, scanner.Err()
+}
+
+func printTrace(output io.Writer, id string, lines []traceLine) error {
+	if len(lines) == 0 {
+		return errors.Newf("no line names job %s", id)
+	}
+	deciding := -1
+	for i := range lines {
+		if lines[i].decides {
+			deciding = i
+		}
+	}
+	for i := range lines {
+		mark := " "
+		if i == deciding {
+			mark = "*"
+		}
+		if _, err := fmt.Fprintf(output, "%s %s %s\n", mark, lines[i].node, lines[i].text); err != nil {
+			return err
+		}
+	}
+	if deciding < 0 {
+		_, err := fmt.Fprintln(output, "no deciding line yet")
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/cli/trace_test.go
@@ -0,0 +1,37 @@
+package cli
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestTraceOrdersLinesAndMarksTheDecidingOne(t *testing.T) {
+	input := strings.Join([]string{
+		`  1.0 node-2 {"ts":"2026-01-01T00:00:01Z","msg":"job accepted","job":"00000000000000aa"}`,
+		`  1.1 node-1 {"ts":"2026-01-01T00:00:02Z","msg":"placed","job":"00000000000000aa","step":0}`,
+		`  1.2 node-1 {"ts":"2026-01-01T00:00:02Z","msg":"placed","job":"00000000000000bb","step":0}`,
+		`not a line of ours 00000000000000aa`,
+		`  9.9 node-1 {"ts":"2026-01-01T00:00:09Z","msg":"job ended","job":"00000000000000aa","state":"failed"}`,
+	}, "\n")
+	var output bytes.Buffer
+	command := newTraceCommand()
+	command.SetIn(strings.NewReader(input))
+	command.SetOut(&output)
+	command.SetArgs([]string{"00000000000000aa"})
+	require.NoError(t, command.Execute())
+	lines := strings.Split(strings.TrimSpace(output.String()), "\n")
+	require.Len(t, lines, 3)
+	require.Contains(t, lines[0], "job accepted")
+	require.True(t, strings.HasPrefix(lines[2], "* 9.9 node-1"), lines[2])
+}
+
+func TestTraceOfAnUnknownJobIsAnError(t *testing.T) {
+	command := newTraceCommand()
+	command.SetIn(strings.NewReader(""))
+	command.SilenceErrors, command.SilenceUsage = true, true
+	command.SetArgs([]string{"00000000000000aa"})
+	require.Error(t, command.Execute())
+}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -74,7 +74,8 @@
 		return g.commitJob(ctx, access.Queue.Pool, job)
 	})
 	if err != nil {
-		g.node.edges.Record.Decided("job not accepted", "job", spec.ID, "queue", access.Queue.Name, "reason", string(fault.From(err).Kind))
+		g.node.edges.Record.Decided("job not accepted", "job", spec.ID, "queue", access.Queue.Name, "reason", string(fault.From(err).Kind),
+			"detail", fault.From(err).Detail, "store_answered_ms_ago", g.node.storeAge().Milliseconds())
 		return g.refused(err)
 	}
 	g.node.edges.Record.Count("job_transitions", "accepted")
@@ -206,6 +207,7 @@
 	}
 	state, err := g.lookupAnywhere(ctx, access.Queue.Pool, id)
 	if err != nil {
+		g.node.edges.Record.Decided("lookup refused", "job", id, "queue", access.Queue.Name, "reason", string(fault.From(err).Kind), "detail", fault.From(err).Detail)
 		return "", g.refused(err)
 	}
 	return state, nil
@@ -331,6 +333,7 @@
 		return g.commitCancel(ctx, access.Queue.Pool, id)
 	})
 	if err != nil {
+		g.node.edges.Record.Decided("cancellation refused", "job", id, "reason", string(fault.From(err).Kind))
 		return g.refused(err)
 	}
 	g.node.edges.Record.Decided("cancellation accepted", "job", id)
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -76,6 +76,10 @@
 	default:
 		w.failures = 0
 		w.answeredAt = n.now()
+		if w.lost {
+			w.lost = false
+			n.edges.Record.Decided("owner answers again", "pool", w.pool, "owner", owner)
+		}
 		n.waiting[w.pool] = waitingCounts{counts: reply.Waiting, at: time.Now()}
 		n.publish()
 	}
@@ -89,6 +93,10 @@
 		w.failures++
 	}
 	n.edges.Record.Count("retries", "ping")
+	if !w.lost {
+		w.lost = true
+		n.edges.Record.Decided("owner does not answer", "pool", w.pool, "owner", n.leases[w.pool].Owner, "token", n.leases[w.pool].version, "reason", string(fault.From(err).Kind))
+	}
 	n.replaceIfSuspect(w, "owner "+n.leases[w.pool].Owner+" does not answer")
 }
 
@@ -100,6 +108,7 @@
 	n.askWitnesses(w, func(seen bool) {
 		if seen {
 			n.edges.Record.Count("takeovers", "owner_seen_by_others")
+			n.edges.Record.Decided("owner left in place", "pool", w.pool, "owner", n.leases[w.pool].Owner, "reason", reason)
 			return
 		}
 		n.acquireLater(w, reason)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/wheatroad/wheatroad/internal/catalog"
 	"github.com/wheatroad/wheatroad/internal/pool"
 	"github.com/wheatroad/wheatroad/internal/rows"
@@ -54,7 +56,9 @@
 	// last did not.
 	storeAnswered atomic.Pointer[time.Time]
 	storeFailed   atomic.Pointer[time.Time]
-	stopping      atomic.Bool
+	// storeAway is true from a failure of the store until its next answer.
+	storeAway atomic.Bool
+	stopping  atomic.Bool
 
 	members  map[string]member
 	leases   map[string]leaseView
@@ -112,10 +116,16 @@
 func (n *Node) noteStore(err error) {
 	now := time.Now()
 	if err == nil {
-		n.storeAnswered.Store(&now)
+		silentFor := age(n.storeAnswered.Swap(&now))
+		if n.storeAway.CompareAndSwap(true, false) {
+			n.edges.Record.Decided("store answers again", "silent_ms", silentFor.Milliseconds())
+		}
 		return
 	}
 	n.storeFailed.Store(&now)
+	if !errors.Is(err, rows.ErrHistoryGone) && n.storeAway.CompareAndSwap(false, true) {
+		n.edges.Record.Decided("store lost", "reason", err.Error(), "answered_ms_ago", n.storeAge().Milliseconds())
+	}
 }
 
 // storeAge returns how long ago the store last answered.
--- a/internal/node/ownership.go
+++ b/internal/node/ownership.go
@@ -21,8 +21,10 @@
 	failures   int
 	answeredAt time.Time
 	acquiring  bool
-	scheduled  bool
-	serial     int
+	// lost is true from an owner's first unanswered ping until it answers.
+	lost      bool
+	scheduled bool
+	serial    int
 }
 
 // watchPool begins to care for a pool.
@@ -55,6 +57,7 @@
 		return
 	}
 	w.failures = 0
+	w.lost = false
 	lease := n.leases[name]
 	switch {
 	case !w.read || n.owned[name] != nil:
