Let the heaviest nodes take pools first

Cause: on the grown Sahil site a machine with 0.192 of a core and 10 Mbit/s owned the pool of 350 workers; orders timed out and work lapsed. Change: a node's row has its processor share; the order of takers goes by it.

--- a/cmd/wheatroadd/serve.go
+++ b/cmd/wheatroadd/serve.go
@@ -112,7 +112,7 @@
 func nodeOptions(s *settings.Node) node.Options {
 	b := &s.Bounds
 	return node.Options{
-		Name: s.Name, Incarnation: newIncarnation(), PeerAddress: s.Peers,
+		Name: s.Name, Incarnation: newIncarnation(), PeerAddress: s.Peers, Weight: s.CPUShare,
 		Bounds: pool.Bounds{
 			MaxHold: settings.Millis(b.MaxHoldMillis), StopTimeout: settings.Millis(b.StopTimeoutMillis),
 			GangTimeout: settings.Millis(b.GangTimeoutMillis), Reclaim: settings.Millis(b.ReclaimMillis),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,9 +14,10 @@
 
 // member is another node as its row has it.
 type member struct {
-	Name        string `json:"name"`
-	Incarnation string `json:"incarnation"`
-	Address     string `json:"address"`
+	Name        string  `json:"name"`
+	Incarnation string  `json:"incarnation"`
+	Address     string  `json:"address"`
+	Weight      float64 `json:"weight"`
 }
 
 // leaseView is a pool's lease as this node last read it.
@@ -153,7 +154,7 @@
 	if n.stopping.Load() {
 		return
 	}
-	own := member{Name: n.options.Name, Incarnation: n.options.Incarnation, Address: n.options.PeerAddress}
+	own := member{Name: n.options.Name, Incarnation: n.options.Incarnation, Address: n.options.PeerAddress, Weight: n.options.Weight}
 	transaction := rows.Transaction{Puts: []rows.Put{{Key: memberKey(own.Name), Value: pool.Encode(own)}}}
 	n.ports.Commit(transaction, func(_ rows.Result, err error) {
 		if err != nil {
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -29,7 +29,9 @@
 	Incarnation string
 	// PeerAddress is where other nodes reach this one.
 	PeerAddress string
-	Bounds      pool.Bounds
+	// Weight is the node's processor share: heavier nodes take pools first.
+	Weight float64
+	Bounds pool.Bounds
 	// ConfigurationAge is how old the configuration's confirmation may be before
 	// callers are turned away.
 	ConfigurationAge time.Duration
--- a/internal/node/ownership.go
+++ b/internal/node/ownership.go
@@ -68,17 +68,28 @@
 	}
 }
 
-// rank is this node's place in the order in which nodes take a pool.
+// rank is this node's place in the order in which nodes take a pool: the heaviest
+// first, and among equals by a hash.
 func (n *Node) rank(name string) int {
-	own := rankHash(name, n.options.Name)
+	own := member{Name: n.options.Name, Weight: n.options.Weight}
 	rank := 0
 	owner := n.leases[name].Owner
-	for other := range n.members {
-		if other != n.options.Name && other != owner && rankHash(name, other) < own {
+	for _, other := range n.members {
+		if other.Name != own.Name && other.Name != owner && precedes(name, other, own) {
 			rank++
 		}
 	}
-	return rank
+	return min(rank, maxRank)
+}
+
+// maxRank bounds the delay of the last node.
+const maxRank = 12
+
+func precedes(poolName string, a, b member) bool {
+	if a.Weight != b.Weight {
+		return a.Weight > b.Weight
+	}
+	return rankHash(poolName, a.Name) < rankHash(poolName, b.Name)
 }
 
 func rankHash(poolName, node string) uint64 { return xxhash.Sum64String(poolName + "/" + node) }
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -23,8 +23,10 @@
 	// Metrics is the address that serves counters; empty serves none.
 	Metrics string `toml:"metrics"`
 	// Store is the address of the platform's store.
-	Store     string     `toml:"store"`
-	MemoryMB  int        `toml:"memory_mb"`
+	Store    string `toml:"store"`
+	MemoryMB int    `toml:"memory_mb"`
+	// CPUShare is the machine's share of a core: larger nodes take pools first.
+	CPUShare  float64    `toml:"cpu_share"`
 	Bounds    NodeBounds `toml:"bounds"`
 	Log       Log        `toml:"log"`
 	Stretches Stretches  `toml:"stop"`
@@ -60,7 +62,7 @@
 // DefaultNode returns settings in which only what has no good default is missing.
 func DefaultNode() Node {
 	return Node{
-		MemoryMB: 256,
+		MemoryMB: 256, CPUShare: 1,
 		Bounds: NodeBounds{
 			MaxHoldMillis: 6000, StopTimeoutMillis: 1000, GangTimeoutMillis: 3000, ReclaimMillis: 3000,
 			CheckpointSeconds: 1, StatusSeconds: 120, RemoteFactor: 3,
@@ -109,6 +111,7 @@
 		c.address("metrics", s.Metrics)
 	}
 	c.require(s.MemoryMB >= 32, "memory_mb", "must be at least 32")
+	c.require(s.CPUShare > 0, "cpu_share", "must be positive")
 	b := &s.Bounds
 	positive := map[string]int64{
 		"bounds.max_hold_ms": b.MaxHoldMillis, "bounds.stop_timeout_ms": b.StopTimeoutMillis,
