--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -113,18 +113,27 @@
 	n.view.Store(v)
 }
 
-// noteStore notes whether the store answered. It may be called anywhere.
+// noteStore notes an answer of the store. It may be called anywhere.
 func (n *Node) noteStore(err error) {
+	if err != nil {
+		return
+	}
 	now := time.Now()
-	if err == nil {
-		silentFor := age(n.storeAnswered.Swap(&now))
-		if n.storeAway.CompareAndSwap(true, false) {
-			n.edges.Record.Decided("store answers again", "silent_ms", silentFor.Milliseconds())
-		}
+	silentFor := age(n.storeAnswered.Swap(&now))
+	if n.storeAway.CompareAndSwap(true, false) {
+		n.edges.Record.Decided("store answers again", "silent_ms", silentFor.Milliseconds())
+	}
+}
+
+// noteStoreFailure notes that a feed got no answer. Feeds stand for the whole store;
+// a failed transaction may say no more than that one part is away.
+func (n *Node) noteStoreFailure(err error) {
+	if errors.Is(err, rows.ErrHistoryGone) {
 		return
 	}
+	now := time.Now()
 	n.storeFailed.Store(&now)
-	if !errors.Is(err, rows.ErrHistoryGone) && n.storeAway.CompareAndSwap(false, true) {
+	if n.storeAway.CompareAndSwap(false, true) {
 		n.edges.Record.Decided("store lost", "reason", err.Error(), "answered_ms_ago", n.storeAge().Milliseconds())
 	}
 }
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -49,10 +49,13 @@
 
 // Periods of the node's own work.
 const (
-	feedWait      = time.Second
-	feedTimeout   = feedWait + 800*time.Millisecond
+	feedWait    = time.Second
+	feedTimeout = feedWait + 800*time.Millisecond
+	// probeWait and probeTimeout hold for feeds while the store does not answer.
+	probeWait     = 50 * time.Millisecond
+	probeTimeout  = 700 * time.Millisecond
 	storeTimeout  = 1500 * time.Millisecond
-	submitTimeout = 900 * time.Millisecond
+	submitTimeout = 700 * time.Millisecond
 	orderTimeout  = 700 * time.Millisecond
 	holdSlack     = 800 * time.Millisecond
 	pingPeriod    = 500 * time.Millisecond
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -111,6 +111,9 @@
 		return nil, fault.New(fault.InvalidRequest, "%s: %v", method, err)
 	}
 	gateway := &Gateway{node: n}
+	if (method == methodSubmit || method == methodCancel) && n.storeLost() {
+		return nil, fault.New(fault.StoreUnavailable, "this node has lost the store too")
+	}
 	switch method {
 	case methodSubmit:
 		if request.Job == nil {
--- a/internal/node/ports.go
+++ b/internal/node/ports.go
@@ -53,9 +53,17 @@
 
 // Feed implements pool.Ports.
 func (p *ports) Feed(table string, after int64, done func(rows.Listing, error)) {
-	run(p, feedTimeout, func(ctx context.Context) (rows.Listing, error) {
-		listing, err := p.node.edges.Store.Feed(ctx, table, after, feedWait)
+	wait, limit := feedWait, feedTimeout
+	if p.node.storeLost() {
+		// A store that is back is to be noticed soon.
+		wait, limit = probeWait, probeTimeout
+	}
+	run(p, limit, func(ctx context.Context) (rows.Listing, error) {
+		listing, err := p.node.edges.Store.Feed(ctx, table, after, wait)
 		p.node.noteStore(err)
+		if err != nil {
+			p.node.noteStoreFailure(err)
+		}
 		return listing, err
 	}, done)
 }
