Move runs that stand still; keep lasting tasks within their misses

Cause: a run on a worker that makes no progress held its job up until the worker recovered, if ever. Change: after 8 s without progress (0.4 of the estimate at least) a run is moved; lasting tasks are not preempted and move off a leaving worker only within AllowedMisses.

--- a/internal/pool/cycle.go
+++ b/internal/pool/cycle.go
@@ -202,7 +202,7 @@
 	case u.state == unitStopping || u.state == unitEnded:
 		described.Remaining = min(described.Remaining, p.options.Bounds.StopTimeout)
 		described.Loss = 0
-	case u.state == unitActive && u.job.Queue.Priority > 0:
+	case u.state == unitActive && u.job.Queue.Priority > 0 && !u.spec().LongRunning:
 		described.Loss = max(leastLoss, p.stopLoss(u, now))
 	}
 	return described
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -108,9 +108,11 @@
 	stopAnswered bool
 	stopTimer    func()
 	sentAt       time.Time
-	percent      int
-	percentAt    time.Time
-	percentFirst time.Time
+	// percent is the progress that the worker last listed, percentAt when it last
+	// changed, and listedAt when it was last listed.
+	percent   int
+	percentAt time.Time
+	listedAt  time.Time
 }
 
 func (m *member) name() taskgraph.TaskName {
--- a/internal/pool/orders.go
+++ b/internal/pool/orders.go
@@ -63,7 +63,7 @@
 	m.worker = w
 	m.state = memberNone
 	m.stopSent, m.stopAnswered = false, false
-	m.percent, m.percentAt, m.percentFirst = 0, time.Time{}, time.Time{}
+	m.percent, m.percentAt, m.listedAt = 0, time.Time{}, time.Time{}
 	m.sentAt = time.Time{}
 	w.members[m] = true
 }
@@ -364,20 +364,58 @@
 	return max(estimate/10, estimate-elapsed)
 }
 
-// checkUnits takes back gangs that do not come together.
+// checkUnits takes back gangs that do not come together and runs that stand still.
 func (p *Pool) checkUnits() {
 	now := p.loop.Now()
 	patience := time.Duration(gangPatience * float64(p.options.Bounds.GangTimeout))
 	for _, w := range p.sortedWorkers() {
 		for _, m := range w.sortedMembers() {
 			u := m.unit
-			if u.state == unitActive && m.state == memberUncertain && now.Sub(u.startedAt) > patience {
+			switch {
+			case u.state != unitActive:
+			case m.state == memberUncertain && now.Sub(u.startedAt) > patience:
 				p.stopUnit(u, "start unanswered")
+			case p.standing(m):
+				p.stopStanding(u)
 			}
 		}
 	}
 }
 
+// standing reports whether a member has made no progress for long, by what its worker
+// has listed.
+func (p *Pool) standing(m *member) bool {
+	if m.state != memberRunning || m.unit.spec().LongRunning || m.percentAt.IsZero() {
+		return false
+	}
+	limit := max(standingLimit, time.Duration(standingShare*float64(m.unit.spec().Estimate())))
+	return m.listedAt.Sub(m.percentAt) > limit
+}
+
+// stopStanding moves a unit away from the workers on which it stands still.
+func (p *Pool) stopStanding(u *unit) {
+	if u.avoid == nil {
+		u.avoid = map[string]bool{}
+	}
+	for _, m := range u.members {
+		if m.worker == nil || !p.standing(m) {
+			continue
+		}
+		u.avoid[m.worker.ID] = true
+		if !u.spec().Gang {
+			m.worker.penaltyUntil = p.loop.Now().Add(penalty)
+		}
+	}
+	p.stopUnit(u, "stands still")
+}
+
+// A run that makes no progress for standingLimit, and for standingShare of its
+// estimate, is moved.
+const (
+	standingLimit = 8 * time.Second
+	standingShare = 0.4
+)
+
 // sortedMembers returns the worker's members in the order of their names.
 func (w *worker) sortedMembers() []*member {
 	sorted := make([]*member, 0, len(w.members))
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -414,6 +414,7 @@
 	}
 	p.checkWorkers()
 	p.checkStops()
+	p.checkLeaving()
 	p.checkUnits()
 	p.dropOldJobs()
 	p.wake()
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -374,3 +374,33 @@
 		require.Equal(t, taskgraph.Completed, w.StoredState(jobID(n)), "job %d", n)
 	}
 }
+
+// TestStandingRunsAreMoved: a task on a worker that makes no progress held its job
+// up until the day's end.
+func TestStandingRunsAreMoved(t *testing.T) {
+	w := simulation.NewWorld(1, 4)
+	w.Work = func(taskgraph.TaskName) time.Duration { return 2 * time.Second }
+	w.Workers[0].Standing = true
+	w.Submit(spec(1, single(12), gang(2)), batch)
+	w.Own()
+	w.Run(25 * time.Second)
+	requireKept(t, w)
+	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
+	require.Positive(t, w.Judge.Counts["stops/stands still"])
+}
+
+// TestLastingTasksAreStartedAgain: they end only by a cancellation.
+func TestLastingTasksAreStartedAgain(t *testing.T) {
+	w := simulation.NewWorld(1, 3)
+	lasting := single(3)
+	lasting.LongRunning, lasting.AllowedMisses = true, 1
+	w.Submit(spec(1, lasting), batch)
+	w.Own()
+	w.Run(10 * time.Second)
+	requireKept(t, w)
+	require.Equal(t, taskgraph.Running, w.StoredState(jobID(1)))
+	require.Greater(t, w.Judge.Starts(taskgraph.TaskName{Job: jobID(1)}), 2)
+	w.Cancel(jobID(1))
+	w.Run(3 * time.Second)
+	require.Equal(t, taskgraph.Cancelled, w.StoredState(jobID(1)))
+}
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -325,10 +325,8 @@
 	if m.state != memberRunning {
 		m.state = memberRunning
 	}
+	m.listedAt = now
 	if entry.Percent != m.percent || m.percentAt.IsZero() {
-		if m.percentFirst.IsZero() {
-			m.percentFirst = now
-		}
 		m.percent, m.percentAt = entry.Percent, now
 	}
 	if entry.Checkpoint != "" {
@@ -437,6 +435,21 @@
 	return clock > deadline+lapseMargin.Milliseconds()
 }
 
+// checkLeaving goes on emptying workers that leave.
+func (p *Pool) checkLeaving() {
+	for _, w := range p.sortedWorkers() {
+		if !w.Draining {
+			continue
+		}
+		for m := range w.members {
+			if m.unit.spec().LongRunning {
+				p.evacuate(w)
+				break
+			}
+		}
+	}
+}
+
 // checkStops looks at workers whose stops should be over.
 func (p *Pool) checkStops() {
 	now := p.loop.Now()
@@ -467,17 +480,43 @@
 	}
 }
 
-// evacuate stops what will not end before the worker leaves.
+// evacuate stops what will not end before the worker leaves. Tasks that last move
+// a few at a time, so that no more of their step are away than allowed.
 func (p *Pool) evacuate(w *worker) {
 	now := p.loop.Now()
 	left := time.Duration(w.RemainingMillis) * time.Millisecond
 	for _, m := range w.sortedMembers() {
 		u := m.unit
-		if u.state == unitActive && p.remaining(u, now) > left-evacuationMargin {
+		if u.state != unitActive {
+			continue
+		}
+		if u.spec().LongRunning {
+			if u.step.awayCount() < u.spec().AllowedMisses {
+				p.stopUnit(u, "worker leaves")
+			}
+			continue
+		}
+		if p.remaining(u, now) > left-evacuationMargin {
 			p.stopUnit(u, "worker leaves")
 		}
 	}
 }
 
+// awayCount counts the lasting tasks of a step that are not at work.
+func (s *step) awayCount() int {
+	count := 0
+	for _, u := range s.units {
+		for _, m := range u.members {
+			if u.state != unitActive || m.state != memberRunning || m.percent < atWork {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// atWork is the percent from which a lasting task is at work.
+const atWork = 100
+
 // evacuationMargin is kept between a run's expected end and the worker's.
 const evacuationMargin = 500 * time.Millisecond
--- a/internal/simulation/judge.go
+++ b/internal/simulation/judge.go
@@ -81,9 +81,9 @@
 	switch {
 	case len(t.running) > 0:
 		j.broken("%v run %d starts on %s beside another run", r.name, r.number, r.worker.ID)
-	case t.noted:
+	case t.noted && !j.world.step(r.name).LongRunning:
 		j.broken("%v run %d starts after an end that was taken note of", r.name, r.number)
-	case t.failures >= job.queue.MaxAttempts:
+	case t.failures >= job.queue.MaxAttempts && !j.world.step(r.name).LongRunning:
 		j.broken("%v run %d starts after all its attempts", r.name, r.number)
 	case !job.cancelledAt.IsZero() && j.world.Clock.Now().Sub(job.cancelledAt) > cancelLimit:
 		j.broken("%v run %d starts long after the cancellation", r.name, r.number)
