--- a/internal/pool/cycle.go
+++ b/internal/pool/cycle.go
@@ -18,6 +18,10 @@
 	// remotePatience times its estimate is how long a unit waits for a place near
 	// its data, or on one rack, before it runs elsewhere.
 	remotePatience = 1.0
+	// A unit that has waited for idlePatience while less than idleUsage of the pool is
+	// taken gets any place.
+	idleUsage    = 0.55
+	idlePatience = 1800 * time.Millisecond
 	// patientShare of its objective is the slack above which a unit leaves the
 	// emptiest racks to others.
 	patientShare = 0.2
@@ -46,7 +50,7 @@
 
 // headroomShares are the shares of racks that patient units of each priority leave
 // to others; the last holds for all lower priorities too.
-var headroomShares = []float64{0, 0.15, 0.5}
+var headroomShares = []float64{0, 0.15, 0.65}
 
 // timelyGains price, by priority, that a unit ends in time: what may be thrown away
 // for it, in core-seconds, with a part for each core-second of its own work. The
@@ -76,6 +80,8 @@
 	racks   *placement.Racks
 	units   []placement.Unit
 	running []*unit
+	// usage is the share of the pool's room that is taken, of the scarcest kind.
+	usage float64
 	// reservations is how many more units may keep room free.
 	reservations int
 	// reserved has room kept for units that wait, by worker.
@@ -185,11 +191,31 @@
 		s.workers = append(s.workers, entry)
 		s.owners = append(s.owners, w)
 	}
+	s.usage = usageOf(s.owners, s.workers)
 	s.racks = placement.NewRacks(s.workers)
 	placement.MeasureRacks(s.workers, s.racks)
 	return s
 }
 
+// usageOf returns the share of all room that is taken, of the scarcest kind.
+func usageOf(owners []*worker, workers []placement.Worker) float64 {
+	var all, free taskgraph.Amount
+	for i := range workers {
+		if workers[i].Usable {
+			all = all.Plus(owners[i].Capacity)
+			free = free.Plus(workers[i].Free)
+		}
+	}
+	return max(takenShare(all.CPU, free.CPU), takenShare(all.MemoryMB, free.MemoryMB), takenShare(all.GPUs, free.GPUs))
+}
+
+func takenShare(all, free int) float64 {
+	if all == 0 {
+		return 0
+	}
+	return 1 - float64(free)/float64(all)
+}
+
 // usable reports whether a worker may take new work.
 func (p *Pool) usable(w *worker, now time.Time) bool {
 	return w.greeted && w.unanswered == 0 && !w.leaving() && now.After(w.penaltyUntil)
@@ -276,6 +302,9 @@
 
 // findPlace looks for room that is free now.
 func (p *Pool) findPlace(s *snapshot, u *unit, request *placement.Request) []int {
+	if s.overdue(u) {
+		return p.findAnyPlace(s, u, request)
+	}
 	spec := u.spec()
 	visible := s.visibleTo(spec.Estimate())
 	if p.patient(s, u) {
@@ -305,6 +334,25 @@
 	return placement.Fit(visible, s.racks.All, request)
 }
 
+// findAnyPlace looks for room that is free now, whoever else might want it.
+func (p *Pool) findAnyPlace(s *snapshot, u *unit, request *placement.Request) []int {
+	for _, scope := range s.scopes(u) {
+		if places := placement.Fit(s.workers, scope, request); places != nil {
+			return places
+		}
+	}
+	if places := placement.FitOneRack(s.workers, s.racks, request); places != nil {
+		return places
+	}
+	return placement.Fit(s.workers, s.racks.All, request)
+}
+
+// overdue reports whether a unit has waited for long while much of the pool is free:
+// then nothing is worth keeping it back.
+func (s *snapshot) overdue(u *unit) bool {
+	return s.usage < idleUsage && s.now.Sub(u.readyAt) > idlePatience
+}
+
 // bound reports whether a unit still waits for a place where it runs at full speed.
 func (p *Pool) bound(s *snapshot, u *unit) bool {
 	spec := u.spec()
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -404,3 +404,26 @@
 	w.Run(3 * time.Second)
 	require.Equal(t, taskgraph.Cancelled, w.StoredState(jobID(1)))
 }
+
+// TestNothingWaitsLongBesideFreeRoom: a job without any run was held back for urgent
+// ones that did not come, with most of the room free (hunt: LOST).
+func TestNothingWaitsLongBesideFreeRoom(t *testing.T) {
+	w := simulation.NewWorld(3, 4)
+	w.Work = func(taskgraph.TaskName) time.Duration { return 30 * time.Second }
+	long := single(32)
+	long.EstimateMillis = 30000
+	w.Submit(spec(1, long), batch)
+	w.Own()
+	w.Run(time.Second)
+	patient := single(1)
+	patient.EstimateMillis = 30000
+	w.Submit(spec(2, patient), batch)
+	near := single(1)
+	near.EstimateMillis = 30000
+	near.PreferredRack = "r-0"
+	w.Submit(spec(3, near), batch)
+	w.Run(2700 * time.Millisecond)
+	for _, n := range []int{2, 3} {
+		require.Equal(t, 1, w.Judge.Starts(taskgraph.TaskName{Job: jobID(n)}), "job %d", n)
+	}
+}
