--- /dev/null
+++ b/internal/node/gateway_test.go
@@ -0,0 +1,228 @@
+package node
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wheatroad/wheatroad/internal/catalog"
+	"github.com/wheatroad/wheatroad/internal/fault"
+	"github.com/wheatroad/wheatroad/internal/loop"
+	"github.com/wheatroad/wheatroad/internal/peer"
+	"github.com/wheatroad/wheatroad/internal/pool"
+	"github.com/wheatroad/wheatroad/internal/rows"
+	"github.com/wheatroad/wheatroad/internal/taskgraph"
+)
+
+const (
+	poolName = "workers"
+	jobID    = "00000000000000aa"
+)
+
+// fakeStore keeps rows; parts listed in refuse or silent answer with that error.
+type fakeStore struct {
+	rows    map[rows.Key]rows.Row
+	refuse  map[string]bool
+	silent  map[string]bool
+	version int64
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{rows: map[rows.Key]rows.Row{}, refuse: map[string]bool{}, silent: map[string]bool{}}
+}
+
+func (f *fakeStore) failure(part string) error {
+	switch {
+	case f.refuse[part]:
+		return rows.ErrRefused
+	case f.silent[part]:
+		return rows.ErrNoAnswer
+	}
+	return nil
+}
+
+func (f *fakeStore) Commit(_ context.Context, transaction rows.Transaction) (rows.Result, error) {
+	if err := f.failure(transaction.Puts[0].Part); err != nil {
+		return rows.Result{}, err
+	}
+	for _, condition := range transaction.Conditions {
+		if row := f.rows[condition.Key]; row.Version != condition.Version {
+			return rows.Result{Current: []rows.Row{row}}, nil
+		}
+	}
+	f.version++
+	for _, put := range transaction.Puts {
+		f.rows[put.Key] = rows.Row{Key: put.Key, Value: put.Value, Version: f.version}
+	}
+	return rows.Result{Committed: true, Version: f.version}, nil
+}
+
+func (f *fakeStore) Scan(_ context.Context, table, part, prefix string) (rows.Listing, error) {
+	if err := f.failure(part); err != nil {
+		return rows.Listing{}, err
+	}
+	listing := rows.Listing{Version: f.version}
+	for key, row := range f.rows {
+		if key.Table == table && key.Part == part && len(key.Name) >= len(prefix) && key.Name[:len(prefix)] == prefix {
+			listing.Rows = append(listing.Rows, row)
+		}
+	}
+	return listing, nil
+}
+
+func (f *fakeStore) Feed(context.Context, string, int64, time.Duration) (rows.Listing, error) {
+	return rows.Listing{}, rows.ErrRefused
+}
+
+type silentRecorder struct{}
+
+func (silentRecorder) Count(string, string)   {}
+func (silentRecorder) Decided(string, ...any) {}
+
+func newGateway(t *testing.T, store rows.Store) *Gateway {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	edges := Edges{Store: store, Peers: peer.NewClient(nil), Loop: loop.NewGoroutine(), Record: silentRecorder{}}
+	n := New(ctx, Options{Name: "node-1", ConfigurationAge: time.Hour}, edges)
+	current := &catalog.Catalog{
+		Version: 1,
+		Queues: []catalog.Queue{
+			{Name: "q", Host: "h", PathPrefix: "/q/", Pool: poolName},
+			{Name: "long", Host: "h", PathPrefix: "/q/long/", Pool: poolName, Public: true},
+		},
+		Tenants: []catalog.Tenant{{Name: "tenant", Keys: []string{"key"}}},
+	}
+	current.Index()
+	n.catalog.Store(current)
+	n.confirm(time.Now())
+	return NewGateway(n)
+}
+
+func testSpec() *taskgraph.Spec {
+	return &taskgraph.Spec{ID: jobID, Steps: []taskgraph.Step{{Count: 1}}}
+}
+
+func testAccess() Access {
+	return Access{Queue: catalog.Queue{Name: "q", Pool: poolName}, Tenant: "tenant"}
+}
+
+func TestSubmitByWhatTheStoreSays(t *testing.T) {
+	parts := pool.JobParts(poolName, jobID)
+	cases := map[string]struct {
+		prepare func(*fakeStore)
+		want    fault.Kind
+	}{
+		"all well":            {func(*fakeStore) {}, ""},
+		"one part refuses":    {func(f *fakeStore) { f.refuse[parts[0]] = true }, ""},
+		"one part is silent":  {func(f *fakeStore) { f.silent[parts[0]] = true }, ""},
+		"all parts refuse":    {func(f *fakeStore) { f.refuse = allOf(parts) }, fault.StoreUnavailable},
+		"all parts silent":    {func(f *fakeStore) { f.silent = allOf(parts) }, fault.OutcomeUnknown},
+		"silent then refusal": {func(f *fakeStore) { f.silent[parts[0]] = true; f.refuse = allOf(parts[1:]) }, fault.OutcomeUnknown},
+	}
+	for name, c := range cases {
+		store := newFakeStore()
+		c.prepare(store)
+		err := newGateway(t, store).Submit(context.Background(), testAccess(), testSpec())
+		if c.want == "" {
+			require.NoError(t, err, name)
+			continue
+		}
+		require.True(t, fault.IsKind(err, c.want), "%s: %v", name, err)
+	}
+}
+
+func allOf(parts []string) map[string]bool {
+	all := map[string]bool{}
+	for _, part := range parts {
+		all[part] = true
+	}
+	return all
+}
+
+func TestSameJobAgainIsOneJob(t *testing.T) {
+	gateway := newGateway(t, newFakeStore())
+	require.NoError(t, gateway.Submit(context.Background(), testAccess(), testSpec()))
+	require.NoError(t, gateway.Submit(context.Background(), testAccess(), testSpec()))
+	other := testSpec()
+	other.Payload = "other"
+	err := gateway.Submit(context.Background(), testAccess(), other)
+	require.True(t, fault.IsKind(err, fault.DuplicateID), "%v", err)
+}
+
+func TestUnknownJobTakesAnAnswerOfEveryPart(t *testing.T) {
+	store := newFakeStore()
+	gateway := newGateway(t, store)
+	_, err := gateway.Lookup(context.Background(), testAccess(), jobID)
+	require.True(t, fault.IsKind(err, fault.UnknownJob), "%v", err)
+	store.refuse[pool.JobParts(poolName, jobID)[2]] = true
+	_, err = gateway.Lookup(context.Background(), testAccess(), jobID)
+	require.True(t, fault.IsKind(err, fault.StoreUnavailable), "%v", err)
+}
+
+func TestLookupTakesTheNewestProgress(t *testing.T) {
+	store := newFakeStore()
+	gateway := newGateway(t, store)
+	require.NoError(t, gateway.Submit(context.Background(), testAccess(), testSpec()))
+	state, err := gateway.Lookup(context.Background(), testAccess(), jobID)
+	require.NoError(t, err)
+	require.Equal(t, taskgraph.Queued, state)
+	parts := pool.ProgressParts(poolName)
+	put := func(part string, record pool.Progress) {
+		key := rows.Key{Table: pool.ProgressTable, Part: part, Name: jobID}
+		store.rows[key] = rows.Row{Key: key, Value: pool.Encode(record), Version: 1}
+	}
+	put(parts[0], pool.Progress{Token: 7, Serial: 9, State: taskgraph.Running})
+	put(parts[1], pool.Progress{Token: 8, Serial: 2, State: taskgraph.Completed})
+	state, err = gateway.Lookup(context.Background(), testAccess(), jobID)
+	require.NoError(t, err)
+	require.Equal(t, taskgraph.Completed, state)
+	store.silent[parts[1]] = true
+	_, err = gateway.Lookup(context.Background(), testAccess(), jobID)
+	require.Error(t, err, "an older row must not be told")
+}
+
+func TestCancelNeedsAJobAndIsIdempotent(t *testing.T) {
+	store := newFakeStore()
+	gateway := newGateway(t, store)
+	err := gateway.Cancel(context.Background(), testAccess(), jobID)
+	require.True(t, fault.IsKind(err, fault.UnknownJob), "%v", err)
+	require.NoError(t, gateway.Submit(context.Background(), testAccess(), testSpec()))
+	require.NoError(t, gateway.Cancel(context.Background(), testAccess(), jobID))
+	require.NoError(t, gateway.Cancel(context.Background(), testAccess(), jobID))
+	state, err := gateway.Lookup(context.Background(), testAccess(), jobID)
+	require.NoError(t, err)
+	require.Equal(t, taskgraph.Cancelled, state)
+}
+
+func TestResolve(t *testing.T) {
+	gateway := newGateway(t, newFakeStore())
+	access, rest, err := gateway.Resolve("h", "/q/"+jobID, "key")
+	require.NoError(t, err)
+	require.Equal(t, "q", access.Queue.Name)
+	require.Equal(t, "tenant", access.Tenant)
+	require.Equal(t, jobID, rest)
+	access, rest, err = gateway.Resolve("h", "/q/long/x", "")
+	require.NoError(t, err, "the longest prefix wins, and a public queue needs no key")
+	require.Equal(t, "long", access.Queue.Name)
+	require.Equal(t, "x", rest)
+	_, _, err = gateway.Resolve("h", "/q/x", "other")
+	require.True(t, fault.IsKind(err, fault.Unauthenticated), "%v", err)
+	_, _, err = gateway.Resolve("other", "/q/x", "key")
+	require.True(t, fault.IsKind(err, fault.NotFound), "%v", err)
+	old := time.Now().Add(-2 * time.Hour)
+	gateway.node.confirmed.Store(&old)
+	_, _, err = gateway.Resolve("h", "/q/x", "key")
+	require.True(t, fault.IsKind(err, fault.ConfigurationOld), "a key that may be gone is not taken: %v", err)
+	require.False(t, gateway.Ready())
+}
+
+func TestHeavierNodesTakePoolsFirst(t *testing.T) {
+	gateway := newGateway(t, newFakeStore())
+	n := gateway.node
+	n.options.Weight = 0.2
+	n.members["node-2"] = member{Name: "node-2", Weight: 0.8}
+	n.members["node-3"] = member{Name: "node-3", Weight: 0.1}
+	require.Equal(t, 1, n.rank(poolName))
+}
--- /dev/null
+++ b/internal/node/lookup.go
@@ -0,0 +1,189 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/wheatroad/wheatroad/internal/fault"
+	"github.com/wheatroad/wheatroad/internal/loop"
+	"github.com/wheatroad/wheatroad/internal/pool"
+	"github.com/wheatroad/wheatroad/internal/rows"
+	"github.com/wheatroad/wheatroad/internal/taskgraph"
+)
+
+// Lookup returns a job's state.
+func (g *Gateway) Lookup(ctx context.Context, access Access, id string) (taskgraph.State, error) {
+	if !taskgraph.ValidID(id) {
+		return "", g.refused(fault.New(fault.UnknownJob, "no such job"))
+	}
+	state, err := g.lookupAnywhere(ctx, access.Queue.Pool, id)
+	if err != nil {
+		g.node.edges.Record.Decided("lookup refused", "job", id, "queue", access.Queue.Name, "reason", string(fault.From(err).Kind), "detail", fault.From(err).Detail)
+		return "", g.refused(err)
+	}
+	return state, nil
+}
+
+func (g *Gateway) lookupAnywhere(ctx context.Context, poolName, id string) (taskgraph.State, error) {
+	n := g.node
+	v := n.view.Load()
+	lease := v.leases[poolName]
+	if v.owned[poolName] == nil && lease.Address != "" && lease.Owner != n.options.Name {
+		var reply lookupReply
+		err := limited(ctx, pingTimeout, func(ctx context.Context) error {
+			document, err := n.call(ctx, lease.Address, methodLookup, jobRequest{Pool: poolName, ID: id})
+			if err != nil {
+				return err
+			}
+			return json.Unmarshal(document, &reply)
+		})
+		if err == nil || fault.IsKind(err, fault.UnknownJob) {
+			return reply.State, err
+		}
+	}
+	return g.lookupHere(ctx, poolName, id)
+}
+
+// lookupHere answers from the pool, if this node owns it, or from the store.
+func (g *Gateway) lookupHere(ctx context.Context, poolName, id string) (taskgraph.State, error) {
+	n := g.node
+	if p := n.view.Load().owned[poolName]; p != nil {
+		var state taskgraph.State
+		known := false
+		err := limited(ctx, handOverLimit, func(ctx context.Context) error {
+			return loop.Call(ctx, n.edges.Loop, func() { state, known = p.State(id) })
+		})
+		if err == nil && known {
+			return state, nil
+		}
+	}
+	return g.lookupStored(ctx, poolName, id)
+}
+
+// lookupStored reads a job's state from the store.
+func (g *Gateway) lookupStored(ctx context.Context, poolName, id string) (taskgraph.State, error) {
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	accepted, cancelled, err := g.storedJob(ctx, poolName, id)
+	if err != nil {
+		return "", err
+	}
+	if accepted == "" {
+		return "", fault.New(fault.UnknownJob, "no such job")
+	}
+	state, err := g.storedState(ctx, poolName, id)
+	if err == nil && cancelled && !state.Final() {
+		return taskgraph.Cancelled, nil
+	}
+	return state, err
+}
+
+// storedJob returns the part that holds a job, empty if there is none, and whether
+// the job is cancelled. Absence takes an answer of every part.
+func (g *Gateway) storedJob(ctx context.Context, poolName, id string) (accepted string, cancelled bool, err error) {
+	for _, part := range pool.JobParts(poolName, id) {
+		listing, failure := g.node.ports.scan(ctx, pool.JobTable, part, id)
+		if failure != nil {
+			err = storeUnread(failure)
+			continue
+		}
+		if hasRow(listing, pool.AcceptedKey(part, id)) {
+			accepted = part
+		}
+		cancelled = cancelled || hasRow(listing, pool.CancelledKey(part, id))
+		if accepted != "" {
+			return accepted, cancelled, nil
+		}
+	}
+	return accepted, cancelled, err
+}
+
+// storedState returns the state in the newest of a job's rows of progress.
+func (g *Gateway) storedState(ctx context.Context, poolName, id string) (taskgraph.State, error) {
+	var newest pool.Progress
+	for _, part := range pool.ProgressParts(poolName) {
+		listing, err := g.node.ports.scan(ctx, pool.ProgressTable, part, id)
+		if err != nil {
+			return "", storeUnread(err)
+		}
+		for i := range listing.Rows {
+			var record pool.Progress
+			if err := json.Unmarshal(listing.Rows[i].Value, &record); err != nil {
+				return "", fault.New(fault.Internal, "the job's progress cannot be read")
+			}
+			if newest.State == "" || record.NewerThan(&newest) {
+				newest = record
+			}
+		}
+	}
+	if newest.State == "" {
+		return taskgraph.Queued, nil
+	}
+	return newest.State, nil
+}
+
+func storeUnread(err error) error {
+	return fault.New(fault.StoreUnavailable, "the store could not be read: %v", err)
+}
+
+func hasRow(listing rows.Listing, key rows.Key) bool {
+	for i := range listing.Rows {
+		if listing.Rows[i].Key == key {
+			return true
+		}
+	}
+	return false
+}
+
+// waitingAge is how old a cached count of waiting jobs may be.
+const waitingAge = 1500 * time.Millisecond
+
+// Waiting returns how many jobs of a queue have no task begun.
+func (g *Gateway) Waiting(ctx context.Context, access Access) (int, error) {
+	n := g.node
+	poolName, queue := access.Queue.Pool, access.Queue.Name
+	v := n.view.Load()
+	lease := v.leases[poolName]
+	if v.owned[poolName] != nil || lease.Address == "" || lease.Owner == n.options.Name {
+		count, err := g.waitingHere(ctx, poolName, queue)
+		if err != nil {
+			return 0, g.refused(err)
+		}
+		return count, nil
+	}
+	var reply waitingReply
+	err := limited(ctx, pingTimeout, func(ctx context.Context) error {
+		document, err := n.call(ctx, lease.Address, methodWaiting, jobRequest{Pool: poolName, Queue: queue})
+		if err != nil {
+			return err
+		}
+		return json.Unmarshal(document, &reply)
+	})
+	if err == nil {
+		return reply.Waiting, nil
+	}
+	if cached := v.waiting[poolName]; cached.counts != nil && time.Since(cached.at) < waitingAge {
+		return cached.counts[queue], nil
+	}
+	return 0, g.refused(fault.New(fault.NoOwner, "the pool's owner does not answer"))
+}
+
+func (g *Gateway) waitingHere(ctx context.Context, poolName, queue string) (int, error) {
+	n := g.node
+	p := n.view.Load().owned[poolName]
+	if p == nil {
+		return 0, fault.New(fault.NoOwner, "the pool has no owner here")
+	}
+	count, loaded := 0, false
+	err := limited(ctx, handOverLimit, func(ctx context.Context) error {
+		return loop.Call(ctx, n.edges.Loop, func() {
+			loaded = p.Loaded()
+			count = p.Waiting()[queue]
+		})
+	})
+	if err != nil || !loaded {
+		return 0, fault.New(fault.NoOwner, "the pool's owner is not ready")
+	}
+	return count, nil
+}
--- /dev/null
+++ b/internal/pool/lifecycle.go
@@ -0,0 +1,118 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/wheatroad/wheatroad/internal/rows"
+	"github.com/wheatroad/wheatroad/internal/taskgraph"
+)
+
+// advance creates the units of all steps that may start.
+func (p *Pool) advance(j *job) {
+	if j.next.Final() {
+		return
+	}
+	now := p.loop.Now()
+	for k := 0; k < j.Spec.Times(); k++ {
+		due := j.Spec.Due(k)
+		if !due.IsZero() && due.After(p.loop.Now()) {
+			p.loop.After(due.Sub(p.loop.Now())+dueMargin, func() { p.advance(j); p.wake() })
+			break
+		}
+		t := j.timeAt(k)
+		for _, s := range t.steps {
+			if s.units == nil && !s.complete && t.earlierEnded(s) {
+				s.createUnits(j, t, now)
+			}
+		}
+	}
+}
+
+// dueMargin keeps a start from coming before its time on a slow clock.
+const dueMargin = 5 * time.Millisecond
+
+func (t *jobTime) earlierEnded(s *step) bool {
+	for _, earlier := range s.spec.After {
+		if !t.steps[earlier].complete {
+			return false
+		}
+	}
+	return true
+}
+
+// applyCancel ends a job because a caller asked for it.
+func (p *Pool) applyCancel(id string) {
+	j := p.jobs[id]
+	if j == nil {
+		p.earlyCancels[id] = true
+		return
+	}
+	if j.cancelled || j.next.Final() {
+		return
+	}
+	j.cancelled = true
+	p.record.Decided("job cancelled", "job", id)
+	p.finishJob(j, taskgraph.Cancelled)
+}
+
+// finishJob gives a job its final state and stops what still runs of it.
+func (p *Pool) finishJob(j *job, state taskgraph.State) {
+	j.next = state
+	j.endedAt = p.loop.Now()
+	for _, t := range j.times {
+		for _, s := range t.steps {
+			for _, u := range s.units {
+				p.dropUnit(u, string(state))
+			}
+		}
+	}
+	p.record.Count("job_transitions", string(state))
+	p.record.Decided("job ended", "job", j.id, "state", string(state), "age_ms", p.loop.Now().Sub(j.acceptedAt).Milliseconds())
+	p.persist(j)
+}
+
+func (p *Pool) dropUnit(u *unit, reason string) {
+	switch u.state {
+	case unitWaiting, unitCommitting:
+		p.clearMembers(u)
+		u.state = unitEnded
+	case unitActive:
+		p.stopUnit(u, reason)
+	}
+}
+
+// dropOldJobs removes the rows of a job that ended long ago. Its progress goes
+// last, so that the job cannot appear to be new.
+func (p *Pool) dropOldJobs() {
+	if p.dropping || p.releasing {
+		return
+	}
+	limit := p.loop.Now().Add(-p.options.Bounds.StatusRetention - retentionMargin)
+	for id, j := range p.jobs {
+		if j.state.Final() && j.endedAt.Before(limit) {
+			p.dropJob(id)
+			return
+		}
+	}
+}
+
+func (p *Pool) dropJob(id string) {
+	p.dropping = true
+	parts := JobParts(p.options.Pool, id)
+	left, failed := len(parts), false
+	for _, part := range parts {
+		removes := []rows.Key{AcceptedKey(part, id), CancelledKey(part, id)}
+		p.ports.Commit(rows.Transaction{Removes: removes}, func(_ rows.Result, err error) {
+			failed = failed || err != nil
+			if left--; left > 0 {
+				return
+			}
+			p.dropping = false
+			if p.gone || failed {
+				return
+			}
+			delete(p.jobs, id)
+			p.writer.remove(id)
+		})
+	}
+}
--- /dev/null
+++ b/internal/pool/read.go
@@ -0,0 +1,247 @@
+package pool
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wheatroad/wheatroad/internal/rows"
+)
+
+// scanPrefix is scanAll for names with a prefix.
+func (p *Pool) scanPrefix(table, part, prefix string, done func(rows.Listing)) {
+	p.scanUntil(table, part, prefix, retryPause, done)
+}
+
+// scanAll repeats a scan until it answers.
+func (p *Pool) scanAll(table, part string, pause time.Duration, done func(rows.Listing)) {
+	p.scanUntil(table, part, "", pause, done)
+}
+
+func (p *Pool) scanUntil(table, part, prefix string, pause time.Duration, done func(rows.Listing)) {
+	p.ports.Scan(table, part, prefix, func(listing rows.Listing, err error) {
+		if p.gone {
+			return
+		}
+		if err != nil {
+			p.record.Count("retries", "scan")
+			p.loop.After(pause, func() { p.scanUntil(table, part, prefix, nextPause(pause), done) })
+			return
+		}
+		p.storeAnsweredAt = p.loop.Now()
+		done(listing)
+	})
+}
+
+func nextPause(pause time.Duration) time.Duration { return min(2*pause, retryPauseMax) }
+
+// follow reads a table's changes for ever. On lost history it calls again.
+func (p *Pool) follow(table string, after int64, pause time.Duration, apply func(rows.Row), again func()) {
+	if p.gone {
+		return
+	}
+	p.ports.Feed(table, after, func(listing rows.Listing, err error) {
+		switch {
+		case p.gone:
+		case errors.Is(err, rows.ErrHistoryGone):
+			p.record.Count("feed_gaps", table)
+			p.record.Decided("feed read anew", "table", table, "after", after)
+			again()
+		case err != nil:
+			p.record.Count("retries", "feed")
+			p.loop.After(pause, func() { p.follow(table, after, nextPause(pause), apply, again) })
+		default:
+			p.storeAnsweredAt = p.loop.Now()
+			for i := range listing.Rows {
+				apply(listing.Rows[i])
+			}
+			p.follow(table, listing.Version, retryPause, apply, again)
+		}
+	})
+}
+
+// readRows claims and reads the progress, then reads the jobs and follows them.
+func (p *Pool) readRows() {
+	var progress []rows.Row
+	left := progressParts
+	for part := range progressParts {
+		p.writer.claim(part, func() {
+			p.scanAll(ProgressTable, progressPart(p.options.Pool, part), retryPause, func(listing rows.Listing) {
+				progress = append(progress, listing.Rows...)
+				if left--; left == 0 {
+					p.readJobs(progress)
+				}
+			})
+		})
+	}
+}
+
+func (p *Pool) readJobs(progress []rows.Row) {
+	p.scanJobs(func(jobs rows.Listing) {
+		p.load(progress, jobs)
+		p.followJobs(jobs.Version)
+	})
+}
+
+// scanJobs reads all parts of the table of jobs as one listing, whose version is
+// the lowest of the parts'.
+func (p *Pool) scanJobs(done func(rows.Listing)) {
+	all := rows.Listing{}
+	left := jobParts
+	for number := range jobParts {
+		p.scanAll(JobTable, jobPart(p.options.Pool, number), retryPause, func(listing rows.Listing) {
+			all.Rows = append(all.Rows, listing.Rows...)
+			if all.Version == 0 || listing.Version < all.Version {
+				all.Version = listing.Version
+			}
+			if left--; left == 0 {
+				done(all)
+			}
+		})
+	}
+}
+
+func (p *Pool) load(progress []rows.Row, jobs rows.Listing) {
+	records := map[string]Progress{}
+	for i := range progress {
+		row := &progress[i]
+		if row.Name == headRow {
+			continue
+		}
+		var record Progress
+		if err := json.Unmarshal(row.Value, &record); err != nil {
+			p.record.Count("refusals", "progress_row_invalid")
+			continue
+		}
+		if known, any := records[row.Name]; !any || record.NewerThan(&known) {
+			records[row.Name] = record
+		}
+	}
+	for i := range jobs.Rows {
+		p.applyJobRow(jobs.Rows[i], records)
+	}
+	for id := range records {
+		if p.jobs[id] == nil {
+			p.writer.remove(id)
+		}
+	}
+	p.loaded = true
+	p.record.Decided("rows read", "pool", p.options.Pool, "jobs", len(p.jobs), "version", jobs.Version)
+	p.greetAll()
+	p.wake()
+}
+
+func (p *Pool) followJobs(after int64) {
+	p.follow(JobTable, after, retryPause, func(row rows.Row) {
+		if strings.HasPrefix(row.Part, p.options.Pool+partSeparator) {
+			p.applyJobRow(row, nil)
+		}
+	}, func() {
+		p.scanJobs(func(listing rows.Listing) {
+			for i := range listing.Rows {
+				p.applyJobRow(listing.Rows[i], nil)
+			}
+			p.followJobs(listing.Version)
+		})
+	})
+}
+
+// applyJobRow takes in an accepted job or a cancellation.
+func (p *Pool) applyJobRow(row rows.Row, records map[string]Progress) {
+	if row.Gone {
+		return
+	}
+	if id, ok := strings.CutSuffix(row.Name, cancelledSuffix); ok {
+		p.applyCancel(id)
+		return
+	}
+	id, ok := strings.CutSuffix(row.Name, acceptedSuffix)
+	if !ok || p.jobs[id] != nil {
+		return
+	}
+	var accepted Accepted
+	if err := json.Unmarshal(row.Value, &accepted); err != nil {
+		p.record.Count("refusals", "job_row_invalid")
+		return
+	}
+	p.addJob(id, accepted, records[id])
+}
+
+func (p *Pool) addJob(id string, accepted Accepted, record Progress) {
+	now := p.loop.Now()
+	age := max(0, now.Sub(accepted.AcceptedAt()))
+	j := newJob(id, accepted, now.Add(-age))
+	p.jobs[id] = j
+	if record.State.Final() {
+		j.state, j.next = record.State, record.State
+		j.endedAt = time.UnixMilli(record.EndedMillis)
+		return
+	}
+	j.timeAt(0)
+	if record.State != "" {
+		j.state, j.next = record.State, record.State
+		p.restore(j, record)
+	}
+	if p.earlyCancels[id] {
+		p.applyCancel(id)
+		return
+	}
+	p.advance(j)
+	p.wake()
+}
+
+// restore takes over what an earlier owner wrote of a job.
+func (p *Pool) restore(j *job, record Progress) {
+	for i := range record.Steps {
+		saved := &record.Steps[i]
+		t := j.timeAt(saved.Time)
+		if saved.Step >= len(t.steps) {
+			continue
+		}
+		p.restoreStep(j, t, t.steps[saved.Step], saved)
+	}
+}
+
+func (p *Pool) restoreStep(j *job, t *jobTime, s *step, saved *stepProgress) {
+	j.begun = true
+	if saved.Complete {
+		s.complete = true
+		t.ended++
+		return
+	}
+	s.createUnits(j, t, p.loop.Now())
+	for _, u := range s.units {
+		if bitset(saved.Ended).has(u.index) {
+			u.state = unitEnded
+			s.ended++
+		}
+	}
+	for _, savedUnit := range saved.Units {
+		if savedUnit.Index < len(s.units) {
+			p.restoreUnit(s.units[savedUnit.Index], savedUnit)
+		}
+	}
+}
+
+// restoreUnit assumes that the unit runs where its row says until its workers have
+// answered.
+func (p *Pool) restoreUnit(u *unit, saved unitProgress) {
+	u.run, u.failures, u.checkpoint = saved.Run, saved.Failures, saved.Checkpoint
+	for i, id := range saved.Workers {
+		if id == "" || i >= len(u.members) {
+			continue
+		}
+		w := p.workers[id]
+		if w == nil {
+			w = p.unlistedWorker(id)
+		}
+		p.assign(u.members[i], w)
+		u.members[i].state = memberUncertain
+		u.state = unitActive
+	}
+	if u.state == unitActive {
+		u.startedAt = p.loop.Now()
+	}
+}
--- /dev/null
+++ b/internal/pool/unit.go
@@ -0,0 +1,158 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/wheatroad/wheatroad/internal/fleet"
+	"github.com/wheatroad/wheatroad/internal/taskgraph"
+)
+
+// memberEnded frees a member's room and settles its unit.
+func (p *Pool) memberEnded(m *member, how fleet.How) {
+	u := m.unit
+	p.release(m)
+	p.wake()
+	if u.state == unitActive && how != fleet.Done && u.active() > 0 {
+		p.stopUnit(u, "member "+string(how))
+		return
+	}
+	p.settle(u)
+}
+
+// settle returns a unit to the queue once nothing of it runs any more.
+func (p *Pool) settle(u *unit) {
+	if u.active() > 0 || (u.state != unitActive && u.state != unitStopping) {
+		return
+	}
+	if u.job.next.Final() {
+		u.state = unitEnded
+		return
+	}
+	u.state = unitWaiting
+	u.readyAt = p.loop.Now()
+	p.persist(u.job)
+	p.wake()
+}
+
+// unitDone notes that a unit's work is complete.
+func (p *Pool) unitDone(u *unit) {
+	if u.state == unitEnded || u.job.next.Final() {
+		return
+	}
+	if u.spec().LongRunning {
+		return
+	}
+	u.state = unitEnded
+	s := u.step
+	s.ended++
+	j := u.job
+	if s.ended == len(s.units) {
+		s.complete = true
+		u.time.ended++
+		p.advance(j)
+		p.completeIfAll(j)
+	}
+	p.persist(j)
+}
+
+func (p *Pool) completeIfAll(j *job) {
+	if len(j.times) < j.Spec.Times() {
+		return
+	}
+	for _, t := range j.times {
+		if t.ended < len(t.steps) {
+			return
+		}
+	}
+	p.finishJob(j, taskgraph.Completed)
+}
+
+// unitFailed counts a failed run and ends the job if it was the last allowed.
+func (p *Pool) unitFailed(u *unit, w *worker) {
+	if u.state == unitEnded || u.job.next.Final() {
+		return
+	}
+	u.failures++
+	if u.avoid == nil {
+		u.avoid = map[string]bool{}
+	}
+	u.avoid[w.ID] = true
+	w.strikes++
+	if w.strikes >= strikeLimit {
+		w.penaltyUntil = p.loop.Now().Add(penalty)
+		p.record.Decided("worker judged bad", "worker", w.ID, "strikes", w.strikes)
+	}
+	p.persist(u.job)
+	if u.failures >= max(1, u.job.Queue.MaxAttempts) && !u.spec().LongRunning {
+		p.finishJob(u.job, taskgraph.Failed)
+	}
+}
+
+// remaining estimates how long a unit still runs.
+func (p *Pool) remaining(u *unit, now time.Time) time.Duration {
+	estimate := u.spec().Estimate()
+	elapsed := now.Sub(u.startedAt)
+	m := u.members[0]
+	if m.percent > 0 && m.percent < 100 && !m.percentAt.IsZero() {
+		done := float64(m.percent) / 100
+		since := m.percentAt.Sub(u.startedAt)
+		total := time.Duration(float64(since) / done)
+		if u.checkpoint == "" {
+			return max(0, total-elapsed)
+		}
+		return max(0, time.Duration(float64(estimate)*(1-done))-now.Sub(m.percentAt))
+	}
+	return max(estimate/10, estimate-elapsed)
+}
+
+// checkUnits takes back gangs that do not come together and runs that stand still.
+func (p *Pool) checkUnits() {
+	now := p.loop.Now()
+	patience := time.Duration(gangPatience * float64(p.options.Bounds.GangTimeout))
+	for _, w := range p.sortedWorkers() {
+		for _, m := range w.sortedMembers() {
+			u := m.unit
+			switch {
+			case u.state != unitActive:
+			case m.state == memberUncertain && now.Sub(u.startedAt) > patience:
+				p.stopUnit(u, "start unanswered")
+			case p.standing(m):
+				p.stopStanding(u)
+			}
+		}
+	}
+}
+
+// standing reports whether a member has made no progress for long, by what its worker
+// has listed.
+func (p *Pool) standing(m *member) bool {
+	if m.state != memberRunning || m.unit.spec().LongRunning || m.percentAt.IsZero() {
+		return false
+	}
+	limit := max(standingLimit, time.Duration(standingShare*float64(m.unit.spec().Estimate())))
+	return m.listedAt.Sub(m.percentAt) > limit
+}
+
+// stopStanding moves a unit away from the workers on which it stands still.
+func (p *Pool) stopStanding(u *unit) {
+	if u.avoid == nil {
+		u.avoid = map[string]bool{}
+	}
+	for _, m := range u.members {
+		if m.worker == nil || !p.standing(m) {
+			continue
+		}
+		u.avoid[m.worker.ID] = true
+		if !u.spec().Gang {
+			m.worker.penaltyUntil = p.loop.Now().Add(penalty)
+		}
+	}
+	p.stopUnit(u, "stands still")
+}
+
+// A run that makes no progress for standingLimit, and for standingShare of its
+// estimate, is moved.
+const (
+	standingLimit = 8 * time.Second
+	standingShare = 0.4
+)
