--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -243,6 +243,8 @@
 		if sentAt.Sub(m.sentAt) > p.options.Bounds.StopTimeout {
 			p.memberEnded(m, fleet.Stopped)
 		}
+	case m.state == memberUncertain && m.sentAt.IsZero() && p.options.Without.StopWait:
+		p.memberEnded(m, fleet.Lapsed)
 	case m.state == memberUncertain && m.sentAt.IsZero():
 		// An earlier owner's start that will not come, as the worker has seen this
 		// owner's token; but the run may be ending by a stop of that owner.
@@ -273,6 +275,9 @@
 		return
 	}
 	w.processed = highest
+	if p.options.Without.EndRows {
+		w.lastSeen = highest
+	}
 	p.afterWrite(func() {
 		w.lastSeen = max(w.lastSeen, highest)
 		p.hold(w)
--- a/internal/pool/options.go
+++ b/internal/pool/options.go
@@ -36,10 +36,24 @@
 	Bounds      Bounds
 	// Catalog returns the configuration in force.
 	Catalog func() *catalog.Catalog
+	// Without takes mechanisms out, for tests that show what they prevent.
+	Without Without
 	// Ended is called once the node is no longer the owner.
 	Ended func(reason string)
 }
 
+// Without lists mechanisms that are taken out.
+type Without struct {
+	// StopWait: a run that a greeted worker does not list counts as gone at once.
+	StopWait bool
+	// LeaseWait: what ran on a silent worker counts as gone at once.
+	LeaseWait bool
+	// EndRows: ends are acknowledged before they are written.
+	EndRows bool
+	// HeadCondition: writes do not require the head row as this owner left it.
+	HeadCondition bool
+}
+
 // Ports reach the outside. Each call returns at once; done runs on the pool's
 // loop, exactly once.
 type Ports interface {
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -137,6 +137,9 @@
 // lapsed reports whether all leases of the worker have surely run out.
 func (p *Pool) lapsed(w *worker) bool {
 	deadline := w.deadline
+	if p.options.Without.LeaseWait {
+		return true
+	}
 	if deadline == 0 {
 		// No lease was given by this owner: those of earlier ones end by then.
 		return p.loop.Now().Sub(w.clockAt) > time.Duration(float64(p.options.Bounds.MaxHold)*(1+clockDrift))+lapseMargin
--- a/internal/pool/writer.go
+++ b/internal/pool/writer.go
@@ -137,6 +137,9 @@
 		Conditions: []rows.Condition{{Key: headKey(name), Version: w.headVersions[part]}},
 		Puts:       []rows.Put{{Key: headKey(name), Value: w.pool.head(strconv.Itoa(b.serial))}},
 	}
+	if w.pool.options.Without.HeadCondition {
+		transaction.Conditions = nil
+	}
 	for i, j := range b.jobs {
 		transaction.Puts = append(transaction.Puts, rows.Put{Key: progressKey(name, j.id), Value: b.values[i]})
 	}
--- /dev/null
+++ b/internal/simulation/judge_test.go
@@ -0,0 +1,89 @@
+package simulation
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wheatroad/wheatroad/internal/catalog"
+	"github.com/wheatroad/wheatroad/internal/fleet"
+	"github.com/wheatroad/wheatroad/internal/taskgraph"
+)
+
+const judgedJobID = "00000000000000aa"
+
+func judgedWorld() *World {
+	w := NewWorld(1, 2)
+	spec := taskgraph.Spec{ID: judgedJobID, Payload: "p", Steps: []taskgraph.Step{{Count: 1}, {Count: 1, After: []int{0}}}}
+	w.Submit(spec, catalog.Queue{Name: "q", MaxAttempts: 2})
+	w.Work = func(taskgraph.TaskName) time.Duration { return time.Second }
+	return w
+}
+
+func startOrder(step, number int) fleet.Start {
+	return fleet.Start{Task: taskgraph.TaskName{Job: judgedJobID, Step: step}, Run: number, Payload: "p", DeadlineMillis: 5000}
+}
+
+// TestJudgeCatchesBrokenHistories breaks each promise that the judge holds.
+func TestJudgeCatchesBrokenHistories(t *testing.T) {
+	cases := map[string]struct {
+		history func(*World)
+		want    string
+	}{
+		"two runs at once": {func(w *World) {
+			_, _ = w.Workers[0].start(startOrder(0, 1))
+			_, _ = w.Workers[1].start(startOrder(0, 2))
+		}, "beside another run"},
+		"after a noted end": {func(w *World) {
+			_, _ = w.Workers[0].start(startOrder(0, 1))
+			w.Run(2 * time.Second)
+			w.Workers[0].hold(fleet.Hold{LastSeen: 1}, func(fleet.Reply, error) {})
+			_, _ = w.Workers[1].start(startOrder(0, 2))
+		}, "taken note of"},
+		"before an earlier step": {func(w *World) {
+			_, _ = w.Workers[0].start(startOrder(1, 1))
+		}, "before"},
+		"after all attempts": {func(w *World) {
+			w.Workers[0].Failing = true
+			for number := range 3 {
+				_, _ = w.Workers[0].start(startOrder(0, number+1))
+				w.Run(time.Second)
+			}
+		}, "all its attempts"},
+		"long after a cancellation": {func(w *World) {
+			w.Cancel(judgedJobID)
+			w.Run(4 * time.Second)
+			_, _ = w.Workers[0].start(startOrder(0, 1))
+		}, "cancellation"},
+		"another payload": {func(w *World) {
+			order := startOrder(0, 1)
+			order.Payload = "other"
+			_, _ = w.Workers[0].start(order)
+		}, "payload"},
+	}
+	for name, c := range cases {
+		w := judgedWorld()
+		c.history(w)
+		require.Contains(t, strings.Join(w.Judge.Broken, "\n"), c.want, name)
+	}
+}
+
+func TestWorkersFenceAndBar(t *testing.T) {
+	w := judgedWorld()
+	first := w.Workers[0]
+	order := startOrder(0, 1)
+	order.Token = 5
+	_, err := first.stop(fleet.Stop{Task: order.Task, Run: 1, Token: 5})
+	require.NoError(t, err)
+	_, err = first.start(order)
+	require.ErrorIs(t, err, fleet.ErrSuperseded)
+	order.Token, order.Run = 4, 2
+	_, err = first.start(order)
+	require.ErrorIs(t, err, fleet.ErrFenced)
+	order.Token, order.DeadlineMillis = 5, -1
+	_, err = first.start(order)
+	require.ErrorIs(t, err, fleet.ErrLate)
+	require.Empty(t, w.Judge.Broken)
+}
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -24,6 +24,8 @@
 	Judge   *Judge
 	Bounds  pool.Bounds
 	Catalog *catalog.Catalog
+	// Without is handed to every owner.
+	Without pool.Without
 	// Work is how long a task takes.
 	Work    func(taskgraph.TaskName) time.Duration
 	Workers []*Worker
@@ -185,7 +187,7 @@
 	name := fmt.Sprintf("node-%d", w.owners)
 	owner := &Owner{world: w, Process: emulator.NewProcess(w.Clock)}
 	options := pool.Options{
-		Pool: PoolName, Node: name, Incarnation: name, Address: name, Bounds: w.Bounds,
+		Pool: PoolName, Node: name, Incarnation: name, Address: name, Bounds: w.Bounds, Without: w.Without,
 		Catalog: func() *catalog.Catalog { return w.Catalog },
 		Ended:   func(reason string) { owner.Ended = reason },
 	}
