--- a/cmd/wheatroadd/main.go
+++ b/cmd/wheatroadd/main.go
@@ -76,17 +76,29 @@
 }
 
 func newCheckCommand() *cobra.Command {
-	return &cobra.Command{
+	var forServe bool
+	command := &cobra.Command{
 		Use:     "check FILE",
 		Short:   "Check a settings file and name every fault by its key",
-		Example: "  wheatroadd check /etc/wheatroad/node.toml",
+		Example: "  wheatroadd check /etc/wheatroad/node.toml\n  wheatroadd check --serve node.toml",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(command *cobra.Command, args []string) error {
-			if _, err := settings.Read(args[0]); err != nil {
+			if err := check(args[0], forServe); err != nil {
 				return err
 			}
 			fmt.Fprintln(command.OutOrStdout(), "ok")
 			return nil
 		},
 	}
+	command.Flags().BoolVar(&forServe, "serve", false, "the file is for the serve command")
+	return command
+}
+
+func check(path string, forServe bool) error {
+	if forServe {
+		_, err := settings.ReadNode(path)
+		return err
+	}
+	_, err := settings.Read(path)
+	return err
 }
