Latency histograms on the metrics address

Cause: counters alone do not tell how late acceptance, starts, takeovers, commits and acknowledgements are. Change: six OpenTelemetry histograms; a test holds the page against them.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -68,7 +68,8 @@
 	if err := spec.Validate(); err != nil {
 		return g.refused(err)
 	}
-	job := &pool.Accepted{Spec: *spec, Tenant: access.Tenant, Queue: access.Queue, AcceptedMillis: time.Now().UnixMilli()}
+	arrived := time.Now()
+	job := &pool.Accepted{Spec: *spec, Tenant: access.Tenant, Queue: access.Queue, AcceptedMillis: arrived.UnixMilli()}
 	err := g.anywhere(ctx, methodSubmit, jobRequest{Pool: access.Queue.Pool, Job: job}, func(ctx context.Context) error {
 		return g.commitJob(ctx, access.Queue.Pool, job)
 	})
@@ -78,6 +79,7 @@
 		return g.refused(err)
 	}
 	g.node.edges.Record.Count("job_transitions", "accepted")
+	g.node.edges.Record.Observe("acceptance", time.Since(arrived))
 	g.node.edges.Record.Decided("job accepted", "job", spec.ID, "queue", access.Queue.Name, "tenant", access.Tenant)
 	return nil
 }
--- a/internal/node/gateway_test.go
+++ b/internal/node/gateway_test.go
@@ -81,6 +81,8 @@
 func (silentRecorder) Count(string, string)   {}
 func (silentRecorder) Decided(string, ...any) {}
 
+func (silentRecorder) Observe(string, time.Duration) {}
+
 func newGateway(t *testing.T, store rows.Store) *Gateway {
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -278,7 +278,9 @@
 	if p.options.Without.EndRows {
 		w.lastSeen = highest
 	}
+	takenAt := p.loop.Now()
 	p.afterWrite(func() {
+		p.record.Observe("end_noted", p.loop.Now().Sub(takenAt))
 		w.lastSeen = max(w.lastSeen, highest)
 		p.hold(w)
 	})
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -55,7 +55,9 @@
 	cancelled bool
 	// begun is true once a task was started.
 	begun bool
-	dirty bool
+	// ordered is true once this owner sent a start of the job.
+	ordered bool
+	dirty   bool
 }
 
 // jobTime is one time of a job's steps.
--- a/internal/pool/options.go
+++ b/internal/pool/options.go
@@ -71,6 +71,8 @@
 // Recorder counts and logs.
 type Recorder interface {
 	Count(counter, reason string)
+	// Observe adds a duration to a latency histogram.
+	Observe(histogram string, d time.Duration)
 	// Decided logs one line for a decision that touches a job or a belief.
 	Decided(decision string, keysAndValues ...any)
 }
--- a/internal/pool/orders.go
+++ b/internal/pool/orders.go
@@ -135,6 +135,10 @@
 func (p *Pool) startUnit(u *unit) {
 	u.state = unitActive
 	u.startedAt = p.loop.Now()
+	if !u.job.ordered {
+		u.job.ordered = true
+		p.record.Observe("start_after_acceptance", u.startedAt.Sub(u.job.acceptedAt))
+	}
 	for _, m := range u.members {
 		p.sendStart(m)
 	}
@@ -166,6 +170,7 @@
 }
 
 func (p *Pool) started(m *member, reply fleet.Reply) {
+	p.record.Observe("start_order", p.loop.Now().Sub(m.sentAt))
 	p.heard(m.worker, reply.ClockMillis)
 	if m.state == memberStarting || m.state == memberUncertain {
 		m.state = memberRunning
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -26,10 +26,12 @@
 	ports   Ports
 	record  Recorder
 	// token is the version of the lease row that this owner wrote.
-	token   int64
-	jobs    map[string]*job
-	workers map[string]*worker
-	writer  writer
+	token int64
+	// acquiredAt is when this owner went to work.
+	acquiredAt time.Time
+	jobs       map[string]*job
+	workers    map[string]*worker
+	writer     writer
 	// loaded is true once rows are read; orders go out only then.
 	loaded    bool
 	gone      bool
@@ -70,6 +72,7 @@
 
 // Start reads the pool's rows and goes to work.
 func (p *Pool) Start() {
+	p.acquiredAt = p.loop.Now()
 	p.record.Count("takeovers", "acquired")
 	p.record.Decided("pool acquired", "pool", p.options.Pool, "token", p.token)
 	p.readWorkers()
--- a/internal/pool/read.go
+++ b/internal/pool/read.go
@@ -128,6 +128,7 @@
 		}
 	}
 	p.loaded = true
+	p.record.Observe("takeover", p.loop.Now().Sub(p.acquiredAt))
 	p.record.Decided("rows read", "pool", p.options.Pool, "jobs", len(p.jobs), "version", jobs.Version)
 	p.greetAll()
 	p.wake()
@@ -205,7 +206,7 @@
 }
 
 func (p *Pool) restoreStep(j *job, t *jobTime, s *step, saved *stepProgress) {
-	j.begun = true
+	j.begun, j.ordered = true, true
 	if saved.Complete {
 		s.complete = true
 		t.ended++
--- a/internal/pool/writer.go
+++ b/internal/pool/writer.go
@@ -219,6 +219,7 @@
 
 func (w *writer) finish(b *batch) {
 	w.pool.storeAnsweredAt = w.pool.loop.Now()
+	w.pool.record.Observe("store_commit", w.pool.storeAnsweredAt.Sub(b.sentAt))
 	w.sending = false
 	for i, j := range b.jobs {
 		j.state = b.progress[i].State
--- a/internal/simulation/judge.go
+++ b/internal/simulation/judge.go
@@ -45,6 +45,9 @@
 // Count implements pool.Recorder.
 func (j *Judge) Count(counter, reason string) { j.Counts[counter+"/"+reason]++ }
 
+// Observe implements pool.Recorder.
+func (j *Judge) Observe(string, time.Duration) {}
+
 // Decided implements pool.Recorder.
 func (j *Judge) Decided(decision string, keysAndValues ...any) {
 	at := j.world.Clock.Now().Sub(j.world.epoch)
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/prometheus/client_golang/prometheus"
@@ -44,13 +45,35 @@
 	}
 }
 
-// Telemetry is a node's counters and log.
+// HistogramDefinition describes one latency histogram, in seconds.
+type HistogramDefinition struct {
+	Name        string
+	Description string
+}
+
+// Histograms lists every latency histogram, by the short name that code uses.
+func Histograms() map[string]HistogramDefinition {
+	return map[string]HistogramDefinition{
+		"acceptance":             {"wheatroad.job.acceptance", "From a submission's arrival to its answer."},
+		"start_after_acceptance": {"wheatroad.job.start", "From a job's acceptance to its first start order."},
+		"takeover":               {"wheatroad.pool.takeover", "From a pool's acquisition until its rows are read."},
+		"store_commit":           {"wheatroad.store.commit", "From a batch of the owner's rows to its commit, retries included."},
+		"start_order":            {"wheatroad.worker.start", "From a start order to its answer."},
+		"end_noted":              {"wheatroad.run.end.noted", "From an end taken in until it is written and may be acknowledged."},
+	}
+}
+
+// latencyBounds are the bucket bounds of the histograms, in seconds.
+var latencyBounds = []float64{0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30}
+
+// Telemetry is a node's counters, histograms and log.
 type Telemetry struct {
-	log      logr.Logger
-	counters map[string]metric.Int64Counter
-	labels   map[string]string
-	handler  http.Handler
-	provider *sdkmetric.MeterProvider
+	log        logr.Logger
+	histograms map[string]metric.Float64Histogram
+	counters   map[string]metric.Int64Counter
+	labels     map[string]string
+	handler    http.Handler
+	provider   *sdkmetric.MeterProvider
 }
 
 // New returns telemetry that logs to the given logger.
@@ -69,7 +92,7 @@
 	meter := provider.Meter("github.com/wheatroad/wheatroad")
 	t := &Telemetry{
 		log: log, provider: provider,
-		counters: map[string]metric.Int64Counter{}, labels: map[string]string{},
+		counters: map[string]metric.Int64Counter{}, histograms: map[string]metric.Float64Histogram{}, labels: map[string]string{},
 		handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
 	}
 	for short, definition := range Definitions() {
@@ -80,9 +103,26 @@
 		t.counters[short] = counter
 		t.labels[short] = definition.Label
 	}
+	for short, definition := range Histograms() {
+		histogram, err := meter.Float64Histogram(definition.Name,
+			metric.WithDescription(definition.Description), metric.WithUnit("s"),
+			metric.WithExplicitBucketBoundaries(latencyBounds...))
+		if err != nil {
+			return nil, err
+		}
+		t.histograms[short] = histogram
+	}
 	return t, nil
 }
 
+// Observe adds a duration to a histogram. Histograms without a definition are a
+// defect that the metrics test finds; here they are dropped.
+func (t *Telemetry) Observe(histogram string, d time.Duration) {
+	if instrument, ok := t.histograms[histogram]; ok {
+		instrument.Record(context.Background(), d.Seconds())
+	}
+}
+
 // Count adds one to a counter for a reason. Counters without a definition are a
 // defect that the metrics test finds; here they are dropped.
 func (t *Telemetry) Count(counter, reason string) {
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
@@ -35,13 +36,29 @@
 		require.Contains(t, text, "`"+name+"`")
 	}
 	require.Equal(t, len(Definitions()), exposed)
+	requireHistograms(t, tele, text)
 	for _, kind := range fault.Kinds() {
 		require.Contains(t, text, "`"+string(kind)+"`")
 	}
 }
 
+// requireHistograms holds the page against the histograms that are served.
+func requireHistograms(t *testing.T, tele *Telemetry, page string) {
+	for short := range Histograms() {
+		tele.Observe(short, 3*time.Millisecond)
+	}
+	recorder := httptest.NewRecorder()
+	tele.Handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
+	for short, definition := range Histograms() {
+		name := strings.ReplaceAll(definition.Name, ".", "_") + "_seconds"
+		require.Contains(t, recorder.Body.String(), name+"_bucket{le=\"0.005\"} 1", short)
+		require.Contains(t, page, "`"+name+"`")
+	}
+}
+
 func TestUnknownCountersAreDropped(t *testing.T) {
 	tele, err := New(logr.Discard())
 	require.NoError(t, err)
 	tele.Count("no_such_counter", "reason")
+	tele.Observe("no_such_histogram", time.Second)
 }
