--- a/cmd/wheatroad-bench/storm.go
+++ b/cmd/wheatroad-bench/storm.go
@@ -24,7 +24,7 @@
 	"github.com/wheatroad/wheatroad/internal/fault"
 	"github.com/wheatroad/wheatroad/internal/job"
 	"github.com/wheatroad/wheatroad/internal/planning"
-	"github.com/wheatroad/wheatroad/internal/platform"
+	"github.com/wheatroad/wheatroad/internal/standin"
 )
 
 // The storm: nine daemons, workers of 8 accelerators, jobs of 4 for 2 s.
@@ -349,7 +349,7 @@
 				if number%slowEvery != 0 {
 					continue
 				}
-				fault := map[string]any{"service": fmt.Sprintf("worker:r/%s/rack%02d/worker%02d", zone, rack, worker), "mode": platform.Slow, "delay_seconds": 0.5}
+				fault := map[string]any{"service": fmt.Sprintf("worker:r/%s/rack%02d/worker%02d", zone, rack, worker), "mode": standin.Slow, "delay_seconds": 0.5}
 				_ = s.call(s.platform, "", "POST", "/faults", fault, nil)
 			}
 		}
@@ -413,7 +413,7 @@
 
 // count reads from the platform what ran, and from the daemons what was repeated.
 func (s *storm) count(t *tally, began, until time.Time) error {
-	var history []platform.Execution
+	var history []standin.Execution
 	if err := s.call(s.platform, "", "GET", "/history", nil, &history); err != nil {
 		return err
 	}
--- a/cmd/wheatroad-platform/main.go
+++ b/cmd/wheatroad-platform/main.go
@@ -14,7 +14,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/wheatroad/wheatroad/internal/buildinfo"
-	"github.com/wheatroad/wheatroad/internal/platform"
+	"github.com/wheatroad/wheatroad/internal/standin"
 	"github.com/wheatroad/wheatroad/internal/trace"
 )
 
@@ -62,9 +62,9 @@
 		return err
 	}
 	address := listener.Addr().String()
-	site := platform.NewSite(layouts(c, o.slots), "http://"+address, time.Now())
+	site := standin.NewSite(layouts(c, o.slots), "http://"+address, time.Now())
 	site.ListLag, site.ReportLag = o.listLag, o.reportLag
-	server := &http.Server{Handler: platform.NewServer(site, o.seed, time.Now), ReadHeaderTimeout: 5 * time.Second}
+	server := &http.Server{Handler: standin.NewServer(site, o.seed, time.Now), ReadHeaderTimeout: 5 * time.Second}
 	if o.addressFile != "" {
 		if err := os.WriteFile(o.addressFile, []byte(address), 0o644); err != nil {
 			return err
@@ -83,10 +83,10 @@
 	return nil
 }
 
-func layouts(c *trace.Cluster, slots int) []platform.Layout {
-	list := make([]platform.Layout, len(c.Pool))
+func layouts(c *trace.Cluster, slots int) []standin.Layout {
+	list := make([]standin.Layout, len(c.Pool))
 	for i, pool := range c.Pool {
-		list[i] = platform.Layout{
+		list[i] = standin.Layout{
 			Region: pool.Region, Zone: pool.Zone, Racks: pool.Racks, WorkersPerRack: pool.WorkersPerRack,
 			Accelerators: pool.Accelerators, CPUs: pool.CPUs, MemoryGB: pool.MemoryGB, Slots: slots,
 		}
--- a/internal/checker/check.go
+++ b/internal/checker/check.go
@@ -8,7 +8,7 @@
 
 	"github.com/wheatroad/wheatroad/internal/fault"
 	"github.com/wheatroad/wheatroad/internal/job"
-	"github.com/wheatroad/wheatroad/internal/platform"
+	"github.com/wheatroad/wheatroad/internal/standin"
 	"github.com/wheatroad/wheatroad/internal/worker"
 )
 
@@ -57,7 +57,7 @@
 	j.breaks = append(j.breaks, Break{Promise: promise, At: at, Detail: fmt.Sprintf(format, args...)})
 }
 
-func keyOf(e *platform.Execution) job.Key { return job.Key{Tenant: e.Tenant, ID: e.Job} }
+func keyOf(e *standin.Execution) job.Key { return job.Key{Tenant: e.Tenant, ID: e.Job} }
 
 func (j *judge) collectRuns() {
 	for i := range j.history.Executions {
@@ -82,7 +82,7 @@
 	return a
 }
 
-func (a *attempt) begin(e *platform.Execution) {
+func (a *attempt) begin(e *standin.Execution) {
 	if a.first.IsZero() {
 		a.first = e.At
 	}
@@ -93,7 +93,7 @@
 	}
 }
 
-func (a *attempt) end(e *platform.Execution) {
+func (a *attempt) end(e *standin.Execution) {
 	a.running -= len(e.Members)
 	a.ended = e.At
 	for _, member := range e.Members {
--- a/internal/checker/check_test.go
+++ b/internal/checker/check_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/wheatroad/wheatroad/internal/fault"
 	"github.com/wheatroad/wheatroad/internal/job"
-	"github.com/wheatroad/wheatroad/internal/platform"
+	"github.com/wheatroad/wheatroad/internal/standin"
 	"github.com/wheatroad/wheatroad/internal/worker"
 )
 
@@ -16,12 +16,12 @@
 	return time.Unix(1000, 0).Add(time.Duration(seconds * float64(time.Second)))
 }
 
-func begin(seconds float64, attempt int, members ...int) platform.Execution {
-	return platform.Execution{At: at(seconds), Worker: "w", Tenant: "t", Job: "j", Attempt: attempt, Members: members, Began: true}
+func begin(seconds float64, attempt int, members ...int) standin.Execution {
+	return standin.Execution{At: at(seconds), Worker: "w", Tenant: "t", Job: "j", Attempt: attempt, Members: members, Began: true}
 }
 
-func end(seconds float64, attempt int, state worker.TaskState, members ...int) platform.Execution {
-	return platform.Execution{At: at(seconds), Worker: "w", Tenant: "t", Job: "j", Attempt: attempt, Members: members, State: state}
+func end(seconds float64, attempt int, state worker.TaskState, members ...int) standin.Execution {
+	return standin.Execution{At: at(seconds), Worker: "w", Tenant: "t", Job: "j", Attempt: attempt, Members: members, State: state}
 }
 
 // sound is a history in which everything holds: a gang of two ran twice, since its
@@ -32,7 +32,7 @@
 	return &History{
 		Requests: []*Request{{Spec: spec, SentAt: at(1), AnsweredAt: at(2), Answered: true, Accepted: true, Outcome: fault.NotRun, Entry: "n1"}},
 		Answers:  []Answer{{At: at(60), Asked: record.Key(), Record: record}},
-		Executions: []platform.Execution{
+		Executions: []standin.Execution{
 			begin(3, 1, 0), begin(3, 1, 1), end(10, 1, worker.TaskStopped, 0), end(12, 1, worker.TaskStopped, 1),
 			begin(13, 2, 0, 1), end(50, 2, worker.TaskFinished, 0, 1),
 		},
@@ -55,7 +55,7 @@
 		"a covered guaranteed job waits": {func(h *History) { h.Starved = []Starved{{Until: at(50)}} }, GuaranteeReclaimable},
 		"attempts overlap":               {func(h *History) { h.Executions[3].At = at(14) }, GangAllOrNothing},
 		"a gang runs on in part": {func(h *History) {
-			h.Executions = []platform.Execution{begin(3, 1, 0)}
+			h.Executions = []standin.Execution{begin(3, 1, 0)}
 			h.End = at(200)
 			h.Answers = nil
 		}, GangAllOrNothing},
--- a/internal/checker/history.go
+++ b/internal/checker/history.go
@@ -5,7 +5,7 @@
 
 	"github.com/wheatroad/wheatroad/internal/fault"
 	"github.com/wheatroad/wheatroad/internal/job"
-	"github.com/wheatroad/wheatroad/internal/platform"
+	"github.com/wheatroad/wheatroad/internal/standin"
 )
 
 // Promise names one of the promises that are judged.
@@ -99,7 +99,7 @@
 type History struct {
 	Requests   []*Request
 	Answers    []Answer
-	Executions []platform.Execution
+	Executions []standin.Execution
 	Applied    []Applied
 	Confirmed  []Confirmed
 	Outages    []Outage
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -19,7 +19,7 @@
 	"github.com/wheatroad/wheatroad/internal/auth"
 	"github.com/wheatroad/wheatroad/internal/job"
 	"github.com/wheatroad/wheatroad/internal/planning"
-	"github.com/wheatroad/wheatroad/internal/platform"
+	"github.com/wheatroad/wheatroad/internal/standin"
 	"github.com/wheatroad/wheatroad/internal/settings"
 )
 
@@ -31,7 +31,7 @@
 // cluster is a platform stand-in and some daemons on loopback.
 type cluster struct {
 	t         *testing.T
-	platform  *platform.Server
+	platform  *standin.Server
 	addresses []string
 	stops     []chan struct{}
 	ended     []chan error
@@ -39,13 +39,13 @@
 
 func startCluster(t *testing.T, nodes int) *cluster {
 	c := &cluster{t: t}
-	var layouts []platform.Layout
+	var layouts []standin.Layout
 	for zone := range 3 {
-		layouts = append(layouts, platform.Layout{Region: "r", Zone: fmt.Sprintf("z%d", zone), Racks: 1, WorkersPerRack: 4, Accelerators: 8, CPUs: 64, MemoryGB: 256, Slots: 8})
+		layouts = append(layouts, standin.Layout{Region: "r", Zone: fmt.Sprintf("z%d", zone), Racks: 1, WorkersPerRack: 4, Accelerators: 8, CPUs: 64, MemoryGB: 256, Slots: 8})
 	}
 	listener := httptest.NewUnstartedServer(nil)
-	site := platform.NewSite(layouts, "http://"+listener.Listener.Addr().String(), time.Now())
-	c.platform = platform.NewServer(site, 1, time.Now)
+	site := standin.NewSite(layouts, "http://"+listener.Listener.Addr().String(), time.Now())
+	c.platform = standin.NewServer(site, 1, time.Now)
 	listener.Config.Handler = c.platform
 	listener.Start()
 	t.Cleanup(listener.Close)
@@ -146,7 +146,7 @@
 		finish((node+1)%3, id)
 		var content []byte
 		require.Equal(t, http.StatusOK, c.call((node+2)%3, tenantKey, "GET", "/v1/jobs/t/"+id+"/result", nil, &content))
-		want := append(platform.Output(id, 1, 0, size), platform.Output(id, 1, 1, size)...)
+		want := append(standin.Output(id, 1, 0, size), standin.Output(id, 1, 1, size)...)
 		require.True(t, bytes.Equal(want, content))
 	}
 
--- a/internal/emulator/callers.go
+++ b/internal/emulator/callers.go
@@ -12,7 +12,7 @@
 	"github.com/wheatroad/wheatroad/internal/fault"
 	"github.com/wheatroad/wheatroad/internal/job"
 	"github.com/wheatroad/wheatroad/internal/planning"
-	"github.com/wheatroad/wheatroad/internal/platform"
+	"github.com/wheatroad/wheatroad/internal/standin"
 	"github.com/wheatroad/wheatroad/internal/routing"
 	"github.com/wheatroad/wheatroad/internal/store"
 )
@@ -267,7 +267,7 @@
 
 func (w *World) drawSpec(load Load) job.Spec {
 	seconds := math.Max(2, w.random.ExpFloat64()*load.MeanSeconds)
-	payload, _ := json.Marshal(platform.Payload{RunSeconds: seconds, OutputBytes: 64, Fail: w.random.Float64() < 0.02})
+	payload, _ := json.Marshal(standin.Payload{RunSeconds: seconds, OutputBytes: 64, Fail: w.random.Float64() < 0.02})
 	spec := job.Spec{
 		ID: fmt.Sprintf("job%d", w.serial), Tenant: load.Tenants[w.random.IntN(len(load.Tenants))],
 		Priority: job.Normal, Duration: seconds, Payload: string(payload), Repeatable: true,
--- a/internal/emulator/capacity.go
+++ b/internal/emulator/capacity.go
@@ -8,7 +8,7 @@
 	"github.com/wheatroad/wheatroad/internal/control"
 	"github.com/wheatroad/wheatroad/internal/declaration"
 	"github.com/wheatroad/wheatroad/internal/job"
-	"github.com/wheatroad/wheatroad/internal/platform"
+	"github.com/wheatroad/wheatroad/internal/standin"
 )
 
 // The size to design for.
@@ -88,7 +88,7 @@
 func capacityOptions(share float64, nodes int) Options {
 	options := Options{Seed: 1, Nodes: nodes, Timing: PlanTiming(), ListLag: 20 * time.Second, ReportLag: 200 * time.Millisecond, CountBytes: true}
 	for zone := range planZones {
-		options.Layouts = append(options.Layouts, platform.Layout{
+		options.Layouts = append(options.Layouts, standin.Layout{
 			Region: fmt.Sprintf("r%d", zone%4), Zone: fmt.Sprintf("z%d", zone),
 			Racks: max(1, int(planRacksPerZone*share)), WorkersPerRack: workersPerRack,
 			Accelerators: 8, CPUs: 256, MemoryGB: 1024, Slots: 64,
--- a/internal/emulator/explore.go
+++ b/internal/emulator/explore.go
@@ -9,14 +9,14 @@
 
 	"github.com/wheatroad/wheatroad/internal/checker"
 	"github.com/wheatroad/wheatroad/internal/job"
-	"github.com/wheatroad/wheatroad/internal/platform"
+	"github.com/wheatroad/wheatroad/internal/standin"
 	"github.com/wheatroad/wheatroad/internal/store"
 )
 
 // script decides the fate of each write about a job, in order, and when the owner
 // is frozen. It takes the place of drawn faults in a search.
 type script struct {
-	fates []platform.Fault
+	fates []standin.Fault
 	next  int
 	// freezeAtOrder freezes the sender of that order to a worker, counted from 1.
 	freezeAtOrder int
@@ -25,12 +25,12 @@
 
 // fates are what can become of a write. A late one takes effect after another node
 // has taken the domain over.
-func fates() []platform.Fault {
-	return []platform.Fault{
-		{Mode: platform.Healthy},
-		{Mode: platform.Down},
-		{Mode: platform.Lossy, Share: 1},
-		{Mode: platform.Late, Share: 1, DelaySeconds: lateSeconds},
+func fates() []standin.Fault {
+	return []standin.Fault{
+		{Mode: standin.Healthy},
+		{Mode: standin.Down},
+		{Mode: standin.Lossy, Share: 1},
+		{Mode: standin.Late, Share: 1, DelaySeconds: lateSeconds},
 	}
 }
 
@@ -42,9 +42,9 @@
 )
 
 // fateOf returns the fate of a transaction, healthy for those not about jobs.
-func (s *script) fateOf(transaction store.Transaction) platform.Fault {
+func (s *script) fateOf(transaction store.Transaction) standin.Fault {
 	if s.next >= len(s.fates) || !aboutJob(transaction) {
-		return platform.Fault{}
+		return standin.Fault{}
 	}
 	fate := s.fates[s.next]
 	s.next++
@@ -137,7 +137,7 @@
 func runScript(number int, options ExploreOptions) (string, []checker.Break) {
 	worldOptions := Options{
 		Seed: 1, Nodes: scriptedNodes,
-		Layouts: []platform.Layout{{Region: "r", Zone: "z", Racks: 1, WorkersPerRack: 2, Accelerators: 8, CPUs: 64, MemoryGB: 256, Slots: 8}},
+		Layouts: []standin.Layout{{Region: "r", Zone: "z", Racks: 1, WorkersPerRack: 2, Accelerators: 8, CPUs: 64, MemoryGB: 256, Slots: 8}},
 	}
 	if options.Without != "" {
 		// The name was checked by Explore.
--- a/internal/emulator/faults.go
+++ b/internal/emulator/faults.go
@@ -6,7 +6,7 @@
 
 	"github.com/wheatroad/wheatroad/internal/checker"
 	"github.com/wheatroad/wheatroad/internal/machines"
-	"github.com/wheatroad/wheatroad/internal/platform"
+	"github.com/wheatroad/wheatroad/internal/standin"
 )
 
 // FaultKind names a kind of fault.
@@ -106,13 +106,13 @@
 	case LinkCut:
 		w.cutLink(random, seconds(5, 90))
 	case StoreDown:
-		w.storeFault(platform.Fault{Mode: platform.Down}, seconds(10, 180))
+		w.storeFault(standin.Fault{Mode: standin.Down}, seconds(10, 180))
 	case StoreSlow:
-		w.storeFault(platform.Fault{Mode: platform.Slow, DelaySeconds: 0.2 + 4*random.Float64()}, seconds(10, 120))
+		w.storeFault(standin.Fault{Mode: standin.Slow, DelaySeconds: 0.2 + 4*random.Float64()}, seconds(10, 120))
 	case StoreLossy:
-		w.storeFault(platform.Fault{Mode: platform.Lossy, Share: 0.3}, seconds(10, 120))
+		w.storeFault(standin.Fault{Mode: standin.Lossy, Share: 0.3}, seconds(10, 120))
 	case StoreLate:
-		w.storeFault(platform.Fault{Mode: platform.Late, Share: 0.3, DelaySeconds: 1 + 20*random.Float64()}, seconds(10, 120))
+		w.storeFault(standin.Fault{Mode: standin.Late, Share: 0.3, DelaySeconds: 1 + 20*random.Float64()}, seconds(10, 120))
 	case ReadsDown:
 		w.readsFault(seconds(10, 60))
 	case MachineFails:
@@ -220,20 +220,20 @@
 	w.clock.After(length, func() { delete(w.network.cuts, broken) })
 }
 
-func (w *World) storeFault(fault platform.Fault, length time.Duration) {
+func (w *World) storeFault(fault standin.Fault, length time.Duration) {
 	w.outage("", length)
 	w.faults.table = fault
 	w.clock.After(length, func() {
 		if w.faults.table == fault {
-			w.faults.table = platform.Fault{}
+			w.faults.table = standin.Fault{}
 		}
 	})
 }
 
 func (w *World) readsFault(length time.Duration) {
 	w.outage("", length)
-	w.faults.reads = platform.Fault{Mode: platform.Down}
-	w.clock.After(length, func() { w.faults.reads = platform.Fault{} })
+	w.faults.reads = standin.Fault{Mode: standin.Down}
+	w.clock.After(length, func() { w.faults.reads = standin.Fault{} })
 }
 
 // failMachine takes a worker down with everything on it.
@@ -242,7 +242,7 @@
 		return
 	}
 	w.site.Worker(name).Restart(w.clock.now)
-	w.faults.workers[name] = platform.Fault{Mode: platform.Frozen}
+	w.faults.workers[name] = standin.Fault{Mode: standin.Frozen}
 	w.site.SetStatus(w.clock.now, name, machines.Gone)
 	w.clock.After(length, func() {
 		delete(w.faults.workers, name)
--- a/internal/emulator/impact_test.go
+++ b/internal/emulator/impact_test.go
@@ -10,13 +10,13 @@
 	"github.com/wheatroad/wheatroad/internal/declaration"
 	"github.com/wheatroad/wheatroad/internal/job"
 	"github.com/wheatroad/wheatroad/internal/planning"
-	"github.com/wheatroad/wheatroad/internal/platform"
+	"github.com/wheatroad/wheatroad/internal/standin"
 )
 
 // oneZone is a system of one rack of four workers with tenant a, which guarantees
 // nothing.
 func oneZone(t *testing.T) *World {
-	w := NewWorld(Options{Seed: 1, Nodes: 2, Layouts: []platform.Layout{{
+	w := NewWorld(Options{Seed: 1, Nodes: 2, Layouts: []standin.Layout{{
 		Region: "r", Zone: "z", Racks: 2, WorkersPerRack: 2, Accelerators: 8, CPUs: 64, MemoryGB: 256, Slots: 8,
 	}}})
 	w.Run(15 * time.Second)
@@ -99,7 +99,7 @@
 		s.Repeatable = false
 	})
 	require.Equal(t, job.Running, running.State)
-	w.storeFault(platform.Fault{Mode: platform.Down}, time.Hour)
+	w.storeFault(standin.Fault{Mode: standin.Down}, time.Hour)
 	w.Run(30 * time.Minute)
 	var refused *checker.Request
 	spec := running.Spec
--- a/internal/emulator/ports.go
+++ b/internal/emulator/ports.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/machines"
-	"github.com/wheatroad/wheatroad/internal/platform"
+	"github.com/wheatroad/wheatroad/internal/standin"
 	"github.com/wheatroad/wheatroad/internal/store"
 	"github.com/wheatroad/wheatroad/internal/worker"
 )
@@ -21,7 +21,7 @@
 // exchange carries one call: the effect at the far side and the answer back, each
 // subject to the link's cut and to the service's fault. Lost answers come back as
 // failed once the time limit has passed.
-func exchange[T any](p *ports, to target, fault platform.Fault, latency time.Duration, effect func() T, answered func(T), failed func(hadEffect bool)) {
+func exchange[T any](p *ports, to target, fault standin.Fault, latency time.Duration, effect func() T, answered func(T), failed func(hadEffect bool)) {
 	w := p.world
 	verdict := fault.Judge(w.random)
 	broken := w.network.of(p.node.name, to)
@@ -49,7 +49,7 @@
 // messageOverhead stands for the headers of a request and its answer, in bytes.
 const messageOverhead = 300
 
-func (p *ports) tableFault(read bool) platform.Fault {
+func (p *ports) tableFault(read bool) standin.Fault {
 	if read && p.world.faults.reads.Mode != "" {
 		return p.world.faults.reads
 	}
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -11,7 +11,7 @@
 	"github.com/wheatroad/wheatroad/internal/blackboard"
 	"github.com/wheatroad/wheatroad/internal/checker"
 	"github.com/wheatroad/wheatroad/internal/control"
-	"github.com/wheatroad/wheatroad/internal/platform"
+	"github.com/wheatroad/wheatroad/internal/standin"
 	"github.com/wheatroad/wheatroad/internal/schedule"
 	"github.com/wheatroad/wheatroad/internal/store"
 )
@@ -21,7 +21,7 @@
 	Seed  uint64
 	Nodes int
 	// Layouts are the machines; empty takes three zones of a small site.
-	Layouts    []platform.Layout
+	Layouts    []standin.Layout
 	Timing     control.Timing
 	Mechanisms control.Mechanisms
 	// WithoutWorkerFencing lets workers follow orders of any epoch.
@@ -44,7 +44,7 @@
 	options Options
 	clock   *Clock
 	random  *rand.Rand
-	site    *platform.Site
+	site    *standin.Site
 	network *network
 	faults  services
 	nodes   []*node
@@ -68,10 +68,10 @@
 
 // services are the present faults of the platform.
 type services struct {
-	table    platform.Fault
-	reads    platform.Fault
-	machines platform.Fault
-	workers  map[string]platform.Fault
+	table    standin.Fault
+	reads    standin.Fault
+	machines standin.Fault
+	workers  map[string]standin.Fault
 }
 
 // node is one emulated process on its machine.
@@ -89,10 +89,10 @@
 }
 
 // SmallSite is three zones of two racks of four workers each.
-func SmallSite() []platform.Layout {
-	var layouts []platform.Layout
+func SmallSite() []standin.Layout {
+	var layouts []standin.Layout
 	for _, zone := range []string{"z1", "z2", "z3"} {
-		layouts = append(layouts, platform.Layout{
+		layouts = append(layouts, standin.Layout{
 			Region: "r1", Zone: zone, Racks: 2, WorkersPerRack: 4,
 			Accelerators: 8, CPUs: 64, MemoryGB: 256, Slots: 8,
 		})
@@ -116,8 +116,8 @@
 		Bytes: map[string]int64{}, Messages: map[string]int64{},
 		unowned: map[string]time.Time{}, watching: map[string]time.Time{}, confirmedAt: map[int64]time.Time{},
 	}
-	w.faults.workers = map[string]platform.Fault{}
-	w.site = platform.NewSite(options.Layouts, "emulated", start)
+	w.faults.workers = map[string]standin.Fault{}
+	w.site = standin.NewSite(options.Layouts, "emulated", start)
 	w.site.ListLag = options.ListLag
 	w.site.ReportLag = options.ReportLag
 	for _, name := range w.site.Names() {
@@ -137,7 +137,7 @@
 func (w *World) Now() time.Time { return w.clock.now }
 
 // Site returns the platform.
-func (w *World) Site() *platform.Site { return w.site }
+func (w *World) Site() *standin.Site { return w.site }
 
 // Run lets a stretch of virtual time pass.
 func (w *World) Run(d time.Duration) { w.clock.Run(w.clock.now.Add(d)) }
--- a/internal/platform/faults.go
+++ b/internal/standin/faults.go
@@ -1,4 +1,4 @@
-package platform
+package standin
 
 import (
 	"math/rand/v2"
--- a/internal/platform/workers.go
+++ b/internal/standin/workers.go
@@ -1,4 +1,4 @@
-package platform
+package standin
 
 import (
 	"encoding/json"
--- a/internal/store/httpstore/httpstore_test.go
+++ b/internal/store/httpstore/httpstore_test.go
@@ -11,13 +11,13 @@
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
-	"github.com/wheatroad/wheatroad/internal/platform"
+	"github.com/wheatroad/wheatroad/internal/standin"
 	"github.com/wheatroad/wheatroad/internal/store"
 )
 
-func serve(t *testing.T) (*platform.Server, *Client) {
-	site := platform.NewSite(nil, "", time.Now())
-	server := platform.NewServer(site, 1, time.Now)
+func serve(t *testing.T) (*standin.Server, *Client) {
+	site := standin.NewSite(nil, "", time.Now())
+	server := standin.NewServer(site, 1, time.Now)
 	listener := httptest.NewServer(server)
 	t.Cleanup(listener.Close)
 	return server, New(listener.URL, listener.Client())
@@ -65,14 +65,14 @@
 
 func TestTableFaults(t *testing.T) {
 	cases := map[string]struct {
-		fault  platform.Fault
+		fault  standin.Fault
 		want   error
 		effect bool
 	}{
-		"down":               {platform.Fault{Mode: platform.Down}, store.ErrUnavailable, false},
-		"answer lost":        {platform.Fault{Mode: platform.Lossy, Share: 1}, store.ErrUnknown, true},
-		"late effect":        {platform.Fault{Mode: platform.Late, Share: 1, DelaySeconds: 0.01}, store.ErrUnknown, true},
-		"slow past deadline": {platform.Fault{Mode: platform.Slow, DelaySeconds: 0.3}, store.ErrUnknown, true},
+		"down":               {standin.Fault{Mode: standin.Down}, store.ErrUnavailable, false},
+		"answer lost":        {standin.Fault{Mode: standin.Lossy, Share: 1}, store.ErrUnknown, true},
+		"late effect":        {standin.Fault{Mode: standin.Late, Share: 1, DelaySeconds: 0.01}, store.ErrUnknown, true},
+		"slow past deadline": {standin.Fault{Mode: standin.Slow, DelaySeconds: 0.3}, store.ErrUnknown, true},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -82,7 +82,7 @@
 			defer cancel()
 			_, err := client.Commit(ctx, put("k", "v", store.Absent))
 			require.True(t, errors.Is(err, c.want), "%v", err)
-			server.SetFault("table", platform.Fault{})
+			server.SetFault("table", standin.Fault{})
 			require.Eventually(t, func() bool {
 				row, err := client.Get(t.Context(), "k")
 				return err == nil && (row.Revision != store.Absent) == c.effect
@@ -109,7 +109,7 @@
 	got, err := objects.Get(t.Context(), "x/y")
 	require.NoError(t, err)
 	require.True(t, bytes.Equal(content, got))
-	server.SetFault("objects", platform.Fault{Mode: platform.Down})
+	server.SetFault("objects", standin.Fault{Mode: standin.Down})
 	_, err = objects.Get(t.Context(), "x/y")
 	require.True(t, errors.Is(err, store.ErrUnavailable), "%v", err)
 }
--- a/internal/worker/httpfleet/httpfleet_test.go
+++ b/internal/worker/httpfleet/httpfleet_test.go
@@ -8,13 +8,13 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/wheatroad/wheatroad/internal/platform"
+	"github.com/wheatroad/wheatroad/internal/standin"
 	"github.com/wheatroad/wheatroad/internal/worker"
 )
 
-func serve(t testing.TB) (*platform.Server, *Fleet, string) {
-	site := platform.NewSite([]platform.Layout{{Region: "r", Zone: "z", Racks: 1, WorkersPerRack: 2, Accelerators: 8, CPUs: 64, MemoryGB: 256, Slots: 8}}, "", time.Now())
-	server := platform.NewServer(site, 1, time.Now)
+func serve(t testing.TB) (*standin.Server, *Fleet, string) {
+	site := standin.NewSite([]standin.Layout{{Region: "r", Zone: "z", Racks: 1, WorkersPerRack: 2, Accelerators: 8, CPUs: 64, MemoryGB: 256, Slots: 8}}, "", time.Now())
+	server := standin.NewServer(site, 1, time.Now)
 	listener := httptest.NewServer(server)
 	t.Cleanup(listener.Close)
 	return server, New(listener.URL, listener.Client(), listener.Client()), listener.URL
@@ -35,8 +35,8 @@
 	require.Equal(t, int64(2), reply.Epoch)
 	_, err = fleet.Send(t.Context(), "r/z/rack09/worker00", address, order)
 	require.Error(t, err)
-	for _, mode := range []platform.Mode{platform.Down, platform.Frozen} {
-		server.SetFault("worker:"+name, platform.Fault{Mode: mode})
+	for _, mode := range []standin.Mode{standin.Down, standin.Frozen} {
+		server.SetFault("worker:"+name, standin.Fault{Mode: mode})
 		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 		_, err = fleet.Send(ctx, name, address, order)
 		cancel()
