Never wait where a start's gain exceeds its stops' loss

Cause: waiting by rough estimates was kept for losses over half of the gain; since patient units are held after a preemption it no longer pays. Change: the exception goes, and with it its code.

--- a/internal/pool/cycle.go
+++ b/internal/pool/cycle.go
@@ -87,11 +87,9 @@
 		p.beginAt(s, u, request, places)
 		return true
 	}
-	promise := s.earliest(u, request)
-	if p.pressing(s, u) && p.preemptFor(s, u, request, promise) {
-		return false
+	if !p.pressing(s, u) || !p.preemptFor(s, u, request) {
+		s.reserveFor(u, request, s.earliest(u, request))
 	}
-	s.reserveFor(u, request, promise)
 	return false
 }
 
--- a/internal/pool/policy.go
+++ b/internal/pool/policy.go
@@ -27,11 +27,6 @@
 	// gainLate times its work is what the start of a unit that is late already may
 	// throw away.
 	gainLate = 1.0
-	// cheapShare of the gain is what a stop may cost if waiting would do as well by
-	// estimates, which are rough.
-	cheapShare = 0.5
-	// waitMargin is kept from a unit's slack when it waits for others to end.
-	waitMargin = 150 * time.Millisecond
 	// reclaimMargin is kept from the time in which a guaranteed job must begin.
 	reclaimMargin = 600 * time.Millisecond
 )
--- a/internal/pool/preempt.go
+++ b/internal/pool/preempt.go
@@ -33,8 +33,9 @@
 const restartMargin = 2 * time.Second
 
 // preemptFor stops what is cheapest so that a unit can start, and keeps the room.
-// It returns false if waiting is better or nothing helps.
-func (p *Pool) preemptFor(s *snapshot, u *unit, request *placement.Request, promise *placement.Promise) bool {
+// It returns false if the stops would cost more than the start is worth, or nothing
+// helps.
+func (p *Pool) preemptFor(s *snapshot, u *unit, request *placement.Request) bool {
 	places, victims, loss := bestPreemption(s, s.scopes(u), request)
 	if places == nil {
 		places, victims, loss = bestPreemption(s, [][]int{s.racks.All}, request)
@@ -42,8 +43,7 @@
 	if places == nil {
 		return false
 	}
-	gain := preemptionGain(u, s.now)
-	if !p.mustBegin(s, u) && (loss > gain || loss > cheapShare*gain && p.mayWait(s, u, promise)) {
+	if loss > preemptionGain(u, s.now) && !p.mustBegin(s, u) {
 		return false
 	}
 	s.promise(victims, places, request.Room)
@@ -87,15 +87,6 @@
 	return len(u.members) > 1 && slack > 0 && slack < time.Duration(pressingShare*float64(u.job.objective))
 }
 
-// mayWait reports whether a unit can wait for room that is promised to it.
-func (p *Pool) mayWait(s *snapshot, u *unit, promise *placement.Promise) bool {
-	if promise == nil || u.slack(s.now) < promise.After+waitMargin {
-		return false
-	}
-	latest := u.job.acceptedAt.Add(p.options.Bounds.Reclaim - p.options.Bounds.StopTimeout - reclaimMargin)
-	return s.now.Add(promise.After).Before(latest)
-}
-
 // mustBegin reports whether a guarantee obliges the unit to begin soon.
 func (p *Pool) mustBegin(s *snapshot, u *unit) bool {
 	latest := u.job.acceptedAt.Add(p.options.Bounds.Reclaim - p.options.Bounds.StopTimeout - reclaimMargin)
