--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -19,8 +19,8 @@
 	"github.com/wheatroad/wheatroad/internal/auth"
 	"github.com/wheatroad/wheatroad/internal/job"
 	"github.com/wheatroad/wheatroad/internal/planning"
-	"github.com/wheatroad/wheatroad/internal/standin"
 	"github.com/wheatroad/wheatroad/internal/settings"
+	"github.com/wheatroad/wheatroad/internal/standin"
 )
 
 const (
--- a/internal/emulator/callers.go
+++ b/internal/emulator/callers.go
@@ -12,8 +12,8 @@
 	"github.com/wheatroad/wheatroad/internal/fault"
 	"github.com/wheatroad/wheatroad/internal/job"
 	"github.com/wheatroad/wheatroad/internal/planning"
-	"github.com/wheatroad/wheatroad/internal/standin"
 	"github.com/wheatroad/wheatroad/internal/routing"
+	"github.com/wheatroad/wheatroad/internal/standin"
 	"github.com/wheatroad/wheatroad/internal/store"
 )
 
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -11,8 +11,8 @@
 	"github.com/wheatroad/wheatroad/internal/blackboard"
 	"github.com/wheatroad/wheatroad/internal/checker"
 	"github.com/wheatroad/wheatroad/internal/control"
-	"github.com/wheatroad/wheatroad/internal/standin"
 	"github.com/wheatroad/wheatroad/internal/schedule"
+	"github.com/wheatroad/wheatroad/internal/standin"
 	"github.com/wheatroad/wheatroad/internal/store"
 )
 
