--- a/internal/pool/cycle.go
+++ b/internal/pool/cycle.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/wheatroad/wheatroad/internal/placement"
 )
@@ -57,14 +58,23 @@
 			}
 		}
 	}
-	slices.SortFunc(waiting, compareUnits)
+	now := p.loop.Now()
+	slices.SortFunc(waiting, func(a, b *unit) int { return compareUnits(a, b, now) })
 	return waiting
 }
 
-func compareUnits(a, b *unit) int {
+// compareUnits orders units by priority; among equals those that can still end in
+// time come before those that are late already, and then the oldest.
+func compareUnits(a, b *unit, now time.Time) int {
 	if a.job.Queue.Priority != b.job.Queue.Priority {
 		return a.job.Queue.Priority - b.job.Queue.Priority
 	}
+	if late := a.late(now); late != b.late(now) {
+		if late {
+			return 1
+		}
+		return -1
+	}
 	if order := a.job.acceptedAt.Compare(b.job.acceptedAt); order != 0 {
 		return order
 	}
@@ -80,6 +90,11 @@
 	return a.index - b.index
 }
 
+// late reports whether a unit without priority 0 can no longer end in time.
+func (u *unit) late(now time.Time) bool {
+	return u.job.Queue.Priority > 0 && u.slack(now) < 0
+}
+
 // place finds a place for a unit and begins it. It returns false if none is found.
 func (p *Pool) place(s *snapshot, u *unit) bool {
 	request := s.request(u)
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -485,3 +485,29 @@
 		require.Equal(t, 1, w.Judge.Starts(taskgraph.TaskName{Job: jobID(n)}), "job %d", n)
 	}
 }
+
+// TestLateUnitsMakeWayForTimelyOnes: with everything in the order of acceptance, one
+// job that was late made all that came after it late too.
+func TestLateUnitsMakeWayForTimelyOnes(t *testing.T) {
+	w := simulation.NewWorld(1, 1)
+	w.Work = func(taskgraph.TaskName) time.Duration { return 5 * time.Second }
+	whole := func() taskgraph.Step {
+		step := single(1)
+		step.GPUs, step.EstimateMillis = 8, 5000
+		return step
+	}
+	tight := catalog.Queue{Name: "tight", Priority: 1, MaxAttempts: 3, Stretch: 1}
+	roomy := catalog.Queue{Name: "roomy", Priority: 1, MaxAttempts: 3, Stretch: 3}
+	w.Submit(spec(1, whole()), roomy)
+	w.Own()
+	w.Run(time.Second)
+	w.Submit(spec(2, whole()), tight)
+	w.Run(100 * time.Millisecond)
+	w.Submit(spec(3, whole()), roomy)
+	w.Run(10 * time.Second)
+	requireKept(t, w)
+	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(3)))
+	require.NotEqual(t, taskgraph.Completed, w.StoredState(jobID(2)))
+	w.Run(10 * time.Second)
+	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(2)))
+}
