--- a/internal/telemetry/decisions_test.go
+++ b/internal/telemetry/decisions_test.go
@@ -32,3 +32,17 @@
 	require.Contains(t, sink.content.String(), `"msg":"lines left out"`)
 	require.Contains(t, sink.content.String(), `"number":0}`)
 }
+
+// TestLinesAfterCloseAreLost: a call to the store that outlasted a planned stop wrote
+// its line into the closed log, and the process ended with a panic.
+func TestLinesAfterCloseAreLost(t *testing.T) {
+	var sink bytes.Buffer
+	log := NewDecisionLog(&sink)
+	log.Logger().Info("before")
+	log.Close()
+	for i := range 2 * logQueue {
+		log.Logger().Info("after", "number", i)
+	}
+	require.Contains(t, sink.String(), "before")
+	require.NotContains(t, sink.String(), "after")
+}
