Cut the owner's processor time at several hundred workers

A profile of the daemon before 360 workers: names rendered as text in comparisons, every worker copied for every rack and unit of a cycle, errors compared by their texts, and a cycle for every event. Change: runs of a worker are a list; the list of workers is kept sorted; what-if over racks (placement/trial.go) costs by the workers it touches; failed orders have a typed reason; at most one cycle in 10 ms while units wait.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -7,32 +7,9 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/wheatroad/wheatroad/internal/taskgraph"
 )
 
-// Errors of orders. Every other error means that no answer came: the order may
-// have been carried out, or may be later.
-var (
-	// ErrFenced says that the worker has seen a newer owner.
-	ErrFenced = errors.New("fleet: fenced")
-	// ErrSuperseded says that the run is not above one that stopped or ended there.
-	ErrSuperseded = errors.New("fleet: run superseded")
-	// ErrLate says that the order's deadline has passed.
-	ErrLate = errors.New("fleet: too late")
-	// ErrNoRoom says that the task does not fit.
-	ErrNoRoom = errors.New("fleet: no room")
-	// ErrUnhealthy says that the worker did nothing because it is unwell.
-	ErrUnhealthy = errors.New("fleet: unhealthy")
-	// ErrOtherInstance says that another instance answers at the address.
-	ErrOtherInstance = errors.New("fleet: other instance")
-	// ErrInvalid says that the worker did not understand the order.
-	ErrInvalid = errors.New("fleet: invalid order")
-	// ErrNoAnswer says that the order may have been carried out, or may be later.
-	ErrNoAnswer = errors.New("fleet: no answer")
-)
-
 // Worker is one life of a worker, as it records itself.
 type Worker struct {
 	ID       string
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -5,7 +5,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"github.com/wheatroad/wheatroad/internal/taskgraph"
 )
@@ -13,6 +12,8 @@
 // Worker is a worker as the snapshot has it.
 type Worker struct {
 	Rack string
+	// Capacity is the room of the worker when nothing runs on it.
+	Capacity taskgraph.Amount
 	// Free is the room left now, after the reservations made in this cycle.
 	Free taskgraph.Amount
 	// RackFree is the free room of the worker's rack, in cores.
@@ -41,6 +42,16 @@
 	// MaxPerWorker bounds the tasks on one worker, of which Present has some there.
 	MaxPerWorker int
 	Present      func(worker int) int
+	// Limit bounds the room that the request may see on a worker; nil shows all.
+	Limit func(worker int, free taskgraph.Amount) taskgraph.Amount
+}
+
+// visible returns the free room of a worker that the request may see.
+func (r *Request) visible(workers []Worker, i int) taskgraph.Amount {
+	if r.Limit == nil {
+		return workers[i].Free
+	}
+	return r.Limit(i, workers[i].Free)
 }
 
 func (r *Request) allowed(workers []Worker, i int) bool {
@@ -90,11 +101,12 @@
 		if !request.allowed(workers, i) {
 			continue
 		}
-		fits := request.capacity(i, workers[i].Free)
+		room := request.visible(workers, i)
+		fits := request.capacity(i, room)
 		if fits == 0 {
 			continue
 		}
-		left := workers[i].Free.Minus(request.Room.Times(fits)).Cores()
+		left := room.Minus(request.Room.Times(fits)).Cores()
 		candidates = append(candidates, candidate{worker: i, fits: fits, left: left, rackFree: workers[i].RackFree})
 		total += fits
 	}
@@ -110,6 +122,20 @@
 	return take(candidates, request.Count)
 }
 
+// Holds reports whether the workers could take the request if nothing ran on them.
+func Holds(workers []Worker, among []int, request *Request) bool {
+	total := 0
+	for _, i := range among {
+		if request.allowed(workers, i) {
+			total += request.capacity(i, workers[i].Capacity)
+		}
+		if total >= request.Count {
+			return true
+		}
+	}
+	return false
+}
+
 func take(candidates []candidate, count int) []int {
 	places := make([]int, 0, count)
 	for _, c := range candidates {
@@ -141,6 +167,15 @@
 	return racks
 }
 
+// Emptiest lists the racks, those with the most free room first.
+func (r *Racks) Emptiest(workers []Worker) []string {
+	names := slices.Clone(r.Names)
+	slices.SortStableFunc(names, func(a, b string) int {
+		return cmp.Compare(workers[r.Members[b][0]].RackFree, workers[r.Members[a][0]].RackFree)
+	})
+	return names
+}
+
 // FitOneRack places the request on one rack: the one that is left the fullest.
 func FitOneRack(workers []Worker, racks *Racks, request *Request) []int {
 	var best []int
@@ -183,158 +218,3 @@
 		workers[i].Free = workers[i].Free.Minus(room)
 	}
 }
-
-// Unit is a running unit that could give way or that will end.
-type Unit struct {
-	// Places has the workers of the unit's runs.
-	Places []int
-	Room   taskgraph.Amount
-	// Remaining is how long the unit is expected to hold its room.
-	Remaining time.Duration
-	// Loss is the price of stopping the unit now; negative if it may not be stopped.
-	Loss float64
-	// Priority is the unit's; only requests of a lower number may stop it.
-	Priority int
-}
-
-// Promise is room that a request will get once running units have ended.
-type Promise struct {
-	Places []int
-	// After is how long the request waits.
-	After time.Duration
-	// Spare has, for each place, the room that others may hold beyond then.
-	Spare map[int]taskgraph.Amount
-}
-
-// EarliestFit returns when and where the request fits among workers if running
-// units end as expected and nothing new starts. The result is nil if never.
-func EarliestFit(workers []Worker, among []int, units []Unit, request *Request) *Promise {
-	trial := slices.Clone(workers)
-	inside := make(map[int]bool, len(among))
-	for _, i := range among {
-		inside[i] = true
-	}
-	if places := Fit(trial, among, request); places != nil {
-		return promise(trial, places, 0, request)
-	}
-	for _, number := range endingOrder(workers, among, units) {
-		for _, i := range units[number].Places {
-			if inside[i] {
-				trial[i].Free = trial[i].Free.Plus(units[number].Room)
-			}
-		}
-		if places := Fit(trial, among, request); places != nil {
-			return promise(trial, places, units[number].Remaining, request)
-		}
-	}
-	return nil
-}
-
-// endingOrder lists the units that hold room among workers, the first to end first.
-func endingOrder(workers []Worker, among []int, units []Unit) []int {
-	var order []int
-	seen := map[int]bool{}
-	for _, i := range among {
-		for _, holder := range workers[i].Holders {
-			if !seen[holder.Unit] && len(units[holder.Unit].Places) > 0 {
-				seen[holder.Unit] = true
-				order = append(order, holder.Unit)
-			}
-		}
-	}
-	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(units[a].Remaining, units[b].Remaining) })
-	return order
-}
-
-func promise(trial []Worker, places []int, after time.Duration, request *Request) *Promise {
-	spare := map[int]taskgraph.Amount{}
-	for _, i := range places {
-		if _, known := spare[i]; !known {
-			spare[i] = trial[i].Free
-		}
-		spare[i] = spare[i].Minus(request.Room)
-	}
-	return &Promise{Places: places, After: after, Spare: spare}
-}
-
-// Preempt returns where the request fits among workers if victims are stopped, the
-// victims, and their loss. Units with a negative loss are left alone. The result is
-// nil if no set of victims helps.
-func Preempt(workers []Worker, among []int, units []Unit, request *Request) (places, victims []int, loss float64) {
-	trial := slices.Clone(workers)
-	candidates := preemptible(workers, among, units, request)
-	var chosen []int
-	for _, number := range candidates {
-		if places = Fit(trial, among, request); places != nil {
-			break
-		}
-		chosen = append(chosen, number)
-		free(trial, units[number])
-	}
-	if places == nil {
-		if places = Fit(trial, among, request); places == nil {
-			return nil, nil, 0
-		}
-	}
-	victims = spare(workers, among, units, request, chosen)
-	trial = slices.Clone(workers)
-	for _, number := range victims {
-		free(trial, units[number])
-		loss += units[number].Loss
-	}
-	return Fit(trial, among, request), victims, loss
-}
-
-func free(workers []Worker, unit Unit) {
-	for _, i := range unit.Places {
-		workers[i].Free = workers[i].Free.Plus(unit.Room)
-	}
-}
-
-// yieldsTo reports whether a unit may be stopped for a request. Units without loss
-// are stopping already.
-func (u *Unit) yieldsTo(request *Request) bool {
-	return u.Loss == 0 || u.Loss > 0 && u.Priority > request.Priority
-}
-
-// preemptible lists units that may be stopped, cheapest for the room they free first.
-func preemptible(workers []Worker, among []int, units []Unit, request *Request) []int {
-	var candidates []int
-	useful := map[int]float64{}
-	for _, i := range among {
-		if !request.allowed(workers, i) {
-			continue
-		}
-		for _, holder := range workers[i].Holders {
-			if !units[holder.Unit].yieldsTo(request) {
-				continue
-			}
-			if _, seen := useful[holder.Unit]; !seen {
-				candidates = append(candidates, holder.Unit)
-			}
-			useful[holder.Unit] += holder.Room.Cores()
-		}
-	}
-	slices.SortStableFunc(candidates, func(a, b int) int {
-		return cmp.Compare(units[a].Loss/(useful[a]+1), units[b].Loss/(useful[b]+1))
-	})
-	return candidates
-}
-
-// spare drops victims that turn out needless, the dearest first.
-func spare(workers []Worker, among []int, units []Unit, request *Request, chosen []int) []int {
-	kept := slices.Clone(chosen)
-	byLoss := slices.Clone(chosen)
-	slices.SortStableFunc(byLoss, func(a, b int) int { return cmp.Compare(units[b].Loss, units[a].Loss) })
-	for _, number := range byLoss {
-		without := slices.DeleteFunc(slices.Clone(kept), func(other int) bool { return other == number })
-		trial := slices.Clone(workers)
-		for _, other := range without {
-			free(trial, units[other])
-		}
-		if Fit(trial, among, request) != nil {
-			kept = without
-		}
-	}
-	return kept
-}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -16,7 +16,7 @@
 func racksOf(free ...int) ([]Worker, *Racks) {
 	workers := make([]Worker, len(free))
 	for i, n := range free {
-		workers[i] = Worker{Rack: string(rune('a' + i/2)), Free: gpus(n), Usable: true}
+		workers[i] = Worker{Rack: string(rune('a' + i/2)), Capacity: gpus(8), Free: gpus(n), Usable: true}
 	}
 	racks := NewRacks(workers)
 	MeasureRacks(workers, racks)
@@ -46,11 +46,11 @@
 	}
 	workers[0].Holders = []Holder{{Unit: 0, Room: gpus(8)}}
 	workers[1].Holders = []Holder{{Unit: 1, Room: gpus(8)}}
-	promise := EarliestFit(workers, racks.All, units, &Request{Room: gpus(4), Count: 1})
+	promise := EarliestFit(workers, racks.All, units, &Request{Room: gpus(4), Count: 1}, time.Hour)
 	require.Equal(t, []int{1}, promise.Places)
 	require.Equal(t, time.Second, promise.After)
 	require.Equal(t, gpus(4), promise.Spare[1])
-	require.Nil(t, EarliestFit(workers, racks.All, units, &Request{Room: gpus(9), Count: 1}))
+	require.Nil(t, EarliestFit(workers, racks.All, units, &Request{Room: gpus(9), Count: 1}, time.Hour))
 }
 
 func TestPreemptStopsTheCheapest(t *testing.T) {
--- /dev/null
+++ b/internal/pool/benchmark_test.go
@@ -0,0 +1,57 @@
+package pool_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/wheatroad/wheatroad/internal/catalog"
+	"github.com/wheatroad/wheatroad/internal/simulation"
+	"github.com/wheatroad/wheatroad/internal/taskgraph"
+)
+
+// submitMix submits jobs as the grown
+// deployments bring them: urgent gangs, gangs on one rack, and wide steps of small tasks.
+func submitMix(w *simulation.World, random *rand.Rand, first, count, racks int) {
+	sizes := []int{1, 2, 4, 8, 8}
+	for n := first; n < first+count; n++ {
+		step := taskgraph.Step{Amount: taskgraph.Amount{CPU: 7500, MemoryMB: 22000, GPUs: sizes[random.IntN(5)]},
+			Count: 1 + random.IntN(9), EstimateMillis: 2500, Gang: true, SameRack: random.IntN(5) > 0}
+		queue := urgent
+		switch kind := random.IntN(10); {
+		case kind >= 8:
+			queue = batch
+			step = taskgraph.Step{Amount: taskgraph.Amount{CPU: 5600, MemoryMB: 23000, GPUs: 1}, Count: 1 + random.IntN(70), EstimateMillis: 7600, Checkpoints: true}
+		case kind >= 6:
+			queue = catalog.Queue{Name: "middle", Priority: 1, MaxAttempts: 4, Stretch: 3, TargetMillis: 1000}
+			step.Amount = taskgraph.Amount{CPU: 26000, MemoryMB: 140000, GPUs: step.GPUs}
+			step.Count, step.EstimateMillis = 1+random.IntN(24), 6800
+			if random.IntN(3) == 0 {
+				step.PreferredRack = fmt.Sprintf("r-%d", random.IntN(racks))
+			}
+		}
+		w.Submit(spec(n+1, step), queue)
+	}
+}
+
+// BenchmarkOwner measures the owner's processor time for each virtual second of a
+// busy pool, at two sizes; the ratio of the two is the slope in the number of workers.
+func BenchmarkOwner(b *testing.B) {
+	for _, racks := range []int{4, 30} {
+		b.Run(fmt.Sprintf("workers=%d", racks*12), func(b *testing.B) {
+			for range b.N {
+				w := simulation.NewWorld(racks, 12)
+				w.Work = func(name taskgraph.TaskName) time.Duration { return 5 * time.Second }
+				random := rand.New(rand.NewPCG(1, 2))
+				w.Own()
+				perTick := racks * 12 / 35
+				for tick := range 100 {
+					submitMix(w, random, tick*perTick/10, (tick+1)*perTick/10-tick*perTick/10, racks)
+					w.Run(100 * time.Millisecond)
+				}
+				b.ReportMetric(float64(b.Elapsed().Milliseconds())/float64(b.N)/10, "ms/virtual-s")
+			}
+		})
+	}
+}
--- a/internal/pool/cycle.go
+++ b/internal/pool/cycle.go
@@ -8,23 +8,35 @@
 	"github.com/wheatroad/wheatroad/internal/placement"
 )
 
+// cyclePause is the least time between two cycles while units wait that the last one
+// could not place: most of what happens then changes nothing for them.
+const cyclePause = 10 * time.Millisecond
+
 // wake runs a scheduling cycle soon.
 func (p *Pool) wake() {
 	if p.waking || !p.loaded || p.gone || p.releasing {
 		return
 	}
 	p.waking = true
-	p.loop.Post(func() {
-		p.waking = false
-		if !p.gone && !p.releasing {
-			p.cycle()
-		}
-	})
+	pause := p.lastCycle.Add(cyclePause).Sub(p.loop.Now())
+	if !p.crowded || pause <= 0 {
+		p.loop.Post(p.runCycle)
+		return
+	}
+	p.loop.After(pause, p.runCycle)
+}
+
+func (p *Pool) runCycle() {
+	p.waking = false
+	if !p.gone && !p.releasing {
+		p.cycle()
+	}
 }
 
 // cycle places waiting units, the most pressing first.
 func (p *Pool) cycle() {
 	waiting := p.waitingUnits()
+	p.crowded = false
 	if len(waiting) == 0 {
 		return
 	}
@@ -35,10 +47,15 @@
 		if refused[class] {
 			continue
 		}
-		if !p.place(s, u) && len(u.avoid) == 0 {
+		if p.place(s, u) {
+			continue
+		}
+		p.crowded = true
+		if len(u.avoid) == 0 {
 			refused[class] = true
 		}
 	}
+	p.lastCycle = p.loop.Now()
 }
 
 // waitingUnits lists the units that want a place, the most pressing first.
--- a/internal/pool/findplace.go
+++ b/internal/pool/findplace.go
@@ -1,12 +1,11 @@
 package pool
 
 import (
-	"cmp"
 	"math"
-	"slices"
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/placement"
+	"github.com/wheatroad/wheatroad/internal/taskgraph"
 )
 
 // findPlace looks for room that is free now.
@@ -15,20 +14,21 @@
 		return p.findAnyPlace(s, u, request)
 	}
 	spec := u.spec()
-	visible := s.visibleTo(spec.Estimate())
+	visible := *request
+	visible.Limit = s.unreserved(spec.Estimate())
 	if p.patient(s, u) {
 		if u.job.Queue.Priority > p.pressurePriority && s.now.Before(p.pressureUntil) {
 			return nil
 		}
-		visible = s.withoutHeadroom(visible, u.job.Queue.Priority)
+		visible.Allowed = s.outsideHeadroom(request.Allowed, u.job.Queue.Priority)
 	}
 	if rack := spec.PreferredRack; rack != "" {
-		if places := placement.Fit(visible, s.racks.Members[rack], request); places != nil {
+		if places := placement.Fit(s.workers, s.racks.Members[rack], &visible); places != nil {
 			return places
 		}
 	}
 	if spec.SameRack && len(u.members) > 1 && spec.PreferredRack == "" {
-		if places := placement.FitOneRack(visible, s.racks, request); places != nil {
+		if places := placement.FitOneRack(s.workers, s.racks, &visible); places != nil {
 			return places
 		}
 	}
@@ -36,11 +36,11 @@
 		return nil
 	}
 	if len(u.members) > 1 && spec.Gang {
-		if places := placement.FitOneRack(visible, s.racks, request); places != nil {
+		if places := placement.FitOneRack(s.workers, s.racks, &visible); places != nil {
 			return places
 		}
 	}
-	return placement.Fit(visible, s.racks.All, request)
+	return placement.Fit(s.workers, s.racks.All, &visible)
 }
 
 // findAnyPlace looks for room that is free now, whoever else might want it.
@@ -80,39 +80,42 @@
 		u.slack(s.now) > time.Duration(patientShare*float64(u.job.objective))
 }
 
-// withoutHeadroom hides the emptiest racks, the more the less urgent the priority.
-func (s *snapshot) withoutHeadroom(workers []placement.Worker, priority int) []placement.Worker {
-	share := headroomShares[min(priority, len(headroomShares)-1)]
-	hidden := int(math.Ceil(share * float64(len(s.racks.Names))))
-	if len(s.racks.Names) <= hidden {
-		return workers
-	}
-	names := slices.Clone(s.racks.Names)
-	slices.SortStableFunc(names, func(a, b string) int {
-		return cmp.Compare(s.workers[s.racks.Members[b][0]].RackFree, s.workers[s.racks.Members[a][0]].RackFree)
-	})
-	visible := slices.Clone(workers)
-	for _, name := range names[:hidden] {
-		for _, i := range s.racks.Members[name] {
-			visible[i].Usable = false
+// outsideHeadroom narrows allowed to racks other than the emptiest, of which the
+// more are left out the less urgent the priority.
+func (s *snapshot) outsideHeadroom(allowed func(int) bool, priority int) func(int) bool {
+	hidden := s.headroom(min(priority, len(headroomShares)-1))
+	return func(i int) bool { return !hidden[s.workers[i].Rack] && (allowed == nil || allowed(i)) }
+}
+
+// headroom returns the racks that patient units of a priority leave to others.
+func (s *snapshot) headroom(priority int) map[string]bool {
+	if hidden := s.headrooms[priority]; hidden != nil {
+		return hidden
+	}
+	hidden := map[string]bool{}
+	count := int(math.Ceil(headroomShares[priority] * float64(len(s.racks.Names))))
+	if count < len(s.racks.Names) {
+		for _, name := range s.racks.Emptiest(s.workers)[:count] {
+			hidden[name] = true
 		}
 	}
-	return visible
+	s.headrooms[priority] = hidden
+	return hidden
 }
 
-// visibleTo returns the workers with reserved room hidden from units that would not
-// be gone in time.
-func (s *snapshot) visibleTo(estimate time.Duration) []placement.Worker {
+// unreserved returns a limit that hides reserved room from units that would not be
+// gone in time; nil if nothing is reserved.
+func (s *snapshot) unreserved(estimate time.Duration) func(int, taskgraph.Amount) taskgraph.Amount {
 	if len(s.reserved) == 0 {
-		return s.workers
+		return nil
 	}
-	visible := slices.Clone(s.workers)
-	for i, reserved := range s.reserved {
-		if estimate > reserved.after {
-			visible[i].Free = visible[i].Free.Least(reserved.spare)
+	return func(i int, free taskgraph.Amount) taskgraph.Amount {
+		reserved, any := s.reserved[i]
+		if !any || estimate <= reserved.after {
+			return free
 		}
+		return free.Least(reserved.spare)
 	}
-	return visible
 }
 
 // scopes lists the groups of workers in which a unit should stand, best first.
@@ -137,10 +140,11 @@
 		return nil
 	}
 	var best *placement.Promise
+	limit := time.Duration(math.MaxInt64)
 	for _, scope := range s.scopes(u) {
-		promise := placement.EarliestFit(s.workers, scope, s.units, request)
-		if promise != nil && (best == nil || promise.After < best.After) {
+		if promise := placement.EarliestFit(s.workers, scope, s.units, request, limit); promise != nil {
 			best = promise
+			limit = promise.After
 		}
 	}
 	return best
--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -72,7 +72,7 @@
 
 // uncertain reports whether a member's start got no answer.
 func (w *worker) uncertain() bool {
-	for m := range w.members {
+	for _, m := range w.members {
 		if m.state == memberUncertain {
 			return true
 		}
@@ -202,7 +202,7 @@
 		listed[m] = true
 		p.memberListed(m, entry, now)
 	}
-	for _, m := range w.sortedMembers() {
+	for _, m := range w.members {
 		if !listed[m] {
 			p.memberNotListed(m, sentAt)
 		}
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -267,8 +267,8 @@
 	listed bool
 	// greeted is true once the worker has answered under this owner's token.
 	greeted bool
-	// members that may run here.
-	members map[*member]bool
+	// members that may run here, in the order of their assignment.
+	members []*member
 	// strangers are runs that the worker lists and the owner does not want.
 	strangers map[stranger]taskgraph.Amount
 	// clock is the worker's clock in milliseconds at clockAt.
--- a/internal/pool/orders.go
+++ b/internal/pool/orders.go
@@ -5,8 +5,6 @@
 	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/wheatroad/wheatroad/internal/fleet"
 	"github.com/wheatroad/wheatroad/internal/taskgraph"
 )
@@ -23,43 +21,6 @@
 	gangPatience = 0.6
 )
 
-// orderClass groups the errors of orders by what follows from them.
-type orderClass int
-
-const (
-	orderRefused orderClass = iota
-	orderFenced
-	orderInstanceGone
-	orderUnhealthy
-	orderNoAnswer
-)
-
-func classifyOrder(err error) orderClass {
-	switch {
-	case errors.Is(err, fleet.ErrFenced):
-		return orderFenced
-	case errors.Is(err, fleet.ErrOtherInstance):
-		return orderInstanceGone
-	case errors.Is(err, fleet.ErrUnhealthy):
-		return orderUnhealthy
-	case errors.IsAny(err, fleet.ErrLate, fleet.ErrNoRoom, fleet.ErrSuperseded, fleet.ErrInvalid):
-		return orderRefused
-	}
-	return orderNoAnswer
-}
-
-func orderReason(err error) string {
-	for reason, kind := range map[string]error{
-		"fenced": fleet.ErrFenced, "other_instance": fleet.ErrOtherInstance, "unhealthy": fleet.ErrUnhealthy,
-		"late": fleet.ErrLate, "no_room": fleet.ErrNoRoom, "superseded": fleet.ErrSuperseded, "invalid": fleet.ErrInvalid,
-	} {
-		if errors.Is(err, kind) {
-			return reason
-		}
-	}
-	return "no_answer"
-}
-
 // assign books a member's room on a worker.
 func (p *Pool) assign(m *member, w *worker) {
 	m.worker = w
@@ -67,7 +28,7 @@
 	m.stopSent, m.stopAnswered = false, false
 	m.percent, m.percentAt, m.listedAt = 0, time.Time{}, time.Time{}
 	m.sentAt = time.Time{}
-	w.members[m] = true
+	w.members = append(w.members, m)
 }
 
 // release frees a member's room.
@@ -77,7 +38,7 @@
 		m.stopTimer = nil
 	}
 	if m.worker != nil {
-		delete(m.worker.members, m)
+		m.worker.members = slices.DeleteFunc(slices.Clone(m.worker.members), func(other *member) bool { return other == m })
 	}
 	m.worker = nil
 	m.state = memberNone
@@ -181,12 +142,13 @@
 
 func (p *Pool) startFailed(m *member, err error) {
 	w, u := m.worker, m.unit
-	p.record.Count("start_failures", orderReason(err))
-	p.record.Decided("start failed", "job", u.job.id, "task", m.name().String(), "run", u.run, "worker", w.ID, "reason", orderReason(err))
+	reason := fleet.ReasonOf(err)
+	p.record.Count("start_failures", string(reason))
+	p.record.Decided("start failed", "job", u.job.id, "task", m.name().String(), "run", u.run, "worker", w.ID, "reason", string(reason))
 	if p.orderFailed(w, err) {
 		return
 	}
-	if classifyOrder(err) == orderNoAnswer {
+	if reason == fleet.NoAnswer {
 		if u.state == unitActive && p.loop.Now().Sub(u.startedAt) < startPatience && !m.stopSent {
 			// The same run again: the worker starts it once, however often it is told.
 			p.record.Count("retries", "start")
@@ -199,7 +161,7 @@
 		p.sendStop(m)
 		return
 	}
-	if errors.Is(err, fleet.ErrNoRoom) {
+	if reason == fleet.NoRoom {
 		// Something runs there that is not known here.
 		w.penaltyUntil = p.loop.Now().Add(roomPenalty)
 		p.look(w)
@@ -278,13 +240,3 @@
 		}
 	})
 }
-
-// sortedMembers returns the worker's members in the order of their names.
-func (w *worker) sortedMembers() []*member {
-	sorted := make([]*member, 0, len(w.members))
-	for m := range w.members {
-		sorted = append(sorted, m)
-	}
-	slices.SortFunc(sorted, func(a, b *member) int { return strings.Compare(a.name().String(), b.name().String()) })
-	return sorted
-}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -31,12 +31,18 @@
 	acquiredAt time.Time
 	jobs       map[string]*job
 	workers    map[string]*worker
-	writer     writer
+	// workerOrder has the workers in the order of their names; nil once they change.
+	workerOrder []*worker
+	writer      writer
 	// loaded is true once rows are read; orders go out only then.
 	loaded    bool
 	gone      bool
 	releasing bool
 	waking    bool
+	// lastCycle is when the last scheduling cycle ended, and crowded is true if it
+	// left units waiting.
+	lastCycle time.Time
+	crowded   bool
 	// storeAnsweredAt is when the store last answered.
 	storeAnsweredAt time.Time
 	// pressureUntil is how long patient units below pressurePriority wait.
@@ -138,13 +144,18 @@
 // Loaded reports whether the pool's rows are read.
 func (p *Pool) Loaded() bool { return p.loaded }
 
-// sortedWorkers returns the workers in the order of their names.
+// sortedWorkers returns the workers in the order of their names. The list stays as it
+// is when workers come and go.
 func (p *Pool) sortedWorkers() []*worker {
+	if p.workerOrder != nil {
+		return p.workerOrder
+	}
 	sorted := make([]*worker, 0, len(p.workers))
 	for _, w := range p.workers {
 		sorted = append(sorted, w)
 	}
 	slices.SortFunc(sorted, func(a, b *worker) int { return strings.Compare(a.ID, b.ID) })
+	p.workerOrder = sorted
 	return sorted
 }
 
--- a/internal/pool/snapshot.go
+++ b/internal/pool/snapshot.go
@@ -18,6 +18,8 @@
 	running []*unit
 	// usage is the share of the pool's room that is taken, of the scarcest kind.
 	usage float64
+	// headrooms has, by priority, the racks that patient units leave to others.
+	headrooms []map[string]bool
 	// reservations is how many more units may keep room free.
 	reservations int
 	// reserved has room kept for units that wait, by worker.
@@ -43,12 +45,13 @@
 
 func (p *Pool) snapshot() *snapshot {
 	now := p.loop.Now()
-	s := &snapshot{now: now, index: map[*worker]int{}, reservations: reservationLimit, reserved: map[int]reservation{}}
+	s := &snapshot{now: now, index: map[*worker]int{}, reservations: reservationLimit, reserved: map[int]reservation{},
+		headrooms: make([]map[string]bool, len(headroomShares))}
 	numbers := map[*unit]int{}
 	for _, w := range p.sortedWorkers() {
-		entry := placement.Worker{Rack: w.rack, Free: w.Capacity, Usable: p.usable(w, now)}
+		entry := placement.Worker{Rack: w.rack, Capacity: w.Capacity, Free: w.Capacity, Usable: p.usable(w, now)}
 		place := len(s.workers)
-		for _, m := range w.sortedMembers() {
+		for _, m := range w.members {
 			room := m.unit.spec().Room()
 			entry.Free = entry.Free.Minus(room)
 			number, known := numbers[m.unit]
@@ -122,7 +125,7 @@
 	if spec.MaxPerWorker > 0 {
 		request.Present = func(i int) int {
 			count := 0
-			for m := range s.owners[i].members {
+			for _, m := range s.owners[i].members {
 				if m.unit.step == u.step {
 					count++
 				}
--- a/internal/pool/unit.go
+++ b/internal/pool/unit.go
@@ -110,7 +110,7 @@
 	now := p.loop.Now()
 	patience := time.Duration(gangPatience * float64(p.options.Bounds.GangTimeout))
 	for _, w := range p.sortedWorkers() {
-		for _, m := range w.sortedMembers() {
+		for _, m := range w.members {
 			u := m.unit
 			switch {
 			case u.state != unitActive:
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -80,11 +80,12 @@
 // unlistedWorker makes a worker of which only the name is known.
 func (p *Pool) unlistedWorker(id string) *worker {
 	w := &worker{
-		Worker:  fleet.Worker{ID: id},
-		members: map[*member]bool{}, strangers: map[stranger]taskgraph.Amount{},
-		clockAt: p.loop.Now(),
+		Worker:    fleet.Worker{ID: id},
+		strangers: map[stranger]taskgraph.Amount{},
+		clockAt:   p.loop.Now(),
 	}
 	p.workers[id] = w
+	p.workerOrder = nil
 	return w
 }
 
@@ -103,22 +104,23 @@
 			w.holdTimer()
 		}
 		delete(p.workers, w.ID)
+		p.workerOrder = nil
 	}
 }
 
 // orderFailed handles what every order's failure has in common. It returns true if
 // the worker or the pool is no longer this owner's.
 func (p *Pool) orderFailed(w *worker, err error) bool {
-	switch classifyOrder(err) {
-	case orderFenced:
+	switch fleet.ReasonOf(err) {
+	case fleet.Fenced:
 		p.Abandon("fenced by worker " + w.ID)
 		return true
-	case orderInstanceGone:
+	case fleet.OtherInstance:
 		p.workerDead(w, "another instance answers")
 		return true
-	case orderNoAnswer:
+	case fleet.NoAnswer:
 		p.unheard(w)
-	case orderUnhealthy:
+	case fleet.Unhealthy:
 		w.penaltyUntil = p.loop.Now().Add(penalty)
 	}
 	return false
@@ -127,7 +129,7 @@
 // workerDead ends all that ran on a worker that no longer lives.
 func (p *Pool) workerDead(w *worker, reason string) {
 	p.record.Decided("worker dead", "worker", w.ID, "reason", reason, "runs", len(w.members))
-	for _, m := range w.sortedMembers() {
+	for _, m := range w.members {
 		p.memberEnded(m, fleet.Lapsed)
 	}
 	w.listed = false
@@ -155,7 +157,7 @@
 		if !w.Draining {
 			continue
 		}
-		for m := range w.members {
+		for _, m := range w.members {
 			if m.unit.spec().LongRunning {
 				p.evacuate(w)
 				break
@@ -168,7 +170,7 @@
 func (p *Pool) checkStops() {
 	now := p.loop.Now()
 	for _, w := range p.sortedWorkers() {
-		for _, m := range w.sortedMembers() {
+		for _, m := range w.members {
 			if m.stopAnswered && now.Sub(m.sentAt) > p.options.Bounds.StopTimeout+stopMargin {
 				p.look(w)
 				break
@@ -186,7 +188,7 @@
 		silent := w.unanswered > 0 || (!w.greeted && p.loaded)
 		if silent && len(w.members) > 0 && p.lapsed(w) {
 			p.record.Decided("lease ran out", "worker", w.ID, "runs", len(w.members))
-			for _, m := range w.sortedMembers() {
+			for _, m := range w.members {
 				p.memberEnded(m, fleet.Lapsed)
 			}
 			p.forgetIfIdle(w)
@@ -199,7 +201,7 @@
 func (p *Pool) evacuate(w *worker) {
 	now := p.loop.Now()
 	left := time.Duration(w.RemainingMillis) * time.Millisecond
-	for _, m := range w.sortedMembers() {
+	for _, m := range w.members {
 		u := m.unit
 		if u.state != unitActive {
 			continue
