Suspect one owner at a time; relieve weak owners; leave unreachable workers at once

The logs: a node that had asked others about an owner took the pool 2.4 s later from the next, healthy one (reason "sohar-hall-2 lost the store", lease of seeb-hall-11); a machine with 0.192 of a core then kept it for 15 s. Starts on workers that refused connections were sent again without a pause (6,189 failures in 22 s). A simulated history showed one more: a start without an answer, then refused at the next try, counted as not run although it could still be carried out. Change: suspicion ends with the lease and with the owner's next good answer; a node with twice the owner's weight relieves it after four answers; "unreachable" is a reason of its own, which is final unless an earlier try got no answer; 50 ms between tries.

--- a/internal/fleet/failure.go
+++ b/internal/fleet/failure.go
@@ -20,6 +20,8 @@
 	OtherInstance Reason = "other_instance"
 	// Invalid: the worker did not understand the order.
 	Invalid Reason = "invalid"
+	// Unreachable: the order did not reach the worker, so it surely had no effect.
+	Unreachable Reason = "unreachable"
 	// NoAnswer: the order may have been carried out, or may be later.
 	NoAnswer Reason = "no_answer"
 )
@@ -40,6 +42,7 @@
 	ErrUnhealthy     = &Failure{Reason: Unhealthy}
 	ErrOtherInstance = &Failure{Reason: OtherInstance}
 	ErrInvalid       = &Failure{Reason: Invalid}
+	ErrUnreachable   = &Failure{Reason: Unreachable}
 	ErrNoAnswer      = &Failure{Reason: NoAnswer}
 )
 
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -75,6 +75,7 @@
 		n.replaceIfSuspect(w, "owner "+owner+" lost the store")
 	default:
 		w.failures = 0
+		n.relieveIfWeak(w)
 		w.answeredAt = n.now()
 		if w.lost {
 			w.lost = false
@@ -105,14 +106,23 @@
 	if !n.suspect(w) || n.stopping.Load() {
 		return
 	}
-	n.askWitnesses(w, func(seen bool) {
-		if seen {
+	n.askWitnesses(w, n.witnessed(w, reason))
+}
+
+// witnessed returns what to do once others have said whether they see a pool's owner.
+func (n *Node) witnessed(w *watch, reason string) func(seen bool) {
+	lease := n.leases[w.pool]
+	return func(seen bool) {
+		switch {
+		case n.leases[w.pool].version != lease.version:
+			// What was suspected of one owner says nothing of the next.
+		case seen:
 			n.edges.Record.Count("takeovers", "owner_seen_by_others")
-			n.edges.Record.Decided("owner left in place", "pool", w.pool, "owner", n.leases[w.pool].Owner, "reason", reason)
-			return
+			n.edges.Record.Decided("owner left in place", "pool", w.pool, "owner", lease.Owner, "reason", reason)
+		default:
+			n.acquireLater(w, reason, n.suspect)
 		}
-		n.acquireLater(w, reason)
-	})
+	}
 }
 
 // witnessCount is how many other nodes are asked whether they see an owner.
--- a/internal/node/ownership.go
+++ b/internal/node/ownership.go
@@ -25,6 +25,8 @@
 	lost      bool
 	scheduled bool
 	serial    int
+	// outweighed counts answers in a row of an owner that this node outweighs.
+	outweighed int
 }
 
 // watchPool begins to care for a pool.
@@ -58,11 +60,12 @@
 	}
 	w.failures = 0
 	w.lost = false
+	w.outweighed = 0
 	lease := n.leases[name]
 	switch {
 	case !w.read || n.owned[name] != nil:
 	case lease.Owner == "":
-		n.acquireLater(w, "no owner")
+		n.acquireLater(w, "no owner", n.unowned)
 	case lease.Owner == n.options.Name && lease.Incarnation != n.options.Incarnation:
 		n.acquire(w, "own earlier life")
 	}
@@ -94,8 +97,9 @@
 
 func rankHash(poolName, node string) uint64 { return xxhash.Sum64String(poolName + "/" + node) }
 
-// acquireLater tries to take a pool after a delay that differs among nodes.
-func (n *Node) acquireLater(w *watch, reason string) {
+// acquireLater tries to take a pool after a delay that differs among nodes, if the
+// lease is the same and still holds then.
+func (n *Node) acquireLater(w *watch, reason string, still func(*watch) bool) {
 	if w.scheduled || n.stopping.Load() {
 		return
 	}
@@ -103,7 +107,7 @@
 	version := n.leases[w.pool].version
 	n.edges.Loop.After(time.Duration(n.rank(w.pool))*rankDelay, func() {
 		w.scheduled = false
-		if n.leases[w.pool].version == version {
+		if n.leases[w.pool].version == version && still(w) {
 			n.acquire(w, reason)
 		}
 	})
@@ -137,7 +141,7 @@
 // leaseChangedAfterFailure tries again while the reason stands.
 func (n *Node) leaseChangedAfterFailure(w *watch, reason string) {
 	lease := n.leases[w.pool]
-	if lease.Owner == "" || n.suspect(w) || lease.Owner == n.options.Name {
+	if n.unowned(w) || n.suspect(w) || lease.Owner == n.options.Name {
 		n.acquire(w, reason)
 	}
 }
@@ -189,5 +193,34 @@
 	n.checkReleased()
 }
 
+// unowned reports whether a pool has no owner.
+func (n *Node) unowned(w *watch) bool { return n.leases[w.pool].Owner == "" }
+
+// An owner that a node outweighs by weightFactor is relieved by it once it has
+// answered that node relieveAfter times in a row.
+const (
+	weightFactor = 2.0
+	relieveAfter = 4
+)
+
+// relieveIfWeak takes a pool from an owner that has much less processor time than
+// this node: at a takeover amid other trouble the first to try may be a weak one.
+func (n *Node) relieveIfWeak(w *watch) {
+	if !n.outweighs(w) {
+		w.outweighed = 0
+		return
+	}
+	if w.outweighed++; w.outweighed >= relieveAfter {
+		n.acquireLater(w, "owner "+n.leases[w.pool].Owner+" is weak", n.outweighs)
+	}
+}
+
+// outweighs reports whether this node is fit to relieve a pool's owner.
+func (n *Node) outweighs(w *watch) bool {
+	owner, known := n.members[n.leases[w.pool].Owner]
+	return known && owner.Weight > 0 && n.options.Weight >= weightFactor*owner.Weight &&
+		n.storeAge() < storeDead/2 && !n.stopping.Load()
+}
+
 // suspect reports whether a pool's owner should be replaced.
 func (n *Node) suspect(w *watch) bool { return w.failures >= pingFailures }
--- /dev/null
+++ b/internal/node/ownership_test.go
@@ -0,0 +1,126 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wheatroad/wheatroad/internal/pool"
+	"github.com/wheatroad/wheatroad/internal/rows"
+)
+
+// manualLoop runs what is posted at once and timers when the test lets time pass.
+type manualLoop struct {
+	now    time.Time
+	timers []manualTimer
+}
+
+type manualTimer struct {
+	at  time.Time
+	run func()
+}
+
+func (l *manualLoop) Now() time.Time { return l.now }
+func (l *manualLoop) Post(fn func()) { fn() }
+func (l *manualLoop) After(d time.Duration, fn func()) func() {
+	l.timers = append(l.timers, manualTimer{at: l.now.Add(d), run: fn})
+	return func() {}
+}
+
+// pass lets time pass, and runs the timers that are due.
+func (l *manualLoop) pass(d time.Duration) {
+	l.now = l.now.Add(d)
+	due := l.timers
+	l.timers = nil
+	for _, timer := range due {
+		if timer.at.After(l.now) {
+			l.timers = append(l.timers, timer)
+			continue
+		}
+		timer.run()
+	}
+}
+
+// watchingNode is a node that watches one pool.
+type watchingNode struct {
+	*Node
+	loop  *manualLoop
+	watch *watch
+}
+
+// newWatchingNode returns a node of a weight beside others of given weights.
+func newWatchingNode(t *testing.T, weight float64, others map[string]float64) *watchingNode {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	l := &manualLoop{now: time.Now()}
+	n := New(ctx, Options{Name: "node-1", Weight: weight}, Edges{Store: newFakeStore(), Loop: l, Record: silentRecorder{}})
+	n.members["node-1"] = member{Name: "node-1", Weight: weight}
+	for name, other := range others {
+		n.members[name] = member{Name: name, Weight: other}
+	}
+	n.watches[poolName] = &watch{pool: poolName, read: true}
+	n.noteStore(nil)
+	return &watchingNode{Node: n, loop: l, watch: n.watches[poolName]}
+}
+
+// leaseOf lets the node read a lease.
+func (n *watchingNode) leaseOf(owner string, version int64) {
+	key := pool.LeaseKey(poolName)
+	value, _ := json.Marshal(pool.Lease{Owner: owner, Address: owner})
+	n.applyNodeRow(rows.Row{Key: rows.Key{Table: key.Table, Part: key.Part, Name: key.Name}, Value: value, Version: version})
+}
+
+// TestSuspicionEndsWithTheLease: a node asked others about an owner, the lease passed
+// on to a healthy one meanwhile, and the node then took the pool from that one.
+func TestSuspicionEndsWithTheLease(t *testing.T) {
+	n := newWatchingNode(t, 1, nil)
+	n.leaseOf("node-2", 5)
+	n.watch.failures = pingFailures
+	n.acquireLater(n.watch, "owner node-2 does not answer", n.suspect)
+	n.leaseOf("node-3", 6)
+	n.loop.pass(time.Minute)
+	require.False(t, n.watch.acquiring, "the lease is another")
+
+	n.watch.failures = pingFailures
+	n.acquireLater(n.watch, "owner node-3 does not answer", n.suspect)
+	n.pingAnswered(n.watch, pingReply{Owner: true})
+	n.loop.pass(time.Minute)
+	require.False(t, n.watch.acquiring, "the owner answered meanwhile")
+}
+
+// TestWitnessesOfAnEarlierLeaseAreIgnored: the answers came when the pool had another
+// owner already.
+func TestWitnessesOfAnEarlierLeaseAreIgnored(t *testing.T) {
+	n := newWatchingNode(t, 1, nil)
+	n.leaseOf("node-2", 5)
+	n.watch.failures = pingFailures
+	answer := n.witnessed(n.watch, "owner node-2 does not answer")
+	n.leaseOf("node-3", 6)
+	answer(false)
+	n.watch.failures = pingFailures
+	n.loop.pass(time.Minute)
+	require.False(t, n.watch.acquiring)
+}
+
+func TestWeakOwnerIsRelieved(t *testing.T) {
+	cases := map[string]struct {
+		own, owner float64
+		want       bool
+	}{
+		"much weaker": {0.8, 0.2, true},
+		"alike":       {0.4, 0.4, false},
+		"stronger":    {0.2, 0.8, false},
+	}
+	for name, c := range cases {
+		n := newWatchingNode(t, c.own, map[string]float64{"node-2": c.owner})
+		n.leaseOf("node-2", 5)
+		for range relieveAfter {
+			require.False(t, n.watch.scheduled, name)
+			n.pingAnswered(n.watch, pingReply{Owner: true})
+		}
+		require.Equal(t, c.want, n.watch.scheduled, name)
+	}
+}
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -109,7 +109,10 @@
 	stopSent     bool
 	stopAnswered bool
 	stopTimer    func()
-	sentAt       time.Time
+	// doubtful is true once a start of the present run got no answer: it may be carried
+	// out later, whatever later tries are told.
+	doubtful bool
+	sentAt   time.Time
 	// percent is the progress that the worker last listed, percentAt when it last
 	// changed, and listedAt when it was last listed.
 	percent   int
--- a/internal/pool/orders.go
+++ b/internal/pool/orders.go
@@ -14,6 +14,8 @@
 	// start is carried out later than that.
 	startLimit = 3 * time.Second
 	stopRetry  = 200 * time.Millisecond
+	// startRetry is the pause before a start without an answer is sent again.
+	startRetry = 50 * time.Millisecond
 	// startPatience is how long a start without an answer is sent again.
 	startPatience = 1200 * time.Millisecond
 	// gangPatience is the share of the gang timeout after which an incomplete gang
@@ -25,7 +27,7 @@
 func (p *Pool) assign(m *member, w *worker) {
 	m.worker = w
 	m.state = memberNone
-	m.stopSent, m.stopAnswered = false, false
+	m.stopSent, m.stopAnswered, m.doubtful = false, false, false
 	m.percent, m.percentAt, m.listedAt = 0, time.Time{}, time.Time{}
 	m.sentAt = time.Time{}
 	w.members = append(w.members, m)
@@ -148,11 +150,10 @@
 	if p.orderFailed(w, err) {
 		return
 	}
-	if reason == fleet.NoAnswer {
-		if u.state == unitActive && p.loop.Now().Sub(u.startedAt) < startPatience && !m.stopSent {
-			// The same run again: the worker starts it once, however often it is told.
-			p.record.Count("retries", "start")
-			p.sendStart(m)
+	m.doubtful = m.doubtful || reason == fleet.NoAnswer
+	if m.doubtful {
+		if reason == fleet.NoAnswer && u.state == unitActive && p.loop.Now().Sub(u.startedAt) < startPatience && !m.stopSent {
+			p.startAgain(m)
 			return
 		}
 		m.state = memberUncertain
@@ -170,6 +171,18 @@
 	p.memberEnded(m, fleet.Stopped)
 }
 
+// startAgain sends a start once more after a pause. The worker starts the same run
+// once, however often it is told.
+func (p *Pool) startAgain(m *member) {
+	w, u, run := m.worker, m.unit, m.unit.run
+	p.record.Count("retries", "start")
+	p.loop.After(startRetry, func() {
+		if !p.gone && m.worker == w && u.run == run && u.state == unitActive && m.state == memberStarting {
+			p.sendStart(m)
+		}
+	})
+}
+
 // roomPenalty keeps new work away from a worker that had no room.
 const roomPenalty = 500 * time.Millisecond
 
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -118,7 +118,7 @@
 	case fleet.OtherInstance:
 		p.workerDead(w, "another instance answers")
 		return true
-	case fleet.NoAnswer:
+	case fleet.NoAnswer, fleet.Unreachable:
 		p.unheard(w)
 	case fleet.Unhealthy:
 		w.penaltyUntil = p.loop.Now().Add(penalty)
--- a/internal/simulation/worker.go
+++ b/internal/simulation/worker.go
@@ -32,6 +32,10 @@
 	Replaced bool
 	// LoseOrder decides the fate of each order; holds are always answered.
 	LoseOrder func() Fate
+	// Unreachable workers refuse connections.
+	Unreachable bool
+	// Unwell workers refuse starts.
+	Unwell bool
 	// Failing workers fail all that they start, Standing ones make no progress.
 	Failing  bool
 	Standing bool
@@ -87,6 +91,9 @@
 		return reply, fleet.ErrFenced
 	}
 	w.token = order.Token
+	if w.Unwell {
+		return reply, fleet.ErrUnhealthy
+	}
 	if present := w.runs[order.Task]; present != nil && present.number == order.Run {
 		return reply, nil
 	}
@@ -244,3 +251,6 @@
 
 // Runs returns how many runs the worker has.
 func (w *Worker) Runs() int { return len(w.runs) }
+
+// Load returns how many runs the worker has.
+func (w *Worker) Load() int { return len(w.runs) }
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -29,6 +29,8 @@
 	// Work is how long a task takes.
 	Work    func(taskgraph.TaskName) time.Duration
 	Workers []*Worker
+	// OrderDelay is how much later an order of the fate DoneLate is carried out.
+	OrderDelay time.Duration
 	// WorkerTable holds the workers' rows, which EncodeWorker renders.
 	WorkerTable  string
 	EncodeWorker func(*fleet.Worker) []byte
@@ -54,6 +56,7 @@
 			Reclaim: 3 * time.Second, CheckpointInterval: time.Second, StatusRetention: 120 * time.Second, RemoteFactor: 3,
 		},
 		Catalog:     &catalog.Catalog{Version: 1, Pools: []catalog.Pool{{Name: PoolName, EnforcesCapacity: true}}},
+		OrderDelay:  lateBy,
 		WorkerTable: "workers", EncodeWorker: encodeWorker,
 		Work: func(taskgraph.TaskName) time.Duration { return time.Second },
 	}
@@ -248,6 +251,10 @@
 			clock.After(orderLatency/2, func() { done(fleet.Reply{}, fleet.ErrOtherInstance) })
 			return
 		}
+		if w.Unreachable {
+			clock.After(orderLatency/2, func() { done(fleet.Reply{}, fleet.ErrUnreachable) })
+			return
+		}
 		fate := Answered
 		if w.LoseOrder != nil {
 			fate = w.LoseOrder()
@@ -263,7 +270,7 @@
 		case AnswerLost:
 			_, _ = carryOut(w)
 		case DoneLate:
-			clock.After(lateBy, func() {
+			clock.After(p.world.OrderDelay, func() {
 				if !w.Dead {
 					_, _ = carryOut(w)
 				}
