Replace an owner that lost the store by what it says of its feeds

Change: an owner tells that its feeds fail; with an answer older than 0.7 s it is suspect at once, if the asking node has not lost the store too. A failed acquisition is not repeated against a standing owner without new suspicion.

--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -17,8 +17,10 @@
 type pingReply struct {
 	Owner bool `json:"owner"`
 	// StoreAgeMillis is how long ago the store last answered the node.
-	StoreAgeMillis int64          `json:"store_age_ms"`
-	Waiting        map[string]int `json:"waiting,omitempty"`
+	StoreAgeMillis int64 `json:"store_age_ms"`
+	// StoreLost is true once the node's feeds have failed since that answer.
+	StoreLost bool           `json:"store_lost,omitempty"`
+	Waiting   map[string]int `json:"waiting,omitempty"`
 	catalogNews
 }
 
@@ -70,8 +72,8 @@
 		// The process is a new life, or was deposed without our knowing.
 		w.failures++
 		n.replaceIfSuspect(w, "owner "+owner+" does not own")
-	case time.Duration(reply.StoreAgeMillis)*time.Millisecond > storeDead && n.storeAge() < storeDead/2:
-		w.failures++
+	case n.storeLostOnlyBy(reply):
+		w.failures = pingFailures
 		n.replaceIfSuspect(w, "owner "+owner+" lost the store")
 	default:
 		w.failures = 0
@@ -86,6 +88,16 @@
 	}
 }
 
+// storeLostOnlyBy reports whether an owner has lost the store that this node has.
+func (n *Node) storeLostOnlyBy(owner pingReply) bool {
+	limit := storeDead
+	if owner.StoreLost {
+		limit = storeFailing
+	}
+	silent := time.Duration(owner.StoreAgeMillis) * time.Millisecond
+	return silent > limit && !n.storeLost() && n.storeAge() < storeDead/2
+}
+
 // pingFailed counts a failure. A refused connection says that the process is gone,
 // silence says so only the second time.
 func (n *Node) pingFailed(w *watch, err error) {
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -65,6 +65,8 @@
 	// storeDead is the age of the store's last answer at which a node counts as
 	// having lost the store.
 	storeDead = 2200 * time.Millisecond
+	// storeFailing is that age for a node whose feeds fail.
+	storeFailing = 700 * time.Millisecond
 	// rankDelay separates the nodes that would take a pool.
 	rankDelay  = 200 * time.Millisecond
 	retryPause = 200 * time.Millisecond
--- a/internal/node/ownership.go
+++ b/internal/node/ownership.go
@@ -129,7 +129,8 @@
 		case err != nil:
 			// If the write took effect after all, the feed shows it.
 			n.edges.Record.Count("retries", "acquire")
-			n.edges.Loop.After(retryPause, func() { n.leaseChangedAfterFailure(w, reason) })
+			w.failures = 0
+			n.edges.Loop.After(retryPause, func() { n.acquireAfterFailure(w, reason) })
 		case result.Committed:
 			n.own(w.pool, result.Version, nonce)
 		default:
@@ -138,10 +139,10 @@
 	})
 }
 
-// leaseChangedAfterFailure tries again while the reason stands.
-func (n *Node) leaseChangedAfterFailure(w *watch, reason string) {
-	lease := n.leases[w.pool]
-	if n.unowned(w) || n.suspect(w) || lease.Owner == n.options.Name {
+// acquireAfterFailure tries again unless another owner stands: that one is as it was
+// before the store failed this node, and has to be suspected anew.
+func (n *Node) acquireAfterFailure(w *watch, reason string) {
+	if n.unowned(w) || n.leases[w.pool].Owner == n.options.Name {
 		n.acquire(w, reason)
 	}
 }
--- a/internal/node/ownership_test.go
+++ b/internal/node/ownership_test.go
@@ -124,3 +124,28 @@
 		require.Equal(t, c.want, n.watch.scheduled, name)
 	}
 }
+
+// TestOwnerThatLostTheStoreIsReplacedSoon by what it says of the store, unless the
+// asking node has lost it too.
+func TestOwnerThatLostTheStoreIsReplacedSoon(t *testing.T) {
+	cases := map[string]struct {
+		reply    pingReply
+		lostHere bool
+		want     bool
+	}{
+		"answered lately":           {pingReply{Owner: true, StoreAgeMillis: 600, StoreLost: true}, false, false},
+		"failing":                   {pingReply{Owner: true, StoreAgeMillis: 800, StoreLost: true}, false, true},
+		"quiet, nothing failed":     {pingReply{Owner: true, StoreAgeMillis: 1100}, false, false},
+		"silent":                    {pingReply{Owner: true, StoreAgeMillis: 2300}, false, true},
+		"lost by this node as well": {pingReply{Owner: true, StoreAgeMillis: 2300, StoreLost: true}, true, false},
+	}
+	for name, c := range cases {
+		n := newWatchingNode(t, 1, nil)
+		n.leaseOf("node-2", 5)
+		if c.lostHere {
+			n.noteStoreFailure(rows.ErrNoAnswer)
+		}
+		n.pingAnswered(n.watch, c.reply)
+		require.Equal(t, c.want, n.watch.scheduled, name)
+	}
+}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -133,7 +133,7 @@
 }
 
 func (n *Node) servePing(ctx context.Context, request pingRequest, version int64) (pingReply, error) {
-	reply := pingReply{StoreAgeMillis: n.storeAge().Milliseconds(), catalogNews: n.news(version)}
+	reply := pingReply{StoreAgeMillis: n.storeAge().Milliseconds(), StoreLost: n.storeLost(), catalogNews: n.news(version)}
 	err := loop.Call(ctx, n.edges.Loop, func() {
 		p := n.owned[request.Pool]
 		if p == nil {
