--- /dev/null
+++ b/cmd/wheatroad-bench/faults/faults_test.go
@@ -0,0 +1,184 @@
+package faults
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wheatroad/wheatroad/internal/catalog"
+	"github.com/wheatroad/wheatroad/internal/fleet"
+	"github.com/wheatroad/wheatroad/internal/simulation"
+	"github.com/wheatroad/wheatroad/internal/taskgraph"
+	"github.com/wheatroad/wheatroad/platform/standin"
+)
+
+func TestPlanIsTheSameForASeed(t *testing.T) {
+	plan := NewPlan(7, time.Minute)
+	require.Equal(t, plan, NewPlan(7, time.Minute))
+	require.NotEqual(t, plan, NewPlan(8, time.Minute))
+	drawn := map[Kind]bool{}
+	for seed := range uint64(40) {
+		for _, fault := range NewPlan(seed, time.Minute) {
+			drawn[fault.Kind] = true
+		}
+	}
+	require.Len(t, drawn, len(Kinds()), "every kind comes")
+}
+
+// echo answers each byte with itself.
+func echo(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(connection, connection) }()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// TestProxyModes: a cut connection hands on nothing, also once the cut has healed, since
+// bytes were lost; a new one works; a reset ends it.
+func TestProxyModes(t *testing.T) {
+	proxy, err := NewProxy(echo(t))
+	require.NoError(t, err)
+	t.Cleanup(proxy.Close)
+	for _, mode := range []Mode{Silence, CutAnswers, CutRequests} {
+		connection, err := net.Dial("tcp", proxy.Address())
+		require.NoError(t, err)
+		require.Equal(t, byte('a'), exchange(t, connection, 'a'))
+		proxy.SetMode(mode)
+		_, err = connection.Write([]byte{'b'})
+		require.NoError(t, err)
+		require.NoError(t, connection.SetReadDeadline(time.Now().Add(50*time.Millisecond)))
+		_, err = connection.Read(make([]byte, 1))
+		require.Error(t, err, "mode %d", mode)
+		proxy.SetMode(Pass)
+	}
+	connection, err := net.Dial("tcp", proxy.Address())
+	require.NoError(t, err)
+	require.Equal(t, byte('c'), exchange(t, connection, 'c'))
+	proxy.Reset()
+	_, err = connection.Read(make([]byte, 1))
+	require.Error(t, err)
+}
+
+func exchange(t *testing.T, connection net.Conn, b byte) byte {
+	_, err := connection.Write([]byte{b})
+	require.NoError(t, err)
+	answer := make([]byte, 1)
+	_, err = io.ReadFull(connection, answer)
+	require.NoError(t, err)
+	return answer[0]
+}
+
+// judging returns a run without daemons, and a job that its stand-in expects.
+func judging(t *testing.T) (*run, *submission) {
+	platform, err := standin.Start(simulation.NewWorld(1, 1))
+	require.NoError(t, err)
+	t.Cleanup(platform.Close)
+	r := &run{platform: platform, ledger: ledger{answers: map[string]int{}}}
+	s := &submission{spec: &taskgraph.Spec{ID: "00000000000000aa", Steps: []taskgraph.Step{{Count: 1, EstimateMillis: 1}}}}
+	platform.Locked(func() { platform.World.Expect(*s.spec, catalog.Queue{MaxAttempts: 1}) })
+	return r, s
+}
+
+// startTask lets the stand-in's worker begin the job's task.
+func (r *run) startTask(s *submission) {
+	r.platform.Locked(func() {
+		order := fleet.Start{Task: taskgraph.TaskName{Job: s.spec.ID}, Run: 1, DeadlineMillis: 3000}
+		r.platform.World.Order(r.platform.World.Workers[0].ID, order, func(fleet.Reply, error) {})
+	})
+}
+
+// TestJudgeCatchesBrokenHistories: each history breaks one promise.
+func TestJudgeCatchesBrokenHistories(t *testing.T) {
+	cases := map[string]struct {
+		submission submission
+		starts     bool
+		want       string
+	}{
+		"refused and ran":      {submission{refused: true}, true, "was refused and ran"},
+		"never ended":          {submission{accepted: true, state: taskgraph.Queued}, false, "at the end"},
+		"failed without cause": {submission{accepted: true, state: taskgraph.Failed}, false, "could be done"},
+		"cancelled unasked":    {submission{accepted: true, state: taskgraph.Cancelled}, false, "nobody asked"},
+		"completed, not done":  {submission{accepted: true, state: taskgraph.Completed}, false, "is not"},
+	}
+	for name, c := range cases {
+		r, s := judging(t)
+		c.submission.spec = s.spec
+		if c.starts {
+			r.startTask(s)
+		}
+		r.judgeJob(&c.submission)
+		require.Len(t, r.ledger.broken, 1, name)
+		require.Contains(t, r.ledger.broken[0], c.want, name)
+	}
+	r, s := judging(t)
+	s.refused = true
+	r.judgeJob(s)
+	require.Empty(t, r.ledger.broken, "refused and did not run")
+}
+
+// TestJudgeOfAnswers: what single answers break, by what went on at the daemon.
+func TestJudgeOfAnswers(t *testing.T) {
+	lost := errors.New("connection reset")
+	cases := map[string]struct {
+		answer            standin.Answer
+		err               error
+		takes             time.Duration
+		troubled, planned bool
+		want              string
+	}{
+		"whole":                     {answer: standin.Answer{Status: http.StatusOK, Whole: true}},
+		"not whole":                 {answer: standin.Answer{Status: http.StatusOK}, want: "without a whole body"},
+		"key refused":               {answer: standin.Answer{Status: http.StatusUnauthorized, Whole: true}, want: "key in force"},
+		"key refused amid trouble":  {answer: standin.Answer{Status: http.StatusUnauthorized, Whole: true}, troubled: true},
+		"cut off by a planned stop": {err: lost, takes: lossSlack + 20*time.Millisecond, planned: true, want: "lost its answer"},
+		"crossed the closing":       {err: lost, planned: true},
+		"cut off by a kill":         {err: lost, takes: lossSlack + 20*time.Millisecond, planned: true, troubled: true},
+	}
+	for name, c := range cases {
+		r, _ := judging(t)
+		d := &daemon{}
+		if c.troubled {
+			d.troubledUntil = time.Now().Add(time.Minute)
+		}
+		if c.planned {
+			d.plannedUntil = time.Now().Add(time.Minute)
+		}
+		_, _ = r.timed(d, "look", func() (standin.Answer, error) {
+			time.Sleep(c.takes)
+			return c.answer, c.err
+		})
+		if c.want == "" {
+			require.Empty(t, r.ledger.broken, name)
+			continue
+		}
+		require.Len(t, r.ledger.broken, 1, name)
+		require.Contains(t, r.ledger.broken[0], c.want, name)
+	}
+}
+
+// TestShortSoak plays one seed with real daemons.
+func TestShortSoak(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "wheatroadd")
+	output, err := exec.Command("go", "build", "-o", program, "../../wheatroadd").CombinedOutput()
+	require.NoError(t, err, string(output))
+	report, err := Run(Options{Program: program, Seed: 1, Length: 6 * time.Second, Daemons: 3, Callers: 2, Folder: t.TempDir()})
+	require.NoError(t, err)
+	require.Empty(t, report.Broken)
+	require.Positive(t, report.States[taskgraph.Completed])
+}
--- /dev/null
+++ b/cmd/wheatroad-bench/faults/inject.go
@@ -0,0 +1,156 @@
+package faults
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/wheatroad/wheatroad/internal/pool"
+	"github.com/wheatroad/wheatroad/internal/simulation"
+)
+
+// troubleMargin is how long after a disruption its effects still count.
+const troubleMargin = 3 * time.Second
+
+// inject begins a fault and returns what ends it, or nil.
+func (r *run) inject(fault Fault) func() {
+	d := r.daemons[fault.Target%len(r.daemons)]
+	switch fault.Kind {
+	case Kill, PlannedStop, Pause, Reload, KillAll:
+		return r.injectSignal(fault, d)
+	case DelayLink, SilenceLink, CutAnswerLink, CutOrderLink, ResetLink:
+		return r.injectLink(fault, d)
+	case NewKey:
+		r.replaceKey()
+		return nil
+	}
+	return r.injectPlatform(fault)
+}
+
+func (r *run) injectSignal(fault Fault, d *daemon) func() {
+	if fault.Kind != PlannedStop && fault.Kind != Reload {
+		d.trouble(fault.Length + troubleMargin)
+	}
+	switch fault.Kind {
+	case Kill:
+		d.kill()
+		return func() { r.begin(d) }
+	case PlannedStop:
+		go func() {
+			d.stop()
+			r.begin(d)
+		}()
+	case Pause:
+		d.signal(syscall.SIGSTOP)
+		return func() { d.signal(syscall.SIGCONT) }
+	case Reload:
+		d.signal(syscall.SIGHUP)
+	case KillAll:
+		for _, other := range r.daemons {
+			other.trouble(fault.Length + troubleMargin)
+			other.kill()
+		}
+		return func() {
+			for _, other := range r.daemons {
+				r.begin(other)
+			}
+		}
+	}
+	return nil
+}
+
+func (r *run) injectLink(fault Fault, d *daemon) func() {
+	d.trouble(fault.Length + troubleMargin)
+	modes := map[Kind]Mode{DelayLink: Delay, SilenceLink: Silence, CutAnswerLink: CutAnswers, CutOrderLink: CutRequests}
+	if fault.Kind == ResetLink {
+		d.proxy.Reset()
+		return nil
+	}
+	d.proxy.SetMode(modes[fault.Kind])
+	return func() { d.proxy.SetMode(Pass) }
+}
+
+// injectPlatform strikes the platform, which touches every daemon.
+func (r *run) injectPlatform(fault Fault) func() {
+	for _, d := range r.daemons {
+		d.trouble(fault.Length + troubleMargin)
+	}
+	world := r.platform.World
+	var begin, end func()
+	switch fault.Kind {
+	case StoreAway:
+		begin, end = func() { world.Store.AwayAll = true }, func() { world.Store.AwayAll = false }
+	case StoreSilent:
+		begin, end = func() { r.platform.Silent = true }, func() { r.platform.Silent = false }
+	case StoreSlow:
+		begin = func() { world.Store.Latency = storeSlow }
+		end = func() { world.Store.Latency = storeLatency }
+	case StoreLossy:
+		begin, end = func() { world.Store.Lose = r.losses(writeLoss) }, func() { world.Store.Lose = nil }
+	case PartAway:
+		parts := append(pool.ProgressParts(simulation.PoolName), pool.JobParts(simulation.PoolName, strconv.Itoa(fault.Target))...)
+		part := parts[fault.Target%len(parts)]
+		begin, end = func() { world.Store.Away[part] = true }, func() { delete(world.Store.Away, part) }
+	default:
+		begin, end = r.workerFault(fault)
+	}
+	r.platform.Locked(begin)
+	return func() { r.platform.Locked(end) }
+}
+
+const (
+	storeLatency = 5 * time.Millisecond
+	storeSlow    = 300 * time.Millisecond
+	writeLoss    = 0.3
+	orderLoss    = 0.4
+)
+
+// losses draws fates of which a share are not answered.
+func (r *run) losses(share float64) func() simulation.Fate {
+	random := rand.New(rand.NewPCG(r.options.Seed, 2))
+	return func() simulation.Fate {
+		if random.Float64() < share {
+			return simulation.Fate(1 + random.IntN(3))
+		}
+		return simulation.Answered
+	}
+}
+
+// workerFault strikes one worker. Both functions run locked.
+func (r *run) workerFault(fault Fault) (begin, end func()) {
+	world := r.platform.World
+	worker := world.Workers[fault.Target%len(world.Workers)]
+	switch fault.Kind {
+	case WorkerCrash:
+		return func() { r.replaceWorker(worker) }, func() {}
+	case WorkerCut:
+		return func() { worker.Cut = true }, func() { worker.Cut = false }
+	case WorkerFailing:
+		return func() { worker.Failing = true }, func() { worker.Failing = false }
+	case WorkerSlow:
+		return func() { worker.Slowness = 4 }, func() { worker.Slowness = 1 }
+	case WorkerDrain:
+		return func() {
+				worker.Draining, worker.RemainingMillis = true, fault.Length.Milliseconds()
+				world.PutWorkerRow(worker)
+			}, func() {
+				worker.Draining = false
+				r.replaceWorker(worker)
+			}
+	default:
+		return func() { worker.LoseOrder = r.losses(orderLoss) }, func() { worker.LoseOrder = nil }
+	}
+}
+
+// replaceWorker ends a worker's life and begins another on the same rack.
+func (r *run) replaceWorker(worker *simulation.Worker) {
+	if worker.Dead {
+		return
+	}
+	world := r.platform.World
+	worker.Crash()
+	world.RemoveWorkerRow(worker)
+	r.replaced++
+	world.AddWorker("w-new-"+strconv.Itoa(r.replaced), worker.Rack())
+}
--- /dev/null
+++ b/cmd/wheatroad-bench/faults/plan.go
@@ -0,0 +1,106 @@
+package faults
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Kind names a fault.
+type Kind string
+
+// The kinds of faults. Those of the first group strike a daemon, of the second the
+// platform's store, of the third a worker, of the fourth the configuration.
+const (
+	Kill          Kind = "kill"
+	PlannedStop   Kind = "planned_stop"
+	Pause         Kind = "pause"
+	Reload        Kind = "reload"
+	DelayLink     Kind = "delay_link"
+	SilenceLink   Kind = "silence_link"
+	CutAnswerLink Kind = "cut_answers"
+	CutOrderLink  Kind = "cut_requests"
+	ResetLink     Kind = "reset_link"
+	KillAll       Kind = "kill_all"
+
+	StoreAway   Kind = "store_away"
+	StoreSilent Kind = "store_silent"
+	StoreSlow   Kind = "store_slow"
+	StoreLossy  Kind = "store_lossy"
+	PartAway    Kind = "store_part_away"
+
+	WorkerCrash   Kind = "worker_crash"
+	WorkerCut     Kind = "worker_cut"
+	WorkerFailing Kind = "worker_failing"
+	WorkerSlow    Kind = "worker_slow"
+	WorkerDrain   Kind = "worker_drain"
+	LateOrders    Kind = "late_orders"
+
+	NewKey Kind = "new_key"
+)
+
+// kinds lists all kinds with how often each is drawn.
+var kinds = []struct {
+	kind   Kind
+	weight int
+}{
+	{Kill, 4}, {PlannedStop, 4}, {Pause, 3}, {Reload, 1},
+	{DelayLink, 2}, {SilenceLink, 2}, {CutAnswerLink, 2}, {CutOrderLink, 2}, {ResetLink, 2}, {KillAll, 1},
+	{StoreAway, 1}, {StoreSilent, 1}, {StoreSlow, 1}, {StoreLossy, 2}, {PartAway, 1},
+	{WorkerCrash, 2}, {WorkerCut, 2}, {WorkerFailing, 1}, {WorkerSlow, 1}, {WorkerDrain, 1}, {LateOrders, 2},
+	{NewKey, 2},
+}
+
+// Kinds returns the names of all faults.
+func Kinds() []Kind {
+	names := make([]Kind, len(kinds))
+	for i := range kinds {
+		names[i] = kinds[i].kind
+	}
+	return names
+}
+
+// Fault is one disruption of a run.
+type Fault struct {
+	At   time.Duration `json:"at"`
+	Kind Kind          `json:"kind"`
+	// Target numbers a daemon or a worker; it is taken modulo their count.
+	Target int `json:"target"`
+	// Length is how long it lasts, where that means something.
+	Length time.Duration `json:"length"`
+}
+
+const (
+	shortestFault = 300 * time.Millisecond
+	longestFault  = 4 * time.Second
+	// faultGap is the mean time between two faults; a third come right after another.
+	faultGap = 900 * time.Millisecond
+)
+
+// NewPlan draws the faults of a run: the same for the same seed and length.
+func NewPlan(seed uint64, length time.Duration) []Fault {
+	random := rand.New(rand.NewPCG(seed, 1))
+	total := 0
+	for _, entry := range kinds {
+		total += entry.weight
+	}
+	var plan []Fault
+	for at := time.Second; at < length; {
+		drawn := random.IntN(total)
+		fault := Fault{At: at, Target: random.IntN(1 << 16)}
+		for _, entry := range kinds {
+			if drawn -= entry.weight; drawn < 0 {
+				fault.Kind = entry.kind
+				break
+			}
+		}
+		fault.Length = shortestFault + time.Duration(random.Int64N(int64(longestFault-shortestFault)))
+		plan = append(plan, fault)
+		if random.IntN(3) > 0 {
+			at += time.Duration(random.ExpFloat64() * float64(faultGap) * 1.5)
+		}
+	}
+	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	return plan
+}
--- /dev/null
+++ b/cmd/wheatroad-bench/faults/process.go
@@ -0,0 +1,170 @@
+package faults
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// daemon is one real process of wheatroadd and what was done to it.
+type daemon struct {
+	number   int
+	program  string
+	folder   string
+	settings string
+	callers  string
+	ready    string
+	proxy    *Proxy
+
+	mutex   sync.Mutex
+	command *exec.Cmd
+	// exited is closed once the present process has ended.
+	exited chan struct{}
+	// stopping is true while a planned stop is under way.
+	stopping bool
+	// troubledUntil is when the last unplanned disruption of this daemon is over.
+	troubledUntil time.Time
+	// plannedUntil is when the last planned stop is over.
+	plannedUntil time.Time
+	log          *os.File
+	// died lists ends of the process that nobody asked for.
+	died []string
+}
+
+// grace is how long a planned stop may take before the process is killed, as the
+// platform does it.
+const grace = 6 * time.Second
+
+func newDaemon(number int, program, folder, platform string) (*daemon, error) {
+	proxy, err := NewProxy(platform)
+	if err != nil {
+		return nil, err
+	}
+	d := &daemon{number: number, program: program, folder: folder, proxy: proxy}
+	var peers string
+	for _, address := range []*string{&d.callers, &d.ready, &peers} {
+		if *address, err = freeAddress(); err != nil {
+			return nil, err
+		}
+	}
+	d.settings = filepath.Join(folder, fmt.Sprintf("node-%d.toml", number))
+	text := fmt.Sprintf("name = \"node-%d\"\nzone = \"z\"\ncallers = %q\nreadiness = %q\npeers = %q\nstore = %q\ncpu_share = 0.5\n",
+		number, d.callers, d.ready, peers, proxy.Address())
+	if err := os.WriteFile(d.settings, []byte(text), 0o600); err != nil {
+		return nil, err
+	}
+	d.log, err = os.Create(filepath.Join(folder, fmt.Sprintf("node-%d.log", number)))
+	return d, err
+}
+
+func freeAddress() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
+
+// begin starts the process, unless one runs.
+func (d *daemon) begin() error {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.command != nil {
+		return nil
+	}
+	command := exec.Command(d.program, "serve", d.settings)
+	command.Stdout, command.Stderr = d.log, d.log
+	// The process ends with this one, however this one ends.
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := command.Start(); err != nil {
+		return err
+	}
+	exited := make(chan struct{})
+	d.command, d.exited, d.stopping = command, exited, false
+	go d.wait(command, exited)
+	return nil
+}
+
+func (d *daemon) wait(command *exec.Cmd, exited chan struct{}) {
+	err := command.Wait()
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	signalled := command.ProcessState.Sys().(syscall.WaitStatus).Signaled()
+	if !signalled && !(d.stopping && err == nil) {
+		d.died = append(d.died, fmt.Sprintf("node-%d ended by itself: %v", d.number, err))
+	}
+	d.command = nil
+	close(exited)
+}
+
+// signal sends a signal to the process, if one runs. It returns a channel that is
+// closed once that process has ended, or nil.
+func (d *daemon) signal(signal syscall.Signal) chan struct{} {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.command == nil {
+		return nil
+	}
+	if signal == syscall.SIGTERM {
+		d.stopping = true
+		d.plannedUntil = time.Now().Add(grace + time.Second)
+	}
+	_ = d.command.Process.Signal(signal)
+	return d.exited
+}
+
+// trouble notes an unplanned disruption that lasts for a while.
+func (d *daemon) trouble(length time.Duration) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if until := time.Now().Add(length); until.After(d.troubledUntil) {
+		d.troubledUntil = until
+	}
+}
+
+// condition is what was going on at a daemon.
+type condition struct {
+	troubled bool
+	planned  bool
+}
+
+// since tells what went on at the daemon at any time since from.
+func (d *daemon) since(from time.Time) condition {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return condition{troubled: d.troubledUntil.After(from), planned: d.plannedUntil.After(from)}
+}
+
+// kill ends the process at once and waits until it is gone.
+func (d *daemon) kill() {
+	if exited := d.signal(syscall.SIGKILL); exited != nil {
+		<-exited
+	}
+}
+
+// stop ends the process the planned way.
+func (d *daemon) stop() {
+	exited := d.signal(syscall.SIGTERM)
+	if exited == nil {
+		return
+	}
+	select {
+	case <-exited:
+	case <-time.After(grace):
+		d.kill()
+	}
+}
+
+// close ends the process and all that belongs to it.
+func (d *daemon) close() {
+	d.signal(syscall.SIGCONT)
+	d.kill()
+	d.proxy.Close()
+	_ = d.log.Close()
+}
--- /dev/null
+++ b/cmd/wheatroad-bench/faults/run.go
@@ -0,0 +1,259 @@
+// Package faults runs real daemons as processes of their own against the project's
+// stand-in for the platform, injects faults from outside them, and checks the promises
+// by what callers, workers and the store see.
+package faults
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wheatroad/wheatroad/internal/simulation"
+	"github.com/wheatroad/wheatroad/internal/taskgraph"
+	"github.com/wheatroad/wheatroad/platform/standin"
+)
+
+// Options of a run.
+type Options struct {
+	// Program is the path of wheatroadd.
+	Program string
+	Seed    uint64
+	// Length is how long faults come.
+	Length  time.Duration
+	Daemons int
+	Callers int
+	// Folder keeps settings and logs.
+	Folder string
+}
+
+// Report is what a run showed.
+type Report struct {
+	Seed uint64 `json:"seed"`
+	// Broken lists every broken promise.
+	Broken []string `json:"broken"`
+	// Faults counts what was injected, by kind.
+	Faults map[Kind]int `json:"faults"`
+	// Answers counts what callers got, by call and status.
+	Answers map[string]int `json:"answers"`
+	// States counts accepted jobs by their state at the end.
+	States map[taskgraph.State]int `json:"states"`
+	Logs   string                  `json:"logs"`
+}
+
+// run is a system under faults.
+type run struct {
+	options  Options
+	platform *standin.Server
+	daemons  []*daemon
+	ledger   ledger
+	closed   chan struct{}
+	replaced int
+
+	keyMutex   sync.Mutex
+	keyVersion int
+}
+
+const (
+	racks          = 3
+	workersPerRack = 4
+	readyLimit     = 30 * time.Second
+	// settleLimit is how long all accepted jobs may take to end once nothing is wrong.
+	settleLimit = 60 * time.Second
+	settlePause = 250 * time.Millisecond
+	// keyOverlap is how long an old key stays beside the new one.
+	keyOverlap = 6 * time.Second
+)
+
+// Run plays one seed.
+func Run(options Options) (*Report, error) {
+	world := simulation.NewWorld(racks, workersPerRack)
+	world.Work = func(name taskgraph.TaskName) time.Duration { return world.Estimate(name) }
+	platform, err := standin.Start(world)
+	if err != nil {
+		return nil, err
+	}
+	defer platform.Close()
+	r := &run{options: options, platform: platform, closed: make(chan struct{}), ledger: ledger{answers: map[string]int{}}}
+	r.putKeys(1)
+	defer r.end()
+	if err := r.start(); err != nil {
+		return nil, err
+	}
+	report := &Report{Seed: options.Seed, Faults: map[Kind]int{}, Logs: options.Folder, States: map[taskgraph.State]int{}}
+	r.play(report)
+	r.settle(report)
+	r.judge(report)
+	return report, nil
+}
+
+func (r *run) start() error {
+	for number := range r.options.Daemons {
+		d, err := newDaemon(number, r.options.Program, r.options.Folder, r.platform.Address())
+		if err != nil {
+			return err
+		}
+		r.daemons = append(r.daemons, d)
+		if err := d.begin(); err != nil {
+			return err
+		}
+	}
+	caller := standin.NewCaller(callLimit)
+	deadline := time.Now().Add(readyLimit)
+	for _, d := range r.daemons {
+		for !caller.Ready(d.ready) {
+			if time.Now().After(deadline) {
+				return errors.Newf("node-%d does not become ready, see %s", d.number, r.options.Folder)
+			}
+			time.Sleep(settlePause)
+		}
+	}
+	return nil
+}
+
+func (r *run) begin(d *daemon) {
+	if err := d.begin(); err != nil {
+		r.ledger.fail("node-%d does not start: %v", d.number, err)
+	}
+}
+
+func (r *run) closing() bool {
+	select {
+	case <-r.closed:
+		return true
+	default:
+		return false
+	}
+}
+
+// play lets callers work while the faults of the plan come and go.
+func (r *run) play(report *Report) {
+	var callers, ends sync.WaitGroup
+	for number := range r.options.Callers {
+		callers.Go(func() { r.callerLoop(number) })
+	}
+	began := time.Now()
+	for _, fault := range NewPlan(r.options.Seed, r.options.Length) {
+		time.Sleep(time.Until(began.Add(fault.At)))
+		report.Faults[fault.Kind]++
+		if end := r.inject(fault); end != nil {
+			ends.Go(func() {
+				time.Sleep(fault.Length)
+				end()
+			})
+		}
+	}
+	time.Sleep(time.Until(began.Add(r.options.Length)))
+	ends.Wait()
+	close(r.closed)
+	callers.Wait()
+}
+
+// settle waits until every accepted job has ended.
+func (r *run) settle(report *Report) {
+	caller := standin.NewCaller(callLimit)
+	deadline := time.Now().Add(settleLimit)
+	for _, s := range r.ledger.submissions {
+		if !s.accepted {
+			continue
+		}
+		for number := 0; !s.state.Final() && time.Now().Before(deadline); number++ {
+			d := r.daemons[number%len(r.daemons)]
+			answer, err := caller.State(d.callers, r.key(), s.spec.ID)
+			if err == nil && answer.State != "" {
+				s.state = answer.State
+			}
+			if !s.state.Final() {
+				time.Sleep(settlePause)
+			}
+		}
+		report.States[s.state]++
+	}
+}
+
+// judge collects what was broken, by callers, by workers and by the processes.
+func (r *run) judge(report *Report) {
+	for _, s := range r.ledger.submissions {
+		r.judgeJob(s)
+	}
+	report.Broken = append(report.Broken, r.ledger.broken...)
+	r.platform.Locked(func() { report.Broken = append(report.Broken, r.platform.World.Judge.Broken...) })
+	for _, d := range r.daemons {
+		d.mutex.Lock()
+		report.Broken = append(report.Broken, d.died...)
+		d.mutex.Unlock()
+	}
+	report.Answers = r.ledger.answers
+}
+
+// judgeJob holds a job's end against what its caller was told.
+func (r *run) judgeJob(s *submission) {
+	starts := 0
+	r.platform.Locked(func() { starts = r.platform.World.Judge.JobStarts(s.spec.ID) })
+	switch {
+	case s.refused && starts > 0:
+		r.ledger.fail("job %s was refused and ran", s.spec.ID)
+	case !s.accepted:
+	case !s.state.Final():
+		r.ledger.fail("accepted job %s is %q at the end", s.spec.ID, s.state)
+	case s.state == taskgraph.Failed:
+		r.ledger.fail("job %s is shown as failed and could be done", s.spec.ID)
+	case s.state == taskgraph.Cancelled && !s.cancelTried:
+		r.ledger.fail("job %s is shown as cancelled and nobody asked for it", s.spec.ID)
+	case s.state == taskgraph.Completed && !r.allDone(s):
+		r.ledger.fail("job %s is shown as completed and is not", s.spec.ID)
+	}
+}
+
+func (r *run) allDone(s *submission) bool {
+	done := true
+	r.platform.Locked(func() { done = r.platform.World.Judge.JobDone(s.spec.ID) })
+	return done
+}
+
+func (r *run) end() {
+	for _, d := range r.daemons {
+		d.close()
+	}
+}
+
+// key returns the newest key.
+func (r *run) key() string {
+	r.keyMutex.Lock()
+	defer r.keyMutex.Unlock()
+	return keyName(r.keyVersion)
+}
+
+func keyName(version int) string { return fmt.Sprintf("key-%d", version) }
+
+// replaceKey confirms a configuration with a further key, and a while later one
+// without the old key.
+func (r *run) replaceKey() {
+	r.keyMutex.Lock()
+	version := r.keyVersion + 1
+	r.keyMutex.Unlock()
+	r.putConfiguration(2*version, keyName(version-1), keyName(version))
+	time.AfterFunc(keyOverlap/2, func() {
+		r.keyMutex.Lock()
+		r.keyVersion = max(r.keyVersion, version)
+		r.keyMutex.Unlock()
+	})
+}
+
+func (r *run) putKeys(version int) {
+	r.keyVersion = version
+	r.putConfiguration(2*version, keyName(version))
+}
+
+func (r *run) putConfiguration(version int, keys ...string) {
+	r.platform.PutConfiguration(standin.Configuration{Version: version, Keys: keys, MaxAttempts: maxAttempts, Priority: 1})
+}
+
+// NewFolder makes a folder for a run's settings and logs.
+func NewFolder(parent string, seed uint64) (string, error) {
+	folder := filepath.Join(parent, fmt.Sprintf("seed-%d", seed))
+	return folder, os.MkdirAll(folder, 0o755)
+}
--- /dev/null
+++ b/cmd/wheatroad-bench/faults_command.go
@@ -0,0 +1,118 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/wheatroad/wheatroad/cmd/wheatroad-bench/faults"
+	"github.com/wheatroad/wheatroad/internal/bench"
+)
+
+// faultsFlags are the flags of the faults command.
+type faultsFlags struct {
+	binaries string
+	logs     string
+	seed     uint64
+	seeds    int
+	seconds  float64
+	daemons  int
+	callers  int
+	asJSON   bool
+	list     bool
+}
+
+func newFaultsCommand() *cobra.Command {
+	flags := &faultsFlags{}
+	command := &cobra.Command{
+		Use:   "faults",
+		Short: "Soak real daemons under injected faults and check the promises",
+		Long: "Starts daemons as processes of their own against the stand-in for the platform, signals them, and cuts,\n" +
+			"delays and resets their links; the stand-in's store and workers misbehave. Ends only what it started.\n" +
+			"A failed seed keeps its logs and prints the command that plays it again.",
+		Example: "  wheatroad-bench faults --seed 1 --seeds 50 --seconds 15\n  wheatroad-bench faults --seed 7 --daemons 12 --json",
+		Args:    cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			if flags.list {
+				for _, kind := range faults.Kinds() {
+					fmt.Fprintln(command.OutOrStdout(), kind)
+				}
+				return nil
+			}
+			return runFaults(command.OutOrStdout(), flags)
+		},
+	}
+	command.Flags().StringVar(&flags.binaries, "bin", "bin", "folder with the programs")
+	command.Flags().StringVar(&flags.logs, "logs", filepath.Join(os.TempDir(), "wheatroad-faults"), "folder for settings and logs")
+	command.Flags().Uint64Var(&flags.seed, "seed", 1, "first seed")
+	command.Flags().IntVar(&flags.seeds, "seeds", 1, "how many seeds to play, one after another")
+	command.Flags().Float64Var(&flags.seconds, "seconds", 15, "how long faults come")
+	command.Flags().IntVar(&flags.daemons, "daemons", 3, "how many daemons")
+	command.Flags().IntVar(&flags.callers, "callers", 4, "how many callers")
+	command.Flags().BoolVar(&flags.asJSON, "json", false, "print each report as JSON")
+	command.Flags().BoolVar(&flags.list, "list-kinds", false, "list the kinds of faults and end")
+	return command
+}
+
+func runFaults(out io.Writer, flags *faultsFlags) error {
+	failed := 0
+	for seed := flags.seed; seed < flags.seed+uint64(flags.seeds); seed++ {
+		report, err := playSeed(flags, seed)
+		if err != nil {
+			return err
+		}
+		if err := printReport(out, flags, report); err != nil {
+			return err
+		}
+		if len(report.Broken) > 0 {
+			failed++
+		}
+	}
+	if failed > 0 {
+		return errors.Wrapf(bench.ErrPromiseBroken, "%d of %d seeds", failed, flags.seeds)
+	}
+	return nil
+}
+
+func playSeed(flags *faultsFlags, seed uint64) (*faults.Report, error) {
+	folder, err := faults.NewFolder(flags.logs, seed)
+	if err != nil {
+		return nil, err
+	}
+	report, err := faults.Run(faults.Options{
+		Program: filepath.Join(flags.binaries, "wheatroadd"), Seed: seed, Folder: folder,
+		Length: time.Duration(flags.seconds * float64(time.Second)), Daemons: flags.daemons, Callers: flags.callers,
+	})
+	if err == nil && len(report.Broken) == 0 {
+		err = os.RemoveAll(folder)
+	}
+	return report, err
+}
+
+// maxPrinted bounds the broken promises that are printed for one seed.
+const maxPrinted = 12
+
+func printReport(out io.Writer, flags *faultsFlags, report *faults.Report) error {
+	if flags.asJSON {
+		return json.NewEncoder(out).Encode(report)
+	}
+	injected := 0
+	for _, count := range report.Faults {
+		injected += count
+	}
+	_, err := fmt.Fprintf(out, "seed %d: %d faults, jobs %v, broken %d\n", report.Seed, injected, report.States, len(report.Broken))
+	for _, line := range report.Broken[:min(len(report.Broken), maxPrinted)] {
+		_, err = fmt.Fprintln(out, "  broken:", line)
+	}
+	if len(report.Broken) > 0 {
+		_, err = fmt.Fprintf(out, "  logs in %s; again: wheatroad-bench faults --seed %d --seconds %g --daemons %d --callers %d\n",
+			report.Logs, report.Seed, flags.seconds, flags.daemons, flags.callers)
+	}
+	return err
+}
--- a/cmd/wheatroad-bench/main.go
+++ b/cmd/wheatroad-bench/main.go
@@ -20,7 +20,7 @@
 
 func main() {
 	root := bench.NewCommand(buildinfo.Version)
-	root.AddCommand(newStormCommand())
+	root.AddCommand(newStormCommand(), newFaultsCommand())
 	err := root.Execute()
 	if err == nil {
 		return
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -545,7 +545,7 @@
 	w.Workers[0].Unreachable = true
 	w.Submit(spec(1, single(12)), batch)
 	w.Run(200 * time.Millisecond)
-	require.Equal(t, 8, w.Workers[1].Load())
+	require.Equal(t, 8, w.Workers[1].Runs())
 	w.Run(10 * time.Second)
 	requireKept(t, w)
 	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
--- a/internal/simulation/judge.go
+++ b/internal/simulation/judge.go
@@ -63,6 +63,33 @@
 	j.jobs[spec.ID] = &judgedJob{spec: spec, queue: queue}
 }
 
+// Cancelled notes that a job's cancellation was acknowledged.
+func (j *Judge) Cancelled(id string) { j.cancelled(id) }
+
+// JobStarts returns how many runs of a job were started.
+func (j *Judge) JobStarts(id string) int {
+	starts := 0
+	for name, t := range j.tasks {
+		if name.Job == id {
+			starts += t.starts
+		}
+	}
+	return starts
+}
+
+// JobDone reports whether every task of a job has a run that ended as done.
+func (j *Judge) JobDone(id string) bool {
+	spec := j.jobs[id].spec
+	for step := range spec.Steps {
+		for index := range spec.Steps[step].Count {
+			if !j.task(taskgraph.TaskName{Job: id, Step: step, Index: index}).done {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 func (j *Judge) cancelled(id string) { j.jobs[id].cancelledAt = j.world.Clock.Now() }
 
 func (j *Judge) task(name taskgraph.TaskName) *judgedTask {
--- a/internal/simulation/worker.go
+++ b/internal/simulation/worker.go
@@ -251,6 +251,3 @@
 
 // Runs returns how many runs the worker has.
 func (w *Worker) Runs() int { return len(w.runs) }
-
-// Load returns how many runs the worker has.
-func (w *Worker) Load() int { return len(w.runs) }
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -112,14 +112,34 @@
 	}
 	switch order := order.(type) {
 	case fleet.Start:
-		done(worker.start(order))
+		w.carryOut(worker, func() (fleet.Reply, error) { return worker.start(order) }, done)
 	case fleet.Stop:
-		done(worker.stop(order))
+		w.carryOut(worker, func() (fleet.Reply, error) { return worker.stop(order) }, done)
 	case fleet.Hold:
 		worker.hold(order, done)
 	}
 }
 
+// carryOut does an order by its fate.
+func (w *World) carryOut(worker *Worker, work func() (fleet.Reply, error), done func(fleet.Reply, error)) {
+	fate := Answered
+	if worker.LoseOrder != nil {
+		fate = worker.LoseOrder()
+	}
+	switch fate {
+	case Answered:
+		done(work())
+	case AnswerLost:
+		_, _ = work()
+	case DoneLate:
+		w.Clock.After(w.OrderDelay, func() {
+			if !worker.Dead {
+				_, _ = work()
+			}
+		})
+	}
+}
+
 func (w *World) worker(id string) *Worker {
 	for _, candidate := range w.Workers {
 		if candidate.ID == id {
@@ -171,6 +191,9 @@
 	return newest.State
 }
 
+// Estimate returns the estimated duration of a task.
+func (w *World) Estimate(name taskgraph.TaskName) time.Duration { return w.step(name).Estimate() }
+
 func (w *World) step(name taskgraph.TaskName) *taskgraph.Step {
 	return &w.jobs[name.Job].Steps[name.Step]
 }
