Learn workers' speeds from the progress of gangs, and place gangs on fast ones

Change: members' rates of progress are compared when a gang has ended well; gangs look for room, and for victims, among workers that are not slow first.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -18,6 +18,8 @@
 	Free taskgraph.Amount
 	// RackFree is the free room of the worker's rack, in cores.
 	RackFree float64
+	// Slow workers take longer than most.
+	Slow bool
 	// Usable is false for workers that take no new work.
 	Usable bool
 	// Holders are the runs on the worker.
--- a/internal/pool/findplace.go
+++ b/internal/pool/findplace.go
@@ -22,13 +22,35 @@
 		}
 		visible.Allowed = s.outsideHeadroom(request.Allowed, u.job.Queue.Priority)
 	}
+	if spec.Gang && len(u.members) > 1 {
+		if places := p.fitByScope(s, u, s.onlyFast(&visible)); places != nil {
+			return places
+		}
+	}
+	return p.fitByScope(s, u, &visible)
+}
+
+// onlyFast narrows a request to workers that are not slow: a gang is as slow as its
+// slowest member.
+func (s *snapshot) onlyFast(request *placement.Request) *placement.Request {
+	fast := *request
+	fast.Allowed = func(i int) bool {
+		return !s.workers[i].Slow && (request.Allowed == nil || request.Allowed(i))
+	}
+	return &fast
+}
+
+// fitByScope places a unit where it runs at full speed, or anywhere once it has waited
+// for that.
+func (p *Pool) fitByScope(s *snapshot, u *unit, visible *placement.Request) []int {
+	spec := u.spec()
 	if rack := spec.PreferredRack; rack != "" {
-		if places := placement.Fit(s.workers, s.racks.Members[rack], &visible); places != nil {
+		if places := placement.Fit(s.workers, s.racks.Members[rack], visible); places != nil {
 			return places
 		}
 	}
 	if spec.SameRack && len(u.members) > 1 && spec.PreferredRack == "" {
-		if places := placement.FitOneRack(s.workers, s.racks, &visible); places != nil {
+		if places := placement.FitOneRack(s.workers, s.racks, visible); places != nil {
 			return places
 		}
 	}
@@ -36,11 +58,11 @@
 		return nil
 	}
 	if len(u.members) > 1 && spec.Gang {
-		if places := placement.FitOneRack(s.workers, s.racks, &visible); places != nil {
+		if places := placement.FitOneRack(s.workers, s.racks, visible); places != nil {
 			return places
 		}
 	}
-	return placement.Fit(s.workers, s.racks.All, &visible)
+	return placement.Fit(s.workers, s.racks.All, visible)
 }
 
 // findAnyPlace looks for room that is free now, whoever else might want it.
--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -227,6 +227,7 @@
 		m.state = memberRunning
 	}
 	m.listedAt = now
+	m.noteRate(entry.Percent, now)
 	if entry.Percent != m.percent || m.percentAt.IsZero() {
 		m.percent, m.percentAt = entry.Percent, now
 	}
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -92,6 +92,10 @@
 	members    []*member
 	readyAt    time.Time
 	startedAt  time.Time
+	// startedHere is true if this owner started the latest run.
+	startedHere bool
+	// resumed is true if the latest run goes on from a checkpoint.
+	resumed bool
 	// stopReason says why the unit is being stopped.
 	stopReason string
 	// avoid has the workers on which the unit failed.
@@ -118,6 +122,9 @@
 	percent   int
 	percentAt time.Time
 	listedAt  time.Time
+	// logTime is the logarithm of the time per work of a run that is timed.
+	logTime float64
+	timed   bool
 }
 
 func (m *member) name() taskgraph.TaskName {
@@ -292,6 +299,7 @@
 	silentAt   time.Time
 	// penaltyUntil keeps new work away.
 	penaltyUntil time.Time
+	speed        speed
 	// strikes count failures that look like the worker's own.
 	strikes int
 }
--- a/internal/pool/orders.go
+++ b/internal/pool/orders.go
@@ -30,6 +30,7 @@
 	m.stopSent, m.stopAnswered, m.doubtful = false, false, false
 	m.percent, m.percentAt, m.listedAt = 0, time.Time{}, time.Time{}
 	m.sentAt = time.Time{}
+	m.timed = false
 	w.members = append(w.members, m)
 }
 
@@ -98,6 +99,8 @@
 func (p *Pool) startUnit(u *unit) {
 	u.state = unitActive
 	u.startedAt = p.loop.Now()
+	u.startedHere = true
+	u.resumed = u.checkpoint != ""
 	if !u.job.ordered {
 		u.job.ordered = true
 		p.record.Observe("start_after_acceptance", u.startedAt.Sub(u.job.acceptedAt))
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -50,6 +50,8 @@
 	// pressureUntil is how long patient units below pressurePriority wait.
 	pressureUntil    time.Time
 	pressurePriority int
+	// medianLogTime is the median of the workers' logTime.
+	medianLogTime float64
 	// dropping is true while the rows of an old job are removed.
 	dropping bool
 	// earlyCancels are cancellations read before their job.
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -576,3 +576,27 @@
 	w.Run(10 * time.Second)
 	requireKept(t, w)
 }
+
+// TestGangsLearnToAvoidSlowWorkers: the progress of a gang's members tells which worker
+// is slow, and later gangs leave it alone while there is other room.
+func TestGangsLearnToAvoidSlowWorkers(t *testing.T) {
+	w := simulation.NewWorld(1, 4)
+	w.Work = func(taskgraph.TaskName) time.Duration { return 4 * time.Second }
+	slow := w.Workers[1]
+	slow.Slowness = 1.3
+	w.Own()
+	w.Run(time.Second)
+	w.Submit(spec(1, gang(4)), batch)
+	w.Run(8 * time.Second)
+	for n := 2; n < 6; n++ {
+		w.Submit(spec(n, gang(3)), batch)
+		w.Run(time.Second)
+		require.Zero(t, slow.Runs(), "job %d", n)
+		w.Run(6 * time.Second)
+		require.Equal(t, taskgraph.Completed, w.StoredState(jobID(n)))
+	}
+	w.Submit(spec(6, gang(4)), batch)
+	w.Run(time.Second)
+	require.Equal(t, 1, slow.Runs(), "where nothing else is left it is used")
+	requireKept(t, w)
+}
--- a/internal/pool/preempt.go
+++ b/internal/pool/preempt.go
@@ -36,7 +36,10 @@
 // It returns false if the stops would cost more than the start is worth, or nothing
 // helps.
 func (p *Pool) preemptFor(s *snapshot, u *unit, request *placement.Request) bool {
-	places, victims, loss := bestPreemption(s, s.scopes(u), request)
+	places, victims, loss := bestPreemption(s, s.scopes(u), s.onlyFast(request))
+	if places == nil || loss > preemptionGain(u, s.now) {
+		places, victims, loss = bestPreemption(s, s.scopes(u), request)
+	}
 	if places == nil {
 		places, victims, loss = bestPreemption(s, [][]int{s.racks.All}, request)
 	}
--- a/internal/pool/snapshot.go
+++ b/internal/pool/snapshot.go
@@ -49,7 +49,7 @@
 		headrooms: make([]map[string]bool, len(headroomShares))}
 	numbers := map[*unit]int{}
 	for _, w := range p.sortedWorkers() {
-		entry := placement.Worker{Rack: w.rack, Capacity: w.Capacity, Free: w.Capacity, Usable: p.usable(w, now)}
+		entry := placement.Worker{Rack: w.rack, Capacity: w.Capacity, Slow: p.slow(w), Free: w.Capacity, Usable: p.usable(w, now)}
 		place := len(s.workers)
 		for _, m := range w.members {
 			room := m.unit.spec().Room()
--- a/internal/pool/unit.go
+++ b/internal/pool/unit.go
@@ -43,6 +43,7 @@
 		return
 	}
 	u.state = unitEnded
+	p.learnSpeeds(u)
 	s := u.step
 	s.ended++
 	j := u.job
--- a/internal/simulation/worker.go
+++ b/internal/simulation/worker.go
@@ -234,7 +234,7 @@
 	if !r.working || w.Standing {
 		return 0
 	}
-	share := float64(w.clock.Now().Sub(r.begunAt)) / float64(w.world.Work(r.name))
+	share := float64(w.clock.Now().Sub(r.begunAt)) / (float64(w.world.Work(r.name)) * max(1, w.Slowness))
 	return min(99, int(100*share))
 }
 
