--- a/cmd/wheatroadd/serve.go
+++ b/cmd/wheatroadd/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"encoding/json"
 	"net"
 	"net/http"
 	"os"
@@ -86,7 +87,7 @@
 	}
 	go d.loop.Run(ctx)
 	d.loop.Post(d.node.Start)
-	tele.Decided("started", "node", s.Name, "version", buildinfo.Version)
+	tele.Decided("started", "node", s.Name, "zone", s.Zone, "version", buildinfo.Version)
 	err = d.wait(path)
 	tele.Decided("stopped", "node", s.Name)
 	log.Close()
@@ -146,6 +147,7 @@
 	if d.settings.Metrics != "" {
 		mux := http.NewServeMux()
 		mux.Handle("GET /metrics", d.telemetry.Handler())
+		mux.HandleFunc("GET /status", d.serveStatus)
 		if err := d.serveHTTP(d.settings.Metrics, &http.Server{Handler: mux, ReadHeaderTimeout: callerHeaderTimeout}); err != nil {
 			return errors.Wrap(err, "metrics")
 		}
@@ -158,6 +160,22 @@
 	return nil
 }
 
+// serveStatus answers an operator who asks for the node's state.
+func (d *service) serveStatus(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), statusTimeout)
+	defer cancel()
+	status, err := d.node.Status(ctx)
+	if err != nil {
+		http.Error(w, "the control loop does not answer", http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(status)
+}
+
+// statusTimeout bounds the wait for the control loop.
+const statusTimeout = 2 * time.Second
+
 func (d *service) serveHTTP(address string, server *http.Server) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
--- /dev/null
+++ b/internal/cli/status.go
@@ -0,0 +1,83 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/wheatroad/wheatroad/internal/node"
+)
+
+// statusTimeout bounds the wait for one node.
+const statusTimeout = 5 * time.Second
+
+func newStatusCommand() *cobra.Command {
+	var asJSON bool
+	command := &cobra.Command{
+		Use:     "status METRICS-ADDRESS...",
+		Short:   "Show what nodes on the platform say of themselves: configuration, store, owners, pools",
+		Example: "  wheatroadctl status 10.1.0.19:9464 10.2.0.35:9464",
+		Args:    cobra.MinimumNArgs(1),
+		RunE: func(command *cobra.Command, args []string) error {
+			var failure error
+			for _, address := range args {
+				status, err := fetchStatus(command.Context(), address)
+				if err != nil {
+					failure = errors.CombineErrors(failure, errors.Wrap(err, address))
+					continue
+				}
+				if err := printStatus(command.OutOrStdout(), status, asJSON); err != nil {
+					return err
+				}
+			}
+			return failure
+		},
+	}
+	command.Flags().BoolVar(&asJSON, "json", false, "print JSON, a line a node")
+	return command
+}
+
+func fetchStatus(ctx context.Context, address string) (*node.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/status", nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, errors.Newf("status %d", response.StatusCode)
+	}
+	status := &node.Status{}
+	return status, json.NewDecoder(response.Body).Decode(status)
+}
+
+func printStatus(out io.Writer, status *node.Status, asJSON bool) error {
+	if asJSON {
+		return json.NewEncoder(out).Encode(status)
+	}
+	var text strings.Builder
+	fmt.Fprintf(&text, "%s: ready %v, configuration %d (known newest %d ms ago), store answered %d ms ago, lost %v, %d members\n",
+		status.Name, status.Ready, status.ConfigurationVersion, status.ConfigurationAgeMillis, status.StoreAgeMillis, status.StoreLost, len(status.Members))
+	for i := range status.Pools {
+		p := &status.Pools[i]
+		fmt.Fprintf(&text, "  pool %s: owner %s, token %d, unanswered pings %d\n", p.Pool, p.Owner, p.Token, p.OwnerFailures)
+		if o := p.Owned; o != nil {
+			fmt.Fprintf(&text, "    owned here: jobs %v, waiting units %d, runs %d, workers %d (unusable %d, slow %d, silent %d)\n",
+				o.Jobs, o.WaitingUnits, o.Runs, o.Workers, o.Unusable, o.Slow, o.Silent)
+		}
+	}
+	_, err := io.WriteString(out, text.String())
+	return err
+}
--- a/internal/cli/trace.go
+++ b/internal/cli/trace.go
@@ -31,7 +31,7 @@
 
 // decidingLines are the decisions that settle what a caller is told.
 var decidingLines = map[string]bool{
-	"job not accepted": true, "job ended": true, "lookup refused": true, "cancellation refused": true,
+	"job not accepted": true, "request refused": true, "job ended": true, "lookup refused": true, "cancellation refused": true,
 }
 
 func newTraceCommand() *cobra.Command {
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -41,22 +42,47 @@
 func (g *Gateway) Resolve(host, path, key string) (Access, string, error) {
 	n := g.node
 	current := n.catalog.Load()
-	if current == nil || age(n.confirmed.Load()) > n.options.ConfigurationAge {
-		return Access{}, "", g.refused(fault.New(fault.ConfigurationOld, "the configuration in force is not known"))
+	confirmedAge := age(n.confirmed.Load())
+	if current == nil || confirmedAge > n.options.ConfigurationAge {
+		return Access{}, "", g.refusedEarly(host, path, confirmedAge, fault.New(fault.ConfigurationOld, "the configuration in force is not known"))
 	}
 	queue := current.Match(host, path)
 	if queue == nil {
-		return Access{}, "", g.refused(fault.New(fault.NotFound, "no such queue"))
+		return Access{}, "", g.refusedEarly(host, path, confirmedAge, fault.New(fault.NotFound, "no such queue"))
 	}
 	access := Access{Queue: *queue}
 	tenant, known := current.TenantOf(key)
 	if !known && !queue.Public {
-		return Access{}, "", g.refused(fault.New(fault.Unauthenticated, "the key is not known"))
+		return Access{}, "", g.refusedEarly(host, path, confirmedAge, fault.New(fault.Unauthenticated, "the key is not known"))
 	}
 	access.Tenant = tenant
 	return access, path[len(queue.PathPrefix):], nil
 }
 
+// loggedPath bounds what of a refused request's path is logged.
+const loggedPath = 200
+
+// refusedEarly logs and counts the refusal of a request that was not read. Its path ends
+// with the identifier of its job.
+func (g *Gateway) refusedEarly(host, path string, confirmedAge time.Duration, err *fault.Error) error {
+	var version int64
+	if current := g.node.catalog.Load(); current != nil {
+		version = current.Version
+	}
+	g.node.edges.Record.Decided("request refused", "host", host, "path", path[:min(len(path), loggedPath)],
+		"job", jobInPath(path), "reason", string(err.Kind), "configuration", version, "configuration_age_ms", confirmedAge.Milliseconds())
+	return g.refused(err)
+}
+
+// jobInPath returns the identifier at the end of a path, or an empty text.
+func jobInPath(path string) string {
+	last := path[strings.LastIndexByte(path, '/')+1:]
+	if taskgraph.ValidID(last) {
+		return last
+	}
+	return ""
+}
+
 // refused counts a refusal and returns it.
 func (g *Gateway) refused(err error) error {
 	g.node.edges.Record.Count("refusals", string(fault.From(err).Kind))
--- a/internal/node/gateway_test.go
+++ b/internal/node/gateway_test.go
@@ -228,3 +228,26 @@
 	n.members["node-3"] = member{Name: "node-3", Weight: 0.1}
 	require.Equal(t, 1, n.rank(poolName))
 }
+
+// linesRecorder keeps the fields of decisions.
+type linesRecorder struct {
+	silentRecorder
+	lines map[string][]any
+}
+
+func (l linesRecorder) Decided(decision string, fields ...any) { l.lines[decision] = fields }
+
+// TestEarlyRefusalsHaveALine: a request that was refused before its job was read left
+// no line with its identifier.
+func TestEarlyRefusalsHaveALine(t *testing.T) {
+	g := newGateway(t, newFakeStore())
+	recorder := linesRecorder{lines: map[string][]any{}}
+	g.node.edges.Record = recorder
+	_, _, err := g.Resolve("h", "/q/"+jobID, "unknown key")
+	require.True(t, fault.IsKind(err, fault.Unauthenticated))
+	require.Contains(t, recorder.lines["request refused"], jobID)
+	require.Contains(t, recorder.lines["request refused"], "unauthenticated")
+	_, _, err = g.Resolve("h", "/none/", "key")
+	require.True(t, fault.IsKind(err, fault.NotFound))
+	require.Contains(t, recorder.lines["request refused"], "not_found")
+}
--- /dev/null
+++ b/internal/node/status.go
@@ -0,0 +1,67 @@
+package node
+
+import (
+	"context"
+
+	"github.com/wheatroad/wheatroad/internal/loop"
+	"github.com/wheatroad/wheatroad/internal/pool"
+)
+
+// Status is a node's account of itself for operators.
+type Status struct {
+	Name string `json:"name"`
+	// Ready is what the balancer is told.
+	Ready    bool `json:"ready"`
+	Stopping bool `json:"stopping"`
+	// ConfigurationVersion is in force; it was known to be the newest
+	// ConfigurationAgeMillis ago.
+	ConfigurationVersion   int64 `json:"configuration_version"`
+	ConfigurationAgeMillis int64 `json:"configuration_age_ms"`
+	// StoreAgeMillis is how long ago the store last answered.
+	StoreAgeMillis int64        `json:"store_age_ms"`
+	StoreLost      bool         `json:"store_lost"`
+	Members        []string     `json:"members"`
+	Pools          []PoolStatus `json:"pools"`
+}
+
+// PoolStatus is what a node knows of one pool.
+type PoolStatus struct {
+	Pool  string `json:"pool"`
+	Owner string `json:"owner"`
+	// Token is the owner's fencing token.
+	Token int64 `json:"token"`
+	// OwnerFailures counts the owner's unanswered pings in a row.
+	OwnerFailures int `json:"owner_failures"`
+	// Owned has details if the node is the owner.
+	Owned *pool.Summary `json:"owned,omitempty"`
+}
+
+// Status returns the node's account of itself. It may be called anywhere.
+func (n *Node) Status(ctx context.Context) (Status, error) {
+	gateway := Gateway{node: n}
+	status := Status{
+		Name: n.options.Name, Ready: gateway.Ready(), Stopping: gateway.Stopping(),
+		ConfigurationAgeMillis: age(n.confirmed.Load()).Milliseconds(),
+		StoreAgeMillis:         n.storeAge().Milliseconds(), StoreLost: n.storeLost(),
+	}
+	if current := n.catalog.Load(); current != nil {
+		status.ConfigurationVersion = current.Version
+	}
+	err := loop.Call(ctx, n.edges.Loop, func() {
+		status.Members = sortedKeys(n.members)
+		for _, name := range sortedKeys(n.watches) {
+			status.Pools = append(status.Pools, n.poolStatus(name))
+		}
+	})
+	return status, err
+}
+
+func (n *Node) poolStatus(name string) PoolStatus {
+	lease := n.leases[name]
+	status := PoolStatus{Pool: name, Owner: lease.Owner, Token: lease.version, OwnerFailures: n.watches[name].failures}
+	if owned := n.owned[name]; owned != nil {
+		summary := owned.Summary()
+		status.Owned = &summary
+	}
+	return status
+}
--- /dev/null
+++ b/internal/pool/summary.go
@@ -0,0 +1,42 @@
+package pool
+
+import "github.com/wheatroad/wheatroad/internal/taskgraph"
+
+// Summary is an owner's account of its pool for operators.
+type Summary struct {
+	// Loaded is true once the rows are read.
+	Loaded bool `json:"loaded"`
+	// Jobs counts jobs by state.
+	Jobs map[taskgraph.State]int `json:"jobs"`
+	// WaitingUnits counts tasks and gangs that want a place.
+	WaitingUnits int `json:"waiting_units"`
+	Workers      int `json:"workers"`
+	// Unusable counts workers that take no new work, Slow those that take longer than
+	// most, and Silent those that do not answer.
+	Unusable int `json:"unusable"`
+	Slow     int `json:"slow"`
+	Silent   int `json:"silent"`
+	Runs     int `json:"runs"`
+}
+
+// Summary returns the owner's account of its pool.
+func (p *Pool) Summary() Summary {
+	summary := Summary{Loaded: p.loaded, Jobs: map[taskgraph.State]int{}, WaitingUnits: len(p.waitingUnits()), Workers: len(p.workers)}
+	for _, j := range p.jobs {
+		summary.Jobs[j.next]++
+	}
+	now := p.loop.Now()
+	for _, w := range p.workers {
+		summary.Runs += len(w.members)
+		if !p.usable(w, now) {
+			summary.Unusable++
+		}
+		if p.slow(w) {
+			summary.Slow++
+		}
+		if w.unanswered > 0 {
+			summary.Silent++
+		}
+	}
+	return summary
+}
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -14,6 +14,7 @@
 type Node struct {
 	// Name is unlike that of any other node.
 	Name string `toml:"name"`
+	// Zone is where the node stands; its first log line says so.
 	Zone string `toml:"zone"`
 	// Callers and Readiness are IP addresses and ports to listen on.
 	Callers   string `toml:"callers"`
@@ -28,7 +29,6 @@
 	// CPUShare is the machine's share of a core: larger nodes take pools first.
 	CPUShare  float64    `toml:"cpu_share"`
 	Bounds    NodeBounds `toml:"bounds"`
-	Log       Log        `toml:"log"`
 	Stretches Stretches  `toml:"stop"`
 }
 
@@ -42,7 +42,6 @@
 	StatusSeconds         float64 `toml:"status_s"`
 	RemoteFactor          float64 `toml:"remote_factor"`
 	ConfigurationMillis   int64   `toml:"config_apply_ms"`
-	ConfigurationStretch  int64   `toml:"max_stretch_ms"`
 	GraceSeconds          float64 `toml:"grace_period_s"`
 	UnacknowledgedTimeout int64   `toml:"unacknowledged_ms"`
 }
@@ -66,10 +65,9 @@
 		Bounds: NodeBounds{
 			MaxHoldMillis: 6000, StopTimeoutMillis: 1000, GangTimeoutMillis: 3000, ReclaimMillis: 3000,
 			CheckpointSeconds: 1, StatusSeconds: 120, RemoteFactor: 3,
-			ConfigurationMillis: 2000, ConfigurationStretch: 5000, GraceSeconds: 6, UnacknowledgedTimeout: 1500,
+			ConfigurationMillis: 2000, GraceSeconds: 6, UnacknowledgedTimeout: 1500,
 		},
 		Stretches: Stretches{ServeSeconds: 3},
-		Log:       Log{Format: "json"},
 	}
 }
 
@@ -129,5 +127,4 @@
 	c.require(b.RemoteFactor >= 1, "bounds.remote_factor", "must be at least 1")
 	c.require(b.GraceSeconds > 0, "bounds.grace_period_s", "must be positive")
 	c.require(s.Stretches.ServeSeconds >= 0 && s.Stretches.ServeSeconds < b.GraceSeconds, "stop.serve_s", "must be less than bounds.grace_period_s")
-	c.require(s.Log.Format == "json" || s.Log.Format == "text", "log.format", "must be json or text")
 }
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -69,6 +69,7 @@
 // Telemetry is a node's counters, histograms and log.
 type Telemetry struct {
 	log        logr.Logger
+	budget     *lineBudget
 	histograms map[string]metric.Float64Histogram
 	counters   map[string]metric.Int64Counter
 	labels     map[string]string
@@ -91,7 +92,7 @@
 	provider := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter))
 	meter := provider.Meter("github.com/wheatroad/wheatroad")
 	t := &Telemetry{
-		log: log, provider: provider,
+		log: log, budget: newLineBudget(time.Now), provider: provider,
 		counters: map[string]metric.Int64Counter{}, histograms: map[string]metric.Float64Histogram{}, labels: map[string]string{},
 		handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
 	}
@@ -138,9 +139,16 @@
 	t.log.Info(message, keysAndValues...)
 }
 
-// Decided logs one line for a decision that touches a job or a belief.
+// Decided logs one line for a decision that touches a job or a belief, within the
+// decision's budget.
 func (t *Telemetry) Decided(decision string, keysAndValues ...any) {
-	t.log.Info(decision, keysAndValues...)
+	allowed, leftOut := t.budget.take(decision)
+	for other, count := range leftOut {
+		t.log.Info("lines left out", "decision", other, "count", count)
+	}
+	if allowed {
+		t.log.Info(decision, keysAndValues...)
+	}
 }
 
 // Handler serves the counters.
