Wait for a near place as long as running elsewhere would cost

Gangs that no rack holds waited too. Change: the patience is the remote factor less one, times the estimate; a unit that no near group of workers could hold does not wait.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -124,11 +124,12 @@
 	return take(candidates, request.Count)
 }
 
-// Holds reports whether the workers could take the request if nothing ran on them.
+// Holds reports whether the workers could take the request if nothing ran on them and
+// all were usable.
 func Holds(workers []Worker, among []int, request *Request) bool {
 	total := 0
 	for _, i := range among {
-		if request.allowed(workers, i) {
+		if request.Allowed == nil || request.Allowed(i) {
 			total += request.capacity(i, workers[i].Capacity)
 		}
 		if total >= request.Count {
--- a/internal/pool/findplace.go
+++ b/internal/pool/findplace.go
@@ -54,7 +54,7 @@
 			return places
 		}
 	}
-	if p.bound(s, u) {
+	if p.bound(s, u, visible) {
 		return nil
 	}
 	if len(u.members) > 1 && spec.Gang {
@@ -84,16 +84,32 @@
 	return s.usage < idleUsage && s.now.Sub(u.readyAt) > idlePatience
 }
 
-// bound reports whether a unit still waits for a place where it runs at full speed.
-func (p *Pool) bound(s *snapshot, u *unit) bool {
+// bound reports whether a unit still waits for a place where it runs at full speed:
+// for as long as it would lose by running elsewhere.
+func (p *Pool) bound(s *snapshot, u *unit, request *placement.Request) bool {
+	if !s.hasNearPlace(u, request) {
+		return false
+	}
+	patience := (p.options.Bounds.RemoteFactor - 1) * float64(u.spec().Estimate())
+	return s.now.Sub(u.readyAt) < time.Duration(patience)
+}
+
+// hasNearPlace reports whether there are workers that could hold the unit and on which
+// it runs faster than elsewhere.
+func (s *snapshot) hasNearPlace(u *unit, request *placement.Request) bool {
 	spec := u.spec()
-	near := spec.PreferredRack != "" && len(s.racks.Members[spec.PreferredRack]) > 0
-	together := spec.SameRack && len(u.members) > 1
-	if !near && !together {
+	if members := s.racks.Members[spec.PreferredRack]; spec.PreferredRack != "" && len(members) > 0 {
+		return placement.Holds(s.workers, members, request)
+	}
+	if !spec.SameRack || len(u.members) < 2 {
 		return false
 	}
-	waited := s.now.Sub(u.readyAt)
-	return waited < time.Duration(remotePatience*float64(spec.Estimate()))
+	for _, name := range s.racks.Names {
+		if placement.Holds(s.workers, s.racks.Members[name], request) {
+			return true
+		}
+	}
+	return false
 }
 
 // patient reports whether a unit can leave the emptiest racks to urgent jobs.
--- a/internal/pool/policy.go
+++ b/internal/pool/policy.go
@@ -6,9 +6,6 @@
 const (
 	// reservationLimit bounds the units for which room is kept in one cycle.
 	reservationLimit = 16
-	// remotePatience times its estimate is how long a unit waits for a place near
-	// its data, or on one rack, before it runs elsewhere.
-	remotePatience = 1.0
 	// A unit that has waited for idlePatience while less than idleUsage of the pool is
 	// taken gets any place.
 	idleUsage    = 0.55
--- a/internal/pool/policy_test.go
+++ b/internal/pool/policy_test.go
@@ -97,3 +97,30 @@
 	require.Equal(t, 1, slow.Runs(), "where nothing else is left it is used")
 	requireKept(t, w)
 }
+
+// TestGangsOnOneRackWaitAsLongAsItPays: elsewhere such a gang takes three times as long,
+// so it waits up to twice its estimate for its rack; one that no rack holds does not wait.
+func TestGangsOnOneRackWaitAsLongAsItPays(t *testing.T) {
+	w := simulation.NewWorld(2, 2)
+	w.Work = func(taskgraph.TaskName) time.Duration { return 1500 * time.Millisecond }
+	tied := func(count int) taskgraph.Step {
+		step := gang(count)
+		step.SameRack = true
+		return step
+	}
+	// Each rack is left with one free worker for a second and a half.
+	w.Submit(spec(1, gang(1)), urgent)
+	w.Own()
+	w.Run(300 * time.Millisecond)
+	w.Submit(spec(2, tied(2)), urgent)
+	w.Run(300 * time.Millisecond)
+	w.Submit(spec(3, tied(2)), urgent)
+	w.Run(900 * time.Millisecond)
+	require.Zero(t, w.Judge.Starts(taskgraph.TaskName{Job: jobID(3)}), "waits for its rack")
+	w.Run(10 * time.Second)
+	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(3)))
+	w.Submit(spec(4, tied(3)), batch)
+	w.Run(300 * time.Millisecond)
+	require.Equal(t, 1, w.Judge.Starts(taskgraph.TaskName{Job: jobID(4)}), "no rack holds it")
+	requireKept(t, w)
+}
