--- a/cmd/wheatroad-bench/faults/run.go
+++ b/cmd/wheatroad-bench/faults/run.go
@@ -83,7 +83,7 @@
 	if err := r.start(); err != nil {
 		return nil, err
 	}
-	report := &Report{Seed: options.Seed, Faults: map[Kind]int{}, Logs: options.Folder, States: map[taskgraph.State]int{}}
+	report := &Report{Seed: options.Seed, Broken: []string{}, Faults: map[Kind]int{}, Logs: options.Folder, States: map[taskgraph.State]int{}}
 	r.play(report)
 	r.settle(report)
 	r.judge(report)
--- a/cmd/wheatroad-bench/faults_command.go
+++ b/cmd/wheatroad-bench/faults_command.go
@@ -17,15 +17,15 @@
 
 // faultsFlags are the flags of the faults command.
 type faultsFlags struct {
-	binaries string
-	logs     string
-	seed     uint64
-	seeds    int
-	seconds  float64
-	daemons  int
-	callers  int
-	asJSON   bool
-	list     bool
+	binaries  string
+	logs      string
+	seed      uint64
+	seeds     int
+	seconds   float64
+	processes int
+	callers   int
+	asJSON    bool
+	list      bool
 }
 
 func newFaultsCommand() *cobra.Command {
@@ -36,7 +36,7 @@
 		Long: "Starts daemons as processes of their own against the stand-in for the platform, signals them, and cuts,\n" +
 			"delays and resets their links; the stand-in's store and workers misbehave. Ends only what it started.\n" +
 			"A failed seed keeps its logs and prints the command that plays it again.",
-		Example: "  wheatroad-bench faults --seed 1 --seeds 50 --seconds 15\n  wheatroad-bench faults --seed 7 --daemons 12 --json",
+		Example: "  wheatroad-bench faults --seed 1 --seeds 50 --seconds 15\n  wheatroad-bench faults --seed 7 --processes 12 --json",
 		Args:    cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
 			if flags.list {
@@ -53,7 +53,7 @@
 	command.Flags().Uint64Var(&flags.seed, "seed", 1, "first seed")
 	command.Flags().IntVar(&flags.seeds, "seeds", 1, "how many seeds to play, one after another")
 	command.Flags().Float64Var(&flags.seconds, "seconds", 15, "how long faults come")
-	command.Flags().IntVar(&flags.daemons, "daemons", 3, "how many daemons")
+	command.Flags().IntVar(&flags.processes, "processes", 3, "how many daemons, each a process of its own")
 	command.Flags().IntVar(&flags.callers, "callers", 4, "how many callers")
 	command.Flags().BoolVar(&flags.asJSON, "json", false, "print each report as JSON")
 	command.Flags().BoolVar(&flags.list, "list-kinds", false, "list the kinds of faults and end")
@@ -87,7 +87,7 @@
 	}
 	report, err := faults.Run(faults.Options{
 		Program: filepath.Join(flags.binaries, "wheatroadd"), Seed: seed, Folder: folder,
-		Length: time.Duration(flags.seconds * float64(time.Second)), Daemons: flags.daemons, Callers: flags.callers,
+		Length: time.Duration(flags.seconds * float64(time.Second)), Daemons: flags.processes, Callers: flags.callers,
 	})
 	if err == nil && len(report.Broken) == 0 {
 		err = os.RemoveAll(folder)
@@ -111,8 +111,8 @@
 		_, err = fmt.Fprintln(out, "  broken:", line)
 	}
 	if len(report.Broken) > 0 {
-		_, err = fmt.Fprintf(out, "  logs in %s; again: wheatroad-bench faults --seed %d --seconds %g --daemons %d --callers %d\n",
-			report.Logs, report.Seed, flags.seconds, flags.daemons, flags.callers)
+		_, err = fmt.Fprintf(out, "  logs in %s; again: wheatroad-bench faults --seed %d --seconds %g --processes %d --callers %d\n",
+			report.Logs, report.Seed, flags.seconds, flags.processes, flags.callers)
 	}
 	return err
 }
