--- a/internal/cli/status.go
+++ b/internal/cli/node_status.go
@@ -18,12 +18,12 @@
 // statusTimeout bounds the wait for one node.
 const statusTimeout = 5 * time.Second
 
-func newStatusCommand() *cobra.Command {
+func newNodeStatusCommand() *cobra.Command {
 	var asJSON bool
 	command := &cobra.Command{
-		Use:     "status METRICS-ADDRESS...",
+		Use:     "node-status METRICS-ADDRESS...",
 		Short:   "Show what nodes on the platform say of themselves: configuration, store, owners, pools",
-		Example: "  wheatroadctl status 10.1.0.19:9464 10.2.0.35:9464",
+		Example: "  wheatroadctl node-status 10.1.0.19:9464 10.2.0.35:9464",
 		Args:    cobra.MinimumNArgs(1),
 		RunE: func(command *cobra.Command, args []string) error {
 			var failure error
