Tell from log lines what jobs ended late and why: wheatroadctl losses

Cause: nothing told where worth is lost; estimates of urgent jobs are so far off that the owner's own objective cannot tell late jobs from others. Change: what a unit waited for, how long a run took and what of it no checkpoint holds stand in the log lines; a verb adds them up over all nodes.

--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -63,7 +63,7 @@
 	flags.StringVar(&a.profileFile, "profile-file", defaultProfileFile(), "TOML file with profiles")
 	flags.StringVarP(&a.output, "output", "o", "table", "json or table")
 	flags.DurationVar(&a.deadline, "deadline", 30*time.Second, "how long one request may take")
-	root.AddCommand(newTraceCommand(), newNodeStatusCommand(),
+	root.AddCommand(newTraceCommand(), newLossesCommand(), newNodeStatusCommand(),
 		a.submitCommand(), a.statusCommand(), a.listCommand(), a.resultCommand(), a.cancelCommand(), a.explainCommand(),
 		a.planCommand(), a.confirmCommand(), a.applyCommand(), a.drainCommand(), a.configurationCommand(), a.domainsCommand(),
 		validateCommand(), keyCommand(),
--- /dev/null
+++ b/internal/losses/losses_test.go
@@ -0,0 +1,102 @@
+package losses
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// line renders a log line of a node at a time in milliseconds.
+func line(node string, at int, decision, fields string) string {
+	stamp := time.UnixMilli(int64(at)).UTC().Format("2006-01-02T15:04:05.000Z07:00")
+	if fields != "" {
+		fields = "," + fields
+	}
+	return fmt.Sprintf(`%s {"ts":"%s","msg":"%s"%s}`, node, stamp, decision, fields)
+}
+
+func placed(at int, job string, run, waited int, waitedFor string) string {
+	return line("a", at, "placed", fmt.Sprintf(`"job":"%s","step":0,"unit":0,"run":%d,"tasks":1,"waited_ms":%d,"waited_for":"%s"`, job, run, waited, waitedFor))
+}
+
+func runEnded(at int, job string, run, ran int, how, reason string) string {
+	return line("a", at, "run ended", fmt.Sprintf(`"job":"%s","task":"%s.0.0.0","run":%d,"ran_ms":%d,"how":"%s","reason":"%s","unsaved_core_s":5`, job, job, run, ran, how, reason))
+}
+
+func jobEnded(at int, job, state string) string {
+	return line("a", at, "job ended", fmt.Sprintf(`"job":"%s","queue":"urgent","state":"%s","stretch":1.5,"target_ms":200`, job, state))
+}
+
+func accepted(at int, job string) string {
+	return line("b", at, "job accepted", fmt.Sprintf(`"job":"%s","queue":"urgent"`, job))
+}
+
+func refused(at int, job, reason string) string {
+	return line("b", at, "request refused", fmt.Sprintf(`"job":"%s","reason":"%s"`, job, reason))
+}
+
+func summarize(t *testing.T, lines ...string) *Summary {
+	t.Helper()
+	log := New()
+	require.NoError(t, log.Read(strings.NewReader(strings.Join(lines, "\n"))))
+	return log.Summarize()
+}
+
+func TestLateJobsNameWhatTookMostOfTheirTime(t *testing.T) {
+	cases := map[string]struct {
+		lines []string
+		cause Cause
+	}{
+		"no room": {[]string{accepted(0, "x"), placed(3000, "x", 1, 2990, "no room"), runEnded(4000, "x", 1, 1000, "done", ""), jobEnded(4000, "x", "completed")},
+			"waited: no room"},
+		"preempted": {[]string{accepted(0, "x"), placed(0, "x", 1, 0, ""), runEnded(2000, "x", 1, 2000, "stopped", "preempted"),
+			placed(2000, "x", 2, 0, ""), runEnded(3000, "x", 2, 1000, "done", ""), jobEnded(3000, "x", "completed")},
+			"run again after: stopped: preempted"},
+		"refused at first": {[]string{refused(0, "x", "configuration_old"), accepted(2500, "x"), placed(2500, "x", 1, 0, ""),
+			runEnded(3500, "x", 1, 1000, "done", ""), jobEnded(3500, "x", "completed")},
+			"refused at first: configuration_old"},
+		"store away": {[]string{line("a", 0, "pool acquired", ""), accepted(10, "x"), line("a", 100, "store lost", `"reason":"reset"`), placed(120, "x", 1, 0, ""),
+			line("a", 3000, "store answers again", ""), runEnded(4000, "x", 1, 1000, "done", ""), jobEnded(4000, "x", "completed")},
+			CauseStoreAway},
+		"takeover": {[]string{accepted(0, "x"), line("b", 10, "owner does not answer", ""), line("a", 2900, "pool acquired", ""), line("a", 3000, "rows read", ""),
+			placed(3000, "x", 1, 3000, ""), runEnded(4000, "x", 1, 1000, "done", ""), jobEnded(4000, "x", "completed")},
+			CauseTakeover},
+		"never taken": {[]string{refused(0, "x", "store_unavailable"), refused(1000, "x", "store_unavailable")}, "not taken: store_unavailable"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := summarize(t, c.lines...)
+			require.Len(t, s.causes, 1)
+			require.Equal(t, c.cause, s.causes[0].cause)
+		})
+	}
+}
+
+// TestTimelyAndForbiddenJobsAreNoLosses: an objective counts from how long the work
+// took, failures of the job's own among it.
+func TestTimelyAndForbiddenJobsAreNoLosses(t *testing.T) {
+	s := summarize(t,
+		accepted(0, "x"), placed(0, "x", 1, 0, ""), runEnded(1500, "x", 1, 1500, "failed", ""),
+		placed(1500, "x", 2, 0, ""), runEnded(3000, "x", 2, 1500, "done", ""), jobEnded(3000, "x", "completed"),
+		refused(0, "y", "unauthenticated"), "not a line of ours", `{"no":"decision"}`)
+	require.Empty(t, s.causes)
+	require.Equal(t, &queueCounts{jobs: 1, inTime: 1}, s.queues["urgent"])
+	require.Equal(t, map[string]float64{"failed": 5}, s.thrown)
+}
+
+func TestLinesOfSeveralNodesAreReadInTheOrderOfTheirTime(t *testing.T) {
+	s := summarize(t, jobEnded(1000, "x", "completed"), runEnded(1000, "x", 1, 1000, "done", ""), placed(0, "x", 1, 0, ""), accepted(0, "x"))
+	require.Equal(t, 1, s.queues["urgent"].inTime)
+}
+
+func TestPrint(t *testing.T) {
+	s := summarize(t, accepted(0, "x"), placed(3000, "x", 1, 2990, "no room"), runEnded(4000, "x", 1, 1000, "done", ""), jobEnded(4000, "x", "completed"))
+	var output bytes.Buffer
+	require.NoError(t, s.Print(&output, true))
+	require.Contains(t, output.String(), "waited: no room")
+	require.Contains(t, output.String(), "1.7s")
+}
--- /dev/null
+++ b/internal/losses/table.go
@@ -0,0 +1,121 @@
+package losses
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+)
+
+// queueCounts counts the jobs of one queue by how they ended.
+type queueCounts struct {
+	jobs, inTime, late, notTaken, failed, cancelled, open int
+}
+
+// causeCount counts the jobs of one queue that one cause decided.
+type causeCount struct {
+	cause Cause
+	queue string
+	jobs  int
+	took  time.Duration
+}
+
+// Summary is what was lost, by queue and by cause.
+type Summary struct {
+	queues map[string]*queueCounts
+	causes []causeCount
+	// Late has a line for each job that ended late or was not taken.
+	late   []string
+	thrown map[string]float64
+}
+
+// Summarize decides each job's cause.
+func (l *Log) Summarize() *Summary {
+	slices.SortStableFunc(l.records, func(a, b record) int { return a.At.Compare(b.At) })
+	for i := range l.records {
+		l.take(l.records[i])
+	}
+	s := &Summary{queues: map[string]*queueCounts{}, thrown: l.thrown}
+	for _, id := range l.sortedJobs() {
+		j := l.jobs[id]
+		if !j.owed() {
+			continue
+		}
+		counts := s.queues[j.queue]
+		if counts == nil {
+			counts = &queueCounts{}
+			s.queues[j.queue] = counts
+		}
+		counts.jobs++
+		switch {
+		case j.acceptedAt.IsZero() && j.ended.Decision == "":
+			counts.notTaken++
+			s.add(id, j, CauseNotTaken+Cause(j.refusal), j.refusedAt.Sub(j.firstAt))
+		case j.late():
+			counts.late++
+			cause, took := j.decidingCause(l)
+			s.add(id, j, cause, took)
+		case j.ended.State == "completed":
+			counts.inTime++
+		case j.ended.State == "failed":
+			counts.failed++
+		case j.ended.State == "cancelled":
+			counts.cancelled++
+		default:
+			counts.open++
+		}
+	}
+	slices.SortFunc(s.causes, func(a, b causeCount) int {
+		return cmp.Or(b.jobs-a.jobs, cmp.Compare(a.cause, b.cause), cmp.Compare(a.queue, b.queue))
+	})
+	return s
+}
+
+func (s *Summary) add(id string, j *job, cause Cause, took time.Duration) {
+	s.late = append(s.late, fmt.Sprintf("%s\t%s\t%v\t%v\t%s\t%v", id, j.queue, max(0, j.total()).Round(time.Millisecond),
+		j.objective().Round(time.Millisecond), cause, took.Round(time.Millisecond)))
+	for i := range s.causes {
+		if s.causes[i].cause == cause && s.causes[i].queue == j.queue {
+			s.causes[i].jobs++
+			s.causes[i].took += took
+			return
+		}
+	}
+	s.causes = append(s.causes, causeCount{cause: cause, queue: j.queue, jobs: 1, took: took})
+}
+
+// Print writes the tables; with jobs it lists every late job too.
+func (s *Summary) Print(output io.Writer, jobs bool) error {
+	table := tabwriter.NewWriter(output, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "queue\tjobs\tin time\tlate\tnot taken\tfailed\tcancelled\topen")
+	for _, name := range sortedKeys(s.queues) {
+		c := s.queues[name]
+		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n", name, c.jobs, c.inTime, c.late, c.notTaken, c.failed, c.cancelled, c.open)
+	}
+	fmt.Fprintln(table, "\ncause\tqueue\tjobs\tseconds")
+	for _, c := range s.causes {
+		fmt.Fprintf(table, "%s\t%s\t%d\t%.1f\n", c.cause, c.queue, c.jobs, c.took.Seconds())
+	}
+	fmt.Fprintln(table, "\nwork thrown away\tcore-seconds")
+	for _, cause := range sortedKeys(s.thrown) {
+		fmt.Fprintf(table, "%s\t%.0f\n", cause, s.thrown[cause])
+	}
+	if jobs {
+		fmt.Fprintln(table, "\njob\tqueue\ttook\tobjective\tcause\tof which")
+		for _, line := range s.late {
+			fmt.Fprintln(table, line)
+		}
+	}
+	return table.Flush()
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- a/internal/pool/cycle.go
+++ b/internal/pool/cycle.go
@@ -119,6 +119,7 @@
 		p.beginAt(s, u, request, places)
 		return true
 	}
+	p.noteWait(s, u, request)
 	if !p.pressing(s, u) || !p.preemptFor(s, u, request) {
 		s.reserveFor(u, request, s.earliest(u, request))
 	}
--- a/internal/pool/findplace.go
+++ b/internal/pool/findplace.go
@@ -17,7 +17,7 @@
 	visible := *request
 	visible.Limit = s.unreserved(spec.Estimate())
 	if p.patient(s, u) {
-		if u.job.Queue.Priority > p.pressurePriority && s.now.Before(p.pressureUntil) {
+		if p.underPressure(s, u) {
 			return nil
 		}
 		visible.Allowed = s.outsideHeadroom(request.Allowed, u.job.Queue.Priority)
@@ -118,6 +118,12 @@
 		u.slack(s.now) > time.Duration(patientShare*float64(u.job.objective))
 }
 
+// underPressure reports whether a patient unit waits because others of a higher
+// priority were just stopped for want of room.
+func (p *Pool) underPressure(s *snapshot, u *unit) bool {
+	return u.job.Queue.Priority > p.pressurePriority && s.now.Before(p.pressureUntil)
+}
+
 // outsideHeadroom narrows allowed to racks other than the emptiest, of which the
 // more are left out the less urgent the priority.
 func (s *snapshot) outsideHeadroom(allowed func(int) bool, priority int) func(int) bool {
--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -293,7 +293,14 @@
 		u.checkpoint = end.Checkpoint
 	}
 	p.record.Count("attempts", string(end.How))
-	p.record.Decided("run ended", "job", u.job.id, "task", end.Task.String(), "run", end.Run, "worker", w.ID, "how", string(end.How))
+	ran := p.loop.Now().Sub(u.startedAt)
+	ranMillis := ran.Milliseconds()
+	if !u.startedHere {
+		// An earlier owner started it; its line tells when.
+		ranMillis = 0
+	}
+	p.record.Decided("run ended", "job", u.job.id, "task", end.Task.String(), "run", end.Run, "worker", w.ID, "how", string(end.How),
+		"reason", u.stopReason, "ran_ms", ranMillis, "unsaved_core_s", p.unsavedWork(u, end.How, ran))
 	switch end.How {
 	case fleet.Done:
 		w.strikes = 0
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -76,6 +76,10 @@
 	units    []*unit
 	ended    int
 	complete bool
+	// waitsFor is what kept the step's units from a place at the last look, which was
+	// at waitSeenAt.
+	waitsFor   waitReason
+	waitSeenAt time.Time
 }
 
 // unit is what is placed at once: one task, or all tasks of a gang.
--- a/internal/pool/orders.go
+++ b/internal/pool/orders.go
@@ -66,8 +66,9 @@
 		u.job.begun = true
 		u.job.next = taskgraph.Running
 	}
-	p.record.Decided("placed", "job", u.job.id, "step", u.step.index, "unit", u.index, "run", run,
-		"waited_ms", p.loop.Now().Sub(u.readyAt).Milliseconds(), "estimate_ms", u.spec().EstimateMillis, "cores", u.spec().Amount.Cores()*float64(len(u.members)), "slack_ms", u.slack(p.loop.Now()).Milliseconds(), "workers", workerIDs(places))
+	p.record.Decided("placed", "job", u.job.id, "step", u.step.index, "unit", u.index, "run", run, "tasks", len(u.members),
+		"waited_ms", p.loop.Now().Sub(u.readyAt).Milliseconds(), "waited_for", string(u.waitedFor()), "estimate_ms", u.spec().EstimateMillis,
+		"cores", u.spec().Amount.Cores()*float64(len(u.members)), "slack_ms", u.slack(p.loop.Now()).Milliseconds(), "workers", workerIDs(places))
 	p.persist(u.job)
 	p.afterWrite(func() {
 		switch {
@@ -100,6 +101,7 @@
 	u.state = unitActive
 	u.startedAt = p.loop.Now()
 	u.startedHere = true
+	u.stopReason = ""
 	u.resumed = u.checkpoint != ""
 	if !u.job.ordered {
 		u.job.ordered = true
