Tell failing workers by the first failure; keep gangs and last attempts off them

Change: only a run that was begun after the last failure and makes progress takes strikes back. Gangs and units that failed before prefer workers without strikes, the last attempt those that lately got a run going.

--- a/internal/pool/findplace.go
+++ b/internal/pool/findplace.go
@@ -13,33 +13,22 @@
 	if s.overdue(u) {
 		return p.findAnyPlace(s, u, request)
 	}
-	spec := u.spec()
 	visible := *request
-	visible.Limit = s.unreserved(spec.Estimate())
+	visible.Limit = s.unreserved(u.spec().Estimate())
 	if p.patient(s, u) {
 		if p.underPressure(s, u) {
 			return nil
 		}
 		visible.Allowed = s.outsideHeadroom(request.Allowed, u.job.Queue.Priority)
 	}
-	if spec.Gang && len(u.members) > 1 {
-		if places := p.fitByScope(s, u, s.onlyFast(&visible)); places != nil {
+	for _, preferred := range p.preferences(s, u) {
+		if places := p.fitByScope(s, u, narrowed(&visible, preferred)); places != nil {
 			return places
 		}
 	}
 	return p.fitByScope(s, u, &visible)
 }
 
-// onlyFast narrows a request to workers that are not slow: a gang is as slow as its
-// slowest member.
-func (s *snapshot) onlyFast(request *placement.Request) *placement.Request {
-	fast := *request
-	fast.Allowed = func(i int) bool {
-		return !s.workers[i].Slow && (request.Allowed == nil || request.Allowed(i))
-	}
-	return &fast
-}
-
 // fitByScope places a unit where it runs at full speed, or anywhere once it has waited
 // for that.
 func (p *Pool) fitByScope(s *snapshot, u *unit, visible *placement.Request) []int {
--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -227,6 +227,9 @@
 		m.state = memberRunning
 	}
 	m.listedAt = now
+	if entry.Percent > 0 && m.unit.startedHere && !m.unit.resumed {
+		m.worker.reliability.noteSound(m.unit.startedAt)
+	}
 	m.noteRate(entry.Percent, now)
 	if entry.Percent != m.percent || m.percentAt.IsZero() {
 		m.percent, m.percentAt = entry.Percent, now
@@ -303,7 +306,9 @@
 		"reason", u.stopReason, "ran_ms", ranMillis, "unsaved_core_s", p.unsavedWork(u, end.How, ran))
 	switch end.How {
 	case fleet.Done:
-		w.strikes = 0
+		if u.startedHere {
+			w.reliability.noteSound(u.startedAt)
+		}
 		p.unitDone(u)
 	case fleet.Failed:
 		p.unitFailed(u, w)
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -304,8 +304,7 @@
 	// penaltyUntil keeps new work away.
 	penaltyUntil time.Time
 	speed        speed
-	// strikes count failures that look like the worker's own.
-	strikes int
+	reliability  reliability
 }
 
 // stranger is a run that does not belong where it is.
--- a/internal/pool/preempt.go
+++ b/internal/pool/preempt.go
@@ -36,7 +36,14 @@
 // It returns false if the stops would cost more than the start is worth, or nothing
 // helps.
 func (p *Pool) preemptFor(s *snapshot, u *unit, request *placement.Request) bool {
-	places, victims, loss := bestPreemption(s, s.scopes(u), s.onlyFast(request))
+	var places, victims []int
+	var loss float64
+	for _, preferred := range p.preferences(s, u) {
+		places, victims, loss = bestPreemption(s, s.scopes(u), narrowed(request, preferred))
+		if places != nil && loss <= preemptionGain(u, s.now) {
+			break
+		}
+	}
 	if places == nil || loss > preemptionGain(u, s.now) {
 		places, victims, loss = bestPreemption(s, s.scopes(u), request)
 	}
--- /dev/null
+++ b/internal/pool/reliability.go
@@ -0,0 +1,93 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/wheatroad/wheatroad/internal/placement"
+)
+
+// What is made of failed runs. A run may fail by its job's own fault or because its
+// worker fails whatever it starts, usually at once. Failures on one worker are told
+// apart by what else the worker does: a run that it began after its last failure and
+// that makes progress shows that it works.
+const (
+	// strikeLimit is how many failures without such a run bring a penalty.
+	strikeLimit = 2
+	// penalty keeps new work away from a worker that failed or stands still. It is the
+	// usual length of such a fault on the platform's days, 5 to 7 s.
+	penalty = 6 * time.Second
+	// provenPeriod is how long the last run that made progress proves a worker sound.
+	// Runs of a few seconds prove most busy workers all the time.
+	provenPeriod = 3 * time.Second
+)
+
+// reliability is what is known of a worker's failures.
+type reliability struct {
+	// strikes counts failed runs since the last run that shows that the worker works.
+	strikes  int
+	failedAt time.Time
+	// soundAt is the latest start of a run that made progress or ended well.
+	soundAt time.Time
+}
+
+// noteSound notes that a run which was started at a time made progress.
+func (r *reliability) noteSound(startedAt time.Time) {
+	if startedAt.After(r.failedAt) {
+		r.strikes = 0
+	}
+	if startedAt.After(r.soundAt) {
+		r.soundAt = startedAt
+	}
+}
+
+// suspect reports whether the worker's last word is a failure.
+func (r *reliability) suspect() bool { return r.strikes > 0 }
+
+// proven reports whether the worker was shown to work not long ago.
+func (r *reliability) proven(now time.Time) bool {
+	return r.strikes == 0 && now.Sub(r.soundAt) < provenPeriod
+}
+
+// strike notes a failed run.
+func (p *Pool) strike(w *worker) {
+	now := p.loop.Now()
+	w.reliability.strikes++
+	w.reliability.failedAt = now
+	if w.reliability.strikes >= strikeLimit {
+		w.penaltyUntil = now.Add(penalty)
+		p.record.Decided("worker judged bad", "worker", w.ID, "strikes", w.reliability.strikes)
+	}
+}
+
+// preferences lists which workers a unit tries first, the narrowest choice first. A
+// gang is as slow as its slowest member and fails with any of them; a unit that has
+// failed before should not lose another attempt to a failing worker.
+func (p *Pool) preferences(s *snapshot, u *unit) []func(i int) bool {
+	trusted := func(i int) bool { return !s.owners[i].reliability.suspect() }
+	fast := func(i int) bool { return trusted(i) && !s.workers[i].Slow }
+	proven := func(i int) bool { return s.owners[i].reliability.proven(s.now) }
+	gang := u.spec().Gang && len(u.members) > 1
+	switch {
+	case u.lastAttempt():
+		return []func(int) bool{proven, trusted}
+	case gang:
+		return []func(int) bool{fast, trusted}
+	case u.failures > 0:
+		return []func(int) bool{trusted}
+	}
+	return nil
+}
+
+// lastAttempt reports whether one more failure ends the unit's job.
+func (u *unit) lastAttempt() bool {
+	return u.failures > 0 && u.failures >= u.job.Queue.MaxAttempts-1 && !u.spec().LongRunning
+}
+
+// narrowed returns a request that only some workers may take.
+func narrowed(request *placement.Request, allowed func(i int) bool) *placement.Request {
+	narrow := *request
+	narrow.Allowed = func(i int) bool {
+		return allowed(i) && (request.Allowed == nil || request.Allowed(i))
+	}
+	return &narrow
+}
--- a/internal/pool/unit.go
+++ b/internal/pool/unit.go
@@ -78,11 +78,7 @@
 		u.avoid = map[string]bool{}
 	}
 	u.avoid[w.ID] = true
-	w.strikes++
-	if w.strikes >= strikeLimit {
-		w.penaltyUntil = p.loop.Now().Add(penalty)
-		p.record.Decided("worker judged bad", "worker", w.ID, "strikes", w.strikes)
-	}
+	p.strike(w)
 	p.persist(u.job)
 	if u.failures >= max(1, u.job.Queue.MaxAttempts) && !u.spec().LongRunning {
 		p.finishJob(u.job, taskgraph.Failed)
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -21,10 +21,6 @@
 	clockDrift = 0.02
 	// lapseMargin is added to the end of a lease before its runs count as gone.
 	lapseMargin = 300 * time.Millisecond
-	// penalty keeps new work away from a worker that failed.
-	penalty = 6 * time.Second
-	// strikeLimit is how many failures in a row bring a penalty.
-	strikeLimit = 2
 )
 
 // readWorkers reads the workers' rows, then follows them.
