Reach the store through another node while it turns this one away

Change: calls that fail directly, or take long, go through another node; feeds too once the store is lost. An owner that can write this way is not replaced. The forwarding of whole submissions goes, as the store is reached below it.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -96,7 +96,7 @@
 	}
 	arrived := time.Now()
 	job := &pool.Accepted{Spec: *spec, Tenant: access.Tenant, Queue: access.Queue, AcceptedMillis: arrived.UnixMilli()}
-	err := g.anywhere(ctx, methodSubmit, jobRequest{Pool: access.Queue.Pool, Job: job}, func(ctx context.Context) error {
+	err := limited(ctx, submitTimeout, func(ctx context.Context) error {
 		return g.commitJob(ctx, access.Queue.Pool, job)
 	})
 	if err != nil {
@@ -110,76 +110,20 @@
 	return nil
 }
 
-// anywhere runs a write here, or on another node if this one lost the store.
-func (g *Gateway) anywhere(ctx context.Context, method string, request jobRequest, here func(context.Context) error) error {
-	n := g.node
-	var failure error
-	if !n.storeLost() {
-		failure = limited(ctx, submitTimeout, here)
-		if failure == nil || !storeFault(failure) {
-			return failure
-		}
-	}
-	for _, other := range g.helpers() {
-		err := limited(ctx, submitTimeout, func(ctx context.Context) error {
-			_, err := n.call(ctx, other.Address, method, request)
-			return err
-		})
-		if err == nil || !storeFault(err) {
-			return err
-		}
-		failure = worse(failure, err)
-	}
-	if failure == nil {
-		failure = fault.New(fault.StoreUnavailable, "no node has the store")
-	}
-	return failure
-}
-
 // worse returns the error after which less is known.
 func worse(a, b error) error {
 	if a != nil && fault.IsKind(a, fault.OutcomeUnknown) {
 		return a
 	}
-	if fault.IsKind(b, fault.NoOwner) {
-		return fault.New(fault.StoreUnavailable, "no node with the store answers")
-	}
 	return b
 }
 
-// storeFault reports whether another node may fare better.
-func storeFault(err error) bool {
-	return fault.IsKind(err, fault.StoreUnavailable) || fault.IsKind(err, fault.OutcomeUnknown) || fault.IsKind(err, fault.NoOwner)
-}
-
 func limited(ctx context.Context, limit time.Duration, work func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	return work(ctx)
 }
 
-// helperCount is how many other nodes are tried for a write.
-const helperCount = 2
-
-// helpers lists nodes that may have the store: owners first.
-func (g *Gateway) helpers() []member {
-	v := g.node.view.Load()
-	owners := map[string]bool{}
-	for _, lease := range v.leases {
-		owners[lease.Owner] = true
-	}
-	var first, second []member
-	for _, other := range v.members {
-		if owners[other.Name] {
-			first = append(first, other)
-		} else {
-			second = append(second, other)
-		}
-	}
-	helpers := append(first, second...)
-	return helpers[:min(helperCount, len(helpers))]
-}
-
 // storeFailure turns a failure of the store into a fault.
 func storeFailure(err error) error {
 	if errors.Is(err, rows.ErrRefused) {
@@ -232,7 +176,7 @@
 	if !taskgraph.ValidID(id) {
 		return g.refused(fault.New(fault.UnknownJob, "no such job"))
 	}
-	err := g.anywhere(ctx, methodCancel, jobRequest{Pool: access.Queue.Pool, ID: id}, func(ctx context.Context) error {
+	err := limited(ctx, submitTimeout, func(ctx context.Context) error {
 		return g.commitCancel(ctx, access.Queue.Pool, id)
 	})
 	if err != nil {
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -16,7 +16,8 @@
 // pingReply is an owner's account of itself.
 type pingReply struct {
 	Owner bool `json:"owner"`
-	// StoreAgeMillis is how long ago the store last answered the node.
+	// StoreAgeMillis is how long ago the store last answered the node, directly or
+	// through another one.
 	StoreAgeMillis int64 `json:"store_age_ms"`
 	// StoreLost is true once the node's feeds have failed since that answer.
 	StoreLost bool           `json:"store_lost,omitempty"`
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -47,16 +47,19 @@
 	options Options
 	edges   Edges
 	ports   *ports
+	// store is the store as this node reaches it.
+	store   *relayedStore
 	catalog atomic.Pointer[catalog.Catalog]
 	// catalogDocument is the row that the catalog was read from.
 	catalogDocument atomic.Pointer[[]byte]
 	// confirmed is when the catalog was last known to be the newest.
 	confirmed atomic.Pointer[time.Time]
 	view      atomic.Pointer[view]
-	// storeAnswered is when the store last answered this node, storeFailed when it
-	// last did not.
+	// storeAnswered is when the store last answered this node directly, storeFailed when
+	// it last did not, and storeReached when it last answered in any way.
 	storeAnswered atomic.Pointer[time.Time]
 	storeFailed   atomic.Pointer[time.Time]
+	storeReached  atomic.Pointer[time.Time]
 	// storeAway is true from a failure of the store until its next answer.
 	storeAway atomic.Bool
 	stopping  atomic.Bool
@@ -78,6 +81,7 @@
 		waiting: map[string]waitingCounts{},
 	}
 	n.ports = &ports{ctx: ctx, node: n}
+	n.store = &relayedStore{node: n, direct: edges.Store}
 	n.view.Store(&view{})
 	return n
 }
@@ -89,6 +93,7 @@
 	n.readMembers()
 	n.pingOwners()
 	n.seekConfiguration()
+	n.probeStore()
 }
 
 // now returns the loop's time.
@@ -119,6 +124,7 @@
 		return
 	}
 	now := time.Now()
+	n.storeReached.Store(&now)
 	silentFor := age(n.storeAnswered.Swap(&now))
 	if n.storeAway.CompareAndSwap(true, false) {
 		n.edges.Record.Decided("store answers again", "silent_ms", silentFor.Milliseconds())
@@ -128,7 +134,7 @@
 // noteStoreFailure notes that a feed got no answer. Feeds stand for the whole store;
 // a failed transaction may say no more than that one part is away.
 func (n *Node) noteStoreFailure(err error) {
-	if errors.Is(err, rows.ErrHistoryGone) {
+	if err == nil || errors.Is(err, rows.ErrHistoryGone) {
 		return
 	}
 	now := time.Now()
@@ -138,9 +144,18 @@
 	}
 }
 
-// storeAge returns how long ago the store last answered.
+// noteStoreReached notes an answer of the store through another node.
+func (n *Node) noteStoreReached() {
+	now := time.Now()
+	n.storeReached.Store(&now)
+}
+
+// storeAge returns how long ago the store last answered this node directly.
 func (n *Node) storeAge() time.Duration { return age(n.storeAnswered.Load()) }
 
+// storeReachedAge returns how long ago the store last answered this node in any way.
+func (n *Node) storeReachedAge() time.Duration { return age(n.storeReached.Load()) }
+
 // storeLost reports whether the store's last answer is older than its last failure.
 func (n *Node) storeLost() bool {
 	answered, failed := n.storeAnswered.Load(), n.storeFailed.Load()
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -51,8 +51,7 @@
 const (
 	feedWait    = time.Second
 	feedTimeout = feedWait + 800*time.Millisecond
-	// probeWait and probeTimeout hold for feeds while the store does not answer.
-	probeWait     = 50 * time.Millisecond
+	// probeTimeout bounds a look whether the store is back.
 	probeTimeout  = 700 * time.Millisecond
 	storeTimeout  = 1500 * time.Millisecond
 	submitTimeout = 700 * time.Millisecond
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -8,7 +8,6 @@
 	"github.com/wheatroad/wheatroad/internal/fault"
 	"github.com/wheatroad/wheatroad/internal/loop"
 	"github.com/wheatroad/wheatroad/internal/peer/peerpb"
-	"github.com/wheatroad/wheatroad/internal/pool"
 	"github.com/wheatroad/wheatroad/internal/taskgraph"
 )
 
@@ -17,10 +16,9 @@
 	methodPing    = "ping"
 	methodSeen    = "seen"
 	methodNews    = "news"
-	methodSubmit  = "submit"
 	methodLookup  = "lookup"
-	methodCancel  = "cancel"
 	methodWaiting = "waiting"
+	methodStore   = "store"
 )
 
 // envelope is the document of a call between nodes.
@@ -32,10 +30,9 @@
 
 // jobRequest names a job or a queue for another node.
 type jobRequest struct {
-	Pool  string         `json:"pool"`
-	ID    string         `json:"id,omitempty"`
-	Queue string         `json:"queue,omitempty"`
-	Job   *pool.Accepted `json:"job,omitempty"`
+	Pool  string `json:"pool"`
+	ID    string `json:"id,omitempty"`
+	Queue string `json:"queue,omitempty"`
 }
 
 type lookupReply struct {
@@ -105,26 +102,22 @@
 			return n.serveSeen(ctx, request)
 		}
 		return n.servePing(ctx, request, message.Version)
+	case methodStore:
+		var request storeRequest
+		if err := json.Unmarshal(message.Body, &request); err != nil {
+			return nil, fault.New(fault.InvalidRequest, "%s: %v", method, err)
+		}
+		return n.serveStore(ctx, request)
 	}
 	var request jobRequest
 	if err := json.Unmarshal(message.Body, &request); err != nil {
 		return nil, fault.New(fault.InvalidRequest, "%s: %v", method, err)
 	}
 	gateway := &Gateway{node: n}
-	if (method == methodSubmit || method == methodCancel) && n.storeLost() {
-		return nil, fault.New(fault.StoreUnavailable, "this node has lost the store too")
-	}
 	switch method {
-	case methodSubmit:
-		if request.Job == nil {
-			return nil, fault.New(fault.InvalidRequest, "submit without a job")
-		}
-		return struct{}{}, gateway.commitJob(ctx, request.Pool, request.Job)
 	case methodLookup:
 		state, err := gateway.lookupHere(ctx, request.Pool, request.ID)
 		return lookupReply{State: state}, err
-	case methodCancel:
-		return struct{}{}, gateway.commitCancel(ctx, request.Pool, request.ID)
 	case methodWaiting:
 		count, err := gateway.waitingHere(ctx, request.Pool, request.Queue)
 		return waitingReply{Waiting: count}, err
@@ -133,7 +126,7 @@
 }
 
 func (n *Node) servePing(ctx context.Context, request pingRequest, version int64) (pingReply, error) {
-	reply := pingReply{StoreAgeMillis: n.storeAge().Milliseconds(), StoreLost: n.storeLost(), catalogNews: n.news(version)}
+	reply := pingReply{StoreAgeMillis: n.storeReachedAge().Milliseconds(), StoreLost: n.storeLost(), catalogNews: n.news(version)}
 	err := loop.Call(ctx, n.edges.Loop, func() {
 		p := n.owned[request.Pool]
 		if p == nil {
--- a/internal/node/ports.go
+++ b/internal/node/ports.go
@@ -33,9 +33,7 @@
 }
 
 func (p *ports) commit(ctx context.Context, transaction rows.Transaction) (rows.Result, error) {
-	result, err := p.node.edges.Store.Commit(ctx, transaction)
-	p.node.noteStore(err)
-	return result, err
+	return p.node.store.Commit(ctx, transaction)
 }
 
 // Scan implements pool.Ports.
@@ -46,25 +44,13 @@
 }
 
 func (p *ports) scan(ctx context.Context, table, part, prefix string) (rows.Listing, error) {
-	listing, err := p.node.edges.Store.Scan(ctx, table, part, prefix)
-	p.node.noteStore(err)
-	return listing, err
+	return p.node.store.Scan(ctx, table, part, prefix)
 }
 
 // Feed implements pool.Ports.
 func (p *ports) Feed(table string, after int64, done func(rows.Listing, error)) {
-	wait, limit := feedWait, feedTimeout
-	if p.node.storeLost() {
-		// A store that is back is to be noticed soon.
-		wait, limit = probeWait, probeTimeout
-	}
-	run(p, limit, func(ctx context.Context) (rows.Listing, error) {
-		listing, err := p.node.edges.Store.Feed(ctx, table, after, wait)
-		p.node.noteStore(err)
-		if err != nil {
-			p.node.noteStoreFailure(err)
-		}
-		return listing, err
+	run(p, feedTimeout, func(ctx context.Context) (rows.Listing, error) {
+		return p.node.store.Feed(ctx, table, after, feedWait)
 	}, done)
 }
 
--- /dev/null
+++ b/internal/node/relay.go
@@ -0,0 +1,315 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wheatroad/wheatroad/internal/fault"
+	"github.com/wheatroad/wheatroad/internal/pool"
+	"github.com/wheatroad/wheatroad/internal/rows"
+)
+
+// Periods and limits of calls to the store through other nodes.
+const (
+	// leastHedgeDelay is how long a direct call may go without an answer, at the least,
+	// before the same call is also made through another node. The store answers in some
+	// 5 to 15 ms; where it is slow for all, latencyFactor times its latency counts.
+	leastHedgeDelay = 300 * time.Millisecond
+	latencyFactor   = 4
+	// latencyWeight is the weight of the newest call in the average latency.
+	latencyWeight = 0.25
+	// relayTries is how many other nodes are asked for one call.
+	relayTries = 2
+	// relayTimeout bounds one such call, on top of what the store is asked to wait.
+	relayTimeout = 500 * time.Millisecond
+	// relayPause is how long no other node is asked after none of those asked had the
+	// store: then it is away for all.
+	relayPause = 150 * time.Millisecond
+)
+
+// relayedStore is the store as this node reaches it: directly, or through other nodes
+// while the store turns this one away or a cut lies between. The same call may be made
+// both ways; callers' transactions have conditions that make the second one harmless.
+type relayedStore struct {
+	node   *Node
+	direct rows.Store
+	// preferred is the address of the node that last answered for the store.
+	preferred atomic.Pointer[string]
+	// noRelayUntil is when other nodes may be asked again.
+	noRelayUntil atomic.Pointer[time.Time]
+	// latency is the average time of a direct transaction, in nanoseconds.
+	latency atomic.Int64
+}
+
+// Commit implements rows.Store.
+func (s *relayedStore) Commit(ctx context.Context, transaction rows.Transaction) (rows.Result, error) {
+	return reach(ctx, s, func(ctx context.Context, store rows.Store) (rows.Result, error) {
+		begun := time.Now()
+		result, err := store.Commit(ctx, transaction)
+		if err == nil && store == s.direct {
+			s.noteLatency(time.Since(begun))
+		}
+		return result, err
+	})
+}
+
+// Scan implements rows.Store.
+func (s *relayedStore) Scan(ctx context.Context, table, part, prefix string) (rows.Listing, error) {
+	return reach(ctx, s, func(ctx context.Context, store rows.Store) (rows.Listing, error) {
+		return store.Scan(ctx, table, part, prefix)
+	})
+}
+
+// Feed implements rows.Store. A direct feed that fails is left to its caller's next
+// try, which then goes through another node.
+func (s *relayedStore) Feed(ctx context.Context, table string, after int64, wait time.Duration) (rows.Listing, error) {
+	if s.node.storeLost() {
+		return relay(ctx, s, wait+relayTimeout, func(ctx context.Context, store rows.Store) (rows.Listing, error) {
+			return store.Feed(ctx, table, after, wait)
+		})
+	}
+	listing, err := s.direct.Feed(ctx, table, after, wait)
+	s.node.noteStore(err)
+	s.node.noteStoreFailure(err)
+	return listing, err
+}
+
+func (s *relayedStore) noteLatency(d time.Duration) {
+	known := s.latency.Load()
+	s.latency.Store(known + int64(latencyWeight*float64(int64(d)-known)))
+}
+
+func (s *relayedStore) hedgeDelay() time.Duration {
+	return max(leastHedgeDelay, latencyFactor*time.Duration(s.latency.Load()))
+}
+
+// storeCall is one call to a store.
+type storeCall[T any] func(ctx context.Context, store rows.Store) (T, error)
+
+// attempt is what one way of a call brought.
+type attempt[T any] struct {
+	result T
+	err    error
+}
+
+// answered reports whether the store itself said so.
+func (a *attempt[T]) answered() bool { return a.err == nil || errors.Is(a.err, rows.ErrHistoryGone) }
+
+// reach makes a call directly and, if that fails or takes long, through another node.
+func reach[T any](ctx context.Context, s *relayedStore, call storeCall[T]) (T, error) {
+	if s.node.storeLost() {
+		return relay(ctx, s, relayTimeout, call)
+	}
+	attempts := make(chan attempt[T], 2)
+	go func() {
+		result, err := call(ctx, s.direct)
+		s.node.noteStore(err)
+		attempts <- attempt[T]{result, err}
+	}()
+	hedge := time.NewTimer(s.hedgeDelay())
+	defer hedge.Stop()
+	var direct *attempt[T]
+	select {
+	case first := <-attempts:
+		if first.answered() || ctx.Err() != nil {
+			return first.result, first.err
+		}
+		direct = &first
+	case <-hedge.C:
+	}
+	go func() {
+		result, err := relay(ctx, s, relayTimeout, call)
+		attempts <- attempt[T]{result, err}
+	}()
+	second := <-attempts
+	if second.answered() {
+		return second.result, second.err
+	}
+	if direct == nil {
+		last := <-attempts
+		direct = &last
+		if direct.answered() {
+			return direct.result, direct.err
+		}
+	}
+	return second.result, lessKnown(direct.err, second.err)
+}
+
+// lessKnown returns the error after which less is known of a call's effect.
+func lessKnown(a, b error) error {
+	if errors.Is(a, rows.ErrRefused) {
+		return b
+	}
+	return a
+}
+
+// relay makes a call through other nodes, one after another, each for up to limit.
+func relay[T any](ctx context.Context, s *relayedStore, limit time.Duration, call storeCall[T]) (T, error) {
+	var none T
+	failure := errors.Mark(errors.New("no other node has the store"), rows.ErrRefused)
+	if until := s.noRelayUntil.Load(); until != nil && time.Now().Before(*until) {
+		return none, failure
+	}
+	for _, address := range s.relays() {
+		tryContext, cancel := context.WithTimeout(ctx, limit)
+		result, err := call(tryContext, &peerStore{node: s.node, address: address})
+		cancel()
+		tried := attempt[T]{result, err}
+		if tried.answered() {
+			s.preferred.Store(&address)
+			s.node.noteStoreReached()
+			s.node.edges.Record.Count("store_relays", "answered")
+			return result, err
+		}
+		s.node.edges.Record.Count("store_relays", "failed")
+		failure = lessKnown(failure, err)
+		if ctx.Err() != nil {
+			return none, failure
+		}
+	}
+	until := time.Now().Add(relayPause)
+	s.noRelayUntil.Store(&until)
+	return none, failure
+}
+
+// relays lists the nodes to ask: the one that last answered, then others by chance.
+func (s *relayedStore) relays() []string {
+	var addresses []string
+	preferred := s.preferred.Load()
+	for _, other := range s.node.view.Load().members {
+		if preferred == nil || other.Address != *preferred {
+			addresses = append(addresses, other.Address)
+		}
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	if preferred != nil {
+		addresses = append([]string{*preferred}, addresses...)
+	}
+	return addresses[:min(relayTries, len(addresses))]
+}
+
+// peerStore is the store by way of one other node.
+type peerStore struct {
+	node    *Node
+	address string
+}
+
+// storeRequest asks a node to make one call to the store. Exactly one field is set.
+type storeRequest struct {
+	Commit *rows.Transaction `json:"commit,omitempty"`
+	Scan   *scanRequest      `json:"scan,omitempty"`
+	Feed   *feedRequest      `json:"feed,omitempty"`
+}
+
+type scanRequest struct {
+	Table  string `json:"table"`
+	Part   string `json:"part"`
+	Prefix string `json:"prefix"`
+}
+
+type feedRequest struct {
+	Table      string `json:"table"`
+	After      int64  `json:"after"`
+	WaitMillis int64  `json:"wait_ms"`
+}
+
+// storeReply is the store's answer.
+type storeReply struct {
+	Result  rows.Result  `json:"result"`
+	Listing rows.Listing `json:"listing"`
+	// HistoryGone says that a feed must be started anew.
+	HistoryGone bool `json:"history_gone,omitempty"`
+}
+
+// Commit implements rows.Store.
+func (p *peerStore) Commit(ctx context.Context, transaction rows.Transaction) (rows.Result, error) {
+	reply, err := p.call(ctx, storeRequest{Commit: &transaction})
+	return reply.Result, err
+}
+
+// Scan implements rows.Store.
+func (p *peerStore) Scan(ctx context.Context, table, part, prefix string) (rows.Listing, error) {
+	reply, err := p.call(ctx, storeRequest{Scan: &scanRequest{Table: table, Part: part, Prefix: prefix}})
+	return reply.Listing, err
+}
+
+// Feed implements rows.Store.
+func (p *peerStore) Feed(ctx context.Context, table string, after int64, wait time.Duration) (rows.Listing, error) {
+	reply, err := p.call(ctx, storeRequest{Feed: &feedRequest{Table: table, After: after, WaitMillis: wait.Milliseconds()}})
+	return reply.Listing, err
+}
+
+func (p *peerStore) call(ctx context.Context, request storeRequest) (storeReply, error) {
+	var reply storeReply
+	document, err := p.node.call(ctx, p.address, methodStore, request)
+	if err != nil {
+		return reply, fromStoreFault(err)
+	}
+	if err := json.Unmarshal(document, &reply); err != nil {
+		return reply, errors.Mark(err, rows.ErrNoAnswer)
+	}
+	if reply.HistoryGone {
+		return reply, rows.ErrHistoryGone
+	}
+	return reply, nil
+}
+
+// fromStoreFault turns another node's fault into an error of the store.
+func fromStoreFault(err error) error {
+	if fault.IsKind(err, fault.StoreUnavailable) || fault.IsKind(err, fault.NoOwner) {
+		return errors.Mark(err, rows.ErrRefused)
+	}
+	return errors.Mark(err, rows.ErrNoAnswer)
+}
+
+// serveStore makes a call to the store for another node, directly only.
+func (n *Node) serveStore(ctx context.Context, request storeRequest) (storeReply, error) {
+	var reply storeReply
+	if n.storeLost() {
+		return reply, fault.New(fault.StoreUnavailable, "this node has lost the store too")
+	}
+	var err error
+	switch {
+	case request.Commit != nil:
+		reply.Result, err = n.edges.Store.Commit(ctx, *request.Commit)
+	case request.Scan != nil:
+		reply.Listing, err = n.edges.Store.Scan(ctx, request.Scan.Table, request.Scan.Part, request.Scan.Prefix)
+	case request.Feed != nil:
+		wait := time.Duration(request.Feed.WaitMillis) * time.Millisecond
+		reply.Listing, err = n.edges.Store.Feed(ctx, request.Feed.Table, request.Feed.After, min(wait, feedWait))
+	default:
+		return reply, fault.New(fault.InvalidRequest, "a call to the store without content")
+	}
+	if errors.Is(err, rows.ErrHistoryGone) {
+		return storeReply{HistoryGone: true}, nil
+	}
+	n.noteStore(err)
+	if err != nil {
+		return reply, storeFailure(err)
+	}
+	return reply, nil
+}
+
+// probePeriod is the pause between two direct calls that look whether the store is
+// back.
+const probePeriod = 200 * time.Millisecond
+
+// probeStore looks whether a store that this node lost is back.
+func (n *Node) probeStore() {
+	if n.storeLost() {
+		go func() {
+			ctx, cancel := context.WithTimeout(n.ports.ctx, probeTimeout)
+			defer cancel()
+			_, err := n.edges.Store.Scan(ctx, pool.NodeTable, "", n.options.Name)
+			n.noteStore(err)
+			n.edges.Loop.After(probePeriod, n.probeStore)
+		}()
+		return
+	}
+	n.edges.Loop.After(probePeriod, n.probeStore)
+}
--- /dev/null
+++ b/internal/node/relay_test.go
@@ -0,0 +1,106 @@
+package node
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wheatroad/wheatroad/internal/fault"
+	"github.com/wheatroad/wheatroad/internal/peer"
+	"github.com/wheatroad/wheatroad/internal/pool"
+	"github.com/wheatroad/wheatroad/internal/rows"
+)
+
+// hangingStore gives no answer before its caller leaves.
+type hangingStore struct{ rows.Store }
+
+func (hangingStore) Commit(ctx context.Context, _ rows.Transaction) (rows.Result, error) {
+	<-ctx.Done()
+	return rows.Result{}, errors.Mark(ctx.Err(), rows.ErrNoAnswer)
+}
+
+// refusingStore turns every call away.
+type refusingStore struct{ rows.Store }
+
+func (refusingStore) Commit(context.Context, rows.Transaction) (rows.Result, error) {
+	return rows.Result{}, rows.ErrRefused
+}
+
+func (refusingStore) Scan(context.Context, string, string, string) (rows.Listing, error) {
+	return rows.Listing{}, rows.ErrRefused
+}
+
+func (refusingStore) Feed(context.Context, string, int64, time.Duration) (rows.Listing, error) {
+	return rows.Listing{}, rows.ErrRefused
+}
+
+// servePeers lets other nodes reach a node and returns its address.
+func servePeers(t *testing.T, n *Node) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	go func() { _ = peer.NewServer(n.ServePeer).Serve(listener) }()
+	return listener.Addr().String()
+}
+
+// pairOfNodes returns a gateway on a node with one store whose only other node has
+// another.
+func pairOfNodes(t *testing.T, own, others rows.Store) *Gateway {
+	gateway := newGateway(t, own)
+	address := servePeers(t, newGateway(t, others).node)
+	gateway.node.view.Store(&view{members: []member{{Name: "node-2", Address: address}}})
+	return gateway
+}
+
+func TestNodeWithoutTheStoreWritesThroughAnother(t *testing.T) {
+	for name, own := range map[string]rows.Store{"turned away": refusingStore{}, "no answer": hangingStore{}} {
+		t.Run(name, func(t *testing.T) {
+			store := newFakeStore()
+			gateway := pairOfNodes(t, own, store)
+			require.NoError(t, gateway.Submit(context.Background(), testAccess(), testSpec()))
+			require.Contains(t, store.rows, pool.AcceptedKey(pool.JobParts(poolName, jobID)[0], jobID))
+			require.Less(t, gateway.node.storeReachedAge(), time.Minute)
+		})
+	}
+}
+
+func TestFeedGoesThroughAnotherNodeOnceTheStoreIsLost(t *testing.T) {
+	gateway := pairOfNodes(t, refusingStore{}, feedingStore{})
+	n := gateway.node
+	_, err := n.store.Feed(context.Background(), "t", 1, time.Millisecond)
+	require.ErrorIs(t, err, rows.ErrRefused)
+	require.True(t, n.storeLost())
+	listing, err := n.store.Feed(context.Background(), "t", 1, time.Millisecond)
+	require.NoError(t, err)
+	require.Equal(t, int64(7), listing.Version)
+	_, err = n.store.Feed(context.Background(), goneTable, 1, time.Millisecond)
+	require.ErrorIs(t, err, rows.ErrHistoryGone)
+	require.True(t, n.storeLost(), "an answer through another node is not a direct one")
+}
+
+const goneTable = "gone"
+
+// feedingStore answers feeds.
+type feedingStore struct{ rows.Store }
+
+func (feedingStore) Feed(_ context.Context, table string, _ int64, _ time.Duration) (rows.Listing, error) {
+	if table == goneTable {
+		return rows.Listing{}, rows.ErrHistoryGone
+	}
+	return rows.Listing{Version: 7}, nil
+}
+
+func TestStoreAwayForAllIsSaidAtOnce(t *testing.T) {
+	gateway := pairOfNodes(t, refusingStore{}, refusingStore{})
+	err := gateway.Submit(context.Background(), testAccess(), testSpec())
+	require.True(t, fault.IsKind(err, fault.StoreUnavailable), "%v", err)
+}
+
+func TestRequestWithoutACallToTheStoreIsRefused(t *testing.T) {
+	_, err := newGateway(t, newFakeStore()).node.serveStore(context.Background(), storeRequest{})
+	require.True(t, fault.IsKind(err, fault.InvalidRequest), "%v", err)
+}
