Write ends of runs together

Change: the row of an end that completes no job waits up to 40 ms for others, less than the 100 ms after which the platform counts an end as noted. Placements and final states go out at once and take along what waits.

--- a/internal/pool/orders.go
+++ b/internal/pool/orders.go
@@ -70,7 +70,7 @@
 		"waited_ms", p.loop.Now().Sub(u.readyAt).Milliseconds(), "waited_for", string(u.waitedFor()), "estimate_ms", u.spec().EstimateMillis,
 		"cores", u.spec().Amount.Cores()*float64(len(u.members)), "slack_ms", u.slack(p.loop.Now()).Milliseconds(), "workers", workerIDs(places))
 	p.persist(u.job)
-	p.afterWrite(func() {
+	p.afterWrite(0, func() {
 		switch {
 		case u.state != unitCommitting || u.run != run:
 		case u.active() < len(u.members):
--- a/internal/pool/unit.go
+++ b/internal/pool/unit.go
@@ -30,7 +30,7 @@
 	}
 	u.state = unitWaiting
 	u.readyAt = p.loop.Now()
-	p.persist(u.job)
+	p.persistEnd(u.job)
 	p.wake()
 }
 
@@ -53,7 +53,7 @@
 		p.advance(j)
 		p.completeIfAll(j)
 	}
-	p.persist(j)
+	p.persistEnd(j)
 }
 
 func (p *Pool) completeIfAll(j *job) {
@@ -79,7 +79,7 @@
 	}
 	u.avoid[w.ID] = true
 	p.strike(w)
-	p.persist(u.job)
+	p.persistEnd(u.job)
 	if u.failures >= max(1, u.job.Queue.MaxAttempts) && !u.spec().LongRunning {
 		p.finishJob(u.job, taskgraph.Failed)
 	}
--- a/internal/pool/writer.go
+++ b/internal/pool/writer.go
@@ -33,40 +33,81 @@
 	after []func()
 	// sending is true while a transaction is under way.
 	sending bool
+	// dueAt is when the next transaction is to be sent; zero if nothing waits. Timer
+	// calls off the flush that is set for then.
+	dueAt time.Time
+	timer func()
 }
 
+// endDelay is how long the row of an ended run may wait, so that one transaction takes
+// in several ends. The platform counts an end as noted 100 ms after it was listed.
+const endDelay = 40 * time.Millisecond
+
 func (w *writer) busy() bool { return w.sending || len(w.dirty) > 0 || len(w.removes) > 0 }
 
-// persist writes a job's progress soon.
-func (p *Pool) persist(j *job) {
+// persist writes a job's progress at once.
+func (p *Pool) persist(j *job) { p.writer.add(j, 0) }
+
+// persistEnd writes a job's progress after an end that nobody waits for.
+func (p *Pool) persistEnd(j *job) { p.writer.add(j, endDelay) }
+
+func (w *writer) add(j *job, delay time.Duration) {
 	if !j.dirty {
 		j.dirty = true
-		p.writer.dirty = append(p.writer.dirty, j)
+		w.dirty = append(w.dirty, j)
 	}
-	p.writer.flushSoon()
+	w.flushWithin(delay)
 }
 
-// afterWrite runs fn once all that is dirty now is written.
-func (p *Pool) afterWrite(fn func()) {
+// afterWrite runs fn once all that is dirty now is written, which begins after delay
+// at the latest.
+func (p *Pool) afterWrite(delay time.Duration, fn func()) {
 	if !p.writer.busy() {
 		fn()
 		return
 	}
 	p.writer.after = append(p.writer.after, fn)
-	p.writer.flushSoon()
+	p.writer.flushWithin(delay)
 }
 
 // remove drops a job's progress.
 func (w *writer) remove(id string) {
 	w.removes = append(w.removes, id)
-	w.flushSoon()
+	w.flushWithin(endDelay)
+}
+
+// flushWithin sends what waits after delay at the latest, or as soon as the transaction
+// that is under way has ended.
+func (w *writer) flushWithin(delay time.Duration) {
+	due := w.pool.loop.Now().Add(delay)
+	if w.dueAt.IsZero() || due.Before(w.dueAt) {
+		w.dueAt = due
+		w.arm()
+	}
 }
 
-func (w *writer) flushSoon() {
-	if !w.sending {
+// arm sets the flush for when it is due, unless a transaction is under way.
+func (w *writer) arm() {
+	if w.sending {
+		return
+	}
+	if w.timer != nil {
+		w.timer()
+		w.timer = nil
+	}
+	delay := w.dueAt.Sub(w.pool.loop.Now())
+	if delay <= 0 {
 		w.sending = true
 		w.pool.loop.Post(w.flush)
+		return
 	}
+	w.timer = w.pool.loop.After(delay, func() {
+		w.timer = nil
+		if !w.sending {
+			w.sending = true
+			w.flush()
+		}
+	})
 }
 
 // batch is a set of rows that is written at once, and what depends on it.
@@ -86,6 +127,7 @@
 	if w.pool.gone {
 		return
 	}
+	w.dueAt = time.Time{}
 	if len(w.dirty) == 0 && len(w.removes) == 0 {
 		w.sending = false
 		w.runAfter(w.takeAfter())
@@ -225,8 +267,11 @@
 		j.state = b.progress[i].State
 	}
 	w.runAfter(b.after)
-	if len(w.dirty) > 0 || len(w.removes) > 0 || len(w.after) > 0 {
-		w.flushSoon()
+	switch {
+	case !w.dueAt.IsZero():
+		w.arm()
+	case len(w.dirty) > 0 || len(w.removes) > 0 || len(w.after) > 0:
+		w.flushWithin(0)
 	}
 }
 
