Follow the store with long waits where an owner confirms the configuration

Cause: each node kept two feeds of a second each, 82 calls a second on 41 machines. Change: owners follow the configuration at 0.3 s and tell other nodes its age with each ping; nodes that are told so wait up to 5 s on their feeds, and call them off once the last confirmation is 0.9 s old or the store is lost. Nodes check that they have the store before they replace an owner that lost it.

--- /dev/null
+++ b/internal/node/feeds.go
@@ -0,0 +1,128 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wheatroad/wheatroad/internal/rows"
+)
+
+// How long the nodes' own feeds wait for a change. Every call to the store is priced,
+// so a node that hears from a pool's owner that its configuration is the newest follows
+// the store with long waits; changes arrive at once in any case.
+const (
+	// ownerFeedWait bounds the age of what an owner tells other nodes. With the period
+	// of pings it stays under staleConfirmation.
+	ownerFeedWait = 300 * time.Millisecond
+	// aloneFeedWait is for nodes that no owner tells.
+	aloneFeedWait = 500 * time.Millisecond
+	longFeedWait  = 5 * time.Second
+	// confirmWait is for a feed that is to be answered at once.
+	confirmWait = 20 * time.Millisecond
+	// staleConfirmation is the age of the configuration's confirmation from which a node
+	// asks the store itself. The least bound of the platform's sites is 2 s.
+	staleConfirmation = 900 * time.Millisecond
+	// confirmationCheck is the pause between two looks at that age.
+	confirmationCheck = 150 * time.Millisecond
+)
+
+// errCalledOff ends a feed that waits too long for what is wanted now.
+var errCalledOff = errors.New("feed called off")
+
+// openFeeds are the direct feeds that wait for the store, so that they can be called
+// off. Its methods may be called anywhere.
+type openFeeds struct {
+	mutex  sync.Mutex
+	serial int
+	open   map[int]openFeed
+}
+
+type openFeed struct {
+	wait   time.Duration
+	cancel context.CancelCauseFunc
+}
+
+// add returns a context for a feed that waits for up to wait, and what to do at its end.
+func (f *openFeeds) add(ctx context.Context, wait time.Duration) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.open == nil {
+		f.open = map[int]openFeed{}
+	}
+	f.serial++
+	serial := f.serial
+	f.open[serial] = openFeed{wait: wait, cancel: cancel}
+	return ctx, func() {
+		f.mutex.Lock()
+		delete(f.open, serial)
+		f.mutex.Unlock()
+		cancel(nil)
+	}
+}
+
+// callOff ends the open feeds that wait for as long as least, or longer.
+func (f *openFeeds) callOff(least time.Duration) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, feed := range f.open {
+		if feed.wait >= least {
+			feed.cancel(errCalledOff)
+		}
+	}
+}
+
+// calledOff reports whether a feed's context was called off.
+func calledOff(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errCalledOff) }
+
+// configurationWait is how long the next feed of the configuration waits.
+func (n *Node) configurationWait() time.Duration {
+	switch {
+	case age(n.confirmed.Load()) > staleConfirmation:
+		return confirmWait
+	case len(n.owned) > 0:
+		return ownerFeedWait
+	case age(n.toldByPeer.Load()) < staleConfirmation:
+		return longFeedWait
+	}
+	return aloneFeedWait
+}
+
+// checkConfirmation calls off long feeds once nobody confirms the configuration: the
+// store is asked at once then.
+func (n *Node) checkConfirmation() {
+	if age(n.confirmed.Load()) > staleConfirmation && !n.storeLost() {
+		n.feeds.callOff(longFeedWait)
+	}
+	n.edges.Loop.After(confirmationCheck, n.checkConfirmation)
+}
+
+// follow reads the changes of a table for ever, each time for as long as wait says;
+// again is called when they must be read anew.
+func (n *Node) follow(table string, after int64, wait func() time.Duration, apply func(rows.Row), answered func(), again func()) {
+	n.ports.feedFor(table, after, wait(), func(listing rows.Listing, err error) {
+		switch {
+		case errors.Is(err, rows.ErrHistoryGone):
+			n.edges.Record.Count("feed_gaps", table)
+			n.edges.Record.Decided("feed read anew", "table", table, "after", after)
+			again()
+		case errors.Is(err, errCalledOff):
+			n.follow(table, after, wait, apply, answered, again)
+		case err != nil:
+			n.edges.Record.Count("retries", "feed")
+			n.edges.Loop.After(retryPause, func() { n.follow(table, after, wait, apply, answered, again) })
+		default:
+			for i := range listing.Rows {
+				apply(listing.Rows[i])
+			}
+			answered()
+			n.follow(table, listing.Version, wait, apply, answered, again)
+		}
+	})
+}
+
+// membersWait is how long a feed of the nodes and leases waits.
+func membersWait() time.Duration { return longFeedWait }
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -5,34 +5,10 @@
 	"slices"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/wheatroad/wheatroad/internal/pool"
 	"github.com/wheatroad/wheatroad/internal/rows"
 )
 
-// follow reads the changes of a table for ever; again is called when they must be
-// read anew.
-func (n *Node) follow(table string, after int64, apply func(rows.Row), answered func(), again func()) {
-	n.ports.Feed(table, after, func(listing rows.Listing, err error) {
-		switch {
-		case errors.Is(err, rows.ErrHistoryGone):
-			n.edges.Record.Count("feed_gaps", table)
-			n.edges.Record.Decided("feed read anew", "table", table, "after", after)
-			again()
-		case err != nil:
-			n.edges.Record.Count("retries", "feed")
-			n.edges.Loop.After(retryPause, func() { n.follow(table, after, apply, answered, again) })
-		default:
-			for i := range listing.Rows {
-				apply(listing.Rows[i])
-			}
-			answered()
-			n.follow(table, listing.Version, apply, answered, again)
-		}
-	})
-}
-
 // readConfiguration reads the configuration, then follows it.
 func (n *Node) readConfiguration() {
 	codec := n.edges.Codec
@@ -46,7 +22,7 @@
 			n.applyConfiguration(listing.Rows[i])
 		}
 		n.confirm(time.Now())
-		n.follow(key.Table, listing.Version, n.applyConfiguration, func() { n.confirm(time.Now()) }, n.readConfiguration)
+		n.follow(key.Table, listing.Version, n.configurationWait, n.applyConfiguration, func() { n.confirm(time.Now()) }, n.readConfiguration)
 	})
 }
 
@@ -98,7 +74,7 @@
 			n.readLease(name)
 		}
 		n.publish()
-		n.follow(pool.NodeTable, listing.Version, n.applyNodeRow, func() {}, n.readMembers)
+		n.follow(pool.NodeTable, listing.Version, membersWait, n.applyNodeRow, func() {}, n.readMembers)
 	})
 }
 
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -73,9 +73,11 @@
 		// The process is a new life, or was deposed without our knowing.
 		w.failures++
 		n.replaceIfSuspect(w, "owner "+owner+" does not own")
-	case n.storeLostOnlyBy(reply):
-		w.failures = pingFailures
-		n.replaceIfSuspect(w, "owner "+owner+" lost the store")
+	case lostStore(reply):
+		n.withStore(func() {
+			w.failures = pingFailures
+			n.replaceIfSuspect(w, "owner "+owner+" lost the store")
+		})
 	default:
 		w.failures = 0
 		n.relieveIfWeak(w)
@@ -89,14 +91,13 @@
 	}
 }
 
-// storeLostOnlyBy reports whether an owner has lost the store that this node has.
-func (n *Node) storeLostOnlyBy(owner pingReply) bool {
+// lostStore reports whether an owner cannot reach the store in any way.
+func lostStore(owner pingReply) bool {
 	limit := storeDead
 	if owner.StoreLost {
 		limit = storeFailing
 	}
-	silent := time.Duration(owner.StoreAgeMillis) * time.Millisecond
-	return silent > limit && !n.storeLost() && n.storeAge() < storeDead/2
+	return time.Duration(owner.StoreAgeMillis)*time.Millisecond > limit
 }
 
 // pingFailed counts a failure. A refused connection says that the process is gone,
@@ -193,7 +194,9 @@
 	}
 	current := n.catalog.Load()
 	if current != nil && current.Version >= news.Version {
-		n.confirm(time.Now().Add(-time.Duration(news.AgeMillis) * time.Millisecond))
+		at := time.Now().Add(-time.Duration(news.AgeMillis) * time.Millisecond)
+		n.confirm(at)
+		n.toldByPeer.Store(&at)
 	}
 }
 
@@ -213,8 +216,9 @@
 // seekPeriod is how often a node without news from the store asks another.
 const seekPeriod = 400 * time.Millisecond
 
-// seekAge is the age of the configuration's confirmation from which others are asked.
-const seekAge = feedWait + 300*time.Millisecond
+// seekAge is the age of the configuration's confirmation from which others are asked:
+// the store has not answered this node's question by then.
+const seekAge = staleConfirmation + 400*time.Millisecond
 
 // seekConfiguration asks other nodes for the configuration while the store does
 // not tell it.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -47,6 +47,7 @@
 	options Options
 	edges   Edges
 	ports   *ports
+	feeds   openFeeds
 	// store is the store as this node reaches it.
 	store   *relayedStore
 	catalog atomic.Pointer[catalog.Catalog]
@@ -54,7 +55,9 @@
 	catalogDocument atomic.Pointer[[]byte]
 	// confirmed is when the catalog was last known to be the newest.
 	confirmed atomic.Pointer[time.Time]
-	view      atomic.Pointer[view]
+	// toldByPeer is for when another node last confirmed the catalog.
+	toldByPeer atomic.Pointer[time.Time]
+	view       atomic.Pointer[view]
 	// storeAnswered is when the store last answered this node directly, storeFailed when
 	// it last did not, and storeReached when it last answered in any way.
 	storeAnswered atomic.Pointer[time.Time]
@@ -62,7 +65,9 @@
 	storeReached  atomic.Pointer[time.Time]
 	// storeAway is true from a failure of the store until its next answer.
 	storeAway atomic.Bool
-	stopping  atomic.Bool
+	// doubting is true while a probe looks whether the store is there.
+	doubting atomic.Bool
+	stopping atomic.Bool
 
 	members  map[string]member
 	leases   map[string]leaseView
@@ -94,6 +99,7 @@
 	n.pingOwners()
 	n.seekConfiguration()
 	n.probeStore()
+	n.checkConfirmation()
 }
 
 // now returns the loop's time.
@@ -140,6 +146,7 @@
 	now := time.Now()
 	n.storeFailed.Store(&now)
 	if n.storeAway.CompareAndSwap(false, true) {
+		n.feeds.callOff(0)
 		n.edges.Record.Decided("store lost", "reason", err.Error(), "answered_ms_ago", n.storeAge().Milliseconds())
 	}
 }
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -49,8 +49,10 @@
 
 // Periods of the node's own work.
 const (
-	feedWait    = time.Second
-	feedTimeout = feedWait + 800*time.Millisecond
+	// feedWait is how long an owner's feeds of jobs and workers wait for a change.
+	feedWait = time.Second
+	// feedSlack is how much later than that a feed's answer may come.
+	feedSlack = 800 * time.Millisecond
 	// probeTimeout bounds a look whether the store is back.
 	probeTimeout  = 700 * time.Millisecond
 	storeTimeout  = 1500 * time.Millisecond
--- a/internal/node/ownership.go
+++ b/internal/node/ownership.go
@@ -212,7 +212,7 @@
 		return
 	}
 	if w.outweighed++; w.outweighed >= relieveAfter {
-		n.acquireLater(w, "owner "+n.leases[w.pool].Owner+" is weak", n.outweighs)
+		n.withStore(func() { n.acquireLater(w, "owner "+n.leases[w.pool].Owner+" is weak", n.outweighs) })
 	}
 }
 
@@ -220,7 +220,7 @@
 func (n *Node) outweighs(w *watch) bool {
 	owner, known := n.members[n.leases[w.pool].Owner]
 	return known && owner.Weight > 0 && n.options.Weight >= weightFactor*owner.Weight &&
-		n.storeAge() < storeDead/2 && !n.stopping.Load()
+		!n.storeLost() && !n.stopping.Load()
 }
 
 // suspect reports whether a pool's owner should be replaced.
--- a/internal/node/ports.go
+++ b/internal/node/ports.go
@@ -49,8 +49,13 @@
 
 // Feed implements pool.Ports.
 func (p *ports) Feed(table string, after int64, done func(rows.Listing, error)) {
-	run(p, feedTimeout, func(ctx context.Context) (rows.Listing, error) {
-		return p.node.store.Feed(ctx, table, after, feedWait)
+	p.feedFor(table, after, feedWait, done)
+}
+
+// feedFor is Feed with a wait of its own.
+func (p *ports) feedFor(table string, after int64, wait time.Duration, done func(rows.Listing, error)) {
+	run(p, wait+feedSlack, func(ctx context.Context) (rows.Listing, error) {
+		return p.node.store.Feed(ctx, table, after, wait)
 	}, done)
 }
 
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -73,7 +73,12 @@
 			return store.Feed(ctx, table, after, wait)
 		})
 	}
+	ctx, close := s.node.feeds.add(ctx, wait)
+	defer close()
 	listing, err := s.direct.Feed(ctx, table, after, wait)
+	if err != nil && calledOff(ctx) {
+		return listing, errors.Mark(errCalledOff, rows.ErrNoAnswer)
+	}
 	s.node.noteStore(err)
 	s.node.noteStoreFailure(err)
 	return listing, err
@@ -128,6 +133,7 @@
 	}()
 	second := <-attempts
 	if second.answered() {
+		s.node.doubtStore()
 		return second.result, second.err
 	}
 	if direct == nil {
@@ -295,6 +301,48 @@
 	return reply, nil
 }
 
+// withStore runs fn on the loop if the store answers this node directly.
+func (n *Node) withStore(fn func()) {
+	if n.storeLost() {
+		return
+	}
+	if n.storeAge() < storeFresh {
+		fn()
+		return
+	}
+	run(n.ports, probeTimeout, n.probe, func(_ struct{}, err error) {
+		if err == nil {
+			fn()
+		}
+	})
+}
+
+// storeFresh is the age of the store's last answer up to which a node need not ask
+// whether it is there.
+const storeFresh = time.Second
+
+// probe asks the store for this node's own row, directly.
+func (n *Node) probe(ctx context.Context) (struct{}, error) {
+	_, err := n.edges.Store.Scan(ctx, pool.NodeTable, "", n.options.Name)
+	n.noteStore(err)
+	return struct{}{}, err
+}
+
+// doubtStore looks whether the store still answers a node that another one had to
+// help out.
+func (n *Node) doubtStore() {
+	if !n.doubting.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer n.doubting.Store(false)
+		ctx, cancel := context.WithTimeout(n.ports.ctx, probeTimeout)
+		defer cancel()
+		_, err := n.probe(ctx)
+		n.noteStoreFailure(err)
+	}()
+}
+
 // probePeriod is the pause between two direct calls that look whether the store is
 // back.
 const probePeriod = 200 * time.Millisecond
@@ -305,8 +353,8 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(n.ports.ctx, probeTimeout)
 			defer cancel()
-			_, err := n.edges.Store.Scan(ctx, pool.NodeTable, "", n.options.Name)
-			n.noteStore(err)
+			// A store that is still away shows by what noteStore does not note.
+			_, _ = n.probe(ctx)
 			n.edges.Loop.After(probePeriod, n.probeStore)
 		}()
 		return
--- a/internal/node/relay_test.go
+++ b/internal/node/relay_test.go
@@ -23,6 +23,11 @@
 	return rows.Result{}, errors.Mark(ctx.Err(), rows.ErrNoAnswer)
 }
 
+func (hangingStore) Scan(ctx context.Context, _, _, _ string) (rows.Listing, error) {
+	<-ctx.Done()
+	return rows.Listing{}, errors.Mark(ctx.Err(), rows.ErrNoAnswer)
+}
+
 // refusingStore turns every call away.
 type refusingStore struct{ rows.Store }
 
@@ -104,3 +109,63 @@
 	_, err := newGateway(t, newFakeStore()).node.serveStore(context.Background(), storeRequest{})
 	require.True(t, fault.IsKind(err, fault.InvalidRequest), "%v", err)
 }
+
+// waitingStore answers a feed once its wait is over.
+type waitingStore struct{ rows.Store }
+
+func (waitingStore) Feed(ctx context.Context, _ string, _ int64, wait time.Duration) (rows.Listing, error) {
+	select {
+	case <-time.After(wait):
+		return rows.Listing{}, nil
+	case <-ctx.Done():
+		return rows.Listing{}, errors.Mark(ctx.Err(), rows.ErrNoAnswer)
+	}
+}
+
+func TestFeedsAreCalledOff(t *testing.T) {
+	n := newGateway(t, waitingStore{}).node
+	ended := make(chan error, 1)
+	go func() {
+		_, err := n.store.Feed(context.Background(), "t", 1, time.Hour)
+		ended <- err
+	}()
+	require.Eventually(t, func() bool {
+		n.feeds.mutex.Lock()
+		defer n.feeds.mutex.Unlock()
+		return len(n.feeds.open) == 1
+	}, time.Minute, time.Millisecond)
+	n.feeds.callOff(2 * time.Hour)
+	require.Empty(t, ended, "short feeds go on")
+	n.feeds.callOff(time.Hour)
+	require.ErrorIs(t, <-ended, errCalledOff)
+	require.False(t, n.storeLost(), "that says nothing of the store")
+}
+
+// TestWhoFollowsTheStoreForHowLong: an owner confirms the configuration often, a node
+// that an owner tells seldom, and one that nobody told lately at once.
+func TestWhoFollowsTheStoreForHowLong(t *testing.T) {
+	ago := func(d time.Duration) *time.Time {
+		at := time.Now().Add(-d)
+		return &at
+	}
+	cases := map[string]struct {
+		confirmed, told time.Duration
+		owner           bool
+		want            time.Duration
+	}{
+		"told by an owner":  {100 * time.Millisecond, 100 * time.Millisecond, false, longFeedWait},
+		"told by nobody":    {100 * time.Millisecond, time.Hour, false, aloneFeedWait},
+		"owner":             {100 * time.Millisecond, 100 * time.Millisecond, true, ownerFeedWait},
+		"not confirmed":     {2 * time.Second, time.Hour, false, confirmWait},
+		"owner unconfirmed": {2 * time.Second, time.Hour, true, confirmWait},
+	}
+	for name, c := range cases {
+		n := newGateway(t, newFakeStore()).node
+		n.confirmed.Store(ago(c.confirmed))
+		n.toldByPeer.Store(ago(c.told))
+		if c.owner {
+			n.owned[poolName] = &pool.Pool{}
+		}
+		require.Equal(t, c.want, n.configurationWait(), name)
+	}
+}
