Learn how long queues' work takes, and write it beside the owner's rows

Change: a line from estimate to duration per queue, learned from ends, shrunk to the estimate while little is known, kept in the head row so that a new owner goes on from it.

--- /dev/null
+++ b/internal/pool/durations_test.go
@@ -0,0 +1,63 @@
+package pool
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestDurationsByWhatEstimatesTell(t *testing.T) {
+	cases := map[string]struct {
+		// slope is how much of an estimate's deviation the duration shares.
+		slope    float64
+		estimate time.Duration
+		least    time.Duration
+		most     time.Duration
+	}{
+		"exact estimates are kept":   {1, 8 * time.Second, 7 * time.Second, 9 * time.Second},
+		"low ones that tell nothing": {0, 400 * time.Millisecond, 1300 * time.Millisecond, 2500 * time.Millisecond},
+		"high ones":                  {0, 12 * time.Second, 2 * time.Second, 4 * time.Second},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(1, 2))
+			var model durationModel
+			for range 200 {
+				deviation := random.NormFloat64()
+				estimate := time.Duration(2 * math.Exp(deviation) * float64(time.Second))
+				took := time.Duration(2 * math.Exp(c.slope*deviation+0.1*random.NormFloat64()) * float64(time.Second))
+				model.learn(estimate, took, 1)
+			}
+			predicted := model.predict(c.estimate)
+			require.GreaterOrEqual(t, predicted, c.least)
+			require.LessOrEqual(t, predicted, c.most)
+			require.LessOrEqual(t, model.Weight, durationMemory+1)
+		})
+	}
+}
+
+func TestDurationsWithoutKnowledgeAreTheEstimates(t *testing.T) {
+	var model durationModel
+	require.Equal(t, 3*time.Second, model.predict(3*time.Second))
+	model.learn(0, time.Second, 1)
+	model.learn(time.Second, 0, 1)
+	require.Zero(t, model.Weight)
+	require.Zero(t, model.predict(0))
+	model.learn(time.Second, 4*time.Second, 1)
+	predicted := model.predict(time.Second)
+	require.Greater(t, predicted, time.Second)
+	require.Less(t, predicted, 2*time.Second, "one run tells little")
+}
+
+// TestDurationsOutlastATakeover: the newest knowledge of several head rows is taken over.
+func TestDurationsOutlastATakeover(t *testing.T) {
+	p := &Pool{durations: map[string]*durationModel{}}
+	p.takeDurations(head{Token: 4})
+	p.takeDurations(head{Token: 4, Durations: map[string]*durationModel{"q": {Weight: 9}, "none": nil}})
+	p.takeDurations(head{Token: 3, Durations: map[string]*durationModel{"q": {Weight: 2}}})
+	require.Equal(t, 9.0, p.durations["q"].Weight)
+	require.NotContains(t, p.durations, "none")
+}
--- a/internal/pool/findplace.go
+++ b/internal/pool/findplace.go
@@ -14,7 +14,7 @@
 		return p.findAnyPlace(s, u, request)
 	}
 	visible := *request
-	visible.Limit = s.unreserved(u.spec().Estimate())
+	visible.Limit = s.unreserved(u.estimate())
 	if p.patient(s, u) {
 		if p.underPressure(s, u) {
 			return nil
@@ -79,7 +79,7 @@
 	if !s.hasNearPlace(u, request) {
 		return false
 	}
-	patience := (p.options.Bounds.RemoteFactor - 1) * float64(u.spec().Estimate())
+	patience := (p.options.Bounds.RemoteFactor - 1) * float64(u.estimate())
 	return s.now.Sub(u.readyAt) < time.Duration(patience)
 }
 
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -43,6 +43,8 @@
 	Accepted
 	// acceptedAt is on the loop's clock.
 	acceptedAt time.Time
+	// estimates has for each step how long its work is expected to take.
+	estimates []time.Duration
 	// objective is how long the job, or one time of it, should take.
 	objective time.Duration
 	// tails has for each step the longest chain of work that begins with it.
@@ -152,7 +154,6 @@
 func newJob(id string, accepted Accepted, acceptedAt time.Time) *job {
 	return &job{
 		id: id, Accepted: accepted, acceptedAt: acceptedAt,
-		objective: accepted.Queue.Objective(accepted.Spec.CriticalPath()), tails: accepted.Spec.Tails(),
 		state: taskgraph.Queued, next: taskgraph.Queued,
 	}
 }
--- a/internal/pool/options.go
+++ b/internal/pool/options.go
@@ -52,6 +52,8 @@
 	EndRows bool
 	// HeadCondition: writes do not require the head row as this owner left it.
 	HeadCondition bool
+	// LearnedDurations: estimates are taken as they come.
+	LearnedDurations bool
 }
 
 // Ports reach the outside. Each call returns at once; done runs on the pool's
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -54,6 +54,10 @@
 	medianLogTime float64
 	// dropping is true while the rows of an old job are removed.
 	dropping bool
+	// durations is what was learned of each queue's durations; estimatedAt is when it was
+	// last applied to open jobs.
+	durations   map[string]*durationModel
+	estimatedAt time.Time
 	// earlyCancels are cancellations read before their job.
 	earlyCancels map[string]bool
 }
@@ -65,6 +69,7 @@
 		options: options, loop: l, ports: ports, record: record, token: token,
 		jobs: map[string]*job{}, workers: map[string]*worker{},
 		storeAnsweredAt: l.Now(), earlyCancels: map[string]bool{},
+		durations: map[string]*durationModel{},
 	}
 	p.writer = writer{pool: p}
 	return p
@@ -129,6 +134,7 @@
 	p.checkLeaving()
 	p.checkUnits()
 	p.dropOldJobs()
+	p.refreshEstimates()
 	p.wake()
 	p.loop.After(tickPeriod, p.tick)
 }
--- a/internal/pool/preempt.go
+++ b/internal/pool/preempt.go
@@ -16,13 +16,13 @@
 // lateness if the stop would make it late.
 func (p *Pool) stopLoss(u *unit, now time.Time) float64 {
 	lost := now.Sub(u.startedAt)
-	restart := u.spec().Estimate()
+	restart := u.estimate()
 	if u.spec().Checkpoints {
 		lost = min(lost, p.options.Bounds.CheckpointInterval)
 		restart = p.remaining(u, now)
 	}
 	loss := u.spec().Amount.Cores() * float64(len(u.members)) * lost.Seconds()
-	left := u.wantedAt().Sub(now) - u.job.tails[u.step.index] + u.spec().Estimate()
+	left := u.wantedAt().Sub(now) - u.job.tails[u.step.index] + u.estimate()
 	if left > p.remaining(u, now) && left < restart+restartMargin {
 		loss += timelyGain(u)
 	}
@@ -120,7 +120,7 @@
 // work is the unit's estimated work in core-seconds.
 func (u *unit) work() float64 {
 	spec := u.spec()
-	return spec.Amount.Cores() * float64(len(u.members)) * spec.Estimate().Seconds()
+	return spec.Amount.Cores() * float64(len(u.members)) * u.estimate().Seconds()
 }
 
 func bestPreemption(s *snapshot, scopes [][]int, request *placement.Request) (places, victims []int, lowest float64) {
--- a/internal/pool/read.go
+++ b/internal/pool/read.go
@@ -174,6 +174,7 @@
 	now := p.loop.Now()
 	age := max(0, now.Sub(accepted.AcceptedAt()))
 	j := newJob(id, accepted, now.Add(-age))
+	p.estimateJob(j)
 	p.jobs[id] = j
 	if record.State.Final() {
 		j.state, j.next = record.State, record.State
--- a/internal/pool/records.go
+++ b/internal/pool/records.go
@@ -61,6 +61,8 @@
 	// Token is the owner's; Nonce tells the owner's transactions apart.
 	Token int64  `json:"token"`
 	Nonce string `json:"nonce"`
+	// Durations is what the owner has learned of its queues' durations.
+	Durations map[string]*durationModel `json:"durations,omitempty"`
 }
 
 // Progress is the owner's row of a job. Of several in different parts the newest
--- a/internal/pool/unit.go
+++ b/internal/pool/unit.go
@@ -44,6 +44,7 @@
 	}
 	u.state = unitEnded
 	p.learnSpeeds(u)
+	p.learnDuration(u)
 	s := u.step
 	s.ended++
 	j := u.job
@@ -87,7 +88,7 @@
 
 // remaining estimates how long a unit still runs.
 func (p *Pool) remaining(u *unit, now time.Time) time.Duration {
-	estimate := u.spec().Estimate()
+	estimate := u.estimate()
 	elapsed := now.Sub(u.startedAt)
 	m := u.members[0]
 	if m.percent > 0 && m.percent < 100 && !m.percentAt.IsZero() {
@@ -126,7 +127,7 @@
 	if m.state != memberRunning || m.unit.spec().LongRunning || m.percentAt.IsZero() {
 		return false
 	}
-	limit := max(standingLimit, time.Duration(standingShare*float64(m.unit.spec().Estimate())))
+	limit := max(standingLimit, time.Duration(standingShare*float64(m.unit.estimate())))
 	return m.listedAt.Sub(m.percentAt) > limit
 }
 
--- a/internal/pool/waiting.go
+++ b/internal/pool/waiting.go
@@ -44,7 +44,7 @@
 		return waitRoom
 	}
 	visible := *request
-	visible.Limit = s.unreserved(u.spec().Estimate())
+	visible.Limit = s.unreserved(u.estimate())
 	if placement.Fit(s.workers, s.racks.All, &visible) == nil {
 		return waitReserved
 	}
--- a/internal/pool/writer.go
+++ b/internal/pool/writer.go
@@ -193,7 +193,7 @@
 
 // head renders this owner's head row.
 func (p *Pool) head(nonce string) []byte {
-	return mustEncode(head{Token: p.token, Nonce: p.options.Incarnation + "." + nonce})
+	return mustEncode(head{Token: p.token, Nonce: p.options.Incarnation + "." + nonce, Durations: p.durations})
 }
 
 func (w *writer) send(b *batch) {
@@ -291,6 +291,7 @@
 				return
 			}
 			version = listing.Rows[i].Version
+			p.takeDurations(current)
 		}
 		w.claimAt(part, version, done)
 	})
--- a/internal/taskgraph/spec.go
+++ b/internal/taskgraph/spec.go
@@ -129,27 +129,12 @@
 	return time.UnixMilli(s.FirstRunMillis + int64(k)*s.IntervalMillis)
 }
 
-// CriticalPath returns the estimated duration of the longest chain of steps.
-func (s *Spec) CriticalPath() time.Duration {
-	ends := make([]time.Duration, len(s.Steps))
-	var longest time.Duration
-	for i := range s.Steps {
-		var start time.Duration
-		for _, earlier := range s.Steps[i].After {
-			start = max(start, ends[earlier])
-		}
-		ends[i] = start + s.Steps[i].Estimate()
-		longest = max(longest, ends[i])
-	}
-	return longest
-}
-
-// Tails returns for each step the estimated duration of the longest chain of steps
-// that begins with it.
-func (s *Spec) Tails() []time.Duration {
+// Tails returns for each step the duration of the longest chain of steps that begins
+// with it, by the durations of the steps.
+func (s *Spec) Tails(durations []time.Duration) []time.Duration {
 	tails := make([]time.Duration, len(s.Steps))
 	for i := len(s.Steps) - 1; i >= 0; i-- {
-		tails[i] += s.Steps[i].Estimate()
+		tails[i] += durations[i]
 		for _, earlier := range s.Steps[i].After {
 			tails[earlier] = max(tails[earlier], tails[i])
 		}
--- a/internal/taskgraph/spec_test.go
+++ b/internal/taskgraph/spec_test.go
@@ -39,8 +39,11 @@
 	spec := Spec{Steps: []Step{
 		{EstimateMillis: 1000}, {EstimateMillis: 2000, After: []int{0}}, {EstimateMillis: 500, After: []int{0}},
 	}}
-	require.Equal(t, 3*time.Second, spec.CriticalPath())
-	require.Equal(t, []time.Duration{3 * time.Second, 2 * time.Second, 500 * time.Millisecond}, spec.Tails())
+	durations := make([]time.Duration, len(spec.Steps))
+	for i := range spec.Steps {
+		durations[i] = spec.Steps[i].Estimate()
+	}
+	require.Equal(t, []time.Duration{3 * time.Second, 2 * time.Second, 500 * time.Millisecond}, spec.Tails(durations))
 }
 
 func TestTaskNamesRoundTrip(t *testing.T) {
