--- a/internal/node/feeds.go
+++ b/internal/node/feeds.go
@@ -113,7 +113,7 @@
 			n.follow(table, after, wait, apply, answered, again)
 		case err != nil:
 			n.edges.Record.Count("retries", "feed")
-			n.edges.Loop.After(retryPause, func() { n.follow(table, after, wait, apply, answered, again) })
+			n.storeRetries.After(retryPause, func() { n.follow(table, after, wait, apply, answered, again) })
 		default:
 			for i := range listing.Rows {
 				apply(listing.Rows[i])
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -15,7 +15,7 @@
 	key := codec.ConfigurationKey()
 	n.ports.Scan(key.Table, key.Part, "", func(listing rows.Listing, err error) {
 		if err != nil {
-			n.edges.Loop.After(retryPause, n.readConfiguration)
+			n.storeRetries.After(retryPause, n.readConfiguration)
 			return
 		}
 		for i := range listing.Rows {
@@ -63,7 +63,7 @@
 func (n *Node) readMembers() {
 	n.ports.Scan(pool.NodeTable, "", "", func(listing rows.Listing, err error) {
 		if err != nil {
-			n.edges.Loop.After(retryPause, n.readMembers)
+			n.storeRetries.After(retryPause, n.readMembers)
 			return
 		}
 		clear(n.members)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/wheatroad/wheatroad/internal/catalog"
+	"github.com/wheatroad/wheatroad/internal/loop"
 	"github.com/wheatroad/wheatroad/internal/pool"
 	"github.com/wheatroad/wheatroad/internal/rows"
 )
@@ -48,6 +49,8 @@
 	edges   Edges
 	ports   *ports
 	feeds   openFeeds
+	// storeRetries are calls to the store that wait to be made again.
+	storeRetries *loop.Retries
 	// store is the store as this node reaches it.
 	store   *relayedStore
 	catalog atomic.Pointer[catalog.Catalog]
@@ -86,6 +89,7 @@
 		waiting: map[string]waitingCounts{},
 	}
 	n.ports = &ports{ctx: ctx, node: n}
+	n.storeRetries = loop.NewRetries(edges.Loop)
 	n.store = &relayedStore{node: n, direct: edges.Store}
 	n.view.Store(&view{})
 	return n
@@ -133,10 +137,19 @@
 	n.storeReached.Store(&now)
 	silentFor := age(n.storeAnswered.Swap(&now))
 	if n.storeAway.CompareAndSwap(true, false) {
+		n.edges.Loop.Post(n.storeBack)
 		n.edges.Record.Decided("store answers again", "silent_ms", silentFor.Milliseconds())
 	}
 }
 
+// storeBack makes the calls again that wait for the store.
+func (n *Node) storeBack() {
+	n.storeRetries.Now()
+	for _, name := range sortedKeys(n.owned) {
+		n.owned[name].StoreBack()
+	}
+}
+
 // noteStoreFailure notes that a feed got no answer. Feeds stand for the whole store;
 // a failed transaction may say no more than that one part is away.
 func (n *Node) noteStoreFailure(err error) {
@@ -189,7 +202,7 @@
 	transaction := rows.Transaction{Puts: []rows.Put{{Key: memberKey(own.Name), Value: pool.Encode(own)}}}
 	n.ports.Commit(transaction, func(_ rows.Result, err error) {
 		if err != nil {
-			n.edges.Loop.After(retryPause, n.join)
+			n.storeRetries.After(retryPause, n.join)
 			return
 		}
 		n.edges.Record.Decided("joined", "node", own.Name, "address", own.Address)
--- a/internal/node/ownership.go
+++ b/internal/node/ownership.go
@@ -41,7 +41,7 @@
 func (n *Node) readLease(name string) {
 	n.ports.Scan(pool.NodeTable, name, "", func(listing rows.Listing, err error) {
 		if err != nil {
-			n.edges.Loop.After(retryPause, func() { n.readLease(name) })
+			n.storeRetries.After(retryPause, func() { n.readLease(name) })
 			return
 		}
 		n.watches[name].read = true
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -183,6 +183,16 @@
 	return none, failure
 }
 
+// storeReachable reports whether the next call to the store may succeed, directly or
+// through another node.
+func (n *Node) storeReachable() bool {
+	if !n.storeLost() {
+		return true
+	}
+	until := n.store.noRelayUntil.Load()
+	return until == nil || time.Since(*until) > relayPause
+}
+
 // relays lists the nodes to ask: the one that last answered, then others by chance.
 func (s *relayedStore) relays() []string {
 	var addresses []string
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -34,6 +34,8 @@
 	// workerOrder has the workers in the order of their names; nil once they change.
 	workerOrder []*worker
 	writer      writer
+	// storeRetries are calls to the store that wait to be made again.
+	storeRetries *loop.Retries
 	// loaded is true once rows are read; orders go out only then.
 	loaded    bool
 	gone      bool
@@ -69,7 +71,7 @@
 		options: options, loop: l, ports: ports, record: record, token: token,
 		jobs: map[string]*job{}, workers: map[string]*worker{},
 		storeAnsweredAt: l.Now(), earlyCancels: map[string]bool{},
-		durations: map[string]*durationModel{},
+		durations: map[string]*durationModel{}, storeRetries: loop.NewRetries(l),
 	}
 	p.writer = writer{pool: p}
 	return p
@@ -110,6 +112,13 @@
 	p.storeAnsweredAt = now
 }
 
+// StoreBack makes the calls again that wait for the store.
+func (p *Pool) StoreBack() {
+	if !p.gone {
+		p.storeRetries.Now()
+	}
+}
+
 // storeGap is longer than the store is ever silent while a feed is open.
 const storeGap = 1500 * time.Millisecond
 
--- a/internal/pool/read.go
+++ b/internal/pool/read.go
@@ -27,7 +27,7 @@
 		}
 		if err != nil {
 			p.record.Count("retries", "scan")
-			p.loop.After(pause, func() { p.scanUntil(table, part, prefix, nextPause(pause), done) })
+			p.storeRetries.After(pause, func() { p.scanUntil(table, part, prefix, nextPause(pause), done) })
 			return
 		}
 		p.noteStore()
@@ -51,7 +51,7 @@
 			again()
 		case err != nil:
 			p.record.Count("retries", "feed")
-			p.loop.After(pause, func() { p.follow(table, after, nextPause(pause), apply, again) })
+			p.storeRetries.After(pause, func() { p.follow(table, after, nextPause(pause), apply, again) })
 		default:
 			p.noteStore()
 			for i := range listing.Rows {
--- a/internal/pool/writer.go
+++ b/internal/pool/writer.go
@@ -226,7 +226,11 @@
 	for range min(b.failures/progressParts, retryDoublings) {
 		pause = nextPause(pause)
 	}
-	w.pool.loop.After(pause, func() { w.send(b) })
+	w.pool.storeRetries.After(pause, func() {
+		if !w.pool.gone {
+			w.send(b)
+		}
+	})
 }
 
 // retryDoublings bounds how often the pause between tries doubles.
@@ -310,7 +314,7 @@
 			done()
 		default:
 			w.pool.record.Count("retries", "claim")
-			w.pool.loop.After(retryPause, func() { w.claim(part, done) })
+			w.pool.storeRetries.After(retryPause, func() { w.claim(part, done) })
 		}
 	})
 }
