Make a call to the store through another node only if this one lost it

Change: a call that fails or takes long makes its node look, with a reading call, whether the store is there; only if not, the call goes another way.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -68,8 +68,8 @@
 	storeReached  atomic.Pointer[time.Time]
 	// storeAway is true from a failure of the store until its next answer.
 	storeAway atomic.Bool
-	// doubting is true while a probe looks whether the store is there.
-	doubting atomic.Bool
+	// look is the look under way whether the store is there, if any.
+	look     atomic.Pointer[storeLook]
 	stopping atomic.Bool
 
 	members  map[string]member
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -52,9 +52,7 @@
 	// feedWait is how long an owner's feeds of jobs and workers wait for a change.
 	feedWait = time.Second
 	// feedSlack is how much later than that a feed's answer may come.
-	feedSlack = 800 * time.Millisecond
-	// probeTimeout bounds a look whether the store is back.
-	probeTimeout  = 700 * time.Millisecond
+	feedSlack     = 800 * time.Millisecond
 	storeTimeout  = 1500 * time.Millisecond
 	submitTimeout = 700 * time.Millisecond
 	orderTimeout  = 350 * time.Millisecond
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -16,13 +16,12 @@
 
 // Periods and limits of calls to the store through other nodes.
 const (
-	// leastHedgeDelay is how long a direct call may go without an answer, at the least,
-	// before the same call is also made through another node. The store answers in some
-	// 5 to 15 ms; where it is slow for all, latencyFactor times its latency counts.
-	leastHedgeDelay = 300 * time.Millisecond
-	latencyFactor   = 4
-	// latencyWeight is the weight of the newest call in the average latency.
-	latencyWeight = 0.25
+	// doubtAfter is how long a direct call may go without an answer before the node asks
+	// whether the store is there. The store answers in some 5 to 15 ms.
+	doubtAfter = 300 * time.Millisecond
+	// probeTimeout bounds a look whether the store is there. A store that is slow for
+	// all, by some fifty times, still answers a reading call in 0.2 s.
+	probeTimeout = 400 * time.Millisecond
 	// relayTries is how many other nodes are asked for one call.
 	relayTries = 2
 	// relayTimeout bounds one such call, on top of what the store is asked to wait.
@@ -42,19 +41,12 @@
 	preferred atomic.Pointer[string]
 	// noRelayUntil is when other nodes may be asked again.
 	noRelayUntil atomic.Pointer[time.Time]
-	// latency is the average time of a direct transaction, in nanoseconds.
-	latency atomic.Int64
 }
 
 // Commit implements rows.Store.
 func (s *relayedStore) Commit(ctx context.Context, transaction rows.Transaction) (rows.Result, error) {
 	return reach(ctx, s, func(ctx context.Context, store rows.Store) (rows.Result, error) {
-		begun := time.Now()
-		result, err := store.Commit(ctx, transaction)
-		if err == nil && store == s.direct {
-			s.noteLatency(time.Since(begun))
-		}
-		return result, err
+		return store.Commit(ctx, transaction)
 	})
 }
 
@@ -84,15 +76,6 @@
 	return listing, err
 }
 
-func (s *relayedStore) noteLatency(d time.Duration) {
-	known := s.latency.Load()
-	s.latency.Store(known + int64(latencyWeight*float64(int64(d)-known)))
-}
-
-func (s *relayedStore) hedgeDelay() time.Duration {
-	return max(leastHedgeDelay, latencyFactor*time.Duration(s.latency.Load()))
-}
-
 // storeCall is one call to a store.
 type storeCall[T any] func(ctx context.Context, store rows.Store) (T, error)
 
@@ -105,7 +88,9 @@
 // answered reports whether the store itself said so.
 func (a *attempt[T]) answered() bool { return a.err == nil || errors.Is(a.err, rows.ErrHistoryGone) }
 
-// reach makes a call directly and, if that fails or takes long, through another node.
+// reach makes a call directly and, if the store turns out to be lost to this node,
+// through another one. A call that fails or takes long while the store is there is the
+// store's own matter: to make it twice would only add to its load.
 func reach[T any](ctx context.Context, s *relayedStore, call storeCall[T]) (T, error) {
 	if s.node.storeLost() {
 		return relay(ctx, s, relayTimeout, call)
@@ -116,8 +101,8 @@
 		s.node.noteStore(err)
 		attempts <- attempt[T]{result, err}
 	}()
-	hedge := time.NewTimer(s.hedgeDelay())
-	defer hedge.Stop()
+	timer := time.NewTimer(doubtAfter)
+	defer timer.Stop()
 	var direct *attempt[T]
 	select {
 	case first := <-attempts:
@@ -125,25 +110,37 @@
 			return first.result, first.err
 		}
 		direct = &first
-	case <-hedge.C:
+	case <-timer.C:
+	}
+	if !s.node.losesStore() {
+		if direct == nil {
+			first := <-attempts
+			direct = &first
+		}
+		return direct.result, direct.err
 	}
 	go func() {
 		result, err := relay(ctx, s, relayTimeout, call)
 		attempts <- attempt[T]{result, err}
 	}()
-	second := <-attempts
-	if second.answered() {
-		s.node.doubtStore()
-		return second.result, second.err
+	return firstAnswer(attempts, direct)
+}
+
+// firstAnswer returns the first answer of two attempts, of which one may have failed
+// already.
+func firstAnswer[T any](attempts <-chan attempt[T], failed *attempt[T]) (T, error) {
+	first := <-attempts
+	if first.answered() {
+		return first.result, first.err
 	}
-	if direct == nil {
-		last := <-attempts
-		direct = &last
-		if direct.answered() {
-			return direct.result, direct.err
+	if failed == nil {
+		second := <-attempts
+		if second.answered() {
+			return second.result, second.err
 		}
+		failed = &second
 	}
-	return second.result, lessKnown(direct.err, second.err)
+	return first.result, lessKnown(failed.err, first.err)
 }
 
 // lessKnown returns the error after which less is known of a call's effect.
@@ -338,21 +335,31 @@
 	return struct{}{}, err
 }
 
-// doubtStore looks whether the store still answers a node that another one had to
-// help out.
-func (n *Node) doubtStore() {
-	if !n.doubting.CompareAndSwap(false, true) {
-		return
+// losesStore looks whether the store still answers this node, after a call to it that
+// failed or takes long. Calls that ask at the same time share one look.
+func (n *Node) losesStore() bool {
+	if n.storeLost() {
+		return true
 	}
-	go func() {
-		defer n.doubting.Store(false)
-		ctx, cancel := context.WithTimeout(n.ports.ctx, probeTimeout)
-		defer cancel()
-		_, err := n.probe(ctx)
-		n.noteStoreFailure(err)
-	}()
+	look := &storeLook{done: make(chan struct{})}
+	if !n.look.CompareAndSwap(nil, look) {
+		if other := n.look.Load(); other != nil {
+			<-other.done
+		}
+		return n.storeLost()
+	}
+	ctx, cancel := context.WithTimeout(n.ports.ctx, probeTimeout)
+	defer cancel()
+	_, err := n.probe(ctx)
+	n.noteStoreFailure(err)
+	n.look.Store(nil)
+	close(look.done)
+	return n.storeLost()
 }
 
+// storeLook is a look at the store under way.
+type storeLook struct{ done chan struct{} }
+
 // probePeriod is the pause between two direct calls that look whether the store is
 // back.
 const probePeriod = 200 * time.Millisecond
--- a/internal/node/relay_test.go
+++ b/internal/node/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -169,3 +170,34 @@
 		require.Equal(t, c.want, n.configurationWait(), name)
 	}
 }
+
+// slowStore takes its time for transactions and counts them.
+type slowStore struct {
+	*fakeStore
+	commits atomic.Int32
+}
+
+func (s *slowStore) Commit(ctx context.Context, transaction rows.Transaction) (rows.Result, error) {
+	s.commits.Add(1)
+	select {
+	case <-time.After(doubtAfter + 100*time.Millisecond):
+		return s.fakeStore.Commit(ctx, transaction)
+	case <-ctx.Done():
+		return rows.Result{}, errors.Mark(ctx.Err(), rows.ErrNoAnswer)
+	}
+}
+
+// Scan answers the look whether the store is there.
+func (s *slowStore) Scan(context.Context, string, string, string) (rows.Listing, error) {
+	return rows.Listing{}, nil
+}
+
+// TestSlowStoreIsNotAskedTwice: on a day on which the store was slow for all, calls that
+// went through other nodes too doubled its load, and submissions ran into their deadline.
+func TestSlowStoreIsNotAskedTwice(t *testing.T) {
+	store := &slowStore{fakeStore: newFakeStore()}
+	gateway := pairOfNodes(t, store, store)
+	require.NoError(t, gateway.Submit(context.Background(), testAccess(), testSpec()))
+	require.Equal(t, int32(1), store.commits.Load())
+	require.False(t, gateway.node.storeLost())
+}
