--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -52,9 +52,11 @@
 	// feedWait is how long an owner's feeds of jobs and workers wait for a change.
 	feedWait = time.Second
 	// feedSlack is how much later than that a feed's answer may come.
-	feedSlack     = 800 * time.Millisecond
-	storeTimeout  = 1500 * time.Millisecond
-	submitTimeout = 700 * time.Millisecond
+	feedSlack    = 800 * time.Millisecond
+	storeTimeout = 1500 * time.Millisecond
+	// submitTimeout bounds the writes of one request of a caller, who gives it 3 s on the
+	// platform's sites; a store that is fifty times slower takes 0.5 s for one.
+	submitTimeout = 1200 * time.Millisecond
 	orderTimeout  = 350 * time.Millisecond
 	holdSlack     = 800 * time.Millisecond
 	pingPeriod    = 500 * time.Millisecond
