Let the nodes that would take a pool first watch its owner closely

Change: eight guards ping each 0.25 s and wait 0.4 s, others as before; witnesses are guards. The owner's share stays bounded at any number of nodes.

--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/fault"
@@ -34,14 +35,21 @@
 	Document []byte `json:"document,omitempty"`
 }
 
-// pingOwners asks the owners of all pools how they are, again and again.
+// guardCount is how many nodes watch a pool's owner closely: those that would take the
+// pool first. The owner's share of pings stays bounded however many nodes there are.
+const guardCount = 8
+
+// pingOwners asks the owners of all pools how they are, again and again: a guard each
+// guardPeriod, others each pingPeriod.
 func (n *Node) pingOwners() {
+	n.pingRound++
+	others := n.pingRound%int(pingPeriod/guardPeriod) == 0
 	for _, name := range sortedKeys(n.watches) {
-		if n.owned[name] == nil {
+		if n.owned[name] == nil && (others || n.rank(name) < guardCount) {
 			n.pingOwner(n.watches[name])
 		}
 	}
-	n.edges.Loop.After(pingPeriod, n.pingOwners)
+	n.edges.Loop.After(guardPeriod, n.pingOwners)
 }
 
 func (n *Node) pingOwner(w *watch) {
@@ -145,12 +153,11 @@
 // askWitnesses asks other nodes whether they see a pool's owner. A node that no
 // other answers is itself cut off and counts as if the owner were seen.
 func (n *Node) askWitnesses(w *watch, done func(seen bool)) {
-	others := n.otherMembers(n.leases[w.pool].Owner)
-	if len(others) == 0 {
+	asked := n.witnesses(w.pool)
+	if len(asked) == 0 {
 		done(false)
 		return
 	}
-	asked := others[:min(witnessCount, len(others))]
 	left, answers, seen := len(asked), 0, false
 	for _, other := range asked {
 		n.callPeer(other.Address, methodSeen, pingRequest{Pool: w.pool}, func(document []byte, err error) {
@@ -167,13 +174,28 @@
 	}
 }
 
+// witnesses lists some of the guards of a pool's owner, who know of it from lately.
+func (n *Node) witnesses(name string) []member {
+	others := n.otherMembers(n.leases[name].Owner)
+	slices.SortStableFunc(others, func(a, b member) int {
+		if precedes(name, a, b) {
+			return -1
+		}
+		return 1
+	})
+	guards := others[:min(guardCount, len(others))]
+	rand.Shuffle(len(guards), func(i, j int) { guards[i], guards[j] = guards[j], guards[i] })
+	return guards[:min(witnessCount, len(guards))]
+}
+
 // seenReply says whether a node sees a pool's owner in good health.
 type seenReply struct {
 	Seen bool `json:"seen"`
 }
 
-// seenLimit is how old a good answer of an owner may be.
-const seenLimit = 900 * time.Millisecond
+// seenLimit is how old a good answer of an owner may be: one that a guard has missed two
+// pings of is older.
+const seenLimit = 600 * time.Millisecond
 
 // otherMembers lists the members besides this node and one more, in random order.
 func (n *Node) otherMembers(but string) []member {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -78,6 +78,8 @@
 	owned    map[string]*pool.Pool
 	waiting  map[string]waitingCounts
 	released func()
+	// pingRound counts the rounds of pings.
+	pingRound int
 }
 
 // New returns a node that does nothing until Start.
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -60,7 +60,8 @@
 	orderTimeout  = 350 * time.Millisecond
 	holdSlack     = 800 * time.Millisecond
 	pingPeriod    = 500 * time.Millisecond
-	pingTimeout   = 600 * time.Millisecond
+	guardPeriod   = 250 * time.Millisecond
+	pingTimeout   = 400 * time.Millisecond
 	// pingFailures in a row make an owner suspect.
 	pingFailures = 2
 	// storeDead is the age of the store's last answer at which a node counts as
--- a/internal/node/ownership_test.go
+++ b/internal/node/ownership_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
@@ -149,3 +150,25 @@
 		require.Equal(t, c.want, n.watch.scheduled, name)
 	}
 }
+
+// TestWitnessesAreThoseWhoWatchClosely: other nodes' knowledge of an owner is too old to
+// speak for it.
+func TestWitnessesAreThoseWhoWatchClosely(t *testing.T) {
+	others := map[string]float64{}
+	for i := range 40 {
+		others[fmt.Sprintf("light-%d", i)] = 0.2
+	}
+	for i := range guardCount {
+		others[fmt.Sprintf("heavy-%d", i)] = 0.8
+	}
+	n := newWatchingNode(t, 0.2, others)
+	n.leaseOf("heavy-0", 5)
+	for range 20 {
+		for _, witness := range n.witnesses(poolName) {
+			require.NotEqual(t, "heavy-0", witness.Name)
+			require.Greater(t, witness.Weight, 0.0)
+		}
+	}
+	require.Len(t, n.witnesses(poolName), witnessCount)
+	require.GreaterOrEqual(t, n.rank(poolName), guardCount-1, "lighter nodes do not watch closely")
+}
