--- a/internal/pool/findplace.go
+++ b/internal/pool/findplace.go
@@ -22,16 +22,17 @@
 		visible.Allowed = s.outsideHeadroom(request.Allowed, u.job.Queue.Priority)
 	}
 	for _, preferred := range p.preferences(s, u) {
-		if places := p.fitByScope(s, u, narrowed(&visible, preferred)); places != nil {
+		if places := p.fitByScope(s, u, narrowed(&visible, preferred), &visible); places != nil {
 			return places
 		}
 	}
-	return p.fitByScope(s, u, &visible)
+	return p.fitByScope(s, u, &visible, &visible)
 }
 
 // fitByScope places a unit where it runs at full speed, or anywhere once it has waited
-// for that.
-func (p *Pool) fitByScope(s *snapshot, u *unit, visible *placement.Request) []int {
+// for that. Whether it waits goes by all workers that it may take, of which visible are
+// those that it should.
+func (p *Pool) fitByScope(s *snapshot, u *unit, visible, all *placement.Request) []int {
 	spec := u.spec()
 	if rack := spec.PreferredRack; rack != "" {
 		if places := placement.Fit(s.workers, s.racks.Members[rack], visible); places != nil {
@@ -43,7 +44,7 @@
 			return places
 		}
 	}
-	if p.bound(s, u, visible) {
+	if p.bound(s, u, all) {
 		return nil
 	}
 	if len(u.members) > 1 && spec.Gang {
--- a/internal/pool/reliability_test.go
+++ b/internal/pool/reliability_test.go
@@ -59,3 +59,37 @@
 	requireKept(t, w)
 	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(3)))
 }
+
+// TestGangsStayOnTheirRackBesideAFailedWorker: a worker that failed once made its rack
+// look too small for a gang, which then went over several racks and took three times as
+// long.
+func TestGangsStayOnTheirRackBesideAFailedWorker(t *testing.T) {
+	w := simulation.NewWorld(2, 3)
+	for i, worker := range w.Workers {
+		worker.Failing = i%3 == 0
+	}
+	spread := single(6)
+	spread.MaxPerWorker = 1
+	w.Work = func(taskgraph.TaskName) time.Duration { return 350 * time.Millisecond }
+	w.Submit(spec(1, spread), batch)
+	w.Own()
+	w.Run(time.Second)
+	w.Work = func(taskgraph.TaskName) time.Duration { return time.Second }
+	for _, worker := range w.Workers {
+		worker.Failing = false
+	}
+	together := gang(3)
+	together.SameRack = true
+	w.Submit(spec(2, together), urgent)
+	w.Run(300 * time.Millisecond)
+	racks := map[string]int{}
+	for _, worker := range w.Workers {
+		racks[worker.Rack()] += worker.RunsOf(jobID(2))
+	}
+	require.Len(t, racks, 2)
+	for rack, runs := range racks {
+		require.Contains(t, []int{0, 3}, runs, rack)
+	}
+	w.Run(10 * time.Second)
+	requireKept(t, w)
+}
--- a/internal/simulation/worker.go
+++ b/internal/simulation/worker.go
@@ -251,3 +251,14 @@
 
 // Runs returns how many runs the worker has.
 func (w *Worker) Runs() int { return len(w.runs) }
+
+// RunsOf returns how many runs of a job the worker has.
+func (w *Worker) RunsOf(job string) int {
+	count := 0
+	for name := range w.runs {
+		if name.Job == job {
+			count++
+		}
+	}
+	return count
+}
