Name the mechanisms of the policy and let a setting switch them off

Cause: the customer asks what each mechanism is worth on each deployment. Change: package mechanism lists them; the setting 'without' of a node switches them off by name, for measurements. Safety does not depend on any of them.

--- a/cmd/wheatroadd/serve.go
+++ b/cmd/wheatroadd/serve.go
@@ -18,6 +18,7 @@
 
 	"github.com/wheatroad/wheatroad/internal/buildinfo"
 	"github.com/wheatroad/wheatroad/internal/loop"
+	"github.com/wheatroad/wheatroad/internal/mechanism"
 	"github.com/wheatroad/wheatroad/internal/node"
 	"github.com/wheatroad/wheatroad/internal/peer"
 	"github.com/wheatroad/wheatroad/internal/pool"
@@ -112,7 +113,10 @@
 
 func nodeOptions(s *settings.Node) node.Options {
 	b := &s.Bounds
+	// The settings were checked when they were read.
+	off, _ := mechanism.ParseOff(s.Without)
 	return node.Options{
+		Off:  off,
 		Name: s.Name, Incarnation: newIncarnation(), PeerAddress: s.Peers, Weight: s.CPUShare,
 		Bounds: pool.Bounds{
 			MaxHold: settings.Millis(b.MaxHoldMillis), StopTimeout: settings.Millis(b.StopTimeoutMillis),
--- /dev/null
+++ b/internal/mechanism/mechanism_test.go
@@ -0,0 +1,18 @@
+package mechanism
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestParseOff(t *testing.T) {
+	off, err := ParseOff([]string{"headroom", "store-relay"})
+	require.NoError(t, err)
+	require.True(t, off[Headroom])
+	require.True(t, off[StoreRelay])
+	require.False(t, off[Guards])
+	_, err = ParseOff([]string{"headrom"})
+	require.ErrorContains(t, err, "headrom")
+	require.False(t, Off(nil)[Headroom])
+}
--- a/internal/node/feeds.go
+++ b/internal/node/feeds.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/wheatroad/wheatroad/internal/mechanism"
 	"github.com/wheatroad/wheatroad/internal/rows"
 )
 
@@ -85,7 +86,7 @@
 		return confirmWait
 	case len(n.owned) > 0:
 		return ownerFeedWait
-	case age(n.toldByPeer.Load()) < staleConfirmation:
+	case !n.options.Off[mechanism.LongFeeds] && age(n.toldByPeer.Load()) < staleConfirmation:
 		return longFeedWait
 	}
 	return aloneFeedWait
@@ -125,4 +126,9 @@
 }
 
 // membersWait is how long a feed of the nodes and leases waits.
-func membersWait() time.Duration { return longFeedWait }
+func (n *Node) membersWait() time.Duration {
+	if n.options.Off[mechanism.LongFeeds] {
+		return feedWait
+	}
+	return longFeedWait
+}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -74,7 +74,7 @@
 			n.readLease(name)
 		}
 		n.publish()
-		n.follow(pool.NodeTable, listing.Version, membersWait, n.applyNodeRow, func() {}, n.readMembers)
+		n.follow(pool.NodeTable, listing.Version, n.membersWait, n.applyNodeRow, func() {}, n.readMembers)
 	})
 }
 
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/fault"
+	"github.com/wheatroad/wheatroad/internal/mechanism"
 )
 
 // pingRequest asks a pool's owner how it is.
@@ -39,13 +40,18 @@
 // pool first. The owner's share of pings stays bounded however many nodes there are.
 const guardCount = 8
 
+// guards reports whether this node watches a pool's owner closely.
+func (n *Node) guards(name string) bool {
+	return !n.options.Off[mechanism.Guards] && n.rank(name) < guardCount
+}
+
 // pingOwners asks the owners of all pools how they are, again and again: a guard each
 // guardPeriod, others each pingPeriod.
 func (n *Node) pingOwners() {
 	n.pingRound++
 	others := n.pingRound%int(pingPeriod/guardPeriod) == 0
 	for _, name := range sortedKeys(n.watches) {
-		if n.owned[name] == nil && (others || n.rank(name) < guardCount) {
+		if n.owned[name] == nil && (others || n.guards(name)) {
 			n.pingOwner(n.watches[name])
 		}
 	}
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -6,6 +6,7 @@
 	"github.com/wheatroad/wheatroad/internal/catalog"
 	"github.com/wheatroad/wheatroad/internal/fleet"
 	"github.com/wheatroad/wheatroad/internal/loop"
+	"github.com/wheatroad/wheatroad/internal/mechanism"
 	"github.com/wheatroad/wheatroad/internal/peer"
 	"github.com/wheatroad/wheatroad/internal/pool"
 	"github.com/wheatroad/wheatroad/internal/rows"
@@ -35,6 +36,8 @@
 	// ConfigurationAge is how old the configuration's confirmation may be before
 	// callers are turned away.
 	ConfigurationAge time.Duration
+	// Off has mechanisms that are switched off, for measurements.
+	Off mechanism.Off
 }
 
 // Edges are what a node reaches the outside through.
--- a/internal/node/ownership.go
+++ b/internal/node/ownership.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/wheatroad/wheatroad/internal/catalog"
+	"github.com/wheatroad/wheatroad/internal/mechanism"
 	"github.com/wheatroad/wheatroad/internal/pool"
 	"github.com/wheatroad/wheatroad/internal/rows"
 )
@@ -166,7 +167,7 @@
 func (n *Node) poolOptions(name string) pool.Options {
 	return pool.Options{
 		Pool: name, Node: n.options.Name, Incarnation: n.options.Incarnation,
-		Address: n.options.PeerAddress, Bounds: n.options.Bounds,
+		Address: n.options.PeerAddress, Bounds: n.options.Bounds, Off: n.options.Off,
 		Catalog: func() *catalog.Catalog { return n.catalog.Load() },
 		Ended:   func(reason string) { n.disown(name) },
 	}
@@ -219,7 +220,7 @@
 // outweighs reports whether this node is fit to relieve a pool's owner.
 func (n *Node) outweighs(w *watch) bool {
 	owner, known := n.members[n.leases[w.pool].Owner]
-	return known && owner.Weight > 0 && n.options.Weight >= weightFactor*owner.Weight &&
+	return !n.options.Off[mechanism.WeakOwners] && known && owner.Weight > 0 && n.options.Weight >= weightFactor*owner.Weight &&
 		!n.storeLost() && !n.stopping.Load()
 }
 
--- a/internal/node/patience.go
+++ b/internal/node/patience.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/fault"
+	"github.com/wheatroad/wheatroad/internal/mechanism"
 )
 
 // A submission that finds the store away may wait for its return for a short time
@@ -24,6 +25,9 @@
 // configuration is not known to be the newest.
 func (g *Gateway) ResolveSubmission(ctx context.Context, host, path, key string) (Access, string, error) {
 	waitUntil := time.Now().Add(acceptancePatience)
+	if g.node.options.Off[mechanism.Patience] {
+		waitUntil = time.Now()
+	}
 	if deadline, any := ctx.Deadline(); any && deadline.Add(-answerReserve).Before(waitUntil) {
 		waitUntil = deadline.Add(-answerReserve)
 	}
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/wheatroad/wheatroad/internal/fault"
+	"github.com/wheatroad/wheatroad/internal/mechanism"
 	"github.com/wheatroad/wheatroad/internal/pool"
 	"github.com/wheatroad/wheatroad/internal/rows"
 )
@@ -155,6 +156,9 @@
 func relay[T any](ctx context.Context, s *relayedStore, limit time.Duration, call storeCall[T]) (T, error) {
 	var none T
 	failure := errors.Mark(errors.New("no other node has the store"), rows.ErrRefused)
+	if s.node.options.Off[mechanism.StoreRelay] {
+		return none, failure
+	}
 	if until := s.noRelayUntil.Load(); until != nil && time.Now().Before(*until) {
 		return none, failure
 	}
--- a/internal/pool/cycle.go
+++ b/internal/pool/cycle.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/wheatroad/wheatroad/internal/mechanism"
 	"github.com/wheatroad/wheatroad/internal/placement"
 )
 
@@ -76,17 +77,18 @@
 		}
 	}
 	now := p.loop.Now()
-	slices.SortFunc(waiting, func(a, b *unit) int { return compareUnits(a, b, now) })
+	timelyFirst := !p.options.Off[mechanism.TimelyFirst]
+	slices.SortFunc(waiting, func(a, b *unit) int { return compareUnits(a, b, now, timelyFirst) })
 	return waiting
 }
 
 // compareUnits orders units by priority; among equals those that can still end in
 // time come before those that are late already, and then the oldest.
-func compareUnits(a, b *unit, now time.Time) int {
+func compareUnits(a, b *unit, now time.Time, timelyFirst bool) int {
 	if a.job.Queue.Priority != b.job.Queue.Priority {
 		return a.job.Queue.Priority - b.job.Queue.Priority
 	}
-	if late := a.late(now); late != b.late(now) {
+	if late := a.late(now); timelyFirst && late != b.late(now) {
 		if late {
 			return 1
 		}
@@ -120,7 +122,10 @@
 		return true
 	}
 	p.noteWait(s, u, request)
-	if !p.pressing(s, u) || !p.preemptFor(s, u, request) {
+	if p.pressing(s, u) && p.preemptFor(s, u, request) {
+		return false
+	}
+	if !p.options.Off[mechanism.Reservations] {
 		s.reserveFor(u, request, s.earliest(u, request))
 	}
 	return false
--- a/internal/pool/durations.go
+++ b/internal/pool/durations.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/wheatroad/wheatroad/internal/mechanism"
 )
 
 // Estimates come with jobs and may be far off: on the platform's days those of urgent
@@ -64,7 +66,7 @@
 
 // learnDuration takes in a unit that has ended well.
 func (p *Pool) learnDuration(u *unit) {
-	if !u.startedHere || u.resumed || u.spec().LongRunning || p.options.Without.LearnedDurations {
+	if !u.startedHere || u.resumed || u.spec().LongRunning || p.options.Off[mechanism.LearnedDurations] {
 		return
 	}
 	model := p.durations[u.job.Queue.Name]
@@ -78,7 +80,7 @@
 // takeDurations goes on from what an earlier owner had learned. Of the head rows of
 // several parts the one that knows most counts.
 func (p *Pool) takeDurations(earlier head) {
-	if p.options.Without.LearnedDurations {
+	if p.options.Off[mechanism.LearnedDurations] {
 		return
 	}
 	for queue, model := range earlier.Durations {
--- a/internal/pool/findplace.go
+++ b/internal/pool/findplace.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/wheatroad/wheatroad/internal/mechanism"
 	"github.com/wheatroad/wheatroad/internal/placement"
 	"github.com/wheatroad/wheatroad/internal/taskgraph"
 )
@@ -19,7 +20,9 @@
 		if p.underPressure(s, u) {
 			return nil
 		}
-		visible.Allowed = s.outsideHeadroom(request.Allowed, u.job.Queue.Priority)
+		if !p.options.Off[mechanism.Headroom] {
+			visible.Allowed = s.outsideHeadroom(request.Allowed, u.job.Queue.Priority)
+		}
 	}
 	for _, preferred := range p.preferences(s, u) {
 		if places := p.fitByScope(s, u, narrowed(&visible, preferred), &visible); places != nil {
@@ -77,7 +80,7 @@
 // bound reports whether a unit still waits for a place where it runs at full speed:
 // for as long as it would lose by running elsewhere.
 func (p *Pool) bound(s *snapshot, u *unit, request *placement.Request) bool {
-	if !s.hasNearPlace(u, request) {
+	if p.options.Off[mechanism.NearPlaces] || !s.hasNearPlace(u, request) {
 		return false
 	}
 	patience := (p.options.Bounds.RemoteFactor - 1) * float64(u.estimate())
@@ -111,7 +114,7 @@
 // underPressure reports whether a patient unit waits because others of a higher
 // priority were just stopped for want of room.
 func (p *Pool) underPressure(s *snapshot, u *unit) bool {
-	return u.job.Queue.Priority > p.pressurePriority && s.now.Before(p.pressureUntil)
+	return !p.options.Off[mechanism.Pressure] && u.job.Queue.Priority > p.pressurePriority && s.now.Before(p.pressureUntil)
 }
 
 // outsideHeadroom narrows allowed to racks other than the emptiest, of which the
--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -283,7 +283,7 @@
 		w.lastSeen = highest
 	}
 	takenAt := p.loop.Now()
-	p.afterWrite(endDelay, func() {
+	p.afterWrite(p.writer.endDelay(), func() {
 		p.record.Observe("end_noted", p.loop.Now().Sub(takenAt))
 		w.lastSeen = max(w.lastSeen, highest)
 		p.hold(w)
--- a/internal/pool/options.go
+++ b/internal/pool/options.go
@@ -5,6 +5,7 @@
 
 	"github.com/wheatroad/wheatroad/internal/catalog"
 	"github.com/wheatroad/wheatroad/internal/fleet"
+	"github.com/wheatroad/wheatroad/internal/mechanism"
 	"github.com/wheatroad/wheatroad/internal/rows"
 )
 
@@ -36,6 +37,8 @@
 	Bounds      Bounds
 	// Catalog returns the configuration in force.
 	Catalog func() *catalog.Catalog
+	// Off has parts of the policy that are switched off, for measurements.
+	Off mechanism.Off
 	// Without takes mechanisms out, for tests that show what they prevent.
 	Without Without
 	// Ended is called once the node is no longer the owner.
@@ -52,8 +55,6 @@
 	EndRows bool
 	// HeadCondition: writes do not require the head row as this owner left it.
 	HeadCondition bool
-	// LearnedDurations: estimates are taken as they come.
-	LearnedDurations bool
 }
 
 // Ports reach the outside. Each call returns at once; done runs on the pool's
--- a/internal/pool/preempt.go
+++ b/internal/pool/preempt.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/wheatroad/wheatroad/internal/mechanism"
 	"github.com/wheatroad/wheatroad/internal/placement"
 	"github.com/wheatroad/wheatroad/internal/taskgraph"
 )
@@ -94,7 +95,7 @@
 		return true
 	}
 	slack := u.slack(s.now)
-	return len(u.members) > 1 && slack > 0 && slack < time.Duration(pressingShare*float64(u.job.objective))
+	return !p.options.Off[mechanism.PressingGangs] && len(u.members) > 1 && slack > 0 && slack < time.Duration(pressingShare*float64(u.job.objective))
 }
 
 // mustBegin reports whether a guarantee obliges the unit to begin soon.
--- a/internal/pool/reliability.go
+++ b/internal/pool/reliability.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/wheatroad/wheatroad/internal/mechanism"
 	"github.com/wheatroad/wheatroad/internal/placement"
 )
 
@@ -63,12 +64,14 @@
 // gang is as slow as its slowest member and fails with any of them; a unit that has
 // failed before should not lose another attempt to a failing worker.
 func (p *Pool) preferences(s *snapshot, u *unit) []func(i int) bool {
-	trusted := func(i int) bool { return !s.owners[i].reliability.suspect() }
+	trusted := func(i int) bool {
+		return p.options.Off[mechanism.TrustedWorkers] || !s.owners[i].reliability.suspect()
+	}
 	fast := func(i int) bool { return trusted(i) && !s.workers[i].Slow }
 	proven := func(i int) bool { return s.owners[i].reliability.proven(s.now) }
 	gang := u.spec().Gang && len(u.members) > 1
 	switch {
-	case u.lastAttempt():
+	case u.lastAttempt() && !p.options.Off[mechanism.TrustedWorkers]:
 		return []func(int) bool{proven, trusted}
 	case gang:
 		return []func(int) bool{fast, trusted}
--- a/internal/pool/speed.go
+++ b/internal/pool/speed.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/wheatroad/wheatroad/internal/mechanism"
 )
 
 // What is learned of workers' speeds. The members of a gang are equal tasks that began
@@ -89,5 +91,8 @@
 
 // slow reports whether a worker takes longer than most.
 func (p *Pool) slow(w *worker) bool {
+	if p.options.Off[mechanism.LearnedSpeeds] {
+		return false
+	}
 	return w.speed.gangs > 0 && w.speed.logTime()-p.medianLogTime > math.Log(slowRatio)
 }
--- a/internal/pool/writer.go
+++ b/internal/pool/writer.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/wheatroad/wheatroad/internal/mechanism"
 	"github.com/wheatroad/wheatroad/internal/rows"
 )
 
@@ -49,7 +50,14 @@
 func (p *Pool) persist(j *job) { p.writer.add(j, 0) }
 
 // persistEnd writes a job's progress after an end that nobody waits for.
-func (p *Pool) persistEnd(j *job) { p.writer.add(j, endDelay) }
+func (p *Pool) persistEnd(j *job) { p.writer.add(j, p.writer.endDelay()) }
+
+func (w *writer) endDelay() time.Duration {
+	if w.pool.options.Off[mechanism.EndDelay] {
+		return 0
+	}
+	return endDelay
+}
 
 func (w *writer) add(j *job, delay time.Duration) {
 	if !j.dirty {
@@ -73,7 +81,7 @@
 // remove drops a job's progress.
 func (w *writer) remove(id string) {
 	w.removes = append(w.removes, id)
-	w.flushWithin(endDelay)
+	w.flushWithin(w.endDelay())
 }
 
 // flushWithin sends what waits after delay at the latest, or as soon as the transaction
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -7,6 +7,7 @@
 	"github.com/BurntSushi/toml"
 
 	"github.com/wheatroad/wheatroad/internal/job"
+	"github.com/wheatroad/wheatroad/internal/mechanism"
 )
 
 // Node is the content of a settings file of `wheatroadd serve`: a node on a
@@ -30,6 +31,8 @@
 	CPUShare  float64    `toml:"cpu_share"`
 	Bounds    NodeBounds `toml:"bounds"`
 	Stretches Stretches  `toml:"stop"`
+	// Without names mechanisms to switch off. It is for measurements, not for operators.
+	Without []string `toml:"without"`
 }
 
 // NodeBounds are the platform's periods, in milliseconds unless said otherwise.
@@ -110,6 +113,9 @@
 	}
 	c.require(s.MemoryMB >= 32, "memory_mb", "must be at least 32")
 	c.require(s.CPUShare > 0, "cpu_share", "must be positive")
+	if _, err := mechanism.ParseOff(s.Without); err != nil {
+		c.require(false, "without", "%v", err)
+	}
 	b := &s.Bounds
 	positive := map[string]int64{
 		"bounds.max_hold_ms": b.MaxHoldMillis, "bounds.stop_timeout_ms": b.StopTimeoutMillis,
