--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -61,10 +61,11 @@
 	// platform's sites; a store that is fifty times slower takes 0.5 s for one.
 	submitTimeout = 1200 * time.Millisecond
 	orderTimeout  = 350 * time.Millisecond
-	holdSlack     = 800 * time.Millisecond
-	pingPeriod    = 500 * time.Millisecond
-	guardPeriod   = 250 * time.Millisecond
-	pingTimeout   = 400 * time.Millisecond
+	// holdSlack is how much later than a hold may wait its answer may come.
+	holdSlack   = 400 * time.Millisecond
+	pingPeriod  = 500 * time.Millisecond
+	guardPeriod = 250 * time.Millisecond
+	pingTimeout = 400 * time.Millisecond
 	// pingFailures in a row make an owner suspect.
 	pingFailures = 2
 	// storeDead is the age of the store's last answer at which a node counts as
--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -67,9 +67,20 @@
 	if w.uncertain() {
 		return 0
 	}
+	if p.loop.Now().Before(w.lossyUntil) {
+		return lossyHoldPeriod
+	}
 	return holdPeriod
 }
 
+// A worker that left a call unanswered may do so again: the answer that tells of an end
+// can be lost, and the owner notes the end only with the next one. For lossyPeriod, about
+// the length of such a fault on the platform's days, holds wait for lossyHoldPeriod only.
+const (
+	lossyPeriod     = 6 * time.Second
+	lossyHoldPeriod = 400 * time.Millisecond
+)
+
 // uncertain reports whether a member's start got no answer.
 func (w *worker) uncertain() bool {
 	for _, m := range w.members {
@@ -118,6 +129,7 @@
 		p.record.Decided("worker does not answer", "worker", w.ID, "runs", len(w.members))
 	}
 	w.unanswered++
+	w.lossyUntil = p.loop.Now().Add(lossyPeriod)
 }
 
 // holdAnswered takes in a hold that was sent at sentAt.
@@ -184,7 +196,11 @@
 	if p.orderFailed(w, err) {
 		return
 	}
-	p.holdLater(w, holdRetry)
+	pause := holdRetry
+	if w.unanswered == 1 {
+		pause = quickHold
+	}
+	p.holdLater(w, pause)
 }
 
 // compare settles members against what the worker lists. Ends have been taken in.
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -302,6 +302,8 @@
 	// unanswered counts calls without an answer since the last one.
 	unanswered int
 	silentAt   time.Time
+	// lossyUntil is how long the worker counts as one that loses answers.
+	lossyUntil time.Time
 	// penaltyUntil keeps new work away.
 	penaltyUntil time.Time
 	speed        speed
--- a/internal/pool/orders_test.go
+++ b/internal/pool/orders_test.go
@@ -74,3 +74,22 @@
 	w.Run(10 * time.Second)
 	requireKept(t, w)
 }
+
+// TestEndsAreNotedSoonThoughAnswersAreLost: an end whose answer was lost was noted up to
+// 2.8 s later, with the next hold (courier scale-2: answers of half of the workers lost).
+func TestEndsAreNotedSoonThoughAnswersAreLost(t *testing.T) {
+	w := simulation.NewWorld(1, 1)
+	w.Work = func(taskgraph.TaskName) time.Duration { return 6 * time.Second }
+	begun := w.Clock.Now()
+	w.Workers[0].LoseAnswer = func() bool {
+		at := w.Clock.Now().Sub(begun)
+		first := at > 1900*time.Millisecond && at < 2200*time.Millisecond
+		second := at > 5900*time.Millisecond && at < 6100*time.Millisecond
+		return first || second
+	}
+	w.Submit(spec(1, single(1)), urgent)
+	w.Own()
+	w.Run(7500 * time.Millisecond)
+	requireKept(t, w)
+	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
+}
--- a/internal/simulation/worker.go
+++ b/internal/simulation/worker.go
@@ -32,6 +32,8 @@
 	Replaced bool
 	// LoseOrder decides the fate of each order; holds are always answered.
 	LoseOrder func() Fate
+	// LoseAnswer decides whether the answer to a hold is lost.
+	LoseAnswer func() bool
 	// Unreachable workers refuse connections.
 	Unreachable bool
 	// Unwell workers refuse starts.
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -325,6 +325,9 @@
 			return
 		}
 		w.hold(order, func(reply fleet.Reply, err error) {
+			if w.LoseAnswer != nil && w.LoseAnswer() {
+				return
+			}
 			clock.After(orderLatency/2, func() { once(reply, err) })
 		})
 	})
