--- a/internal/node/patience.go
+++ b/internal/node/patience.go
@@ -49,23 +49,28 @@
 		if !fault.IsKind(err, fault.StoreUnavailable) || !time.Now().Before(waitUntil) {
 			return err
 		}
-		if !g.await(ctx, waitUntil, g.node.storeReachable) {
+		if !pause(ctx) || !g.await(ctx, waitUntil, g.node.storeReachable) {
 			return err
 		}
 	}
 }
 
+// pause waits for a moment, and reports whether the caller is still there.
+func pause(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(patiencePeriod):
+		return true
+	}
+}
+
 // await waits until a condition holds, and reports whether it does. It gives up at a
 // time and when the caller leaves.
 func (g *Gateway) await(ctx context.Context, until time.Time, holds func() bool) bool {
 	for !holds() {
-		if !time.Now().Before(until) {
-			return false
-		}
-		select {
-		case <-ctx.Done():
+		if !time.Now().Before(until) || !pause(ctx) {
 			return false
-		case <-time.After(patiencePeriod):
 		}
 	}
 	return true
--- a/internal/node/patience_test.go
+++ b/internal/node/patience_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/wheatroad/wheatroad/internal/fault"
+	"github.com/wheatroad/wheatroad/internal/mechanism"
 	"github.com/wheatroad/wheatroad/internal/rows"
 )
 
@@ -79,3 +80,15 @@
 	n.storeRetries.Now()
 	require.Equal(t, 1, retried, "once")
 }
+
+// TestWaitingSubmissionDoesNotSpin: with no other node to ask, each try failed at once
+// and the next followed without a pause.
+func TestWaitingSubmissionDoesNotSpin(t *testing.T) {
+	store := &returningStore{fakeStore: newFakeStore(), returnAfter: 1 << 30}
+	gateway := newGateway(t, store)
+	gateway.node.options.Off = mechanism.Off{mechanism.StoreRelay: true}
+	access := testAccess()
+	access.waitUntil = time.Now().Add(10 * patiencePeriod)
+	require.Error(t, gateway.Submit(context.Background(), access, testSpec()))
+	require.LessOrEqual(t, store.refusals.Load(), int32(10*3+3), "three parts a try")
+}
