--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -64,6 +64,7 @@
 		n.leaseChanged(w.pool)
 		return
 	}
+	askedAt := time.Now()
 	n.callPeer(lease.Address, methodPing, pingRequest{Pool: w.pool}, func(document []byte, err error) {
 		if n.leases[w.pool].version != lease.version {
 			return
@@ -74,13 +75,13 @@
 		}
 		var reply pingReply
 		if json.Unmarshal(document, &reply) == nil {
+			n.takeNews(reply.catalogNews, askedAt)
 			n.pingAnswered(w, reply)
 		}
 	})
 }
 
 func (n *Node) pingAnswered(w *watch, reply pingReply) {
-	n.takeNews(reply.catalogNews)
 	owner := n.leases[w.pool].Owner
 	switch {
 	case !reply.Owner:
@@ -215,14 +216,16 @@
 	return others
 }
 
-// takeNews takes in what another node knows of the configuration.
-func (n *Node) takeNews(news catalogNews) {
+// takeNews takes in what another node knows of the configuration, asked at a time. Its
+// age counts from then: counted from the answer it would seem newer by the way, and two
+// nodes that tell each other over slow links would never see it age.
+func (n *Node) takeNews(news catalogNews, askedAt time.Time) {
 	if len(news.Document) > 0 {
 		n.adopt(news.Document, "peer")
 	}
 	current := n.catalog.Load()
 	if current != nil && current.Version >= news.Version {
-		at := time.Now().Add(-time.Duration(news.AgeMillis) * time.Millisecond)
+		at := askedAt.Add(-time.Duration(news.AgeMillis) * time.Millisecond)
 		n.confirm(at)
 		n.toldByPeer.Store(&at)
 	}
@@ -253,11 +256,12 @@
 func (n *Node) seekConfiguration() {
 	if age(n.confirmed.Load()) > seekAge {
 		others := n.otherMembers("")
+		askedAt := time.Now()
 		for _, other := range others[:min(2, len(others))] {
 			n.callPeer(other.Address, methodNews, struct{}{}, func(document []byte, err error) {
 				var news catalogNews
 				if err == nil && json.Unmarshal(document, &news) == nil {
-					n.takeNews(news)
+					n.takeNews(news, askedAt)
 				}
 			})
 		}
--- a/internal/node/relay_test.go
+++ b/internal/node/relay_test.go
@@ -201,3 +201,12 @@
 	require.Equal(t, int32(1), store.commits.Load())
 	require.False(t, gateway.node.storeLost())
 }
+
+// TestNewsAgesOverSlowLinks: the age of a confirmation counts from when it was asked for.
+func TestNewsAgesOverSlowLinks(t *testing.T) {
+	n := newGateway(t, newFakeStore()).node
+	n.confirmed.Store(nil)
+	askedAt := time.Now().Add(-time.Minute)
+	n.takeNews(catalogNews{Version: 1, AgeMillis: 500}, askedAt)
+	require.Equal(t, askedAt.Add(-500*time.Millisecond), *n.confirmed.Load())
+}
