Try the next part of the store beside one that gives no answer

Change: after 0.6 s without an answer the next part is tried as well. Rows in several parts are one job, and the newest progress counts, as before.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -134,31 +134,59 @@
 	return fault.New(fault.OutcomeUnknown, "the store gave no answer")
 }
 
-// commitJob writes an accepted job into the first of its parts that takes it.
-// Repeating it is harmless.
+// partPatience is how long a part of the store may go without an answer before the next
+// one is tried as well. A store that is fifty times slower answers a transaction in 0.5 s.
+const partPatience = 600 * time.Millisecond
+
+// commitJob writes an accepted job into the first of its parts that takes it: the next
+// one is tried once one fails or takes long. Repeating it is harmless.
 func (g *Gateway) commitJob(ctx context.Context, poolName string, job *pool.Accepted) error {
 	value := pool.Encode(job)
+	parts := pool.JobParts(poolName, job.Spec.ID)
+	results := make(chan error, len(parts))
+	open := 0
+	try := func() {
+		key := pool.AcceptedKey(parts[0], job.Spec.ID)
+		parts = parts[1:]
+		open++
+		go func() { results <- g.commitJobRow(ctx, key, value, job) }()
+	}
+	try()
+	patience := time.NewTicker(partPatience)
+	defer patience.Stop()
 	var failure error
-	for _, part := range pool.JobParts(poolName, job.Spec.ID) {
-		key := pool.AcceptedKey(part, job.Spec.ID)
-		result, err := g.node.ports.commit(ctx, rows.Transaction{
-			Conditions: []rows.Condition{{Key: key, Version: rows.Absent}},
-			Puts:       []rows.Put{{Key: key, Value: value}},
-		})
-		switch {
-		case err == nil && result.Committed:
-			return nil
-		case err == nil:
-			return sameJob(result, job)
+	for open > 0 {
+		select {
+		case err := <-results:
+			open--
+			if err == nil || fault.IsKind(err, fault.DuplicateID) {
+				return err
+			}
+			failure = worse(failure, err)
+		case <-patience.C:
 		}
-		failure = worse(failure, storeFailure(err))
-		if ctx.Err() != nil {
-			break
+		if len(parts) > 0 && ctx.Err() == nil {
+			try()
 		}
 	}
 	return failure
 }
 
+// commitJobRow writes an accepted job into one part.
+func (g *Gateway) commitJobRow(ctx context.Context, key rows.Key, value []byte, job *pool.Accepted) error {
+	result, err := g.node.ports.commit(ctx, rows.Transaction{
+		Conditions: []rows.Condition{{Key: key, Version: rows.Absent}},
+		Puts:       []rows.Put{{Key: key, Value: value}},
+	})
+	switch {
+	case err != nil:
+		return storeFailure(err)
+	case result.Committed:
+		return nil
+	}
+	return sameJob(result, job)
+}
+
 // sameJob tells a repeated submission from another job under the same identifier.
 func sameJob(result rows.Result, job *pool.Accepted) error {
 	for i := range result.Current {
--- a/internal/node/gateway_test.go
+++ b/internal/node/gateway_test.go
@@ -135,6 +135,27 @@
 	}
 }
 
+// partlyHangingStore gives no answer for one part.
+type partlyHangingStore struct {
+	*fakeStore
+	part string
+}
+
+func (p *partlyHangingStore) Commit(ctx context.Context, transaction rows.Transaction) (rows.Result, error) {
+	if transaction.Puts[0].Part != p.part {
+		return p.fakeStore.Commit(ctx, transaction)
+	}
+	<-ctx.Done()
+	return rows.Result{}, rows.ErrNoAnswer
+}
+
+// TestPartWithoutAnswerIsPassedOver: a submission spent all its time on the first part.
+func TestPartWithoutAnswerIsPassedOver(t *testing.T) {
+	store := &partlyHangingStore{fakeStore: newFakeStore(), part: pool.JobParts(poolName, jobID)[0]}
+	require.NoError(t, newGateway(t, store).Submit(context.Background(), testAccess(), testSpec()))
+	require.Contains(t, store.rows, pool.AcceptedKey(pool.JobParts(poolName, jobID)[1], jobID))
+}
+
 func allOf(parts []string) map[string]bool {
 	all := map[string]bool{}
 	for _, part := range parts {
--- a/internal/pool/faults_test.go
+++ b/internal/pool/faults_test.go
@@ -130,6 +130,9 @@
 		case 4:
 			part := pool.ProgressParts(simulation.PoolName)[random.IntN(3)]
 			w.Store.Away[part] = !w.Store.Away[part]
+		case 5:
+			part := pool.ProgressParts(simulation.PoolName)[random.IntN(3)]
+			w.Store.Silent[part] = !w.Store.Silent[part]
 		}
 		if owner.Ended != "" {
 			owner = w.Own()
@@ -138,6 +141,7 @@
 	}
 	w.Store.AwayAll = false
 	clear(w.Store.Away)
+	clear(w.Store.Silent)
 	w.Store.Lose = nil
 	for _, worker := range w.Workers {
 		worker.Cut, worker.LoseOrder = false, nil
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -173,6 +173,21 @@
 	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
 }
 
+// TestSilentPartHoldsStartsUpShortly: a part of the store that gave no answer held every
+// start up for 1.5 s.
+func TestSilentPartHoldsStartsUpShortly(t *testing.T) {
+	w := simulation.NewWorld(1, 2)
+	w.Own()
+	w.Run(time.Second)
+	w.Store.Silent[pool.ProgressParts(simulation.PoolName)[0]] = true
+	w.Submit(spec(1, single(1)), urgent)
+	w.Run(700 * time.Millisecond)
+	require.Equal(t, 1, w.Judge.JobStarts(jobID(1)))
+	w.Run(5 * time.Second)
+	requireKept(t, w)
+	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
+}
+
 func TestLostStoreAnswersSettle(t *testing.T) {
 	for seed := range uint64(20) {
 		random := rand.New(rand.NewPCG(seed, 0))
--- a/internal/pool/writer.go
+++ b/internal/pool/writer.go
@@ -127,8 +127,11 @@
 	removes  []string
 	after    []func()
 	sentAt   time.Time
-	// failures counts tries without success.
+	// failures counts tries without success, and open those without an answer yet.
 	failures int
+	open     int
+	// written is true once a try has taken effect.
+	written bool
 }
 
 func (w *writer) flush() {
@@ -204,28 +207,46 @@
 	return mustEncode(head{Token: p.token, Nonce: p.options.Incarnation + "." + nonce, Durations: p.durations})
 }
 
+// partPatience is how long a part of the store may go without an answer before the batch
+// is sent to the next one as well. A store that is fifty times slower answers in 0.5 s.
+const partPatience = 600 * time.Millisecond
+
 func (w *writer) send(b *batch) {
 	part := w.part
+	answered := false
+	b.open++
 	w.pool.ports.Commit(w.transaction(b, part), func(result rows.Result, err error) {
+		answered = true
+		b.open--
 		switch {
 		case w.pool.gone:
 		case err != nil:
 			w.retry(b, err)
 		case result.Committed:
-			w.headVersions[part] = result.Version
+			w.headVersions[part] = max(w.headVersions[part], result.Version)
 			w.finish(b)
 		default:
 			w.conditionFailed(b, part, result)
 		}
 	})
+	w.pool.loop.After(partPatience, func() {
+		if !w.pool.gone && !answered && !b.written && b.open < progressParts {
+			w.pool.record.Count("retries", "commit_slow")
+			w.part = (part + 1) % progressParts
+			w.send(b)
+		}
+	})
 }
 
 // retry sends a batch again, to the next part. Its rows are the same there, so it
 // does not matter which of the tries take effect.
 func (w *writer) retry(b *batch, err error) {
 	w.pool.record.Count("retries", commitRetryReason(err))
-	w.part = (w.part + 1) % progressParts
 	b.failures++
+	if b.written || b.open > 0 {
+		return
+	}
+	w.part = (w.part + 1) % progressParts
 	if b.failures%progressParts != 0 {
 		w.send(b)
 		return
@@ -260,18 +281,24 @@
 		if row.Name != headRow || json.Unmarshal(row.Value, &current) != nil || current.Token != w.pool.token {
 			continue
 		}
-		w.headVersions[part] = row.Version
+		w.headVersions[part] = max(w.headVersions[part], row.Version)
 		if current.Nonce == w.pool.options.Incarnation+"."+strconv.Itoa(b.serial) {
 			w.finish(b)
 			return
 		}
-		w.send(b)
+		if !b.written {
+			w.send(b)
+		}
 		return
 	}
 	w.pool.Abandon("fenced by the store")
 }
 
 func (w *writer) finish(b *batch) {
+	if b.written {
+		return
+	}
+	b.written = true
 	w.pool.noteStore()
 	w.pool.record.Observe("store_commit", w.pool.storeAnsweredAt.Sub(b.sentAt))
 	w.sending = false
--- a/internal/simulation/store.go
+++ b/internal/simulation/store.go
@@ -20,6 +20,8 @@
 	version int64
 	// Away lists parts that are not served; All stands for every part.
 	Away map[string]bool
+	// Silent lists parts that leave transactions undone and unanswered.
+	Silent map[string]bool
 	// AwayAll is true while nothing is served.
 	AwayAll bool
 	// Lose decides the fate of each write.
@@ -52,7 +54,7 @@
 
 // NewStore returns an empty store.
 func NewStore(clock *emulator.Clock) *Store {
-	return &Store{clock: clock, rows: map[rows.Key]rows.Row{}, Away: map[string]bool{}, Latency: 5 * time.Millisecond}
+	return &Store{clock: clock, rows: map[rows.Key]rows.Row{}, Away: map[string]bool{}, Silent: map[string]bool{}, Latency: 5 * time.Millisecond}
 }
 
 func (s *Store) away(part string) bool { return s.AwayAll || s.Away[part] }
@@ -68,6 +70,9 @@
 		if s.Lose != nil {
 			fate = s.Lose()
 		}
+		if s.Silent[partOf(transaction)] {
+			fate = NeverDone
+		}
 		switch fate {
 		case Answered:
 			result := s.Apply(transaction)
