Suspect workers only of runs that fail at once

Change: a failure makes a worker a suspect only if it came within a tenth of the expected duration, 0.5 s at most. Two failures of any kind bring the penalty as before.

--- a/internal/pool/reliability.go
+++ b/internal/pool/reliability.go
@@ -7,16 +7,21 @@
 	"github.com/wheatroad/wheatroad/internal/placement"
 )
 
-// What is made of failed runs. A run may fail by its job's own fault or because its
-// worker fails whatever it starts, usually at once. Failures on one worker are told
-// apart by what else the worker does: a run that it began after its last failure and
-// that makes progress shows that it works.
+// What is made of failed runs. A run may fail by its job's own fault, or because its
+// worker fails whatever it starts, usually at once. A run that a worker began after its
+// last failure and that makes progress shows that the worker works.
 const (
 	// strikeLimit is how many failures without such a run bring a penalty.
 	strikeLimit = 2
 	// penalty keeps new work away from a worker that failed or stands still. It is the
 	// usual length of such a fault on the platform's days, 5 to 7 s.
 	penalty = 6 * time.Second
+	// earlyShare of the expected duration, earlyLimit at most, is how soon a run fails whose
+	// worker fails whatever it starts: after 33 ms on the platform's days, where a job's own
+	// faults come at any time of the run. A run from a checkpoint takes restoreAllowance more.
+	earlyShare       = 0.1
+	earlyLimit       = 500 * time.Millisecond
+	restoreAllowance = 700 * time.Millisecond
 	// provenPeriod is how long the last run that made progress proves a worker sound.
 	// Runs of a few seconds prove most busy workers all the time.
 	provenPeriod = 3 * time.Second
@@ -24,8 +29,10 @@
 
 // reliability is what is known of a worker's failures.
 type reliability struct {
-	// strikes counts failed runs since the last run that shows that the worker works.
+	// strikes counts failed runs since the last run that shows that the worker works, and
+	// early those that failed at once.
 	strikes  int
+	early    int
 	failedAt time.Time
 	// soundAt is the latest start of a run that made progress or ended well.
 	soundAt time.Time
@@ -34,25 +41,28 @@
 // noteSound notes that a run which was started at a time made progress.
 func (r *reliability) noteSound(startedAt time.Time) {
 	if startedAt.After(r.failedAt) {
-		r.strikes = 0
+		r.strikes, r.early = 0, 0
 	}
 	if startedAt.After(r.soundAt) {
 		r.soundAt = startedAt
 	}
 }
 
-// suspect reports whether the worker's last word is a failure.
-func (r *reliability) suspect() bool { return r.strikes > 0 }
+// suspect reports whether the worker seems to fail whatever it starts.
+func (r *reliability) suspect() bool { return r.early > 0 }
 
 // proven reports whether the worker was shown to work not long ago.
 func (r *reliability) proven(now time.Time) bool {
 	return r.strikes == 0 && now.Sub(r.soundAt) < provenPeriod
 }
 
-// strike notes a failed run.
-func (p *Pool) strike(w *worker) {
+// strike notes a failed run of a unit.
+func (p *Pool) strike(w *worker, u *unit) {
 	now := p.loop.Now()
 	w.reliability.strikes++
+	if u.failedEarly(now) {
+		w.reliability.early++
+	}
 	w.reliability.failedAt = now
 	if w.reliability.strikes >= strikeLimit {
 		w.penaltyUntil = now.Add(penalty)
@@ -60,6 +70,15 @@
 	}
 }
 
+// failedEarly reports whether the unit's run that has just failed did so at once.
+func (u *unit) failedEarly(now time.Time) bool {
+	limit := min(earlyLimit, time.Duration(earlyShare*float64(u.estimate())))
+	if u.resumed {
+		limit += restoreAllowance
+	}
+	return u.startedHere && now.Sub(u.startedAt) < limit
+}
+
 // preferences lists which workers a unit tries first, the narrowest choice first. A
 // gang is as slow as its slowest member and fails with any of them; a unit that has
 // failed before should not lose another attempt to a failing worker.
--- a/internal/pool/unit.go
+++ b/internal/pool/unit.go
@@ -79,7 +79,7 @@
 		u.avoid = map[string]bool{}
 	}
 	u.avoid[w.ID] = true
-	p.strike(w)
+	p.strike(w, u)
 	p.persistEnd(u.job)
 	if u.failures >= max(1, u.job.Queue.MaxAttempts) && !u.spec().LongRunning {
 		p.finishJob(u.job, taskgraph.Failed)
