Split the calls through other nodes, the claim of parts and the choice of stops

Cause: read as a newcomer would: relay.go held the way of a call, its wire form and the looks at the store; writer.go the claim; a choice in three tries stood inside preemptFor. Change: moves and names only.

--- /dev/null
+++ b/internal/node/peer_store.go
@@ -0,0 +1,114 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wheatroad/wheatroad/internal/fault"
+	"github.com/wheatroad/wheatroad/internal/rows"
+)
+
+// peerStore is the store by way of one other node.
+type peerStore struct {
+	node    *Node
+	address string
+}
+
+// storeRequest asks a node to make one call to the store. Exactly one field is set.
+type storeRequest struct {
+	Commit *rows.Transaction `json:"commit,omitempty"`
+	Scan   *scanRequest      `json:"scan,omitempty"`
+	Feed   *feedRequest      `json:"feed,omitempty"`
+}
+
+type scanRequest struct {
+	Table  string `json:"table"`
+	Part   string `json:"part"`
+	Prefix string `json:"prefix"`
+}
+
+type feedRequest struct {
+	Table      string `json:"table"`
+	After      int64  `json:"after"`
+	WaitMillis int64  `json:"wait_ms"`
+}
+
+// storeReply is the store's answer.
+type storeReply struct {
+	Result  rows.Result  `json:"result"`
+	Listing rows.Listing `json:"listing"`
+	// HistoryGone says that a feed must be started anew.
+	HistoryGone bool `json:"history_gone,omitempty"`
+}
+
+// Commit implements rows.Store.
+func (p *peerStore) Commit(ctx context.Context, transaction rows.Transaction) (rows.Result, error) {
+	reply, err := p.call(ctx, storeRequest{Commit: &transaction})
+	return reply.Result, err
+}
+
+// Scan implements rows.Store.
+func (p *peerStore) Scan(ctx context.Context, table, part, prefix string) (rows.Listing, error) {
+	reply, err := p.call(ctx, storeRequest{Scan: &scanRequest{Table: table, Part: part, Prefix: prefix}})
+	return reply.Listing, err
+}
+
+// Feed implements rows.Store.
+func (p *peerStore) Feed(ctx context.Context, table string, after int64, wait time.Duration) (rows.Listing, error) {
+	reply, err := p.call(ctx, storeRequest{Feed: &feedRequest{Table: table, After: after, WaitMillis: wait.Milliseconds()}})
+	return reply.Listing, err
+}
+
+func (p *peerStore) call(ctx context.Context, request storeRequest) (storeReply, error) {
+	var reply storeReply
+	document, err := p.node.call(ctx, p.address, methodStore, request)
+	if err != nil {
+		return reply, fromStoreFault(err)
+	}
+	if err := json.Unmarshal(document, &reply); err != nil {
+		return reply, errors.Mark(err, rows.ErrNoAnswer)
+	}
+	if reply.HistoryGone {
+		return reply, rows.ErrHistoryGone
+	}
+	return reply, nil
+}
+
+// fromStoreFault turns another node's fault into an error of the store.
+func fromStoreFault(err error) error {
+	if fault.IsKind(err, fault.StoreUnavailable) || fault.IsKind(err, fault.NoOwner) {
+		return errors.Mark(err, rows.ErrRefused)
+	}
+	return errors.Mark(err, rows.ErrNoAnswer)
+}
+
+// serveStore makes a call to the store for another node, directly only.
+func (n *Node) serveStore(ctx context.Context, request storeRequest) (storeReply, error) {
+	var reply storeReply
+	if n.storeLost() {
+		return reply, fault.New(fault.StoreUnavailable, "this node has lost the store too")
+	}
+	var err error
+	switch {
+	case request.Commit != nil:
+		reply.Result, err = n.edges.Store.Commit(ctx, *request.Commit)
+	case request.Scan != nil:
+		reply.Listing, err = n.edges.Store.Scan(ctx, request.Scan.Table, request.Scan.Part, request.Scan.Prefix)
+	case request.Feed != nil:
+		wait := time.Duration(request.Feed.WaitMillis) * time.Millisecond
+		reply.Listing, err = n.edges.Store.Feed(ctx, request.Feed.Table, request.Feed.After, min(wait, feedWait))
+	default:
+		return reply, fault.New(fault.InvalidRequest, "a call to the store without content")
+	}
+	if errors.Is(err, rows.ErrHistoryGone) {
+		return storeReply{HistoryGone: true}, nil
+	}
+	n.noteStore(err)
+	if err != nil {
+		return reply, storeFailure(err)
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/internal/node/probe.go
@@ -0,0 +1,93 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/wheatroad/wheatroad/internal/pool"
+)
+
+// probeTimeout bounds a look whether the store is there. A store that is slow for all, by
+// some fifty times, still answers a reading call in 0.2 s.
+const probeTimeout = 400 * time.Millisecond
+
+// storeReachable reports whether the next call to the store may succeed, directly or
+// through another node.
+func (n *Node) storeReachable() bool {
+	if !n.storeLost() {
+		return true
+	}
+	until := n.store.noRelayUntil.Load()
+	return until == nil || time.Since(*until) > relayPause
+}
+
+// withStore runs fn on the loop if the store answers this node directly.
+func (n *Node) withStore(fn func()) {
+	if n.storeLost() {
+		return
+	}
+	if n.storeAge() < storeFresh {
+		fn()
+		return
+	}
+	run(n.ports, probeTimeout, n.probe, func(_ struct{}, err error) {
+		if err == nil {
+			fn()
+		}
+	})
+}
+
+// storeFresh is the age of the store's last answer up to which a node need not ask
+// whether it is there.
+const storeFresh = time.Second
+
+// probe asks the store for this node's own row, directly.
+func (n *Node) probe(ctx context.Context) (struct{}, error) {
+	_, err := n.edges.Store.Scan(ctx, pool.NodeTable, "", n.options.Name)
+	n.noteStore(err)
+	return struct{}{}, err
+}
+
+// losesStore looks whether the store still answers this node, after a call to it that
+// failed or takes long. Calls that ask at the same time share one look.
+func (n *Node) losesStore() bool {
+	if n.storeLost() {
+		return true
+	}
+	look := &storeLook{done: make(chan struct{})}
+	if !n.look.CompareAndSwap(nil, look) {
+		if other := n.look.Load(); other != nil {
+			<-other.done
+		}
+		return n.storeLost()
+	}
+	ctx, cancel := context.WithTimeout(n.ports.ctx, probeTimeout)
+	defer cancel()
+	_, err := n.probe(ctx)
+	n.noteStoreFailure(err)
+	n.look.Store(nil)
+	close(look.done)
+	return n.storeLost()
+}
+
+// storeLook is a look at the store under way.
+type storeLook struct{ done chan struct{} }
+
+// probePeriod is the pause between two direct calls that look whether the store is
+// back.
+const probePeriod = 200 * time.Millisecond
+
+// probeStore looks whether a store that this node lost is back.
+func (n *Node) probeStore() {
+	if n.storeLost() {
+		go func() {
+			ctx, cancel := context.WithTimeout(n.ports.ctx, probeTimeout)
+			defer cancel()
+			// A store that is still away shows by what noteStore does not note.
+			_, _ = n.probe(ctx)
+			n.edges.Loop.After(probePeriod, n.probeStore)
+		}()
+		return
+	}
+	n.edges.Loop.After(probePeriod, n.probeStore)
+}
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -2,16 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/wheatroad/wheatroad/internal/fault"
 	"github.com/wheatroad/wheatroad/internal/mechanism"
-	"github.com/wheatroad/wheatroad/internal/pool"
 	"github.com/wheatroad/wheatroad/internal/rows"
 )
 
@@ -20,9 +17,6 @@
 	// doubtAfter is how long a direct call may go without an answer before the node asks
 	// whether the store is there. The store answers in some 5 to 15 ms.
 	doubtAfter = 300 * time.Millisecond
-	// probeTimeout bounds a look whether the store is there. A store that is slow for
-	// all, by some fifty times, still answers a reading call in 0.2 s.
-	probeTimeout = 400 * time.Millisecond
 	// relayTries is how many other nodes are asked for one call.
 	relayTries = 2
 	// relayTimeout bounds one such call, on top of what the store is asked to wait.
@@ -66,8 +60,8 @@
 			return store.Feed(ctx, table, after, wait)
 		})
 	}
-	ctx, close := s.node.feeds.add(ctx, wait)
-	defer close()
+	ctx, done := s.node.feeds.add(ctx, wait)
+	defer done()
 	listing, err := s.direct.Feed(ctx, table, after, wait)
 	if err != nil && calledOff(ctx) {
 		return listing, errors.Mark(errCalledOff, rows.ErrNoAnswer)
@@ -184,16 +178,6 @@
 	return none, failure
 }
 
-// storeReachable reports whether the next call to the store may succeed, directly or
-// through another node.
-func (n *Node) storeReachable() bool {
-	if !n.storeLost() {
-		return true
-	}
-	until := n.store.noRelayUntil.Load()
-	return until == nil || time.Since(*until) > relayPause
-}
-
 // relays lists the nodes to ask: the one that last answered, then others by chance.
 func (s *relayedStore) relays() []string {
 	var addresses []string
@@ -209,176 +193,3 @@
 	}
 	return addresses[:min(relayTries, len(addresses))]
 }
-
-// peerStore is the store by way of one other node.
-type peerStore struct {
-	node    *Node
-	address string
-}
-
-// storeRequest asks a node to make one call to the store. Exactly one field is set.
-type storeRequest struct {
-	Commit *rows.Transaction `json:"commit,omitempty"`
-	Scan   *scanRequest      `json:"scan,omitempty"`
-	Feed   *feedRequest      `json:"feed,omitempty"`
-}
-
-type scanRequest struct {
-	Table  string `json:"table"`
-	Part   string `json:"part"`
-	Prefix string `json:"prefix"`
-}
-
-type feedRequest struct {
-	Table      string `json:"table"`
-	After      int64  `json:"after"`
-	WaitMillis int64  `json:"wait_ms"`
-}
-
-// storeReply is the store's answer.
-type storeReply struct {
-	Result  rows.Result  `json:"result"`
-	Listing rows.Listing `json:"listing"`
-	// HistoryGone says that a feed must be started anew.
-	HistoryGone bool `json:"history_gone,omitempty"`
-}
-
-// Commit implements rows.Store.
-func (p *peerStore) Commit(ctx context.Context, transaction rows.Transaction) (rows.Result, error) {
-	reply, err := p.call(ctx, storeRequest{Commit: &transaction})
-	return reply.Result, err
-}
-
-// Scan implements rows.Store.
-func (p *peerStore) Scan(ctx context.Context, table, part, prefix string) (rows.Listing, error) {
-	reply, err := p.call(ctx, storeRequest{Scan: &scanRequest{Table: table, Part: part, Prefix: prefix}})
-	return reply.Listing, err
-}
-
-// Feed implements rows.Store.
-func (p *peerStore) Feed(ctx context.Context, table string, after int64, wait time.Duration) (rows.Listing, error) {
-	reply, err := p.call(ctx, storeRequest{Feed: &feedRequest{Table: table, After: after, WaitMillis: wait.Milliseconds()}})
-	return reply.Listing, err
-}
-
-func (p *peerStore) call(ctx context.Context, request storeRequest) (storeReply, error) {
-	var reply storeReply
-	document, err := p.node.call(ctx, p.address, methodStore, request)
-	if err != nil {
-		return reply, fromStoreFault(err)
-	}
-	if err := json.Unmarshal(document, &reply); err != nil {
-		return reply, errors.Mark(err, rows.ErrNoAnswer)
-	}
-	if reply.HistoryGone {
-		return reply, rows.ErrHistoryGone
-	}
-	return reply, nil
-}
-
-// fromStoreFault turns another node's fault into an error of the store.
-func fromStoreFault(err error) error {
-	if fault.IsKind(err, fault.StoreUnavailable) || fault.IsKind(err, fault.NoOwner) {
-		return errors.Mark(err, rows.ErrRefused)
-	}
-	return errors.Mark(err, rows.ErrNoAnswer)
-}
-
-// serveStore makes a call to the store for another node, directly only.
-func (n *Node) serveStore(ctx context.Context, request storeRequest) (storeReply, error) {
-	var reply storeReply
-	if n.storeLost() {
-		return reply, fault.New(fault.StoreUnavailable, "this node has lost the store too")
-	}
-	var err error
-	switch {
-	case request.Commit != nil:
-		reply.Result, err = n.edges.Store.Commit(ctx, *request.Commit)
-	case request.Scan != nil:
-		reply.Listing, err = n.edges.Store.Scan(ctx, request.Scan.Table, request.Scan.Part, request.Scan.Prefix)
-	case request.Feed != nil:
-		wait := time.Duration(request.Feed.WaitMillis) * time.Millisecond
-		reply.Listing, err = n.edges.Store.Feed(ctx, request.Feed.Table, request.Feed.After, min(wait, feedWait))
-	default:
-		return reply, fault.New(fault.InvalidRequest, "a call to the store without content")
-	}
-	if errors.Is(err, rows.ErrHistoryGone) {
-		return storeReply{HistoryGone: true}, nil
-	}
-	n.noteStore(err)
-	if err != nil {
-		return reply, storeFailure(err)
-	}
-	return reply, nil
-}
-
-// withStore runs fn on the loop if the store answers this node directly.
-func (n *Node) withStore(fn func()) {
-	if n.storeLost() {
-		return
-	}
-	if n.storeAge() < storeFresh {
-		fn()
-		return
-	}
-	run(n.ports, probeTimeout, n.probe, func(_ struct{}, err error) {
-		if err == nil {
-			fn()
-		}
-	})
-}
-
-// storeFresh is the age of the store's last answer up to which a node need not ask
-// whether it is there.
-const storeFresh = time.Second
-
-// probe asks the store for this node's own row, directly.
-func (n *Node) probe(ctx context.Context) (struct{}, error) {
-	_, err := n.edges.Store.Scan(ctx, pool.NodeTable, "", n.options.Name)
-	n.noteStore(err)
-	return struct{}{}, err
-}
-
-// losesStore looks whether the store still answers this node, after a call to it that
-// failed or takes long. Calls that ask at the same time share one look.
-func (n *Node) losesStore() bool {
-	if n.storeLost() {
-		return true
-	}
-	look := &storeLook{done: make(chan struct{})}
-	if !n.look.CompareAndSwap(nil, look) {
-		if other := n.look.Load(); other != nil {
-			<-other.done
-		}
-		return n.storeLost()
-	}
-	ctx, cancel := context.WithTimeout(n.ports.ctx, probeTimeout)
-	defer cancel()
-	_, err := n.probe(ctx)
-	n.noteStoreFailure(err)
-	n.look.Store(nil)
-	close(look.done)
-	return n.storeLost()
-}
-
-// storeLook is a look at the store under way.
-type storeLook struct{ done chan struct{} }
-
-// probePeriod is the pause between two direct calls that look whether the store is
-// back.
-const probePeriod = 200 * time.Millisecond
-
-// probeStore looks whether a store that this node lost is back.
-func (n *Node) probeStore() {
-	if n.storeLost() {
-		go func() {
-			ctx, cancel := context.WithTimeout(n.ports.ctx, probeTimeout)
-			defer cancel()
-			// A store that is still away shows by what noteStore does not note.
-			_, _ = n.probe(ctx)
-			n.edges.Loop.After(probePeriod, n.probeStore)
-		}()
-		return
-	}
-	n.edges.Loop.After(probePeriod, n.probeStore)
-}
--- /dev/null
+++ b/internal/pool/claim.go
@@ -0,0 +1,47 @@
+package pool
+
+import (
+	"encoding/json"
+
+	"github.com/wheatroad/wheatroad/internal/rows"
+)
+
+// claim makes this owner the only one that can write a part of the progress.
+func (w *writer) claim(part int, done func()) {
+	p := w.pool
+	name := progressPart(p.options.Pool, part)
+	p.scanPrefix(ProgressTable, name, headRow, func(listing rows.Listing) {
+		version := rows.Absent
+		for i := range listing.Rows {
+			var current head
+			if listing.Rows[i].Name != headRow || json.Unmarshal(listing.Rows[i].Value, &current) != nil {
+				continue
+			}
+			if current.Token > p.token {
+				p.Abandon("a newer owner has the progress")
+				return
+			}
+			version = listing.Rows[i].Version
+			p.takeDurations(current)
+		}
+		w.claimAt(part, version, done)
+	})
+}
+
+func (w *writer) claimAt(part int, version int64, done func()) {
+	key := headKey(progressPart(w.pool.options.Pool, part))
+	w.pool.ports.Commit(rows.Transaction{
+		Conditions: []rows.Condition{{Key: key, Version: version}},
+		Puts:       []rows.Put{{Key: key, Value: w.pool.head("claim")}},
+	}, func(result rows.Result, err error) {
+		switch {
+		case w.pool.gone:
+		case err == nil && result.Committed:
+			w.headVersions[part] = result.Version
+			done()
+		default:
+			w.pool.record.Count("retries", "claim")
+			w.pool.storeRetries.After(retryPause, func() { w.claim(part, done) })
+		}
+	})
+}
--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -299,7 +299,7 @@
 		w.lastSeen = highest
 	}
 	takenAt := p.loop.Now()
-	p.afterWrite(p.writer.endDelay(), func() {
+	p.afterWrite(p.writer.delayOfEnds(), func() {
 		p.record.Observe("end_noted", p.loop.Now().Sub(takenAt))
 		w.lastSeen = max(w.lastSeen, highest)
 		p.hold(w)
--- a/internal/pool/preempt.go
+++ b/internal/pool/preempt.go
@@ -37,20 +37,7 @@
 // It returns false if the stops would cost more than the start is worth, or nothing
 // helps.
 func (p *Pool) preemptFor(s *snapshot, u *unit, request *placement.Request) bool {
-	var places, victims []int
-	var loss float64
-	for _, preferred := range p.preferences(s, u) {
-		places, victims, loss = bestPreemption(s, s.scopes(u), narrowed(request, preferred))
-		if places != nil && loss <= preemptionGain(u, s.now) {
-			break
-		}
-	}
-	if places == nil || loss > preemptionGain(u, s.now) {
-		places, victims, loss = bestPreemption(s, s.scopes(u), request)
-	}
-	if places == nil {
-		places, victims, loss = bestPreemption(s, [][]int{s.racks.All}, request)
-	}
+	places, victims, loss := p.choosePreemption(s, u, request)
 	if places == nil {
 		return false
 	}
@@ -68,6 +55,23 @@
 	return true
 }
 
+// choosePreemption finds the cheapest stops among the workers that the unit tries first,
+// if they are worth it, and else among all.
+func (p *Pool) choosePreemption(s *snapshot, u *unit, request *placement.Request) (places, victims []int, loss float64) {
+	gain := preemptionGain(u, s.now)
+	for _, preferred := range p.preferences(s, u) {
+		places, victims, loss = bestPreemption(s, s.scopes(u), narrowed(request, preferred))
+		if places != nil && loss <= gain {
+			return places, victims, loss
+		}
+	}
+	places, victims, loss = bestPreemption(s, s.scopes(u), request)
+	if places != nil {
+		return places, victims, loss
+	}
+	return bestPreemption(s, [][]int{s.racks.All}, request)
+}
+
 // promise gives the room of victims to places. What the victims hold beyond that
 // is not free before they have stopped, so no other unit of this cycle gets it.
 func (s *snapshot) promise(victims, places []int, room taskgraph.Amount) {
--- a/internal/pool/writer.go
+++ b/internal/pool/writer.go
@@ -50,9 +50,10 @@
 func (p *Pool) persist(j *job) { p.writer.add(j, 0) }
 
 // persistEnd writes a job's progress after an end that nobody waits for.
-func (p *Pool) persistEnd(j *job) { p.writer.add(j, p.writer.endDelay()) }
+func (p *Pool) persistEnd(j *job) { p.writer.add(j, p.writer.delayOfEnds()) }
 
-func (w *writer) endDelay() time.Duration {
+// delayOfEnds is how long ends may wait to be written.
+func (w *writer) delayOfEnds() time.Duration {
 	if w.pool.options.Off[mechanism.EndDelay] {
 		return 0
 	}
@@ -81,7 +82,7 @@
 // remove drops a job's progress.
 func (w *writer) remove(id string) {
 	w.removes = append(w.removes, id)
-	w.flushWithin(w.endDelay())
+	w.flushWithin(w.delayOfEnds())
 }
 
 // flushWithin sends what waits after delay at the latest, or as soon as the transaction
@@ -313,43 +314,3 @@
 		w.flushWithin(0)
 	}
 }
-
-// claim makes this owner the only one that can write a part of the progress.
-func (w *writer) claim(part int, done func()) {
-	p := w.pool
-	name := progressPart(p.options.Pool, part)
-	p.scanPrefix(ProgressTable, name, headRow, func(listing rows.Listing) {
-		version := rows.Absent
-		for i := range listing.Rows {
-			var current head
-			if listing.Rows[i].Name != headRow || json.Unmarshal(listing.Rows[i].Value, &current) != nil {
-				continue
-			}
-			if current.Token > p.token {
-				p.Abandon("a newer owner has the progress")
-				return
-			}
-			version = listing.Rows[i].Version
-			p.takeDurations(current)
-		}
-		w.claimAt(part, version, done)
-	})
-}
-
-func (w *writer) claimAt(part int, version int64, done func()) {
-	key := headKey(progressPart(w.pool.options.Pool, part))
-	w.pool.ports.Commit(rows.Transaction{
-		Conditions: []rows.Condition{{Key: key, Version: version}},
-		Puts:       []rows.Put{{Key: key, Value: w.pool.head("claim")}},
-	}, func(result rows.Result, err error) {
-		switch {
-		case w.pool.gone:
-		case err == nil && result.Committed:
-			w.headVersions[part] = result.Version
-			done()
-		default:
-			w.pool.record.Count("retries", "claim")
-			w.pool.storeRetries.After(retryPause, func() { w.claim(part, done) })
-		}
-	})
-}
