Wait longer for feeds of a store that is very slow

The stand-in let each feed wait for a second. Change: a feed without an answer in time doubles how long the next one is waited for, up to 3.2 s; the stand-in keeps to the wait that it is asked for.

--- a/internal/node/feeds.go
+++ b/internal/node/feeds.go
@@ -79,6 +79,27 @@
 // calledOff reports whether a feed's context was called off.
 func calledOff(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errCalledOff) }
 
+// maxFeedDoublings is more doublings than lead to maxFeedSlack.
+const maxFeedDoublings = 4
+
+// feedSlack is how much later than its wait a feed's answer may come.
+func (n *Node) feedSlack() time.Duration {
+	slack := feedSlack
+	for range min(n.feedFailures.Load(), maxFeedDoublings) {
+		slack *= 2
+	}
+	return min(slack, maxFeedSlack)
+}
+
+// noteFeed counts direct feeds in a row that got no answer in time.
+func (n *Node) noteFeed(err error) {
+	if errors.Is(err, rows.ErrNoAnswer) {
+		n.feedFailures.Add(1)
+		return
+	}
+	n.feedFailures.Store(0)
+}
+
 // configurationWait is how long the next feed of the configuration waits.
 func (n *Node) configurationWait() time.Duration {
 	switch {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -49,6 +49,8 @@
 	edges   Edges
 	ports   *ports
 	feeds   openFeeds
+	// feedFailures counts direct feeds in a row that got no answer in time.
+	feedFailures atomic.Int32
 	// storeRetries are calls to the store that wait to be made again.
 	storeRetries *loop.Retries
 	// store is the store as this node reaches it.
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -55,8 +55,10 @@
 	// feedWait is how long an owner's feeds of jobs and workers wait for a change.
 	feedWait = time.Second
 	// feedSlack is how much later than that a feed's answer may come: four times what a
-	// store takes that is fifty times slower.
-	feedSlack = 800 * time.Millisecond
+	// store takes that is fifty times slower. It doubles with each feed that gets
+	// none, up to maxFeedSlack, so that a store that is slower still is followed.
+	feedSlack    = 800 * time.Millisecond
+	maxFeedSlack = 3200 * time.Millisecond
 	// storeTimeout bounds a transaction or a scan of the control loop; a slow store takes
 	// 0.5 s and makes calls wait for up to a second before it refuses them.
 	storeTimeout = 1500 * time.Millisecond
--- a/internal/node/ports.go
+++ b/internal/node/ports.go
@@ -54,7 +54,7 @@
 
 // feedFor is Feed with a wait of its own.
 func (p *ports) feedFor(table string, after int64, wait time.Duration, done func(rows.Listing, error)) {
-	run(p, wait+feedSlack, func(ctx context.Context) (rows.Listing, error) {
+	run(p, wait+p.node.feedSlack(), func(ctx context.Context) (rows.Listing, error) {
 		return p.node.store.Feed(ctx, table, after, wait)
 	}, done)
 }
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -66,6 +66,7 @@
 	if err != nil && calledOff(ctx) {
 		return listing, errors.Mark(errCalledOff, rows.ErrNoAnswer)
 	}
+	s.node.noteFeed(err)
 	s.node.noteStore(err)
 	s.node.noteStoreFailure(err)
 	return listing, err
--- a/internal/node/relay_test.go
+++ b/internal/node/relay_test.go
@@ -210,3 +210,18 @@
 	n.takeNews(catalogNews{Version: 1, AgeMillis: 500}, askedAt)
 	require.Equal(t, askedAt.Add(-500*time.Millisecond), *n.confirmed.Load())
 }
+
+// TestFeedsOfAVerySlowStoreAreWaitedFor: a store whose answers took longer than a feed's
+// slack was never followed again, as each try ended before its answer (soak seed 619).
+func TestFeedsOfAVerySlowStoreAreWaitedFor(t *testing.T) {
+	n := newGateway(t, newFakeStore()).node
+	require.Equal(t, feedSlack, n.feedSlack())
+	n.noteFeed(rows.ErrNoAnswer)
+	require.Equal(t, 2*feedSlack, n.feedSlack())
+	for range 40 {
+		n.noteFeed(rows.ErrNoAnswer)
+	}
+	require.Equal(t, maxFeedSlack, n.feedSlack())
+	n.noteFeed(rows.ErrHistoryGone)
+	require.Equal(t, feedSlack, n.feedSlack())
+}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -177,7 +177,9 @@
 // owner from handing its pool back; nothing was placed meanwhile (a recorded day: 0.6 s).
 func TestPoolIsHandedBackAtOnceBesideEnds(t *testing.T) {
 	w := simulation.NewWorld(2, 8)
-	w.Work = func(name taskgraph.TaskName) time.Duration { return time.Second + time.Duration(name.Index)*7*time.Millisecond }
+	w.Work = func(name taskgraph.TaskName) time.Duration {
+		return time.Second + time.Duration(name.Index)*7*time.Millisecond
+	}
 	w.Submit(spec(1, single(100)), batch)
 	owner := w.Own()
 	w.Run(1200 * time.Millisecond)
--- a/internal/simulation/store.go
+++ b/internal/simulation/store.go
@@ -156,12 +156,10 @@
 	return listing
 }
 
-// feedWait is how long a feed waits for a change.
-const feedWait = time.Second
-
-// Feed answers with the changes of a table as soon as there are any.
-func (s *Store) Feed(table string, after int64, done func(rows.Listing, error)) {
-	deadline := s.clock.Now().Add(feedWait)
+// Feed answers with the changes of a table as soon as there are any, or without any
+// after a wait.
+func (s *Store) Feed(table string, after int64, wait time.Duration, done func(rows.Listing, error)) {
+	deadline := s.clock.Now().Add(wait)
 	s.clock.After(s.Latency, func() { s.poll(table, after, deadline, done) })
 }
 
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -251,9 +251,12 @@
 	p.world.Store.Scan(table, part, prefix, answered(p, done))
 }
 
+// feedWait is how long an owner's feed waits for a change.
+const feedWait = time.Second
+
 // Feed implements pool.Ports.
 func (p *ports) Feed(table string, after int64, done func(rows.Listing, error)) {
-	p.world.Store.Feed(table, after, answered(p, done))
+	p.world.Store.Feed(table, after, feedWait, answered(p, done))
 }
 
 // Start implements pool.Ports.
