Take back the wait of submissions for the store

Change: a submission that finds no node with the store is refused at once again. Retries of our own calls as soon as the store is back stay.

--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -40,8 +40,6 @@
 	LongFeeds Name = "long-feeds"
 	// Guards watch owners closely.
 	Guards Name = "guards"
-	// Patience lets submissions wait for the store for a short time.
-	Patience Name = "patience"
 	// WeakOwners relieves owners on machines much weaker than others.
 	WeakOwners Name = "weak-owners"
 )
@@ -50,7 +48,7 @@
 func All() []Name {
 	return []Name{
 		LearnedDurations, LearnedSpeeds, TrustedWorkers, NearPlaces, Headroom, Pressure, Reservations,
-		PressingGangs, TimelyFirst, EndDelay, StoreRelay, LongFeeds, Guards, Patience, WeakOwners,
+		PressingGangs, TimelyFirst, EndDelay, StoreRelay, LongFeeds, Guards, WeakOwners,
 	}
 }
 
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -26,8 +26,6 @@
 type Access struct {
 	Queue  catalog.Queue
 	Tenant string
-	// waitUntil is up to when a submission may wait for the store; zero for not at all.
-	waitUntil time.Time
 }
 
 // Ready reports whether the node should get new connections.
@@ -98,7 +96,7 @@
 	}
 	arrived := time.Now()
 	job := &pool.Accepted{Spec: *spec, Tenant: access.Tenant, Queue: access.Queue, AcceptedMillis: arrived.UnixMilli()}
-	err := g.submitPatiently(ctx, access.waitUntil, func(ctx context.Context) error {
+	err := limited(ctx, submitTimeout, func(ctx context.Context) error {
 		return g.commitJob(ctx, access.Queue.Pool, job)
 	})
 	if err != nil {
--- a/internal/node/ownership_test.go
+++ b/internal/node/ownership_test.go
@@ -172,3 +172,15 @@
 	require.Len(t, n.witnesses(poolName), witnessCount)
 	require.GreaterOrEqual(t, n.rank(poolName), guardCount-1, "lighter nodes do not watch closely")
 }
+
+func TestRetriesAreMadeOnceTheStoreIsBack(t *testing.T) {
+	n := newWatchingNode(t, 1, nil)
+	retried := 0
+	n.storeRetries.After(time.Hour, func() { retried++ })
+	n.noteStoreFailure(rows.ErrRefused)
+	require.Zero(t, retried)
+	n.noteStore(nil)
+	require.Equal(t, 1, retried)
+	n.storeRetries.Now()
+	require.Equal(t, 1, retried, "once")
+}
--- a/internal/node/probe.go
+++ b/internal/node/probe.go
@@ -11,16 +11,6 @@
 // some fifty times, still answers a reading call in 0.2 s.
 const probeTimeout = 400 * time.Millisecond
 
-// storeReachable reports whether the next call to the store may succeed, directly or
-// through another node.
-func (n *Node) storeReachable() bool {
-	if !n.storeLost() {
-		return true
-	}
-	until := n.store.noRelayUntil.Load()
-	return until == nil || time.Since(*until) > relayPause
-}
-
 // withStore runs fn on the loop if the store answers this node directly.
 func (n *Node) withStore(fn func()) {
 	if n.storeLost() {
