--- a/cmd/wheatroad-bench/faults/process.go
+++ b/cmd/wheatroad-bench/faults/process.go
@@ -62,13 +62,23 @@
 	return d, err
 }
 
+// givenPorts are the addresses that freeAddress has given out. The system may offer a
+// port anew as soon as its listener is closed.
+var givenPorts sync.Map
+
+// freeAddress returns a loopback address that nobody listens on, another one each time.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return "", err
+		}
+		address := listener.Addr().String()
+		listener.Close()
+		if _, given := givenPorts.LoadOrStore(address, true); !given {
+			return address, nil
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
 }
 
 // begin starts the process, unless one runs.
