Show what of the store's answers arrives in vain; counters first on the metrics page

Cause: logs could not tell how large a configuration is and which of its transfers were given up midway, and a collector that keeps the beginning of the metrics page kept nothing but the figures of Go's runtime (8,090 bytes; the counters, 2,796 bytes, stood behind them). Counts of calls through other nodes went to a counter without a definition and were dropped. Change: bytes of an answer are reported as they arrive (internal/progress); a line and a counter tell of answers given up midway; the configuration's size stands in its line; counters are served first. No change of what a node decides.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -46,7 +46,7 @@
 	decoded.Index()
 	n.catalogDocument.Store(&document)
 	n.catalog.Store(decoded)
-	n.edges.Record.Decided("configuration in force", "version", decoded.Version, "source", source)
+	n.edges.Record.Decided("configuration in force", "version", decoded.Version, "source", source, "bytes", len(document))
 	for _, name := range decoded.PoolNames() {
 		n.watchPool(name)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -94,7 +94,7 @@
 	}
 	n.ports = &ports{ctx: ctx, node: n}
 	n.storeRetries = loop.NewRetries(edges.Loop)
-	n.store = &relayedStore{node: n, direct: edges.Store}
+	n.store = &relayedStore{node: n, direct: &observedStore{Store: edges.Store, node: n}}
 	n.view.Store(&view{})
 	return n
 }
--- /dev/null
+++ b/internal/progress/progress_test.go
@@ -0,0 +1,28 @@
+package progress
+
+import (
+	"context"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestBytesAreReportedAsTheyCome(t *testing.T) {
+	total := 0
+	ctx := With(context.Background(), func(bytes int) { total += bytes })
+	reader := Reader(ctx, strings.NewReader("abcdef"))
+	_, err := io.ReadFull(reader, make([]byte, 4))
+	require.NoError(t, err)
+	require.Equal(t, 4, total)
+	content, err := io.ReadAll(reader)
+	require.NoError(t, err)
+	require.Equal(t, "ef", string(content))
+	require.Equal(t, 6, total)
+}
+
+func TestWithoutAnObserverTheSourceIsRead(t *testing.T) {
+	source := strings.NewReader("abc")
+	require.Same(t, source, Reader(context.Background(), source))
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -39,6 +39,8 @@
 		"requests":          {"wheatroad.requests", "Requests answered, by endpoint.", "endpoint"},
 		"takeovers":         {"wheatroad.pool.ownership.changes", "Pools acquired, lost or left to their owner, by event.", "event"},
 		"feed_gaps":         {"wheatroad.feed.gaps", "Feeds read anew because their history was gone, by table.", "table"},
+		"answers_given_up":  {"wheatroad.store.answers.given.up", "Answers of the store of which only a part arrived in time, by table.", "table"},
+		"store_relays":      {"wheatroad.store.relays", "Calls to the store through another node, by result.", "result"},
 		"start_failures":    {"wheatroad.worker.start.failures", "Starts that did not succeed, by reason.", "reason"},
 		"stops":             {"wheatroad.unit.stops", "Units stopped, by reason.", "reason"},
 		"forwards":          {"wheatroad.forwards", "Requests forwarded to another node, by result.", "result"},
@@ -74,30 +76,27 @@
 	counters   map[string]metric.Int64Counter
 	labels     map[string]string
 	handler    http.Handler
-	provider   *sdkmetric.MeterProvider
 }
 
 // New returns telemetry that logs to the given logger.
 func New(log logr.Logger) (*Telemetry, error) {
-	registry := prometheus.NewRegistry()
-	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	exporter, err := otelprometheus.New(
-		otelprometheus.WithRegisterer(registry),
-		otelprometheus.WithTranslationStrategy(otlptranslator.UnderscoreEscapingWithSuffixes),
-		otelprometheus.WithoutScopeInfo(),
-	)
+	counters, histograms, runtime := prometheus.NewRegistry(), prometheus.NewRegistry(), prometheus.NewRegistry()
+	runtime.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	counterMeter, err := newMeter(counters)
+	if err != nil {
+		return nil, err
+	}
+	histogramMeter, err := newMeter(histograms)
 	if err != nil {
 		return nil, err
 	}
-	provider := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter))
-	meter := provider.Meter("github.com/wheatroad/wheatroad")
 	t := &Telemetry{
-		log: log, budget: newLineBudget(time.Now), provider: provider,
+		log: log, budget: newLineBudget(time.Now),
 		counters: map[string]metric.Int64Counter{}, histograms: map[string]metric.Float64Histogram{}, labels: map[string]string{},
-		handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
+		handler: inTurn(counters, histograms, runtime),
 	}
 	for short, definition := range Definitions() {
-		counter, err := meter.Int64Counter(definition.Name, metric.WithDescription(definition.Description))
+		counter, err := counterMeter.Int64Counter(definition.Name, metric.WithDescription(definition.Description))
 		if err != nil {
 			return nil, err
 		}
@@ -105,7 +104,7 @@
 		t.labels[short] = definition.Label
 	}
 	for short, definition := range Histograms() {
-		histogram, err := meter.Float64Histogram(definition.Name,
+		histogram, err := histogramMeter.Float64Histogram(definition.Name,
 			metric.WithDescription(definition.Description), metric.WithUnit("s"),
 			metric.WithExplicitBucketBoundaries(latencyBounds...))
 		if err != nil {
@@ -116,6 +115,35 @@
 	return t, nil
 }
 
+// newMeter returns a meter whose instruments are read from a registry.
+func newMeter(registry *prometheus.Registry) (metric.Meter, error) {
+	exporter, err := otelprometheus.New(
+		otelprometheus.WithRegisterer(registry),
+		otelprometheus.WithTranslationStrategy(otlptranslator.UnderscoreEscapingWithSuffixes),
+		otelprometheus.WithoutScopeInfo(),
+		otelprometheus.WithoutTargetInfo(),
+	)
+	if err != nil {
+		return nil, err
+	}
+	return sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter)).Meter("github.com/wheatroad/wheatroad"), nil
+}
+
+// inTurn serves registries one after another. The node's own counters come first: a
+// collector that keeps only the beginning of a page would otherwise keep nothing but the
+// figures of Go's runtime, which alone take 8 KB.
+func inTurn(registries ...*prometheus.Registry) http.Handler {
+	handlers := make([]http.Handler, len(registries))
+	for i, registry := range registries {
+		handlers[i] = promhttp.HandlerFor(registry, promhttp.HandlerOpts{DisableCompression: true})
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for _, handler := range handlers {
+			handler.ServeHTTP(w, r)
+		}
+	})
+}
+
 // Observe adds a duration to a histogram. Histograms without a definition are a
 // defect that the metrics test finds; here they are dropped.
 func (t *Telemetry) Observe(histogram string, d time.Duration) {
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -62,3 +62,35 @@
 	tele.Count("no_such_counter", "reason")
 	tele.Observe("no_such_histogram", time.Second)
 }
+
+// TestOwnCountersComeFirst: a collector that keeps only the first 4,000 bytes of the page
+// kept nothing but the figures of Go's runtime. No family may stand twice.
+func TestOwnCountersComeFirst(t *testing.T) {
+	tele, err := New(logr.Discard())
+	require.NoError(t, err)
+	for short := range Definitions() {
+		tele.Count(short, "some_reason")
+	}
+	for short := range Histograms() {
+		tele.Observe(short, time.Millisecond)
+	}
+	recorder := httptest.NewRecorder()
+	tele.Handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
+	var families []string
+	seen := map[string]bool{}
+	for _, line := range strings.Split(recorder.Body.String(), "\n") {
+		family, found := strings.CutPrefix(line, "# TYPE ")
+		if !found {
+			continue
+		}
+		name, _, _ := strings.Cut(family, " ")
+		require.False(t, seen[name], name)
+		seen[name] = true
+		families = append(families, name)
+	}
+	for _, name := range families[:len(Definitions())] {
+		require.True(t, strings.HasPrefix(name, "wheatroad_") && strings.HasSuffix(name, "_total"), name)
+	}
+	counters, _, _ := strings.Cut(recorder.Body.String(), "# TYPE "+families[len(Definitions())])
+	require.Less(t, len(counters), 4000)
+}
