Regression test: a grown configuration over slow links; proxies with a rate

Cause: nodes on small links never got a configuration whose transfer takes longer than the fixed deadlines of the calls that carry it. The soak had neither slow links nor large configurations, so that no test could show it. Change: Proxy.SetRate paces all connections of a link together, each direction by itself, in pieces of 8 KB; standin.Configuration.ExtraQueues makes the configuration large (189 bytes a queue). TestGrownConfigurationReachesDaemonsOverSlowLinks: three real daemons, links of 400 KB/s, a row of 1.8 MB (2.4 MB on the wire, 6 s); within 40 s a key of the new version must be taken by each, and each must be ready.

--- a/cmd/wheatroad-bench/faults/faults_test.go
+++ b/cmd/wheatroad-bench/faults/faults_test.go
@@ -6,10 +6,12 @@
 	"net/http"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/wheatroad/wheatroad/internal/catalog"
@@ -75,6 +77,50 @@
 	require.Error(t, err)
 }
 
+// TestConnectionsShareTheRateOfALink: two connections together take as long as the rate
+// needs for the bytes of both, in one direction.
+func TestConnectionsShareTheRateOfALink(t *testing.T) {
+	const (
+		rate  = 200 << 10
+		bytes = 32 << 10
+	)
+	proxy, err := NewProxy(echo(t))
+	require.NoError(t, err)
+	t.Cleanup(proxy.Close)
+	proxy.SetRate(rate)
+	began := time.Now()
+	var transfers sync.WaitGroup
+	for range 2 {
+		connection, err := net.Dial("tcp", proxy.Address())
+		require.NoError(t, err)
+		t.Cleanup(func() { connection.Close() })
+		transfers.Go(func() {
+			go func() { _, _ = connection.Write(make([]byte, bytes)) }()
+			_, err := io.ReadFull(connection, make([]byte, bytes))
+			assert.NoError(t, err)
+		})
+	}
+	transfers.Wait()
+	require.GreaterOrEqual(t, time.Since(began), 2*bytes*time.Second/rate)
+}
+
+// TestEachDirectionOfALinkHasItsOwnRate: what goes one way leaves the other way free, and
+// a lifted rate limits nothing.
+func TestEachDirectionOfALinkHasItsOwnRate(t *testing.T) {
+	proxy := &Proxy{}
+	proxy.SetRate(1)
+	began := time.Now()
+	answered, limited := proxy.answers.reserve(60)
+	require.True(t, limited)
+	require.GreaterOrEqual(t, answered.Sub(began), time.Minute)
+	asked, limited := proxy.requests.reserve(1)
+	require.True(t, limited)
+	require.True(t, asked.Before(answered))
+	proxy.SetRate(0)
+	_, limited = proxy.answers.reserve(60)
+	require.False(t, limited)
+}
+
 func exchange(t *testing.T, connection net.Conn, b byte) byte {
 	_, err := connection.Write([]byte{b})
 	require.NoError(t, err)
@@ -172,12 +218,17 @@
 	}
 }
 
-// TestShortSoak plays one seed with real daemons.
-func TestShortSoak(t *testing.T) {
+// buildDaemon returns the path of a freshly built daemon.
+func buildDaemon(t *testing.T) string {
 	program := filepath.Join(t.TempDir(), "wheatroadd")
 	output, err := exec.Command("go", "build", "-o", program, "../../wheatroadd").CombinedOutput()
 	require.NoError(t, err, string(output))
-	report, err := Run(Options{Program: program, Seed: 1, Length: 6 * time.Second, Daemons: 3, Callers: 2, Folder: t.TempDir()})
+	return program
+}
+
+// TestShortSoak plays one seed with real daemons.
+func TestShortSoak(t *testing.T) {
+	report, err := Run(Options{Program: buildDaemon(t), Seed: 1, Length: 6 * time.Second, Daemons: 3, Callers: 2, Folder: t.TempDir()})
 	require.NoError(t, err)
 	require.Empty(t, report.Broken)
 	require.Positive(t, report.States[taskgraph.Completed])
--- a/cmd/wheatroad-bench/faults/proxy.go
+++ b/cmd/wheatroad-bench/faults/proxy.go
@@ -25,6 +25,10 @@
 // proxyDelay is how late Delay hands bytes on.
 const proxyDelay = 150 * time.Millisecond
 
+// pieceBytes is the most that a connection hands on at once, so that small answers on
+// other connections of a slow link are not held up behind a large one.
+const pieceBytes = 8 << 10
+
 // Proxy hands on connections between one daemon and the platform on loopback.
 type Proxy struct {
 	listener net.Listener
@@ -32,6 +36,9 @@
 	mutex    sync.Mutex
 	mode     Mode
 	open     map[net.Conn]bool
+	// answers and requests pace the two directions, each for all connections together.
+	answers  pace
+	requests pace
 }
 
 // NewProxy listens on a free loopback port and hands connections on to target.
@@ -55,6 +62,13 @@
 	p.mode = mode
 }
 
+// SetRate limits the bytes per second of all connections together, in each direction by
+// itself. Zero lifts the limit.
+func (p *Proxy) SetRate(bytesPerSecond int) {
+	p.answers.set(bytesPerSecond)
+	p.requests.set(bytesPerSecond)
+}
+
 // Reset breaks every open connection.
 func (p *Proxy) Reset() {
 	p.mutex.Lock()
@@ -90,8 +104,8 @@
 		return
 	}
 	p.keep(near, far)
-	go p.pipe(far, near, CutRequests)
-	p.pipe(near, far, CutAnswers)
+	go p.pipe(far, near, CutRequests, &p.requests)
+	p.pipe(near, far, CutAnswers, &p.answers)
 }
 
 func (p *Proxy) keep(connections ...net.Conn) {
@@ -112,10 +126,11 @@
 }
 
 // pipe hands bytes on from one connection to the other, but in the mode that cuts this
-// way. Bytes that a cut took are lost, and so is their connection.
-func (p *Proxy) pipe(to, from net.Conn, cut Mode) {
+// way, and no faster than its pace. Bytes that a cut took are lost, and so is their
+// connection.
+func (p *Proxy) pipe(to, from net.Conn, cut Mode, pace *pace) {
 	defer p.drop(to, from)
-	buffer := make([]byte, 32<<10)
+	buffer := make([]byte, pieceBytes)
 	lost := false
 	for {
 		count, err := from.Read(buffer)
@@ -131,6 +146,7 @@
 		if lost {
 			continue
 		}
+		pace.wait(count)
 		if _, err := to.Write(buffer[:count]); err != nil {
 			return
 		}
@@ -142,3 +158,40 @@
 	defer p.mutex.Unlock()
 	return p.mode
 }
+
+// pace spreads bytes over time.
+type pace struct {
+	mutex sync.Mutex
+	// bytesPerSecond is zero without a limit.
+	bytesPerSecond int
+	// free is when all bytes that were let in so far have passed.
+	free time.Time
+}
+
+func (p *pace) set(bytesPerSecond int) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.bytesPerSecond = bytesPerSecond
+	p.free = time.Time{}
+}
+
+// wait returns once count further bytes have passed.
+func (p *pace) wait(count int) {
+	if passed, limited := p.reserve(count); limited {
+		time.Sleep(time.Until(passed))
+	}
+}
+
+// reserve lets count bytes in behind all others, and returns when they have passed.
+func (p *pace) reserve(count int) (passed time.Time, limited bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.bytesPerSecond == 0 {
+		return time.Time{}, false
+	}
+	if now := time.Now(); p.free.Before(now) {
+		p.free = now
+	}
+	p.free = p.free.Add(time.Duration(count) * time.Second / time.Duration(p.bytesPerSecond))
+	return p.free, true
+}
--- /dev/null
+++ b/cmd/wheatroad-bench/faults/slow_links_test.go
@@ -0,0 +1,88 @@
+package faults
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wheatroad/wheatroad/internal/simulation"
+	"github.com/wheatroad/wheatroad/platform/standin"
+)
+
+const (
+	// slowLink is the rate of a daemon's link to the store, in bytes per second.
+	slowLink = 400_000
+	// grownQueues make a configuration that takes six seconds over a slow link: a row of
+	// some 1.8 MB, which base64 turns into 2.4 MB.
+	grownQueues = 9500
+	// grownLimit is how long a daemon may take until a grown configuration is in force
+	// there: the transfer, several times over.
+	grownLimit = 40 * time.Second
+	// unknownID is the identifier of a job that nobody has handed in.
+	unknownID = "00000000000000ff"
+)
+
+// TestGrownConfigurationReachesDaemonsOverSlowLinks: a configuration whose transfer takes
+// longer than any deadline of a single call still comes into force everywhere.
+//
+// What happened: a site's configuration grew by steps. At 390 KB a version, nodes on links
+// of 10 Mbit/s (1,250 KB/s) had it late; at 770 KB up to 23 s late, and they lost the store
+// and the owner by turns meanwhile; at 1,160 KB they never got the newest version. From
+// then on they failed their readiness checks and refused every call, since a configuration
+// that is not confirmed answers nobody. At the end of a day 96 accepted jobs had no answer.
+//
+// The cause: the configuration is one row, sent whole by the feed, by the scan that begins
+// it anew, and through other nodes. Each transfer was given up at a fixed deadline of 0.5
+// to 3.2 s, whatever had arrived was thrown away, and the same transfer was tried again.
+// The tries shared the link with each other and with the small calls that tell whether the
+// store and the owner live, so that above some size none of them ever ended.
+//
+// What settled it: the links of these nodes were full, at 1,160 KB/s each, while their
+// processors were at 0 to 3% and the store answered each call that it got; nodes on
+// large links had every version within a second.
+func TestGrownConfigurationReachesDaemonsOverSlowLinks(t *testing.T) {
+	platform, err := standin.Start(simulation.NewWorld(1, 1))
+	require.NoError(t, err)
+	t.Cleanup(platform.Close)
+	r := &run{
+		options:  Options{Program: buildDaemon(t), Daemons: 3, Folder: t.TempDir()},
+		platform: platform, ledger: ledger{answers: map[string]int{}},
+	}
+	r.putKeys(1)
+	t.Cleanup(r.end)
+	require.NoError(t, r.start())
+	for _, d := range r.daemons {
+		d.proxy.SetRate(slowLink)
+	}
+	platform.PutConfiguration(standin.Configuration{
+		Version: 4, Keys: []string{keyName(1), keyName(2)}, MaxAttempts: maxAttempts, Priority: 1, ExtraQueues: grownQueues,
+	})
+	deadline := time.Now().Add(grownLimit)
+	for _, d := range r.daemons {
+		status := d.statusUntil(keyName(2), http.StatusGone, deadline)
+		assert.Equal(t, http.StatusGone, status, "node-%d does not know the new key after %v", d.number, grownLimit)
+	}
+	caller := standin.NewCaller(callLimit)
+	for _, d := range r.daemons {
+		require.Eventually(t, func() bool { return caller.Ready(d.ready) }, time.Until(deadline), settlePause, "node-%d is not ready", d.number)
+	}
+}
+
+// statusUntil asks a daemon for an unknown job until it answers with the wanted status or
+// the deadline is over, and returns the last status; zero is no answer.
+func (d *daemon) statusUntil(key string, wanted int, deadline time.Time) int {
+	caller := standin.NewCaller(callLimit)
+	for {
+		status := 0
+		if answer, err := caller.State(d.callers, key, unknownID); err == nil {
+			status = answer.Status
+		}
+		if status == wanted || time.Now().After(deadline) {
+			return status
+		}
+		time.Sleep(settlePause)
+	}
+}
