Test: a new owner reads many rows over a slow link

The cause of the incident in another place: scans of a pool's rows are given up after 1.5 s each and begin anew.

--- a/cmd/wheatroad-bench/faults/slow_links_test.go
+++ b/cmd/wheatroad-bench/faults/slow_links_test.go
@@ -1,14 +1,20 @@
 package faults
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/wheatroad/wheatroad/internal/catalog"
+	"github.com/wheatroad/wheatroad/internal/pool"
+	"github.com/wheatroad/wheatroad/internal/rows"
 	"github.com/wheatroad/wheatroad/internal/simulation"
+	"github.com/wheatroad/wheatroad/internal/taskgraph"
 	"github.com/wheatroad/wheatroad/platform/standin"
 )
 
@@ -23,6 +29,8 @@
 	grownLimit = 40 * time.Second
 	// unknownID is the identifier of a job that nobody has handed in.
 	unknownID = "00000000000000ff"
+	// newID is the identifier of a job that none of the old ones has.
+	newID = "ffffffffffffffff"
 )
 
 // TestGrownConfigurationReachesDaemonsOverSlowLinks: a configuration whose transfer takes
@@ -86,3 +94,62 @@
 		time.Sleep(settlePause)
 	}
 }
+
+const (
+	// oldJobs is how many ended jobs the store keeps, each with a payload of the largest
+	// size that callers may hand in: rows of 2.9 MB, which base64 turns into 3.9 MB.
+	oldJobs        = 700
+	largestPayload = 4000
+)
+
+// TestOwnerReadsManyRowsOverASlowLink: a pool's new owner reads all rows of its jobs before
+// it starts anything. The cause of the test above acts here as well: each scan of a part
+// was given up after 1.5 s, and began anew with nothing of what had arrived.
+func TestOwnerReadsManyRowsOverASlowLink(t *testing.T) {
+	platform, err := standin.Start(simulation.NewWorld(1, 1))
+	require.NoError(t, err)
+	t.Cleanup(platform.Close)
+	platform.Locked(func() { putEndedJobs(platform.World, oldJobs) })
+	r := &run{
+		options:  Options{Program: buildDaemon(t), Daemons: 1, Folder: t.TempDir()},
+		platform: platform, ledger: ledger{answers: map[string]int{}},
+	}
+	r.putKeys(1)
+	t.Cleanup(r.end)
+	d, err := newDaemon(0, r.options.Program, r.options.Folder, platform.Address())
+	require.NoError(t, err)
+	r.daemons = []*daemon{d}
+	d.proxy.SetRate(slowLink)
+	require.NoError(t, d.begin())
+	deadline := time.Now().Add(grownLimit)
+	caller := standin.NewCaller(callLimit)
+	require.Eventually(t, func() bool { return caller.Ready(d.ready) }, time.Until(deadline), settlePause)
+
+	spec := &taskgraph.Spec{ID: newID, Payload: "job", Steps: []taskgraph.Step{{Count: 1, Amount: taskgraph.Amount{CPU: 1000, MemoryMB: 100}, EstimateMillis: 100}}}
+	platform.Locked(func() { platform.World.Expect(*spec, catalog.Queue{MaxAttempts: 1}) })
+	require.Eventually(t, func() bool {
+		answer, err := caller.Submit(d.callers, keyName(1), spec)
+		return err == nil && answer.Status == http.StatusOK
+	}, time.Until(deadline), settlePause)
+	require.Eventually(t, func() bool {
+		answer, err := caller.State(d.callers, keyName(1), spec.ID)
+		return err == nil && answer.State == taskgraph.Completed
+	}, time.Until(deadline), settlePause, "the owner starts a new job")
+}
+
+// putEndedJobs writes the rows of jobs that have ended.
+func putEndedJobs(world *simulation.World, count int) {
+	for number := range count {
+		id := fmt.Sprintf("%016x", number+1)
+		accepted := pool.Accepted{
+			Spec:   taskgraph.Spec{ID: id, Payload: strings.Repeat("x", largestPayload), Steps: []taskgraph.Step{{Count: 1}}},
+			Tenant: "tenant", Queue: catalog.Queue{Name: standin.QueueName, Pool: simulation.PoolName},
+			AcceptedMillis: time.Now().UnixMilli(),
+		}
+		part := pool.JobParts(simulation.PoolName, id)[0]
+		world.Store.Apply(rows.Transaction{Puts: []rows.Put{{Key: pool.AcceptedKey(part, id), Value: pool.Encode(accepted)}}})
+		progressPart := pool.ProgressParts(simulation.PoolName)[0]
+		ended := pool.Progress{Token: 1, State: taskgraph.Completed, EndedMillis: time.Now().UnixMilli()}
+		world.Store.Apply(rows.Transaction{Puts: []rows.Put{{Key: rows.Key{Table: pool.ProgressTable, Part: progressPart, Name: id}, Value: pool.Encode(ended)}}})
+	}
+}
