Wait for answers while they arrive; configurations from other nodes in chunks

Cause: a large answer was given up at a fixed deadline, whatever had arrived was thrown away, and it was asked for again: by feed, scan, calls through other nodes, and in the answer to every ping and question for news. Above the size that a small link carries within the deadline no try ended, the tries filled the link, small calls behind them told of a store and an owner that were lost, which called the feeds off once more, and nothing ended it. Class: retries of work that is thrown away (congestion collapse), fed by a liveness check that shares its link with bulk data. Change: a deadline bounds the beginning of an answer; then it is waited for while bytes arrive, with a pause of 1 s and 30 s at the most (internal/progress). Bytes of the store count as its answer, a feed that arrives is not called off, a look that got no answer beside bytes says nothing. Pings and news carry a version and an age only; a node that hears of a newer version fetches it in chunks of 32 KB, one transfer at a time, and only while the store does not bring it. The configuration is no longer read through other nodes. A first try read answers into a growing buffer, which hid for over 1 s that bytes arrived: reads of 8 KB.

--- /dev/null
+++ b/internal/node/configuration_transfer.go
@@ -0,0 +1,131 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+	"time"
+
+	"github.com/wheatroad/wheatroad/internal/fault"
+	"github.com/wheatroad/wheatroad/internal/progress"
+)
+
+// Limits of a configuration's transfer from another node.
+const (
+	// chunkBytes is how much of a configuration one call brings. With its encoding a chunk
+	// takes 35 ms of a link of 10 Mbit/s, so that pings behind it are answered in time.
+	chunkBytes = 32 << 10
+	// chunkTimeout bounds one such call: 30 times what a link of 10 Mbit/s takes for it.
+	chunkTimeout = time.Second
+)
+
+// document is a configuration as the store keeps it.
+type document struct {
+	version int64
+	content []byte
+}
+
+// chunkRequest asks for a part of a configuration, from an offset in bytes.
+type chunkRequest struct {
+	Version int64 `json:"version"`
+	Offset  int   `json:"offset"`
+}
+
+// chunkReply is a part of the answering node's configuration: from the requested offset
+// if it is of the requested version, and from its beginning otherwise.
+type chunkReply struct {
+	Version int64 `json:"version"`
+	// Size is how many bytes the whole configuration has.
+	Size    int    `json:"size"`
+	Content []byte `json:"content"`
+}
+
+// download is a transfer of a configuration from other nodes: one at a time, and in
+// chunks. Whole documents in each answer about an owner or about news filled small links
+// and never arrived. What has arrived is kept when a call fails.
+type download struct {
+	document
+	active bool
+}
+
+// downloadConfiguration fetches a version from another node, unless a transfer is under
+// way. The store's own answer goes first: both at once would share the link.
+func (n *Node) downloadConfiguration(address string, version int64) {
+	if n.download.active || n.configurationsArriving.Load() > 0 {
+		return
+	}
+	if n.download.version < version {
+		n.download.document = document{version: version}
+	}
+	n.download.active = true
+	n.downloadChunk(address)
+}
+
+func (n *Node) downloadChunk(address string) {
+	request := chunkRequest{Version: n.download.version, Offset: len(n.download.content)}
+	n.callPeerFor(chunkTimeout, address, methodChunk, request, func(answer []byte, err error) {
+		var reply chunkReply
+		if err == nil {
+			err = json.Unmarshal(answer, &reply)
+		}
+		if err != nil {
+			n.edges.Record.Count("retries", "configuration_chunk")
+			n.download.active = false
+			return
+		}
+		n.takeChunk(address, request, reply)
+	})
+}
+
+// takeChunk takes in a part of a configuration and asks for the next one.
+func (n *Node) takeChunk(address string, request chunkRequest, reply chunkReply) {
+	if reply.Version != request.Version {
+		n.download.document = document{version: reply.Version}
+	}
+	n.download.content = append(n.download.content, reply.Content...)
+	current := n.catalog.Load()
+	overtaken := current != nil && current.Version >= n.download.version
+	if !overtaken && len(reply.Content) > 0 && len(n.download.content) < reply.Size {
+		n.downloadChunk(address)
+		return
+	}
+	finished := n.download.document
+	n.download = download{}
+	if !overtaken && len(finished.content) == reply.Size {
+		n.adopt(finished.content, "peer")
+	}
+}
+
+// serveChunk answers another node with a part of this one's configuration. It may be
+// called anywhere.
+func (n *Node) serveChunk(request chunkRequest) (chunkReply, error) {
+	own := n.document.Load()
+	if own == nil {
+		return chunkReply{}, fault.New(fault.ConfigurationOld, "this node has no configuration yet")
+	}
+	offset := request.Offset
+	if own.version != request.Version {
+		offset = 0
+	}
+	if offset < 0 || offset > len(own.content) {
+		return chunkReply{}, fault.New(fault.InvalidRequest, "offset %d of a configuration of %d bytes", offset, len(own.content))
+	}
+	end := min(offset+chunkBytes, len(own.content))
+	return chunkReply{Version: own.version, Size: len(own.content), Content: own.content[offset:end]}, nil
+}
+
+// noteArriving counts an answer of the store about the configuration from its first byte
+// until the returned function is called.
+func (n *Node) noteArriving(ctx context.Context) (context.Context, func()) {
+	var arriving atomic.Bool
+	observed := progress.With(ctx, func(int) {
+		if arriving.CompareAndSwap(false, true) {
+			n.configurationsArriving.Add(1)
+		}
+	})
+	return observed, func() {
+		if arriving.Load() {
+			n.configurationsArriving.Add(-1)
+		}
+	}
+}
--- a/internal/node/feeds.go
+++ b/internal/node/feeds.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/wheatroad/wheatroad/internal/mechanism"
+	"github.com/wheatroad/wheatroad/internal/progress"
 	"github.com/wheatroad/wheatroad/internal/rows"
 )
 
@@ -38,12 +39,14 @@
 type openFeeds struct {
 	mutex  sync.Mutex
 	serial int
-	open   map[int]openFeed
+	open   map[int]*openFeed
 }
 
 type openFeed struct {
 	wait   time.Duration
 	cancel context.CancelCauseFunc
+	// arriving is true once the answer has begun.
+	arriving bool
 }
 
 // add returns a context for a feed that waits for up to wait, and what to do at its end.
@@ -52,12 +55,18 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if f.open == nil {
-		f.open = map[int]openFeed{}
+		f.open = map[int]*openFeed{}
 	}
 	f.serial++
 	serial := f.serial
-	f.open[serial] = openFeed{wait: wait, cancel: cancel}
-	return ctx, func() {
+	feed := &openFeed{wait: wait, cancel: cancel}
+	f.open[serial] = feed
+	observed := progress.With(ctx, func(int) {
+		f.mutex.Lock()
+		defer f.mutex.Unlock()
+		feed.arriving = true
+	})
+	return observed, func() {
 		f.mutex.Lock()
 		delete(f.open, serial)
 		f.mutex.Unlock()
@@ -65,12 +74,14 @@
 	}
 }
 
-// callOff ends the open feeds that wait for as long as least, or longer.
+// callOff ends the open feeds that wait for as long as least, or longer. One whose answer
+// arrives no longer waits: over a small link a large change takes longer than any period
+// after which feeds are called off.
 func (f *openFeeds) callOff(least time.Duration) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	for _, feed := range f.open {
-		if feed.wait >= least {
+		if feed.wait >= least && !feed.arriving {
 			feed.cancel(errCalledOff)
 		}
 	}
@@ -122,26 +133,40 @@
 	n.edges.Loop.After(confirmationCheck, n.checkConfirmation)
 }
 
-// follow reads the changes of a table for ever, each time for as long as wait says;
-// again is called when they must be read anew.
-func (n *Node) follow(table string, after int64, wait func() time.Duration, apply func(rows.Row), answered func(), again func()) {
-	n.ports.feedFor(table, after, wait(), func(listing rows.Listing, err error) {
+// feedCall reads the changes of a table after a version, or waits for some.
+type feedCall func(table string, after int64, wait time.Duration, done func(rows.Listing, error))
+
+// subscription is a table whose changes a node follows.
+type subscription struct {
+	table string
+	feed  feedCall
+	// wait is how long the next feed waits for a change.
+	wait  func() time.Duration
+	apply func(rows.Row)
+	// answered is called after each answer, and again when the table must be read anew.
+	answered func()
+	again    func()
+}
+
+// follow reads the changes of a table after a version for ever.
+func (n *Node) follow(s subscription, after int64) {
+	s.feed(s.table, after, s.wait(), func(listing rows.Listing, err error) {
 		switch {
 		case errors.Is(err, rows.ErrHistoryGone):
-			n.edges.Record.Count("feed_gaps", table)
-			n.edges.Record.Decided("feed read anew", "table", table, "after", after)
-			again()
+			n.edges.Record.Count("feed_gaps", s.table)
+			n.edges.Record.Decided("feed read anew", "table", s.table, "after", after)
+			s.again()
 		case errors.Is(err, errCalledOff):
-			n.follow(table, after, wait, apply, answered, again)
+			n.follow(s, after)
 		case err != nil:
 			n.edges.Record.Count("retries", "feed")
-			n.storeRetries.After(retryPause, func() { n.follow(table, after, wait, apply, answered, again) })
+			n.storeRetries.After(retryPause, func() { n.follow(s, after) })
 		default:
 			for i := range listing.Rows {
-				apply(listing.Rows[i])
+				s.apply(listing.Rows[i])
 			}
-			answered()
-			n.follow(table, listing.Version, wait, apply, answered, again)
+			s.answered()
+			n.follow(s, listing.Version)
 		}
 	})
 }
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -13,7 +13,7 @@
 func (n *Node) readConfiguration() {
 	codec := n.edges.Codec
 	key := codec.ConfigurationKey()
-	n.ports.Scan(key.Table, key.Part, "", func(listing rows.Listing, err error) {
+	n.ports.scanDirect(key.Table, key.Part, func(listing rows.Listing, err error) {
 		if err != nil {
 			n.storeRetries.After(retryPause, n.readConfiguration)
 			return
@@ -22,7 +22,10 @@
 			n.applyConfiguration(listing.Rows[i])
 		}
 		n.confirm(time.Now())
-		n.follow(key.Table, listing.Version, n.configurationWait, n.applyConfiguration, func() { n.confirm(time.Now()) }, n.readConfiguration)
+		n.follow(subscription{
+			table: key.Table, feed: n.ports.feedDirect, wait: n.configurationWait, apply: n.applyConfiguration,
+			answered: func() { n.confirm(time.Now()) }, again: n.readConfiguration,
+		}, listing.Version)
 	})
 }
 
@@ -33,8 +36,8 @@
 }
 
 // adopt puts a configuration in force unless a newer one is.
-func (n *Node) adopt(document []byte, source string) {
-	decoded, err := n.edges.Codec.DecodeCatalog(document)
+func (n *Node) adopt(content []byte, source string) {
+	decoded, err := n.edges.Codec.DecodeCatalog(content)
 	if err != nil {
 		n.edges.Record.Count("refusals", "configuration_invalid")
 		n.edges.Record.Decided("configuration refused", "source", source, "reason", err.Error())
@@ -44,9 +47,9 @@
 		return
 	}
 	decoded.Index()
-	n.catalogDocument.Store(&document)
+	n.document.Store(&document{version: decoded.Version, content: content})
 	n.catalog.Store(decoded)
-	n.edges.Record.Decided("configuration in force", "version", decoded.Version, "source", source, "bytes", len(document))
+	n.edges.Record.Decided("configuration in force", "version", decoded.Version, "source", source, "bytes", len(content))
 	for _, name := range decoded.PoolNames() {
 		n.watchPool(name)
 	}
@@ -74,7 +77,10 @@
 			n.readLease(name)
 		}
 		n.publish()
-		n.follow(pool.NodeTable, listing.Version, n.membersWait, n.applyNodeRow, func() {}, n.readMembers)
+		n.follow(subscription{
+			table: pool.NodeTable, feed: n.ports.feedFor, wait: n.membersWait, apply: n.applyNodeRow,
+			answered: func() {}, again: n.readMembers,
+		}, listing.Version)
 	})
 }
 
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -32,8 +32,6 @@
 	Version int64 `json:"version"`
 	// AgeMillis is how long ago the configuration was known to be the newest.
 	AgeMillis int64 `json:"age_ms"`
-	// Document is the configuration, if the asking node's is older.
-	Document []byte `json:"document,omitempty"`
 }
 
 // guardCount is how many nodes watch a pool's owner closely: those that would take the
@@ -75,7 +73,7 @@
 		}
 		var reply pingReply
 		if json.Unmarshal(document, &reply) == nil {
-			n.takeNews(reply.catalogNews, askedAt)
+			n.takeNews(lease.Address, reply.catalogNews, askedAt)
 			n.pingAnswered(w, reply)
 		}
 	})
@@ -216,30 +214,25 @@
 	return others
 }
 
-// takeNews takes in what another node knows of the configuration, asked at a time. Its
+// takeNews takes in what the node at an address knows of the configuration, asked at a time. Its
 // age counts from then: counted from the answer it would seem newer by the way, and two
 // nodes that tell each other over slow links would never see it age.
-func (n *Node) takeNews(news catalogNews, askedAt time.Time) {
-	if len(news.Document) > 0 {
-		n.adopt(news.Document, "peer")
-	}
+func (n *Node) takeNews(address string, news catalogNews, askedAt time.Time) {
 	current := n.catalog.Load()
-	if current != nil && current.Version >= news.Version {
-		at := askedAt.Add(-time.Duration(news.AgeMillis) * time.Millisecond)
-		n.confirm(at)
-		n.toldByPeer.Store(&at)
+	if current == nil || current.Version < news.Version {
+		n.downloadConfiguration(address, news.Version)
+		return
 	}
+	at := askedAt.Add(-time.Duration(news.AgeMillis) * time.Millisecond)
+	n.confirm(at)
+	n.toldByPeer.Store(&at)
 }
 
-// news says how new this node's configuration is, with the document for a node
-// whose version is older. It may be called anywhere.
-func (n *Node) news(theirs int64) catalogNews {
+// news says how new this node's configuration is. It may be called anywhere.
+func (n *Node) news() catalogNews {
 	news := catalogNews{AgeMillis: age(n.confirmed.Load()).Milliseconds()}
 	if current := n.catalog.Load(); current != nil {
 		news.Version = current.Version
-		if current.Version > theirs {
-			news.Document = *n.catalogDocument.Load()
-		}
 	}
 	return news
 }
@@ -254,14 +247,19 @@
 // seekConfiguration asks other nodes for the configuration while the store does
 // not tell it.
 func (n *Node) seekConfiguration() {
-	if age(n.confirmed.Load()) > seekAge {
+	limit := seekAge
+	if n.storeLost() {
+		// No answer of the store is under way.
+		limit = staleConfirmation
+	}
+	if age(n.confirmed.Load()) > limit {
 		others := n.otherMembers("")
 		askedAt := time.Now()
 		for _, other := range others[:min(2, len(others))] {
 			n.callPeer(other.Address, methodNews, struct{}{}, func(document []byte, err error) {
 				var news catalogNews
 				if err == nil && json.Unmarshal(document, &news) == nil {
-					n.takeNews(news, askedAt)
+					n.takeNews(other.Address, news, askedAt)
 				}
 			})
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -56,8 +56,11 @@
 	// store is the store as this node reaches it.
 	store   *relayedStore
 	catalog atomic.Pointer[catalog.Catalog]
-	// catalogDocument is the row that the catalog was read from.
-	catalogDocument atomic.Pointer[[]byte]
+	// document is what the catalog was read from.
+	document atomic.Pointer[document]
+	// configurationsArriving counts answers of the store about the configuration that
+	// have begun and are not whole yet.
+	configurationsArriving atomic.Int32
 	// confirmed is when the catalog was last known to be the newest.
 	confirmed atomic.Pointer[time.Time]
 	// toldByPeer is for when another node last confirmed the catalog.
@@ -80,6 +83,7 @@
 	owned    map[string]*pool.Pool
 	waiting  map[string]waitingCounts
 	released func()
+	download download
 	// pingRound counts the rounds of pings.
 	pingRound int
 }
@@ -177,6 +181,12 @@
 // storeAge returns how long ago the store last answered this node directly.
 func (n *Node) storeAge() time.Duration { return age(n.storeAnswered.Load()) }
 
+// storeAnsweredSince reports whether the store has answered this node directly since a time.
+func (n *Node) storeAnsweredSince(at time.Time) bool {
+	answered := n.storeAnswered.Load()
+	return answered != nil && answered.After(at)
+}
+
 // storeReachedAge returns how long ago the store last answered this node in any way.
 func (n *Node) storeReachedAge() time.Duration { return age(n.storeReached.Load()) }
 
--- a/internal/node/observed_store.go
+++ b/internal/node/observed_store.go
@@ -9,8 +9,9 @@
 	"github.com/wheatroad/wheatroad/internal/rows"
 )
 
-// observedStore is the store as this node reaches it directly. It notes answers that
-// were given up midway: what arrived of them was in vain.
+// observedStore is the store as this node reaches it directly. Each byte of an answer
+// tells that the store is there: small calls may wait behind a large answer for longer
+// than they are given. Answers that were given up midway are told of.
 type observedStore struct {
 	rows.Store
 	node *Node
@@ -37,7 +38,10 @@
 func (s *observedStore) observe(ctx context.Context, table string) (context.Context, func(error)) {
 	began := time.Now()
 	var arrived atomic.Int64
-	observed := progress.With(ctx, func(bytes int) { arrived.Add(int64(bytes)) })
+	observed := progress.With(ctx, func(bytes int) {
+		arrived.Add(int64(bytes))
+		s.node.noteStore(nil)
+	})
 	return observed, func(err error) {
 		if err == nil || arrived.Load() == 0 {
 			return
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -82,6 +82,12 @@
 	storeDead = 2200 * time.Millisecond
 	// storeFailing is that age for a node whose feeds fail.
 	storeFailing = 700 * time.Millisecond
+	// answerPause is how long an answer that has begun may stand still: longer than a
+	// lost packet or a spent quota of processor time holds it up.
+	answerPause = time.Second
+	// answerLimit bounds an answer as a whole: the largest that is read, 16 MiB, takes
+	// 14 s on a link of 10 Mbit/s.
+	answerLimit = 30 * time.Second
 	// rankDelay separates the nodes that would take a pool.
 	rankDelay  = 200 * time.Millisecond
 	retryPause = 200 * time.Millisecond
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -19,15 +19,9 @@
 	methodLookup  = "lookup"
 	methodWaiting = "waiting"
 	methodStore   = "store"
+	methodChunk   = "chunk"
 )
 
-// envelope is the document of a call between nodes.
-type envelope struct {
-	// Version is the caller's configuration.
-	Version int64           `json:"version"`
-	Body    json.RawMessage `json:"body"`
-}
-
 // jobRequest names a job or a queue for another node.
 type jobRequest struct {
 	Pool  string `json:"pool"`
@@ -46,15 +40,7 @@
 // call sends a request to another node and waits for the answer. It may be called
 // anywhere.
 func (n *Node) call(ctx context.Context, address, method string, body any) ([]byte, error) {
-	content, err := json.Marshal(body)
-	if err != nil {
-		return nil, fault.New(fault.Internal, "%s: %v", method, err)
-	}
-	var version int64
-	if current := n.catalog.Load(); current != nil {
-		version = current.Version
-	}
-	document, err := json.Marshal(envelope{Version: version, Body: content})
+	document, err := json.Marshal(body)
 	if err != nil {
 		return nil, fault.New(fault.Internal, "%s: %v", method, err)
 	}
@@ -64,8 +50,13 @@
 
 // callPeer is call for the loop: done runs on it.
 func (n *Node) callPeer(address, method string, body any, done func([]byte, error)) {
+	n.callPeerFor(pingTimeout, address, method, body, done)
+}
+
+// callPeerFor is callPeer with a time limit of its own.
+func (n *Node) callPeerFor(limit time.Duration, address, method string, body any, done func([]byte, error)) {
 	go func() {
-		ctx, cancel := context.WithTimeout(n.ports.ctx, pingTimeout)
+		ctx, cancel := context.WithTimeout(n.ports.ctx, limit)
 		defer cancel()
 		document, err := n.call(ctx, address, method, body)
 		n.edges.Loop.Post(func() { done(document, err) })
@@ -78,40 +69,56 @@
 	if call == nil {
 		return nil, fault.New(fault.InvalidRequest, "not a call about a pool")
 	}
-	var message envelope
-	if err := json.Unmarshal(call.Document, &message); err != nil {
-		return nil, fault.New(fault.InvalidRequest, "%s: %v", call.Method, err)
-	}
-	reply, err := n.servePeer(ctx, call.Method, message)
+	reply, err := n.servePeer(ctx, call.Method, call.Document)
 	if err != nil {
 		return nil, err
 	}
 	return json.Marshal(reply)
 }
 
-func (n *Node) servePeer(ctx context.Context, method string, message envelope) (any, error) {
+// decodeBody reads the body of a call of another node.
+func decodeBody[T any](method string, body []byte) (T, error) {
+	var request T
+	if err := json.Unmarshal(body, &request); err != nil {
+		return request, fault.New(fault.InvalidRequest, "%s: %v", method, err)
+	}
+	return request, nil
+}
+
+func (n *Node) servePeer(ctx context.Context, method string, body []byte) (any, error) {
 	switch method {
 	case methodNews:
-		return n.news(message.Version), nil
+		return n.news(), nil
 	case methodPing, methodSeen:
-		var request pingRequest
-		if err := json.Unmarshal(message.Body, &request); err != nil {
-			return nil, fault.New(fault.InvalidRequest, "%s: %v", method, err)
+		request, err := decodeBody[pingRequest](method, body)
+		if err != nil {
+			return nil, err
 		}
 		if method == methodSeen {
 			return n.serveSeen(ctx, request)
 		}
-		return n.servePing(ctx, request, message.Version)
+		return n.servePing(ctx, request)
 	case methodStore:
-		var request storeRequest
-		if err := json.Unmarshal(message.Body, &request); err != nil {
-			return nil, fault.New(fault.InvalidRequest, "%s: %v", method, err)
+		request, err := decodeBody[storeRequest](method, body)
+		if err != nil {
+			return nil, err
 		}
 		return n.serveStore(ctx, request)
+	case methodChunk:
+		request, err := decodeBody[chunkRequest](method, body)
+		if err != nil {
+			return nil, err
+		}
+		return n.serveChunk(request)
 	}
-	var request jobRequest
-	if err := json.Unmarshal(message.Body, &request); err != nil {
-		return nil, fault.New(fault.InvalidRequest, "%s: %v", method, err)
+	return n.serveJobCall(ctx, method, body)
+}
+
+// serveJobCall answers a call about a job or a queue.
+func (n *Node) serveJobCall(ctx context.Context, method string, body []byte) (any, error) {
+	request, err := decodeBody[jobRequest](method, body)
+	if err != nil {
+		return nil, err
 	}
 	gateway := &Gateway{node: n}
 	switch method {
@@ -125,8 +132,8 @@
 	return nil, fault.New(fault.InvalidRequest, "method %q is not known", method)
 }
 
-func (n *Node) servePing(ctx context.Context, request pingRequest, version int64) (pingReply, error) {
-	reply := pingReply{StoreAgeMillis: n.storeReachedAge().Milliseconds(), StoreLost: n.storeLost(), catalogNews: n.news(version)}
+func (n *Node) servePing(ctx context.Context, request pingRequest) (pingReply, error) {
+	reply := pingReply{StoreAgeMillis: n.storeReachedAge().Milliseconds(), StoreLost: n.storeLost(), catalogNews: n.news()}
 	err := loop.Call(ctx, n.edges.Loop, func() {
 		p := n.owned[request.Pool]
 		if p == nil {
--- a/internal/node/ports.go
+++ b/internal/node/ports.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/fleet"
+	"github.com/wheatroad/wheatroad/internal/progress"
 	"github.com/wheatroad/wheatroad/internal/rows"
 )
 
@@ -15,10 +16,16 @@
 	node *Node
 }
 
-// run calls work with a time limit and posts what it returns.
+// patience lets an answer that begins within limit arrive however slow the link is.
+// Answers that were given up midway and asked for again filled small links for good.
+func patience(limit time.Duration) progress.Patience {
+	return progress.Patience{First: limit, Pause: answerPause, Whole: max(limit, answerLimit)}
+}
+
+// run calls work and posts what it returns. The work's answer has to begin within limit.
 func run[T any](p *ports, limit time.Duration, work func(context.Context) (T, error), done func(T, error)) {
 	go func() {
-		ctx, cancel := context.WithTimeout(p.ctx, limit)
+		ctx, cancel := progress.WithPatience(p.ctx, patience(limit))
 		defer cancel()
 		result, err := work(ctx)
 		p.node.edges.Loop.Post(func() { done(result, err) })
@@ -59,6 +66,24 @@
 	}, done)
 }
 
+// scanDirect and feedDirect read the configuration, without the help of other nodes: what
+// these hold of it they send in chunks (downloadConfiguration).
+func (p *ports) scanDirect(table, part string, done func(rows.Listing, error)) {
+	run(p, storeTimeout, func(ctx context.Context) (rows.Listing, error) {
+		ctx, ended := p.node.noteArriving(ctx)
+		defer ended()
+		return p.node.store.scanDirect(ctx, table, part)
+	}, done)
+}
+
+func (p *ports) feedDirect(table string, after int64, wait time.Duration, done func(rows.Listing, error)) {
+	run(p, wait+p.node.feedSlack(), func(ctx context.Context) (rows.Listing, error) {
+		ctx, ended := p.node.noteArriving(ctx)
+		defer ended()
+		return p.node.store.feedDirect(ctx, table, after, wait)
+	}, done)
+}
+
 // Start implements pool.Ports.
 func (p *ports) Start(to *fleet.Worker, order fleet.Start, done func(fleet.Reply, error)) {
 	target := *to
--- a/internal/node/probe.go
+++ b/internal/node/probe.go
@@ -51,10 +51,13 @@
 		}
 		return n.storeLost()
 	}
+	began := time.Now()
 	ctx, cancel := context.WithTimeout(n.ports.ctx, probeTimeout)
 	defer cancel()
 	_, err := n.probe(ctx)
-	n.noteStoreFailure(err)
+	if !n.storeAnsweredSince(began) {
+		n.noteStoreFailure(err)
+	}
 	n.look.Store(nil)
 	close(look.done)
 	return n.storeLost()
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/wheatroad/wheatroad/internal/mechanism"
+	"github.com/wheatroad/wheatroad/internal/progress"
 	"github.com/wheatroad/wheatroad/internal/rows"
 )
 
@@ -60,6 +61,27 @@
 			return store.Feed(ctx, table, after, wait)
 		})
 	}
+	return s.feedDirect(ctx, table, after, wait)
+}
+
+// errStoreLost ends a direct call to a store that this node lost.
+var errStoreLost = errors.Mark(errors.New("the store does not answer this node"), rows.ErrRefused)
+
+// scanDirect reads a part without the help of other nodes.
+func (s *relayedStore) scanDirect(ctx context.Context, table, part string) (rows.Listing, error) {
+	if s.node.storeLost() {
+		return rows.Listing{}, errStoreLost
+	}
+	listing, err := s.direct.Scan(ctx, table, part, "")
+	s.node.noteStore(err)
+	return listing, err
+}
+
+// feedDirect is Feed without the help of other nodes.
+func (s *relayedStore) feedDirect(ctx context.Context, table string, after int64, wait time.Duration) (rows.Listing, error) {
+	if s.node.storeLost() {
+		return rows.Listing{}, errStoreLost
+	}
 	ctx, done := s.node.feeds.add(ctx, wait)
 	defer done()
 	listing, err := s.direct.Feed(ctx, table, after, wait)
@@ -68,7 +90,11 @@
 	}
 	s.node.noteFeed(err)
 	s.node.noteStore(err)
-	s.node.noteStoreFailure(err)
+	if !errors.Is(err, rows.ErrNoAnswer) || s.node.storeAge() > probeTimeout {
+		// A feed without an answer says nothing of a store that answers other calls: its
+		// answer may wait behind a larger one.
+		s.node.noteStoreFailure(err)
+	}
 	return listing, err
 }
 
@@ -147,7 +173,8 @@
 	return a
 }
 
-// relay makes a call through other nodes, one after another, each for up to limit.
+// relay makes a call through other nodes, one after another. The answer of each has to
+// begin within limit.
 func relay[T any](ctx context.Context, s *relayedStore, limit time.Duration, call storeCall[T]) (T, error) {
 	var none T
 	failure := errors.Mark(errors.New("no other node has the store"), rows.ErrRefused)
@@ -158,7 +185,7 @@
 		return none, failure
 	}
 	for _, address := range s.relays() {
-		tryContext, cancel := context.WithTimeout(ctx, limit)
+		tryContext, cancel := progress.WithPatience(ctx, patience(limit))
 		result, err := call(tryContext, &peerStore{node: s.node, address: address})
 		cancel()
 		tried := attempt[T]{result, err}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -10,6 +10,7 @@
 
 	"github.com/wheatroad/wheatroad/internal/fault"
 	"github.com/wheatroad/wheatroad/internal/peer/peerpb"
+	"github.com/wheatroad/wheatroad/internal/progress"
 )
 
 // Dialer opens a connection to another node.
@@ -43,8 +44,8 @@
 // NoOwner means that the request did not reach the other node; OutcomeUnknown that
 // it may have.
 func (c *Client) Call(ctx context.Context, address string, request *peerpb.Request) ([]byte, error) {
-	if deadline, ok := ctx.Deadline(); ok {
-		request.BudgetMillis = time.Until(deadline).Milliseconds()
+	if by, bounded := progress.AnswerBy(ctx); bounded {
+		request.BudgetMillis = time.Until(by).Milliseconds()
 	}
 	session, err := c.session(ctx, address)
 	if err != nil {
@@ -76,7 +77,7 @@
 		return nil, err
 	}
 	response := &peerpb.Response{}
-	err := readMessage(stream, response)
+	err := readMessage(progress.Reader(ctx, stream), response)
 	return response, err
 }
 
--- a/internal/progress/progress.go
+++ b/internal/progress/progress.go
@@ -9,9 +9,16 @@
 type observerKey struct{}
 
 // With returns a context for a call whose answer's bytes are reported to arrived, as they
-// come, on the goroutine that reads them.
+// come, on the goroutine that reads them. Observers of the given context are told too.
 func With(ctx context.Context, arrived func(bytes int)) context.Context {
-	return context.WithValue(ctx, observerKey{}, arrived)
+	outer, ok := ctx.Value(observerKey{}).(func(bytes int))
+	if !ok {
+		return context.WithValue(ctx, observerKey{}, arrived)
+	}
+	return context.WithValue(ctx, observerKey{}, func(bytes int) {
+		arrived(bytes)
+		outer(bytes)
+	})
 }
 
 // Reader returns a reader that reports what is read from source to the context's
@@ -24,6 +31,10 @@
 	return &observedReader{source: source, arrived: arrived}
 }
 
+// pieceBytes is the most that one read asks for. A reader of chunked answers returns only
+// once the buffer is full, so that a large buffer would hide for seconds that bytes arrive.
+const pieceBytes = 8 << 10
+
 type observedReader struct {
 	source  io.Reader
 	arrived func(bytes int)
@@ -31,7 +42,7 @@
 
 // Read implements io.Reader.
 func (r *observedReader) Read(buffer []byte) (int, error) {
-	count, err := r.source.Read(buffer)
+	count, err := r.source.Read(buffer[:min(len(buffer), pieceBytes)])
 	if count > 0 {
 		r.arrived(count)
 	}
--- a/internal/progress/progress_test.go
+++ b/internal/progress/progress_test.go
@@ -26,3 +26,16 @@
 	source := strings.NewReader("abc")
 	require.Same(t, source, Reader(context.Background(), source))
 }
+
+// fullReader fills every buffer, however long that takes.
+type fullReader struct{}
+
+func (fullReader) Read(buffer []byte) (int, error) { return len(buffer), nil }
+
+func TestLargeReadsAreReportedInPieces(t *testing.T) {
+	reported := 0
+	ctx := With(context.Background(), func(bytes int) { reported = bytes })
+	_, err := Reader(ctx, fullReader{}).Read(make([]byte, 1<<20))
+	require.NoError(t, err)
+	require.Equal(t, pieceBytes, reported)
+}
