Soak: slow links and a configuration that grows

Cause: the soak drew neither slow links nor large configurations, and so could not show that nodes on small links never get a large configuration. Change: a second random stream of the seed (NewLinks) gives a third of the seeds a rate for each daemon's link to the store (300 to 1,500 KB/s, some without a limit) and one or two moments at which the configuration grows by 500 to 3,000 queues; the report shows them. Rates are raised so that one version takes at most 2 s. Plans are drawn as before, and seed 619 of soak/regressions.txt draws no links (TestKeptSeedReplaysItsFaults). Versions are counted by puts, so that they rise whoever puts one; a version with other keys keeps the extra queues. The judge is unchanged: slow links are no trouble to it.

--- a/cmd/wheatroad-bench/faults/faults_test.go
+++ b/cmd/wheatroad-bench/faults/faults_test.go
@@ -34,6 +34,79 @@
 	require.Len(t, drawn, len(Kinds()), "every kind comes")
 }
 
+func TestLinksAreTheSameForASeed(t *testing.T) {
+	const (
+		seeds   = 300
+		daemons = 3
+	)
+	drawn, unlimited := 0, 0
+	for seed := range uint64(seeds) {
+		links := NewLinks(seed, time.Minute, daemons)
+		require.Equal(t, links, NewLinks(seed, time.Minute, daemons))
+		if len(links.Rates) == 0 {
+			require.Empty(t, links.Growths)
+			continue
+		}
+		drawn++
+		require.Len(t, links.Rates, daemons)
+		require.NotEmpty(t, links.Growths)
+		queues := 0
+		for _, growth := range links.Growths {
+			require.Less(t, growth.At, time.Minute)
+			require.GreaterOrEqual(t, growth.Queues, smallestGrowth)
+			queues += growth.Queues
+		}
+		for _, rate := range links.Rates {
+			if rate == 0 {
+				unlimited++
+				continue
+			}
+			require.GreaterOrEqual(t, rate, slowestLink)
+			transfer := time.Duration(queues*queueBytes) * time.Second / time.Duration(rate)
+			require.LessOrEqual(t, transfer.Truncate(time.Millisecond), longestTransfer)
+		}
+	}
+	require.InDelta(t, seeds/linksEvery, drawn, seeds/10)
+	require.Positive(t, unlimited)
+	require.Less(t, unlimited, drawn*daemons, "some links are slow")
+}
+
+// TestKeptSeedReplaysItsFaults: a seed of soak/regressions.txt draws the faults that it was
+// kept for, and no slow links.
+func TestKeptSeedReplaysItsFaults(t *testing.T) {
+	const (
+		seed    = 619
+		length  = 13 * time.Second
+		daemons = 3
+	)
+	require.Empty(t, NewLinks(seed, length, daemons))
+	plan := NewPlan(seed, length)
+	require.Len(t, plan, 12)
+	require.Equal(t, []Fault{
+		{At: 1000000000, Kind: NewKey, Target: 6273, Length: 2716201444},
+		{At: 1083742869, Kind: PlannedStop, Target: 54738, Length: 2396528425},
+		{At: 1649385124, Kind: DelayLink, Target: 23469, Length: 2452502178},
+		{At: 2563515067, Kind: CutAnswerLink, Target: 40259, Length: 1824231964},
+	}, plan[:4])
+	require.Equal(t, Fault{At: 11899188807, Kind: ResetLink, Target: 1654, Length: 3864325320}, plan[11])
+}
+
+// TestVersionsRiseAndKeepWhatGrew: a configuration with other keys keeps the extra queues,
+// a grown one keeps the keys, and each has a higher version than the one before.
+func TestVersionsRiseAndKeepWhatGrew(t *testing.T) {
+	r, _ := judging(t)
+	r.putFirst()
+	first := r.configuration
+	r.putConfiguration(func(c *standin.Configuration) { c.ExtraQueues += 7 })
+	grown := r.configuration
+	require.Equal(t, first.Keys, grown.Keys)
+	require.Greater(t, grown.Version, first.Version)
+	r.replaceKey()
+	require.Equal(t, 7, r.configuration.ExtraQueues)
+	require.Equal(t, []string{keyName(1), keyName(2)}, r.configuration.Keys)
+	require.Greater(t, r.configuration.Version, grown.Version)
+}
+
 // echo answers each byte with itself.
 func echo(t *testing.T) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/cmd/wheatroad-bench/faults/run.go
+++ b/cmd/wheatroad-bench/faults/run.go
@@ -37,6 +37,8 @@
 	Broken []string `json:"broken"`
 	// Faults counts what was injected, by kind.
 	Faults map[Kind]int `json:"faults"`
+	// Links are the rates of the daemons' links and the growth of the configuration.
+	Links Links `json:"links"`
 	// Answers counts what callers got, by call and status.
 	Answers map[string]int `json:"answers"`
 	// States counts accepted jobs by their state at the end.
@@ -55,6 +57,11 @@
 
 	keyMutex   sync.Mutex
 	keyVersion int
+
+	// configurationMutex is held while a version is put, so that versions only rise.
+	configurationMutex sync.Mutex
+	// configuration is the newest version.
+	configuration standin.Configuration
 }
 
 const (
@@ -78,7 +85,7 @@
 	}
 	defer platform.Close()
 	r := &run{options: options, platform: platform, closed: make(chan struct{}), ledger: ledger{answers: map[string]int{}}}
-	r.putKeys(1)
+	r.putFirst()
 	defer r.end()
 	if err := r.start(); err != nil {
 		return nil, err
@@ -136,6 +143,8 @@
 		callers.Go(func() { r.callerLoop(number) })
 	}
 	began := time.Now()
+	report.Links = NewLinks(r.options.Seed, r.options.Length, len(r.daemons))
+	r.applyLinks(report.Links, began, &ends)
 	for _, fault := range NewPlan(r.options.Seed, r.options.Length) {
 		time.Sleep(time.Until(began.Add(fault.At)))
 		report.Faults[fault.Kind]++
@@ -152,6 +161,20 @@
 	callers.Wait()
 }
 
+// applyLinks limits the daemons' links, for the rest of the run, and lets the
+// configuration grow in time.
+func (r *run) applyLinks(links Links, began time.Time, ends *sync.WaitGroup) {
+	for number, rate := range links.Rates {
+		r.daemons[number].proxy.SetRate(rate)
+	}
+	for _, growth := range links.Growths {
+		ends.Go(func() {
+			time.Sleep(time.Until(began.Add(growth.At)))
+			r.putConfiguration(func(c *standin.Configuration) { c.ExtraQueues += growth.Queues })
+		})
+	}
+}
+
 // settle waits until every accepted job has ended.
 func (r *run) settle(report *Report) {
 	caller := standin.NewCaller(callLimit)
@@ -235,7 +258,7 @@
 	r.keyMutex.Lock()
 	version := r.keyVersion + 1
 	r.keyMutex.Unlock()
-	r.putConfiguration(2*version, keyName(version-1), keyName(version))
+	r.putKeys(keyName(version-1), keyName(version))
 	time.AfterFunc(keyOverlap/2, func() {
 		r.keyMutex.Lock()
 		r.keyVersion = max(r.keyVersion, version)
@@ -243,13 +266,24 @@
 	})
 }
 
-func (r *run) putKeys(version int) {
-	r.keyVersion = version
-	r.putConfiguration(2*version, keyName(version))
+// putFirst puts the first configuration.
+func (r *run) putFirst() {
+	r.keyVersion = 1
+	r.configuration = standin.Configuration{MaxAttempts: maxAttempts, Priority: 1}
+	r.putKeys(keyName(r.keyVersion))
+}
+
+func (r *run) putKeys(keys ...string) {
+	r.putConfiguration(func(c *standin.Configuration) { c.Keys = keys })
 }
 
-func (r *run) putConfiguration(version int, keys ...string) {
-	r.platform.PutConfiguration(standin.Configuration{Version: version, Keys: keys, MaxAttempts: maxAttempts, Priority: 1})
+// putConfiguration puts the next version: the newest one with a change.
+func (r *run) putConfiguration(change func(*standin.Configuration)) {
+	r.configurationMutex.Lock()
+	defer r.configurationMutex.Unlock()
+	change(&r.configuration)
+	r.configuration.Version++
+	r.platform.PutConfiguration(r.configuration)
 }
 
 // NewFolder makes a folder for a run's settings and logs.
--- a/cmd/wheatroad-bench/faults/slow_links_test.go
+++ b/cmd/wheatroad-bench/faults/slow_links_test.go
@@ -59,14 +59,15 @@
 		options:  Options{Program: buildDaemon(t), Daemons: 3, Folder: t.TempDir()},
 		platform: platform, ledger: ledger{answers: map[string]int{}},
 	}
-	r.putKeys(1)
+	r.putFirst()
 	t.Cleanup(r.end)
 	require.NoError(t, r.start())
 	for _, d := range r.daemons {
 		d.proxy.SetRate(slowLink)
 	}
-	platform.PutConfiguration(standin.Configuration{
-		Version: 4, Keys: []string{keyName(1), keyName(2)}, MaxAttempts: maxAttempts, Priority: 1, ExtraQueues: grownQueues,
+	r.putConfiguration(func(c *standin.Configuration) {
+		c.Keys = append(c.Keys, keyName(2))
+		c.ExtraQueues = grownQueues
 	})
 	deadline := time.Now().Add(grownLimit)
 	for _, d := range r.daemons {
@@ -114,7 +115,7 @@
 		options:  Options{Program: buildDaemon(t), Daemons: 1, Folder: t.TempDir()},
 		platform: platform, ledger: ledger{answers: map[string]int{}},
 	}
-	r.putKeys(1)
+	r.putFirst()
 	t.Cleanup(r.end)
 	d, err := newDaemon(0, r.options.Program, r.options.Folder, platform.Address())
 	require.NoError(t, err)
