--- a/internal/node/arriving_answers_test.go
+++ b/internal/node/arriving_answers_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/wheatroad/wheatroad/internal/catalog"
@@ -135,11 +136,19 @@
 	require.False(t, n.confirmed.Load().After(begun), "confirmed %v after its beginning", n.confirmed.Load().Sub(begun))
 }
 
-// pacedStore answers a scan slowly and without a stop.
+// pacedStore answers slowly and without a stop.
 type pacedStore struct{ rows.Store }
 
-func (pacedStore) Scan(ctx context.Context, _, _, _ string) (rows.Listing, error) {
-	for began := time.Now(); time.Since(began) < storeTimeout+200*time.Millisecond; {
+func (s pacedStore) Scan(ctx context.Context, _, _, _ string) (rows.Listing, error) {
+	return s.answer(ctx, storeTimeout+200*time.Millisecond)
+}
+
+func (s pacedStore) Feed(ctx context.Context, _ string, _ int64, wait time.Duration) (rows.Listing, error) {
+	return s.answer(ctx, wait+feedSlack+200*time.Millisecond)
+}
+
+func (pacedStore) answer(ctx context.Context, takes time.Duration) (rows.Listing, error) {
+	for began := time.Now(); time.Since(began) < takes; {
 		arrive(ctx, 8<<10)
 		time.Sleep(10 * time.Millisecond)
 		if ctx.Err() != nil {
@@ -149,14 +158,35 @@
 	return rows.Listing{Version: 7}, nil
 }
 
-func TestScanThatArrivesSlowlyIsWaitedFor(t *testing.T) {
+func TestAnswersThatArriveSlowlyAreWaitedFor(t *testing.T) {
 	n := runningNode(t, pacedStore{}, peer.NewClient(nil))
-	listings := make(chan rows.Listing, 1)
-	n.ports.Scan(pool.JobTable, "part", "", func(listing rows.Listing, err error) {
-		require.NoError(t, err)
-		listings <- listing
-	})
-	require.Equal(t, int64(7), (<-listings).Version)
+	calls := map[string]func(done func(rows.Listing, error)){
+		"scan":                      func(done func(rows.Listing, error)) { n.ports.Scan(pool.JobTable, "part", "", done) },
+		"feed":                      func(done func(rows.Listing, error)) { n.ports.feedFor(pool.JobTable, 1, 0, done) },
+		"scan of the configuration": func(done func(rows.Listing, error)) { n.ports.scanDirect("operator", "", done) },
+		"feed of the configuration": func(done func(rows.Listing, error)) { n.ports.feedDirect("operator", 1, 0, done) },
+	}
+	for name, call := range calls {
+		t.Run(name, func(t *testing.T) {
+			answers := make(chan error, 1)
+			call(func(_ rows.Listing, err error) { answers <- err })
+			require.NoError(t, <-answers)
+		})
+	}
+}
+
+// TestLargeAnswerThroughAnotherNodeIsWaitedFor: it takes longer over a small link than its
+// beginning may take.
+func TestLargeAnswerThroughAnotherNodeIsWaitedFor(t *testing.T) {
+	listing := rows.Listing{Version: 7, Rows: []rows.Row{{Key: rows.Key{Name: "large"}, Value: make([]byte, largeConfiguration/2)}}}
+	small := &link{bytesPerSecond: smallLink}
+	n := runningNode(t, refusingStore{}, peer.NewClient(small.dial))
+	address := servePeers(t, newGateway(t, &fixedStore{listing: listing}).node)
+	n.view.Store(&view{members: []member{{Name: "node-2", Address: address}}})
+	n.noteStoreFailure(rows.ErrRefused)
+	result, err := n.store.Feed(context.Background(), pool.JobTable, 1, time.Millisecond)
+	require.NoError(t, err)
+	require.Equal(t, int64(7), result.Version)
 }
 
 // TestScanThroughAnotherNodeIsWaitedFor: the other node reads slowly from the store, and the
@@ -186,6 +216,17 @@
 	return s.listing, nil
 }
 
+func (s *fixedStore) Feed(context.Context, string, int64, time.Duration) (rows.Listing, error) {
+	return s.listing, nil
+}
+
+// TestSendingTakesTime: what a transaction takes to send counts with the limits of its call.
+func TestSendingTakesTime(t *testing.T) {
+	require.Zero(t, uploadTime(rows.Transaction{}))
+	transaction := rows.Transaction{Puts: []rows.Put{{Value: make([]byte, 3*leastUpload)}}}
+	require.Equal(t, 4*time.Second, uploadTime(transaction), "a third more in base64")
+}
+
 // TestOtherNodesAreAskedOnceTheStoreTakesTooLong: while the store brings a configuration
 // nobody else is asked, since both would share the link; one that never becomes whole must
 // not keep it from coming from elsewhere.
@@ -203,12 +244,12 @@
 	n.configurationArriving.Store(ago(0))
 	onLoop(t, n, func() {
 		n.takeNews(address, catalogNews{Version: 2}, time.Now())
-		require.False(t, n.download.active)
+		assert.False(t, n.download.active)
 	})
 	n.configurationArriving.Store(ago(storeHeadStart))
 	onLoop(t, n, func() {
 		n.takeNews(address, catalogNews{Version: 2}, time.Now())
-		require.True(t, n.download.active)
+		assert.True(t, n.download.active)
 	})
 	requireVersion(t, n, 2)
 }
@@ -240,9 +281,9 @@
 	onLoop(t, n, func() {
 		n.download = download{document: document{version: 2}, active: true}
 		n.takeChunk(unreachable(t), chunkRequest{Version: 2}, first)
-		require.Len(t, n.download.content, chunkBytes)
+		assert.Len(t, n.download.content, chunkBytes)
 		n.downloadConfiguration(unreachable(t), 3)
-		require.Equal(t, int64(2), n.download.version, "one transfer at a time")
+		assert.Equal(t, int64(2), n.download.version, "one transfer at a time")
 	})
 	require.Eventually(t, func() bool {
 		active := true
@@ -256,7 +297,7 @@
 	address := servePeers(t, source)
 	onLoop(t, n, func() {
 		n.downloadConfiguration(address, 2)
-		require.Len(t, n.download.content, chunkBytes, "it goes on from there")
+		assert.Len(t, n.download.content, chunkBytes, "it goes on from there")
 	})
 	requireVersion(t, n, 2)
 }
@@ -326,7 +367,7 @@
 	onLoop(t, n, func() {
 		n.download = download{document: document{version: 6}, active: true}
 		n.takeChunk("", chunkRequest{Version: 6}, chunkReply{Version: 4, Size: len(content), Content: content})
-		require.Equal(t, download{}, n.download)
+		assert.Equal(t, download{}, n.download)
 	})
 	require.Equal(t, int64(5), n.catalog.Load().Version)
 }
--- a/internal/node/peer_store.go
+++ b/internal/node/peer_store.go
@@ -8,7 +8,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/wheatroad/wheatroad/internal/fault"
-	"github.com/wheatroad/wheatroad/internal/progress"
 	"github.com/wheatroad/wheatroad/internal/rows"
 )
 
@@ -92,12 +91,6 @@
 	if n.storeLost() {
 		return reply, fault.New(fault.StoreUnavailable, "this node has lost the store too")
 	}
-	if by, bounded := progress.AnswerBy(ctx); bounded {
-		// The asking node waits on while its answer is read, as long as that comes on.
-		patient, cancel := progress.WithPatience(context.WithoutCancel(ctx), patience(time.Until(by)))
-		defer cancel()
-		ctx = patient
-	}
 	var err error
 	switch {
 	case request.Commit != nil:
