--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/fault"
-	"github.com/wheatroad/wheatroad/internal/loop"
 	"github.com/wheatroad/wheatroad/internal/peer/peerpb"
 	"github.com/wheatroad/wheatroad/internal/taskgraph"
 )
@@ -132,30 +132,17 @@
 	return nil, fault.New(fault.InvalidRequest, "method %q is not known", method)
 }
 
-func (n *Node) servePing(ctx context.Context, request pingRequest) (pingReply, error) {
-	reply := pingReply{StoreAgeMillis: n.storeReachedAge().Milliseconds(), StoreLost: n.storeLost(), catalogNews: n.news()}
-	err := loop.Call(ctx, n.edges.Loop, func() {
-		p := n.owned[request.Pool]
-		if p == nil {
-			return
-		}
-		reply.Owner = true
-		if p.Loaded() {
-			reply.Waiting = p.Waiting()
-		}
-	})
-	return reply, err
-}
-
-func (n *Node) serveSeen(ctx context.Context, request pingRequest) (seenReply, error) {
-	var reply seenReply
-	err := loop.Call(ctx, n.edges.Loop, func() {
-		w := n.watches[request.Pool]
-		reply.Seen = n.owned[request.Pool] != nil ||
-			w != nil && w.failures == 0 && n.now().Sub(w.answeredAt) < seenLimit
-	})
-	return reply, err
-}
-
 // handOverLimit bounds the wait for a loop that must answer a traffic goroutine.
 const handOverLimit = 500 * time.Millisecond
+
+// otherMembers lists the members besides this node and one more, in random order.
+func (n *Node) otherMembers(but string) []member {
+	var others []member
+	for _, name := range sortedKeys(n.members) {
+		if name != n.options.Name && name != but {
+			others = append(others, n.members[name])
+		}
+	}
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return others
+}
--- a/internal/node/gossip.go
+++ b/internal/node/pings.go
@@ -1,12 +1,12 @@
 package node
 
 import (
+	"context"
 	"encoding/json"
-	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/fault"
+	"github.com/wheatroad/wheatroad/internal/loop"
 	"github.com/wheatroad/wheatroad/internal/mechanism"
 )
 
@@ -27,13 +27,6 @@
 	catalogNews
 }
 
-// catalogNews says how new a node's configuration is.
-type catalogNews struct {
-	Version int64 `json:"version"`
-	// AgeMillis is how long ago the configuration was known to be the newest.
-	AgeMillis int64 `json:"age_ms"`
-}
-
 // guardCount is how many nodes watch a pool's owner closely: those that would take the
 // pool first. The owner's share of pings stays bounded however many nodes there are.
 const guardCount = 8
@@ -152,117 +145,18 @@
 	}
 }
 
-// witnessCount is how many other nodes are asked whether they see an owner.
-const witnessCount = 3
-
-// askWitnesses asks other nodes whether they see a pool's owner. A node that no
-// other answers is itself cut off and counts as if the owner were seen.
-func (n *Node) askWitnesses(w *watch, done func(seen bool)) {
-	asked := n.witnesses(w.pool)
-	if len(asked) == 0 {
-		done(false)
-		return
-	}
-	left, answers, seen := len(asked), 0, false
-	for _, other := range asked {
-		n.callPeer(other.Address, methodSeen, pingRequest{Pool: w.pool}, func(document []byte, err error) {
-			left--
-			var reply seenReply
-			if err == nil && json.Unmarshal(document, &reply) == nil {
-				answers++
-				seen = seen || reply.Seen
-			}
-			if left == 0 {
-				done(seen)
-			}
-		})
-	}
-}
-
-// witnesses lists some of the guards of a pool's owner, who know of it from lately.
-func (n *Node) witnesses(name string) []member {
-	others := n.otherMembers(n.leases[name].Owner)
-	slices.SortStableFunc(others, func(a, b member) int {
-		if precedes(name, a, b) {
-			return -1
-		}
-		return 1
-	})
-	guards := others[:min(guardCount, len(others))]
-	rand.Shuffle(len(guards), func(i, j int) { guards[i], guards[j] = guards[j], guards[i] })
-	return guards[:min(witnessCount, len(guards))]
-}
-
-// seenReply says whether a node sees a pool's owner in good health.
-type seenReply struct {
-	Seen bool `json:"seen"`
-}
-
-// seenLimit is how old a good answer of an owner may be: one that a guard has missed two
-// pings of is older.
-const seenLimit = 600 * time.Millisecond
-
-// otherMembers lists the members besides this node and one more, in random order.
-func (n *Node) otherMembers(but string) []member {
-	var others []member
-	for _, name := range sortedKeys(n.members) {
-		if name != n.options.Name && name != but {
-			others = append(others, n.members[name])
+// servePing answers another node about a pool.
+func (n *Node) servePing(ctx context.Context, request pingRequest) (pingReply, error) {
+	reply := pingReply{StoreAgeMillis: n.storeReachedAge().Milliseconds(), StoreLost: n.storeLost(), catalogNews: n.news()}
+	err := loop.Call(ctx, n.edges.Loop, func() {
+		p := n.owned[request.Pool]
+		if p == nil {
+			return
 		}
-	}
-	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	return others
-}
-
-// takeNews takes in what the node at an address knows of the configuration, asked at a time. Its
-// age counts from then: counted from the answer it would seem newer by the way, and two
-// nodes that tell each other over slow links would never see it age.
-func (n *Node) takeNews(address string, news catalogNews, askedAt time.Time) {
-	current := n.catalog.Load()
-	if current == nil || current.Version < news.Version {
-		n.downloadConfiguration(address, news.Version)
-		return
-	}
-	at := askedAt.Add(-time.Duration(news.AgeMillis) * time.Millisecond)
-	n.confirm(at)
-	n.toldByPeer.Store(&at)
-}
-
-// news says how new this node's configuration is. It may be called anywhere.
-func (n *Node) news() catalogNews {
-	news := catalogNews{AgeMillis: age(n.confirmed.Load()).Milliseconds()}
-	if current := n.catalog.Load(); current != nil {
-		news.Version = current.Version
-	}
-	return news
-}
-
-// seekPeriod is how often a node without news from the store asks another.
-const seekPeriod = 400 * time.Millisecond
-
-// seekAge is the age of the configuration's confirmation from which others are asked:
-// the store has not answered this node's question by then.
-const seekAge = staleConfirmation + 400*time.Millisecond
-
-// seekConfiguration asks other nodes for the configuration while the store does
-// not tell it.
-func (n *Node) seekConfiguration() {
-	limit := seekAge
-	if n.storeLost() {
-		// No answer of the store is under way.
-		limit = staleConfirmation
-	}
-	if age(n.confirmed.Load()) > limit {
-		others := n.otherMembers("")
-		askedAt := time.Now()
-		for _, other := range others[:min(2, len(others))] {
-			n.callPeer(other.Address, methodNews, struct{}{}, func(document []byte, err error) {
-				var news catalogNews
-				if err == nil && json.Unmarshal(document, &news) == nil {
-					n.takeNews(other.Address, news, askedAt)
-				}
-			})
+		reply.Owner = true
+		if p.Loaded() {
+			reply.Waiting = p.Waiting()
 		}
-	}
-	n.edges.Loop.After(seekPeriod, n.seekConfiguration)
+	})
+	return reply, err
 }
--- /dev/null
+++ b/internal/node/witnesses.go
@@ -0,0 +1,72 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/wheatroad/wheatroad/internal/loop"
+)
+
+// witnessCount is how many other nodes are asked whether they see an owner.
+const witnessCount = 3
+
+// askWitnesses asks other nodes whether they see a pool's owner. A node that no other
+// answers may be the only one left, so that no answer counts as not seen; one that is cut
+// off from all others can at worst take a pool that still has an owner, which is safe.
+func (n *Node) askWitnesses(w *watch, done func(seen bool)) {
+	asked := n.witnesses(w.pool)
+	if len(asked) == 0 {
+		done(false)
+		return
+	}
+	left, seen := len(asked), false
+	for _, other := range asked {
+		n.callPeer(other.Address, methodSeen, pingRequest{Pool: w.pool}, func(document []byte, err error) {
+			left--
+			var reply seenReply
+			if err == nil && json.Unmarshal(document, &reply) == nil {
+				seen = seen || reply.Seen
+			}
+			if left == 0 {
+				done(seen)
+			}
+		})
+	}
+}
+
+// witnesses lists some of the guards of a pool's owner, who know of it from lately.
+func (n *Node) witnesses(name string) []member {
+	others := n.otherMembers(n.leases[name].Owner)
+	slices.SortStableFunc(others, func(a, b member) int {
+		if precedes(name, a, b) {
+			return -1
+		}
+		return 1
+	})
+	guards := others[:min(guardCount, len(others))]
+	rand.Shuffle(len(guards), func(i, j int) { guards[i], guards[j] = guards[j], guards[i] })
+	return guards[:min(witnessCount, len(guards))]
+}
+
+// seenReply says whether a node sees a pool's owner in good health.
+type seenReply struct {
+	Seen bool `json:"seen"`
+}
+
+// seenLimit is how old a good answer of an owner may be: one that a guard has missed two
+// pings of is older.
+const seenLimit = 600 * time.Millisecond
+
+// serveSeen answers another node whether this one sees a pool's owner.
+func (n *Node) serveSeen(ctx context.Context, request pingRequest) (seenReply, error) {
+	var reply seenReply
+	err := loop.Call(ctx, n.edges.Loop, func() {
+		w := n.watches[request.Pool]
+		reply.Seen = n.owned[request.Pool] != nil ||
+			w != nil && w.failures == 0 && n.now().Sub(w.answeredAt) < seenLimit
+	})
+	return reply, err
+}
