--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -137,3 +137,26 @@
 	}
 	<-session.CloseChan()
 }
+
+// pieceRecorder keeps what is written and the largest piece of it.
+type pieceRecorder struct {
+	bytes.Buffer
+	largest int
+}
+
+func (r *pieceRecorder) Write(content []byte) (int, error) {
+	r.largest = max(r.largest, len(content))
+	return r.Buffer.Write(content)
+}
+
+// TestLargeMessagesAreWrittenInPieces: an answer of a megabyte in one frame held up the
+// pings of the same connection for longer than these wait.
+func TestLargeMessagesAreWrittenInPieces(t *testing.T) {
+	sent := &peerpb.Response{Id: "7", Document: bytes.Repeat([]byte("x"), 1<<20)}
+	var recorder pieceRecorder
+	require.NoError(t, writeMessage(&recorder, sent))
+	require.Equal(t, pieceBytes, recorder.largest)
+	received := &peerpb.Response{}
+	require.NoError(t, readMessage(&recorder.Buffer, received))
+	require.Equal(t, sent.Document, received.Document)
+}
