Sending counts with a call's limits; reads through other nodes end once the store is back

In the owner's writer, which smaller batches show more often: rows left over from a full batch waited for the delay of a later end, functions that wait for earlier rows waited for all later ones too. Change: rows.SendTime counts with the bounds of direct calls, of those through others, and of trying the next part; callBounds says what a call may take each way; reading calls through others are called off once the store answers; only rows of jobs get the long bound; leftovers go at once; functions wait for the rows before them; a batch is closed before the row that exceeds it. Tests for each.

--- a/internal/node/arriving_answers_test.go
+++ b/internal/node/arriving_answers_test.go
@@ -206,6 +206,26 @@
 	}
 }
 
+// TestScanThroughASilentNodeEndsOnceTheStoreIsBack: it hung for the whole time that other
+// nodes are given, 6 s, while a new owner read its rows.
+func TestScanThroughASilentNodeEndsOnceTheStoreIsBack(t *testing.T) {
+	n := runningNode(t, newFakeStore(), peer.NewClient(nil))
+	address := servePeers(t, newGateway(t, hangingStore{}).node)
+	n.view.Store(&view{members: []member{{Name: "node-2", Address: address}}})
+	n.noteStoreFailure(rows.ErrRefused)
+	ended := make(chan error, 1)
+	began := time.Now()
+	n.ports.Scan(pool.JobTable, "part", "", func(_ rows.Listing, err error) { ended <- err })
+	require.Eventually(t, func() bool {
+		n.store.reads.mutex.Lock()
+		defer n.store.reads.mutex.Unlock()
+		return len(n.store.reads.open) == 1
+	}, time.Minute, time.Millisecond)
+	n.noteStore(nil)
+	require.Error(t, <-ended)
+	require.Less(t, time.Since(began), relayScanTimeout)
+}
+
 // fixedStore answers each scan at once with the same listing.
 type fixedStore struct {
 	rows.Store
@@ -220,13 +240,6 @@
 	return s.listing, nil
 }
 
-// TestSendingTakesTime: what a transaction takes to send counts with the limits of its call.
-func TestSendingTakesTime(t *testing.T) {
-	require.Zero(t, uploadTime(rows.Transaction{}))
-	transaction := rows.Transaction{Puts: []rows.Put{{Value: make([]byte, 3*leastUpload)}}}
-	require.Equal(t, 4*time.Second, uploadTime(transaction), "a third more in base64")
-}
-
 // TestOtherNodesAreAskedOnceTheStoreTakesTooLong: while the store brings a configuration
 // nobody else is asked, since both would share the link; one that never becomes whole must
 // not keep it from coming from elsewhere.
@@ -339,6 +352,7 @@
 	require.Len(t, served.kept, 1)
 	for version := range int64(2 * mostServed) {
 		served.find(version+10, &document{version: version + 10})
+		require.Equal(t, newest, served.find(9, &document{version: version + 10}), "one that is being fetched stays")
 	}
 	require.Len(t, served.kept, mostServed)
 	for i := range served.kept {
--- a/internal/node/configuration_transfer.go
+++ b/internal/node/configuration_transfer.go
@@ -21,8 +21,8 @@
 	// storeHeadStart is how long the store's own answer may take before other nodes are
 	// asked as well: 1.8 MB on a link of 10 Mbit/s, within the least bound of 2 s.
 	storeHeadStart = 1500 * time.Millisecond
-	// servedFor is how long a version that was replaced stays for those who fetch it,
-	// after their last call: a version that replaces it sooner than a transfer takes would
+	// servedFor is how long a version that was replaced counts as being fetched after the
+	// last call for it: a version that replaces it sooner than a transfer takes would
 	// otherwise make them begin anew, for as long as changes come.
 	servedFor = 2 * chunkTimeout
 	// mostServed bounds the versions that are kept for that.
@@ -137,7 +137,7 @@
 }
 
 // find returns a version that is being fetched, and otherwise the newest one, which it
-// keeps for the calls to come.
+// keeps for the calls to come. Versions that nobody fetches any more go with the next call.
 func (s *servedDocuments) find(version int64, newest *document) *document {
 	if newest == nil {
 		return nil
@@ -155,12 +155,18 @@
 		}
 	}
 	if len(s.kept) == mostServed {
-		s.kept = s.kept[1:]
+		s.dropLeastAsked()
 	}
 	s.kept = append(s.kept, servedDocument{document: newest, askedAt: now})
 	return newest
 }
 
+// dropLeastAsked drops the version whose last call is the oldest. The mutex is held.
+func (s *servedDocuments) dropLeastAsked() {
+	oldest := slices.MinFunc(s.kept, func(a, b servedDocument) int { return a.askedAt.Compare(b.askedAt) })
+	s.kept = slices.DeleteFunc(s.kept, func(d servedDocument) bool { return d.document == oldest.document })
+}
+
 // noteArriving notes that an answer of the store about the configuration arrives, from its
 // first byte until the returned function is called.
 func (n *Node) noteArriving(ctx context.Context) (context.Context, func()) {
--- a/internal/node/feeds.go
+++ b/internal/node/feeds.go
@@ -34,8 +34,8 @@
 // errCalledOff ends a feed that waits too long for what is wanted now.
 var errCalledOff = errors.New("feed called off")
 
-// openFeeds are the direct feeds that wait for the store, so that they can be called
-// off. Its methods may be called anywhere.
+// openFeeds are feeds, and other calls that only read, which wait for the store, so that
+// they can be called off. Its methods may be called anywhere.
 type openFeeds struct {
 	mutex  sync.Mutex
 	serial int
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -152,8 +152,9 @@
 	}
 }
 
-// storeBack makes the calls again that wait for the store.
+// storeBack makes the calls again that wait for the store, by itself or through others.
 func (n *Node) storeBack() {
+	n.store.reads.callOff(0)
 	n.storeRetries.Now()
 	for _, name := range sortedKeys(n.owned) {
 		n.owned[name].StoreBack()
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -59,11 +59,10 @@
 	// none, up to maxFeedSlack, so that a store that is slower still is followed.
 	feedSlack    = 800 * time.Millisecond
 	maxFeedSlack = 3200 * time.Millisecond
-	// storeTimeout bounds a transaction or a scan of the control loop; a slow store takes
-	// 0.5 s and makes calls wait for up to a second before it refuses them.
+	// storeTimeout bounds a transaction of the control loop, on top of what it takes to
+	// send, and the beginning of a scan's answer; a slow store takes 0.5 s and makes calls
+	// wait for up to a second before it refuses them.
 	storeTimeout = 1500 * time.Millisecond
-	// scanTimeout bounds the beginning of a scan, through other nodes if need be.
-	scanTimeout = storeTimeout + relayTries*relayScanTimeout
 	// submitTimeout bounds the writes of one request of a caller, who gives it 3 s on the
 	// platform's sites; a store that is fifty times slower takes 0.5 s for one.
 	submitTimeout = 1200 * time.Millisecond
--- a/internal/node/ports.go
+++ b/internal/node/ports.go
@@ -22,7 +22,7 @@
 	return progress.Patience{First: limit, Pause: answerPause, Whole: max(limit, answerLimit)}
 }
 
-// exactly bounds an answer that is always small as a whole.
+// exactly bounds a call as a whole.
 func exactly(limit time.Duration) progress.Patience {
 	return progress.Patience{First: limit, Pause: limit, Whole: limit}
 }
@@ -39,7 +39,7 @@
 
 // Commit implements pool.Ports.
 func (p *ports) Commit(transaction rows.Transaction, done func(rows.Result, error)) {
-	limit := storeTimeout + relayHops*uploadTime(transaction)
+	limit := storeTimeout + relayHops*rows.SendTime(transaction)
 	run(p, patience(limit), func(ctx context.Context) (rows.Result, error) {
 		return p.commit(ctx, transaction)
 	}, done)
@@ -51,7 +51,8 @@
 
 // Scan implements pool.Ports.
 func (p *ports) Scan(table, part, prefix string, done func(rows.Listing, error)) {
-	run(p, patience(scanTimeout), func(ctx context.Context) (rows.Listing, error) {
+	// Each way of a scan has bounds of its own.
+	run(p, exactly(answerLimit), func(ctx context.Context) (rows.Listing, error) {
 		return p.scan(ctx, table, part, prefix)
 	}, done)
 }
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/base64"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -10,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/wheatroad/wheatroad/internal/mechanism"
+	"github.com/wheatroad/wheatroad/internal/pool"
 	"github.com/wheatroad/wheatroad/internal/progress"
 	"github.com/wheatroad/wheatroad/internal/rows"
 )
@@ -22,14 +22,12 @@
 	// relayTries is how many other nodes are asked for one call.
 	relayTries = 2
 	// relayTimeout bounds one such call, on top of what the store is asked to wait and of
-	// what the call takes to send.
+	// what the call takes to send, which it is relayHops times.
 	relayTimeout = 500 * time.Millisecond
-	// relayScanTimeout bounds the beginning of a whole part's rows through another node,
-	// which reads them all before it hands them on: 3.7 MB on a link of 10 Mbit/s.
+	relayHops    = 2
+	// relayScanTimeout bounds the beginning of all jobs' rows in a part through another
+	// node, which reads them all before it hands them on: 3.7 MB on a link of 10 Mbit/s.
 	relayScanTimeout = 3 * time.Second
-	// leastUpload is the rate in bytes a second at which a call is taken to be sent: that
-	// of a link of 2 Mbit/s.
-	leastUpload = 250_000
 	// relayPause is how long no other node is asked after none of those asked had the
 	// store: then it is away for all.
 	relayPause = 150 * time.Millisecond
@@ -41,6 +39,8 @@
 type relayedStore struct {
 	node   *Node
 	direct rows.Store
+	// reads are the reading calls that other nodes make for this one.
+	reads openFeeds
 	// preferred is the address of the node that last answered for the store.
 	preferred atomic.Pointer[string]
 	// noRelayUntil is when other nodes may be asked again.
@@ -49,40 +49,29 @@
 
 // Commit implements rows.Store.
 func (s *relayedStore) Commit(ctx context.Context, transaction rows.Transaction) (rows.Result, error) {
-	limit := relayTimeout + relayHops*uploadTime(transaction)
-	return reach(ctx, s, limit, func(ctx context.Context, store rows.Store) (rows.Result, error) {
+	sending := rows.SendTime(transaction)
+	bounds := callBounds{direct: storeTimeout + sending, relayed: relayTimeout + relayHops*sending}
+	return reach(ctx, s, bounds, func(ctx context.Context, store rows.Store) (rows.Result, error) {
 		return store.Commit(ctx, transaction)
 	})
 }
 
 // Scan implements rows.Store.
 func (s *relayedStore) Scan(ctx context.Context, table, part, prefix string) (rows.Listing, error) {
-	limit := relayTimeout
-	if prefix == "" {
-		limit = relayScanTimeout
+	bounds := callBounds{direct: storeTimeout, relayed: relayTimeout, repeatable: true}
+	if allJobs := prefix == "" && table != pool.NodeTable; allJobs {
+		bounds.relayed = relayScanTimeout
 	}
-	return reach(ctx, s, limit, func(ctx context.Context, store rows.Store) (rows.Listing, error) {
+	return reach(ctx, s, bounds, func(ctx context.Context, store rows.Store) (rows.Listing, error) {
 		return store.Scan(ctx, table, part, prefix)
 	})
 }
 
-// relayHops is how often a call through another node is sent.
-const relayHops = 2
-
-// uploadTime returns how long a transaction takes to send over a small link.
-func uploadTime(transaction rows.Transaction) time.Duration {
-	bytes := 0
-	for i := range transaction.Puts {
-		bytes += base64.StdEncoding.EncodedLen(len(transaction.Puts[i].Value))
-	}
-	return time.Duration(bytes) * time.Second / leastUpload
-}
-
 // Feed implements rows.Store. A direct feed that fails is left to its caller's next
 // try, which then goes through another node.
 func (s *relayedStore) Feed(ctx context.Context, table string, after int64, wait time.Duration) (rows.Listing, error) {
 	if s.node.storeLost() {
-		return relay(ctx, s, wait+relayTimeout, func(ctx context.Context, store rows.Store) (rows.Listing, error) {
+		return relay(ctx, s, callBounds{relayed: wait + relayTimeout, repeatable: true}, func(ctx context.Context, store rows.Store) (rows.Listing, error) {
 			return store.Feed(ctx, table, after, wait)
 		})
 	}
@@ -135,16 +124,26 @@
 // answered reports whether the store itself said so.
 func (a *attempt[T]) answered() bool { return a.err == nil || errors.Is(a.err, rows.ErrHistoryGone) }
 
+// callBounds are by when the answer to a call has to begin.
+type callBounds struct {
+	direct time.Duration
+	// relayed is the bound for each other node.
+	relayed time.Duration
+	// repeatable calls only read. Through other nodes they are given up once the store
+	// answers this one, which then reads by itself.
+	repeatable bool
+}
+
 // reach makes a call directly and, if the store turns out to be lost to this node,
-// through another one, whose answer has to begin within relayLimit. A call that fails or takes long while the store is there is the
+// through another one. A call that fails or takes long while the store is there is the
 // store's own matter: to make it twice would only add to its load.
-func reach[T any](ctx context.Context, s *relayedStore, relayLimit time.Duration, call storeCall[T]) (T, error) {
+func reach[T any](ctx context.Context, s *relayedStore, bounds callBounds, call storeCall[T]) (T, error) {
 	if s.node.storeLost() {
-		return relay(ctx, s, relayLimit, call)
+		return relay(ctx, s, bounds, call)
 	}
 	attempts := make(chan attempt[T], 2)
 	go func() {
-		directContext, cancel := progress.WithPatience(ctx, patience(storeTimeout))
+		directContext, cancel := progress.WithPatience(ctx, patience(bounds.direct))
 		defer cancel()
 		result, err := call(directContext, s.direct)
 		s.node.noteStore(err)
@@ -169,7 +168,7 @@
 		return direct.result, direct.err
 	}
 	go func() {
-		result, err := relay(ctx, s, relayLimit, call)
+		result, err := relay(ctx, s, bounds, call)
 		attempts <- attempt[T]{result, err}
 	}()
 	return firstAnswer(attempts, direct)
@@ -200,9 +199,8 @@
 	return a
 }
 
-// relay makes a call through other nodes, one after another. The answer of each has to
-// begin within limit.
-func relay[T any](ctx context.Context, s *relayedStore, limit time.Duration, call storeCall[T]) (T, error) {
+// relay makes a call through other nodes, one after another.
+func relay[T any](ctx context.Context, s *relayedStore, bounds callBounds, call storeCall[T]) (T, error) {
 	var none T
 	failure := errors.Mark(errors.New("no other node has the store"), rows.ErrRefused)
 	if s.node.options.Off[mechanism.StoreRelay] {
@@ -212,8 +210,13 @@
 		return none, failure
 	}
 	for _, address := range s.relays() {
-		tryContext, cancel := progress.WithPatience(ctx, patience(limit))
+		tryContext, cancel := progress.WithPatience(ctx, patience(bounds.relayed))
+		ended := func() {}
+		if bounds.repeatable {
+			tryContext, ended = s.reads.add(tryContext, bounds.relayed)
+		}
 		result, err := call(tryContext, &peerStore{node: s.node, address: address})
+		ended()
 		cancel()
 		tried := attempt[T]{result, err}
 		if tried.answered() {
@@ -224,7 +227,7 @@
 		}
 		s.node.edges.Record.Count("store_relays", "failed")
 		failure = lessKnown(failure, err)
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || calledOff(tryContext) {
 			return none, failure
 		}
 	}
--- a/internal/pool/writer.go
+++ b/internal/pool/writer.go
@@ -12,8 +12,7 @@
 )
 
 // batchLimit bounds the rows of one transaction, whose limit is 100 entries, and
-// batchBytes their size: a batch is sent in 0.3 s over a link of 10 Mbit/s and in 1.4 s
-// over one of 2 Mbit/s, before its call is given up.
+// batchBytes their size: a batch is sent in 0.3 s over a link of 10 Mbit/s.
 const (
 	batchLimit = 80
 	batchBytes = 256 << 10
@@ -31,8 +30,11 @@
 	serial       int
 	dirty        []*job
 	removes      []string
-	// after runs once everything dirty now is written.
-	after []func()
+	// added and taken count the rows that were ever dirty, and those of them that went into
+	// a batch.
+	added, taken int
+	// after are run in their order.
+	after []pendingFunc
 	// sending is true while a transaction is under way.
 	sending bool
 	// dueAt is when the next transaction is to be sent; zero if nothing waits. Timer
@@ -65,6 +67,7 @@
 	if !j.dirty {
 		j.dirty = true
 		w.dirty = append(w.dirty, j)
+		w.added++
 	}
 	w.flushWithin(delay)
 }
@@ -76,7 +79,7 @@
 		fn()
 		return
 	}
-	p.writer.after = append(p.writer.after, fn)
+	p.writer.after = append(p.writer.after, pendingFunc{run: fn, rows: p.writer.added})
 	p.writer.flushWithin(delay)
 }
 
@@ -120,6 +123,12 @@
 	})
 }
 
+// pendingFunc is run once as many rows as were ever dirty when it was set are written.
+type pendingFunc struct {
+	run  func()
+	rows int
+}
+
 // batch is a set of rows that is written at once, and what depends on it.
 type batch struct {
 	serial   int
@@ -128,7 +137,9 @@
 	values   [][]byte
 	removes  []string
 	after    []func()
-	sentAt   time.Time
+	// left is true if rows were left for the next batch: they have waited long enough.
+	left   bool
+	sentAt time.Time
 	// failures counts tries without success, and open those without an answer yet.
 	failures int
 	open     int
@@ -149,10 +160,14 @@
 	w.send(w.nextBatch())
 }
 
+// takeAfter returns the functions that need wait for no row beyond those taken so far.
 func (w *writer) takeAfter() []func() {
-	after := w.after
-	w.after = nil
-	return after
+	var ready []func()
+	for len(w.after) > 0 && w.after[0].rows <= w.taken {
+		ready = append(ready, w.after[0].run)
+		w.after = w.after[1:]
+	}
+	return ready
 }
 
 func (w *writer) runAfter(after []func()) {
@@ -165,20 +180,25 @@
 	w.serial++
 	b := &batch{serial: w.serial, sentAt: w.pool.loop.Now()}
 	bytes := 0
-	for len(w.dirty) > 0 && len(b.jobs) < batchLimit && bytes < batchBytes {
+	for len(w.dirty) > 0 && len(b.jobs) < batchLimit {
 		j := w.dirty[0]
-		w.dirty = w.dirty[1:]
-		j.dirty = false
 		progress := j.progress()
 		progress.Token, progress.Serial = w.pool.token, b.serial
 		value := mustEncode(progress)
 		bytes += len(value)
+		if bytes > batchBytes && len(b.jobs) > 0 {
+			break
+		}
+		w.dirty = w.dirty[1:]
+		w.taken++
+		j.dirty = false
 		b.jobs = append(b.jobs, j)
 		b.progress = append(b.progress, progress)
 		b.values = append(b.values, value)
 	}
-	if len(w.dirty) == 0 {
-		b.after = w.takeAfter()
+	b.left = len(w.dirty) > 0
+	b.after = w.takeAfter()
+	if !b.left {
 		count := min(len(w.removes), batchLimit-len(b.jobs))
 		b.removes, w.removes = w.removes[:count], w.removes[count:]
 	}
@@ -210,14 +230,16 @@
 }
 
 // partPatience is how long a part of the store may go without an answer before the batch
-// is sent to the next one as well. A store that is fifty times slower answers in 0.5 s.
+// is sent to the next one as well, on top of what it takes to send. A store that is fifty
+// times slower answers in 0.5 s.
 const partPatience = 600 * time.Millisecond
 
 func (w *writer) send(b *batch) {
 	part := w.part
 	answered := false
 	b.open++
-	w.pool.ports.Commit(w.transaction(b, part), func(result rows.Result, err error) {
+	transaction := w.transaction(b, part)
+	w.pool.ports.Commit(transaction, func(result rows.Result, err error) {
 		answered = true
 		b.open--
 		switch {
@@ -231,7 +253,7 @@
 			w.conditionFailed(b, part, result)
 		}
 	})
-	w.pool.loop.After(partPatience, func() {
+	w.pool.loop.After(partPatience+rows.SendTime(transaction), func() {
 		if !w.pool.gone && !answered && !b.written && b.open < progressParts {
 			w.pool.record.Count("retries", "commit_slow")
 			w.part = (part + 1) % progressParts
@@ -308,10 +330,11 @@
 		j.state = b.progress[i].State
 	}
 	w.runAfter(b.after)
-	switch {
-	case !w.dueAt.IsZero():
+	waiting := len(w.dirty) > 0 || len(w.removes) > 0 || len(w.after) > 0
+	if b.left || waiting && w.dueAt.IsZero() {
+		w.dueAt = w.pool.loop.Now()
+	}
+	if !w.dueAt.IsZero() {
 		w.arm()
-	case len(w.dirty) > 0 || len(w.removes) > 0 || len(w.after) > 0:
-		w.flushWithin(0)
 	}
 }
--- /dev/null
+++ b/internal/pool/writer_test.go
@@ -0,0 +1,148 @@
+package pool
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wheatroad/wheatroad/internal/rows"
+	"github.com/wheatroad/wheatroad/internal/taskgraph"
+)
+
+// steppedLoop runs what is posted, and timers when the test lets time pass.
+type steppedLoop struct {
+	now    time.Time
+	timers []*steppedTimer
+}
+
+type steppedTimer struct {
+	at  time.Time
+	run func()
+}
+
+func (l *steppedLoop) Now() time.Time { return l.now }
+func (l *steppedLoop) Post(fn func()) { fn() }
+func (l *steppedLoop) After(d time.Duration, fn func()) func() {
+	timer := &steppedTimer{at: l.now.Add(d), run: fn}
+	l.timers = append(l.timers, timer)
+	return func() { timer.run = func() {} }
+}
+
+// pass lets time pass.
+func (l *steppedLoop) pass(d time.Duration) {
+	l.now = l.now.Add(d)
+	due := slices.Clone(l.timers)
+	l.timers = slices.DeleteFunc(l.timers, func(t *steppedTimer) bool { return !t.at.After(l.now) })
+	for _, timer := range due {
+		if !timer.at.After(l.now) {
+			timer.run()
+		}
+	}
+}
+
+// commitPorts keep the commits under way.
+type commitPorts struct {
+	Ports
+	open []openCommit
+	sent int
+}
+
+type openCommit struct {
+	transaction rows.Transaction
+	done        func(rows.Result, error)
+}
+
+func (p *commitPorts) Commit(transaction rows.Transaction, done func(rows.Result, error)) {
+	p.sent++
+	p.open = append(p.open, openCommit{transaction, done})
+}
+
+// answer lets the oldest commit under way succeed, and returns how many rows it had
+// beside the head row.
+func (p *commitPorts) answer() int {
+	first := p.open[0]
+	p.open = p.open[1:]
+	first.done(rows.Result{Committed: true, Version: int64(p.sent)}, nil)
+	return len(first.transaction.Puts) - 1
+}
+
+type noRecord struct{}
+
+func (noRecord) Count(string, string)          {}
+func (noRecord) Observe(string, time.Duration) {}
+func (noRecord) Decided(string, ...any)        {}
+
+// newWriting returns a pool of which only the writer is used.
+func newWriting() (*Pool, *steppedLoop, *commitPorts) {
+	l := &steppedLoop{now: time.Now()}
+	ports := &commitPorts{}
+	return New(Options{Pool: "p"}, l, ports, noRecord{}, 1), l, ports
+}
+
+// jobOfBytes returns a job whose row has somewhat more than some bytes.
+func jobOfBytes(number, bytes int) *job {
+	return &job{id: fmt.Sprintf("%016x", number), next: taskgraph.State(strings.Repeat("x", bytes))}
+}
+
+func TestBatchesStayWithinTheirSize(t *testing.T) {
+	p, _, ports := newWriting()
+	const row = 60 << 10
+	for number := range 9 {
+		p.persist(jobOfBytes(number, row))
+	}
+	require.Equal(t, 1, ports.answer(), "the first row goes at once")
+	require.Equal(t, 4, ports.answer(), "a fifth would exceed the batch")
+	require.Equal(t, 4, ports.answer())
+	require.Empty(t, ports.open)
+	p.persist(jobOfBytes(10, 2*batchBytes))
+	require.Equal(t, 1, ports.answer(), "a row that is larger goes alone")
+}
+
+// TestRowsLeftOverGoAtOnce: they waited for the delay of an end that came meanwhile.
+func TestRowsLeftOverGoAtOnce(t *testing.T) {
+	p, l, ports := newWriting()
+	p.persist(jobOfBytes(0, 1))
+	for number := range 2 * batchLimit {
+		p.persist(jobOfBytes(number+1, 1))
+	}
+	require.Equal(t, 1, ports.answer())
+	p.persistEnd(jobOfBytes(1000, 1))
+	l.pass(time.Millisecond)
+	require.Equal(t, batchLimit, ports.answer())
+	require.Len(t, ports.open, 1, "the rest goes at once")
+	require.Equal(t, batchLimit, ports.answer())
+	require.Equal(t, 1, ports.answer(), "the end goes behind them")
+	require.Empty(t, ports.open)
+}
+
+// TestFunctionsWaitForEarlierRowsOnly: they waited until no row was left, which under
+// steady load was never.
+func TestFunctionsWaitForEarlierRowsOnly(t *testing.T) {
+	p, _, ports := newWriting()
+	ran := false
+	p.persist(jobOfBytes(0, 1))
+	p.persist(jobOfBytes(1, 1))
+	p.afterWrite(0, func() { ran = true })
+	ports.answer()
+	require.False(t, ran, "its second row is under way")
+	for number := range 2 * batchLimit {
+		p.persist(jobOfBytes(number+2, 1))
+	}
+	ports.answer()
+	require.True(t, ran, "later rows do not matter")
+}
+
+// TestLargeBatchGetsTheTimeItTakesToSend: copies for other parts of the store, sent before
+// the first one can have arrived, slow it down further.
+func TestLargeBatchGetsTheTimeItTakesToSend(t *testing.T) {
+	p, l, ports := newWriting()
+	p.persist(jobOfBytes(0, batchBytes))
+	l.pass(partPatience)
+	require.Len(t, ports.open, 1)
+	l.pass(rows.SendTime(ports.open[0].transaction))
+	require.Len(t, ports.open, 2)
+}
--- a/internal/progress/patience.go
+++ b/internal/progress/patience.go
@@ -18,13 +18,13 @@
 }
 
 // leastProgress is how many bytes count as progress, so that an answer that only drips is
-// not waited for: 4 KiB a second are a 300th of a link of 10 Mbit/s.
+// not waited for: a link of 10 Mbit/s carries them in 3 ms.
 const leastProgress = 4 << 10
 
 type answerByKey struct{}
 
-// WithPatience returns a context for a call, which ends when patience does, and what
-// releases it.
+// WithPatience returns a context for a call that ends once patience is over, and a function
+// that releases it. What arrives of calls made with contexts derived from it counts too.
 func WithPatience(parent context.Context, patience Patience) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(parent)
 	began := time.Now()
--- /dev/null
+++ b/internal/rows/send_time.go
@@ -0,0 +1,21 @@
+package rows
+
+import (
+	"encoding/base64"
+	"time"
+)
+
+// smallLink is the rate, in bytes a second, at which a call is taken to be sent: that of
+// a link of 2 Mbit/s.
+const smallLink = 250_000
+
+// SendTime returns how long a transaction takes to send over a small link. It counts on
+// top of a call's limits: a call that ends while it is being sent is sent again from its
+// start.
+func SendTime(transaction Transaction) time.Duration {
+	bytes := 0
+	for i := range transaction.Puts {
+		bytes += base64.StdEncoding.EncodedLen(len(transaction.Puts[i].Value))
+	}
+	return time.Duration(bytes) * time.Second / smallLink
+}
