--- a/internal/node/arriving_answers_test.go
+++ b/internal/node/arriving_answers_test.go
@@ -175,6 +175,49 @@
 	}
 }
 
+// sendingStore answers a transaction after a time.
+type sendingStore struct {
+	rows.Store
+	takes time.Duration
+}
+
+func (s sendingStore) Commit(ctx context.Context, _ rows.Transaction) (rows.Result, error) {
+	select {
+	case <-time.After(s.takes):
+		return rows.Result{Committed: true}, nil
+	case <-ctx.Done():
+		return rows.Result{}, errors.Mark(context.Cause(ctx), rows.ErrNoAnswer)
+	}
+}
+
+// Scan answers the look whether the store is there.
+func (sendingStore) Scan(context.Context, string, string, string) (rows.Listing, error) {
+	return rows.Listing{}, nil
+}
+
+// TestLargeTransactionHasTheTimeItTakesToSend: one that takes longer to send than a small
+// one may take in all is not cut off, by itself or through another node.
+func TestLargeTransactionHasTheTimeItTakesToSend(t *testing.T) {
+	large := rows.Transaction{Puts: []rows.Put{{Value: make([]byte, 200<<10)}}}
+	require.Greater(t, rows.SendTime(large), time.Second)
+	cases := map[string]struct {
+		own, others rows.Store
+	}{
+		"directly":             {sendingStore{takes: storeTimeout + 500*time.Millisecond}, refusingStore{}},
+		"through another node": {refusingStore{}, sendingStore{takes: relayTimeout + 500*time.Millisecond}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			n := runningNode(t, c.own, peer.NewClient(nil))
+			address := servePeers(t, newGateway(t, c.others).node)
+			n.view.Store(&view{members: []member{{Name: "node-2", Address: address}}})
+			answers := make(chan error, 1)
+			n.ports.Commit(large, func(_ rows.Result, err error) { answers <- err })
+			require.NoError(t, <-answers)
+		})
+	}
+}
+
 // TestLargeAnswerThroughAnotherNodeIsWaitedFor: it takes longer over a small link than its
 // beginning may take.
 func TestLargeAnswerThroughAnotherNodeIsWaitedFor(t *testing.T) {
