Peer: a connection that goes silent costs one call

Cause: a call that timed out left its connection in use. When a connection goes silent without a reset while new ones work, calls of 0.4 s failed one after another for 10.0 s (keep-alive after 5 s, time-out of 5 s more); a session whose buffers are full held a call for 5 s beyond its deadline. Change: a call without an answer, on whose connection nothing has arrived since it was sent, moves new calls to a new connection; calls under way go on. A call ends with its context whatever its session does.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/hashicorp/yamux"
-
 	"github.com/wheatroad/wheatroad/internal/fault"
 	"github.com/wheatroad/wheatroad/internal/peer/peerpb"
 	"github.com/wheatroad/wheatroad/internal/progress"
@@ -16,11 +14,11 @@
 // Dialer opens a connection to another node.
 type Dialer func(ctx context.Context, address string) (net.Conn, error)
 
-// Client keeps one connection to each other node.
+// Client keeps one connection to each other node, and a new one once that has gone silent.
 type Client struct {
-	dial     Dialer
-	mutex    sync.Mutex
-	sessions map[string]*yamux.Session
+	dial        Dialer
+	mutex       sync.Mutex
+	connections map[string]*connection
 }
 
 // NewClient returns a client that connects with dial, or over plain TCP when dial
@@ -29,7 +27,7 @@
 	if dial == nil {
 		dial = dialTCP
 	}
-	return &Client{dial: dial, sessions: map[string]*yamux.Session{}}
+	return &Client{dial: dial, connections: map[string]*connection{}}
 }
 
 // dialTimeout bounds the wait for a connection, so that a dead node costs little.
@@ -47,20 +45,16 @@
 	if by, bounded := progress.AnswerBy(ctx); bounded {
 		request.BudgetMillis = time.Until(by).Milliseconds()
 	}
-	session, err := c.session(ctx, address)
+	current, err := c.connection(ctx, address)
 	if err != nil {
 		return nil, fault.New(fault.NoOwner, "node %s cannot be reached", address)
 	}
-	stream, err := session.Open()
-	if err != nil {
-		c.forget(address, session)
-		return nil, fault.New(fault.NoOwner, "node %s cannot be reached", address)
-	}
-	defer stream.Close()
-	response, err := exchange(ctx, stream, request)
-	if err != nil {
-		return nil, fault.New(fault.OutcomeUnknown, "node %s gave no answer", address)
+	sentAt := time.Now()
+	result := current.call(ctx, request)
+	if result.err != nil {
+		return nil, c.callFailed(address, current, sentAt, result.sent)
 	}
+	response := result.response
 	if response.Id != request.Id {
 		return nil, fault.New(fault.OutcomeUnknown, "node %s answered another request", address)
 	}
@@ -70,62 +64,68 @@
 	return response.Document, nil
 }
 
-func exchange(ctx context.Context, stream net.Conn, request *peerpb.Request) (*peerpb.Response, error) {
-	stop := context.AfterFunc(ctx, func() { stream.SetDeadline(time.Unix(1, 0)) })
-	defer stop()
-	if err := writeMessage(stream, request); err != nil {
-		return nil, err
+// callFailed replaces a connection that no longer serves after a call without an answer.
+// A connection may go silent for good while new ones work; left in use, it would fail
+// every call for 10 s, until its keep-alive ends it.
+func (c *Client) callFailed(address string, failed *connection, sentAt time.Time, sent bool) error {
+	if !sent {
+		c.forget(address, failed)
+		return fault.New(fault.NoOwner, "node %s cannot be reached", address)
+	}
+	if failed.silentSince(sentAt) {
+		c.forget(address, failed)
 	}
-	response := &peerpb.Response{}
-	err := readMessage(progress.Reader(ctx, stream), response)
-	return response, err
+	return fault.New(fault.OutcomeUnknown, "node %s gave no answer", address)
 }
 
-func (c *Client) session(ctx context.Context, address string) (*yamux.Session, error) {
+// connection returns a connection on which a call is counted.
+func (c *Client) connection(ctx context.Context, address string) (*connection, error) {
 	c.mutex.Lock()
-	known := c.sessions[address]
+	known := c.connections[address]
 	c.mutex.Unlock()
-	if known != nil && !known.IsClosed() {
+	if known != nil && known.begin() {
 		return known, nil
 	}
-	connection, err := c.dial(ctx, address)
+	raw, err := c.dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	session, err := yamux.Client(connection, sessionConfig())
+	created, err := newConnection(raw)
 	if err != nil {
-		connection.Close()
+		raw.Close()
 		return nil, err
 	}
-	return c.keep(address, session), nil
+	return c.keep(address, created), nil
 }
 
-// keep remembers a new session unless another request made one meanwhile.
-func (c *Client) keep(address string, session *yamux.Session) *yamux.Session {
+// keep remembers a new connection unless another call made one meanwhile.
+func (c *Client) keep(address string, created *connection) *connection {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if other := c.sessions[address]; other != nil && !other.IsClosed() {
-		session.Close()
+	if other := c.connections[address]; other != nil && other.begin() {
+		created.retire()
 		return other
 	}
-	c.sessions[address] = session
-	return session
+	c.connections[address] = created
+	created.begin()
+	return created
 }
 
-func (c *Client) forget(address string, session *yamux.Session) {
+// forget lets new calls open a new connection. Calls under way go on.
+func (c *Client) forget(address string, failed *connection) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.sessions[address] == session {
-		delete(c.sessions, address)
+	if c.connections[address] == failed {
+		delete(c.connections, address)
 	}
-	session.Close()
+	failed.retire()
 }
 
 // Close ends all connections.
 func (c *Client) Close() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	for _, session := range c.sessions {
-		session.Close()
+	for _, open := range c.connections {
+		open.session.Close()
 	}
 }
