--- a/cmd/wheatroad-bench/faults_command.go
+++ b/cmd/wheatroad-bench/faults_command.go
@@ -11,8 +11,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
-	"github.com/wheatroad/wheatroad/cmd/wheatroad-bench/faults"
 	"github.com/wheatroad/wheatroad/internal/bench"
+	"github.com/wheatroad/wheatroad/internal/soak"
 )
 
 // faultsFlags are the flags of the faults command.
@@ -40,7 +40,7 @@
 		Args:    cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
 			if flags.list {
-				for _, kind := range faults.Kinds() {
+				for _, kind := range soak.Kinds() {
 					fmt.Fprintln(command.OutOrStdout(), kind)
 				}
 				return nil
@@ -80,12 +80,12 @@
 	return nil
 }
 
-func playSeed(flags *faultsFlags, seed uint64) (*faults.Report, error) {
-	folder, err := faults.NewFolder(flags.logs, seed)
+func playSeed(flags *faultsFlags, seed uint64) (*soak.Report, error) {
+	folder, err := soak.NewFolder(flags.logs, seed)
 	if err != nil {
 		return nil, err
 	}
-	report, err := faults.Run(faults.Options{
+	report, err := soak.Run(soak.Options{
 		Program: filepath.Join(flags.binaries, "wheatroadd"), Seed: seed, Folder: folder,
 		Length: time.Duration(flags.seconds * float64(time.Second)), Daemons: flags.processes, Callers: flags.callers,
 	})
@@ -98,7 +98,7 @@
 // maxPrinted bounds the broken promises that are printed for one seed.
 const maxPrinted = 12
 
-func printReport(out io.Writer, flags *faultsFlags, report *faults.Report) error {
+func printReport(out io.Writer, flags *faultsFlags, report *soak.Report) error {
 	if flags.asJSON {
 		return json.NewEncoder(out).Encode(report)
 	}
--- a/cmd/wheatroad-bench/faults/proxy.go
+++ b/internal/faultproxy/proxy.go
@@ -1,4 +1,5 @@
-package faults
+// Package faultproxy hands on connections on loopback and does to them what links under faults do.
+package faultproxy
 
 import (
 	"net"
@@ -36,18 +37,20 @@
 	mutex    sync.Mutex
 	mode     Mode
 	open     map[net.Conn]bool
+	// silent has open connections that hand on nothing any more.
+	silent map[net.Conn]bool
 	// answers and requests pace the two directions, each for all connections together.
 	answers  pace
 	requests pace
 }
 
-// NewProxy listens on a free loopback port and hands connections on to target.
-func NewProxy(target string) (*Proxy, error) {
+// New listens on a free loopback port and hands connections on to target.
+func New(target string) (*Proxy, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: listener, target: target, open: map[net.Conn]bool{}}
+	p := &Proxy{listener: listener, target: target, open: map[net.Conn]bool{}, silent: map[net.Conn]bool{}}
 	go p.accept()
 	return p, nil
 }
@@ -69,6 +72,16 @@
 	p.requests.set(bytesPerSecond)
 }
 
+// SilenceOpen makes every open connection hand on nothing any more, either way and for
+// good, without ending it. New connections work.
+func (p *Proxy) SilenceOpen() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for connection := range p.open {
+		p.silent[connection] = true
+	}
+}
+
 // Reset breaks every open connection.
 func (p *Proxy) Reset() {
 	p.mutex.Lock()
@@ -121,6 +134,7 @@
 	defer p.mutex.Unlock()
 	for _, connection := range connections {
 		delete(p.open, connection)
+		delete(p.silent, connection)
 		_ = connection.Close()
 	}
 }
@@ -137,7 +151,7 @@
 		if err != nil {
 			return
 		}
-		switch mode := p.current(); {
+		switch mode := p.current(from); {
 		case mode == Silence || mode == cut:
 			lost = true
 		case mode == Delay:
@@ -153,9 +167,13 @@
 	}
 }
 
-func (p *Proxy) current() Mode {
+// current returns what becomes of bytes that arrive on a connection now.
+func (p *Proxy) current(from net.Conn) Mode {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	if p.silent[from] {
+		return Silence
+	}
 	return p.mode
 }
 
--- a/internal/peer/silent_connection_test.go
+++ b/internal/peer/silent_connection_test.go
@@ -56,8 +56,8 @@
 	dialed atomic.Int32
 	// standsStill is true while the other process serves no connection.
 	standsStill atomic.Bool
-	mutex  sync.Mutex
-	open   []*silentConn
+	mutex       sync.Mutex
+	open        []*silentConn
 }
 
 func newSilentNetwork(t *testing.T, handler Handler) *silentNetwork {
--- a/cmd/wheatroad-bench/faults/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -1,17 +1,13 @@
-package faults
+package soak
 
 import (
-	"io"
-	"net"
 	"net/http"
 	"os/exec"
 	"path/filepath"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/wheatroad/wheatroad/internal/catalog"
@@ -71,8 +67,25 @@
 	require.Less(t, unlimited, drawn*daemons, "some links are slow")
 }
 
+func TestSilencesAreTheSameForASeed(t *testing.T) {
+	const seeds = 200
+	drawn, series := 0, 0
+	for seed := range uint64(seeds) {
+		silences := NewSilences(seed, time.Minute)
+		require.Equal(t, silences, NewSilences(seed, time.Minute))
+		if len(silences) > 0 {
+			drawn++
+		}
+		if len(silences) > 1 {
+			series++
+		}
+	}
+	require.InDelta(t, seeds/silencesEvery, drawn, seeds/10)
+	require.Greater(t, series, drawn/2, "most come in series")
+}
+
 // TestKeptSeedReplaysItsFaults: a seed of soak/regressions.txt draws the faults that it was
-// kept for, and no slow links.
+// kept for, no slow links and no silences.
 func TestKeptSeedReplaysItsFaults(t *testing.T) {
 	const (
 		seed    = 619
@@ -80,6 +93,7 @@
 		daemons = 3
 	)
 	require.Empty(t, NewLinks(seed, length, daemons))
+	require.Empty(t, NewSilences(seed, length))
 	plan := NewPlan(seed, length)
 	require.Len(t, plan, 12)
 	require.Equal(t, []Fault{
@@ -107,102 +121,6 @@
 	require.Greater(t, r.configuration.Version, grown.Version)
 }
 
-// echo answers each byte with itself.
-func echo(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			connection, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() { _, _ = io.Copy(connection, connection) }()
-		}
-	}()
-	return listener.Addr().String()
-}
-
-// TestProxyModes: a cut connection hands on nothing, also once the cut has healed, since
-// bytes were lost; a new one works; a reset ends it.
-func TestProxyModes(t *testing.T) {
-	proxy, err := NewProxy(echo(t))
-	require.NoError(t, err)
-	t.Cleanup(proxy.Close)
-	for _, mode := range []Mode{Silence, CutAnswers, CutRequests} {
-		connection, err := net.Dial("tcp", proxy.Address())
-		require.NoError(t, err)
-		require.Equal(t, byte('a'), exchange(t, connection, 'a'))
-		proxy.SetMode(mode)
-		_, err = connection.Write([]byte{'b'})
-		require.NoError(t, err)
-		require.NoError(t, connection.SetReadDeadline(time.Now().Add(50*time.Millisecond)))
-		_, err = connection.Read(make([]byte, 1))
-		require.Error(t, err, "mode %d", mode)
-		proxy.SetMode(Pass)
-	}
-	connection, err := net.Dial("tcp", proxy.Address())
-	require.NoError(t, err)
-	require.Equal(t, byte('c'), exchange(t, connection, 'c'))
-	proxy.Reset()
-	_, err = connection.Read(make([]byte, 1))
-	require.Error(t, err)
-}
-
-// TestConnectionsShareTheRateOfALink: two connections together take as long as the rate
-// needs for the bytes of both, in one direction.
-func TestConnectionsShareTheRateOfALink(t *testing.T) {
-	const (
-		rate  = 200 << 10
-		bytes = 32 << 10
-	)
-	proxy, err := NewProxy(echo(t))
-	require.NoError(t, err)
-	t.Cleanup(proxy.Close)
-	proxy.SetRate(rate)
-	began := time.Now()
-	var transfers sync.WaitGroup
-	for range 2 {
-		connection, err := net.Dial("tcp", proxy.Address())
-		require.NoError(t, err)
-		t.Cleanup(func() { connection.Close() })
-		transfers.Go(func() {
-			go func() { _, _ = connection.Write(make([]byte, bytes)) }()
-			_, err := io.ReadFull(connection, make([]byte, bytes))
-			assert.NoError(t, err)
-		})
-	}
-	transfers.Wait()
-	require.GreaterOrEqual(t, time.Since(began), 2*bytes*time.Second/rate)
-}
-
-// TestEachDirectionOfALinkHasItsOwnRate: what goes one way leaves the other way free, and
-// a lifted rate limits nothing.
-func TestEachDirectionOfALinkHasItsOwnRate(t *testing.T) {
-	proxy := &Proxy{}
-	proxy.SetRate(1)
-	began := time.Now()
-	answered, limited := proxy.answers.reserve(60)
-	require.True(t, limited)
-	require.GreaterOrEqual(t, answered.Sub(began), time.Minute)
-	asked, limited := proxy.requests.reserve(1)
-	require.True(t, limited)
-	require.True(t, asked.Before(answered))
-	proxy.SetRate(0)
-	_, limited = proxy.answers.reserve(60)
-	require.False(t, limited)
-}
-
-func exchange(t *testing.T, connection net.Conn, b byte) byte {
-	_, err := connection.Write([]byte{b})
-	require.NoError(t, err)
-	answer := make([]byte, 1)
-	_, err = io.ReadFull(connection, answer)
-	require.NoError(t, err)
-	return answer[0]
-}
-
 // judging returns a run without daemons, and a job that its stand-in expects.
 func judging(t *testing.T) (*run, *submission) {
 	platform, err := standin.Start(simulation.NewWorld(1, 1))
@@ -294,7 +212,7 @@
 // buildDaemon returns the path of a freshly built daemon.
 func buildDaemon(t *testing.T) string {
 	program := filepath.Join(t.TempDir(), "wheatroadd")
-	output, err := exec.Command("go", "build", "-o", program, "../../wheatroadd").CombinedOutput()
+	output, err := exec.Command("go", "build", "-o", program, "../../cmd/wheatroadd").CombinedOutput()
 	require.NoError(t, err, string(output))
 	return program
 }
--- a/cmd/wheatroad-bench/faults/inject.go
+++ b/internal/soak/inject.go
@@ -1,4 +1,4 @@
-package faults
+package soak
 
 import (
 	"math/rand/v2"
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"github.com/wheatroad/wheatroad/internal/faultproxy"
 	"github.com/wheatroad/wheatroad/internal/pool"
 	"github.com/wheatroad/wheatroad/internal/simulation"
 )
@@ -62,13 +63,16 @@
 
 func (r *run) injectLink(fault Fault, d *daemon) func() {
 	d.trouble(fault.Length + troubleMargin)
-	modes := map[Kind]Mode{DelayLink: Delay, SilenceLink: Silence, CutAnswerLink: CutAnswers, CutOrderLink: CutRequests}
+	modes := map[Kind]faultproxy.Mode{
+		DelayLink: faultproxy.Delay, SilenceLink: faultproxy.Silence,
+		CutAnswerLink: faultproxy.CutAnswers, CutOrderLink: faultproxy.CutRequests,
+	}
 	if fault.Kind == ResetLink {
 		d.proxy.Reset()
 		return nil
 	}
 	d.proxy.SetMode(modes[fault.Kind])
-	return func() { d.proxy.SetMode(Pass) }
+	return func() { d.proxy.SetMode(faultproxy.Pass) }
 }
 
 // injectPlatform strikes the platform, which touches every daemon.
--- a/cmd/wheatroad-bench/faults/plan.go
+++ b/internal/soak/plan.go
@@ -1,4 +1,4 @@
-package faults
+package soak
 
 import (
 	"cmp"
--- a/cmd/wheatroad-bench/faults/process.go
+++ b/internal/soak/process.go
@@ -1,4 +1,4 @@
-package faults
+package soak
 
 import (
 	"fmt"
@@ -9,6 +9,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/wheatroad/wheatroad/internal/faultproxy"
 )
 
 // daemon is one real process of wheatroadd and what was done to it.
@@ -19,7 +21,7 @@
 	settings string
 	callers  string
 	ready    string
-	proxy    *Proxy
+	proxy    *faultproxy.Proxy
 
 	mutex   sync.Mutex
 	command *exec.Cmd
@@ -41,7 +43,7 @@
 const grace = 6 * time.Second
 
 func newDaemon(number int, program, folder, platform string) (*daemon, error) {
-	proxy, err := NewProxy(platform)
+	proxy, err := faultproxy.New(platform)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/wheatroad-bench/faults/run.go
+++ b/internal/soak/run.go
@@ -1,7 +1,7 @@
-// Package faults runs real daemons as processes of their own against the project's
+// Package soak runs real daemons as processes of their own against the project's
 // stand-in for the platform, injects faults from outside them, and checks the promises
 // by what callers, workers and the store see.
-package faults
+package soak
 
 import (
 	"fmt"
@@ -39,6 +39,8 @@
 	Faults map[Kind]int `json:"faults"`
 	// Links are the rates of the daemons' links and the growth of the configuration.
 	Links Links `json:"links"`
+	// Silences are when open connections went silent.
+	Silences []Silence `json:"silences,omitempty"`
 	// Answers counts what callers got, by call and status.
 	Answers map[string]int `json:"answers"`
 	// States counts accepted jobs by their state at the end.
@@ -145,6 +147,8 @@
 	began := time.Now()
 	report.Links = NewLinks(r.options.Seed, r.options.Length, len(r.daemons))
 	r.applyLinks(report.Links, began, &ends)
+	report.Silences = NewSilences(r.options.Seed, r.options.Length)
+	r.applySilences(report.Silences, began, &ends)
 	for _, fault := range NewPlan(r.options.Seed, r.options.Length) {
 		time.Sleep(time.Until(began.Add(fault.At)))
 		report.Faults[fault.Kind]++
@@ -175,6 +179,18 @@
 	}
 }
 
+// applySilences lets open connections go silent in time.
+func (r *run) applySilences(silences []Silence, began time.Time, ends *sync.WaitGroup) {
+	for _, silence := range silences {
+		d := r.daemons[silence.Target%len(r.daemons)]
+		ends.Go(func() {
+			time.Sleep(time.Until(began.Add(silence.At)))
+			d.trouble(silenceEffect + troubleMargin)
+			d.proxy.SilenceOpen()
+		})
+	}
+}
+
 // settle waits until every accepted job has ended.
 func (r *run) settle(report *Report) {
 	caller := standin.NewCaller(callLimit)
