Runs that stand still are moved once the stall has cost what the move does

Cause: a run without progress was moved after 8 s or 0.4 of its estimate, whatever it had to lose, and its worker got new work all the while. With an eighth of the workers standing still two urgent gangs of eight in three met one and ended late. Change: a stall is waited for as long as the move throws away, between 1 s and the old limit; a worker on which a run stands still gets nothing new for 6 s; a run that shows no progress is looked at from 0.6 s after its start. The stand-in's gangs end with their last member, and its standing workers keep their progress.

--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -22,6 +22,9 @@
 	TrustedWorkers Name = "trusted-workers"
 	// NearPlaces lets units wait for a place where they run at full speed.
 	NearPlaces Name = "near-places"
+	// QuickStalls moves runs that stand still once the stall has cost what the move does,
+	// and keeps new work off their workers.
+	QuickStalls Name = "quick-stalls"
 	// Headroom leaves the emptiest racks to urgent jobs.
 	Headroom Name = "headroom"
 	// Pressure holds patient units back after others were stopped for room.
@@ -47,7 +50,7 @@
 // All lists the mechanisms.
 func All() []Name {
 	return []Name{
-		LearnedDurations, LearnedSpeeds, TrustedWorkers, NearPlaces, Headroom, Pressure, Reservations,
+		LearnedDurations, LearnedSpeeds, TrustedWorkers, QuickStalls, NearPlaces, Headroom, Pressure, Reservations,
 		PressingGangs, TimelyFirst, EndDelay, StoreRelay, LongFeeds, Guards, WeakOwners,
 	}
 }
--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -93,6 +93,7 @@
 
 // look asks a worker what it runs, beside a hold that may be waiting for an end.
 func (p *Pool) look(w *worker) {
+	w.lookedAt = p.loop.Now()
 	if !w.holding {
 		p.hold(w)
 		return
@@ -250,6 +251,7 @@
 func (p *Pool) memberListed(m *member, entry *fleet.Running, now time.Time) {
 	if m.state != memberRunning {
 		m.state = memberRunning
+		m.unit.noteRunning(now)
 	}
 	m.listedAt = now
 	if entry.Percent > 0 && m.unit.startedHere && !m.unit.resumed {
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -98,6 +98,9 @@
 	members    []*member
 	readyAt    time.Time
 	startedAt  time.Time
+	// runningSince is when all members of the latest run were confirmed to run; zero
+	// before that.
+	runningSince time.Time
 	// startedHere is true if this owner started the latest run.
 	startedHere bool
 	// resumed is true if the latest run goes on from a checkpoint.
@@ -296,6 +299,8 @@
 	lastSeen int64
 	// processed is the highest end that was taken in but perhaps not written yet.
 	processed int64
+	// lookedAt is when the worker was last asked for its account beside a hold.
+	lookedAt time.Time
 	// holding is true while a hold is under way.
 	holding   bool
 	holdTimer func()
--- a/internal/pool/orders.go
+++ b/internal/pool/orders.go
@@ -101,6 +101,7 @@
 	u.state = unitActive
 	u.startedAt = p.loop.Now()
 	u.startedHere = true
+	u.runningSince = time.Time{}
 	u.stopReason = ""
 	u.resumed = u.checkpoint != ""
 	if !u.job.ordered {
@@ -143,6 +144,7 @@
 	if m.state == memberStarting || m.state == memberUncertain {
 		m.state = memberRunning
 		m.sentAt = p.loop.Now()
+		m.unit.noteRunning(m.sentAt)
 	}
 	p.hold(m.worker)
 }
--- /dev/null
+++ b/internal/pool/stalls.go
@@ -0,0 +1,144 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/wheatroad/wheatroad/internal/mechanism"
+)
+
+// When a run counts as standing still, and how long that is waited for. Nobody knows how
+// long a stall lasts. To move a run after a wait as long as what the move throws away
+// costs at most twice what it would cost to know.
+const (
+	// A run stands still once its progress has not changed for stallPeriod and for
+	// stallShare of its estimate. Progress comes in percent: a run that takes eight times
+	// its estimate still shows one of them in that time.
+	stallPeriod = time.Second
+	stallShare  = 0.08
+	// nearEnd is the percent from which a member of a gang may be waiting for the others.
+	nearEnd = 95
+	// stallLimit, and stallLimitShare of the estimate if that is longer, bound how long a
+	// stall is waited for whatever a move throws away.
+	stallLimit      = 8 * time.Second
+	stallLimitShare = 0.4
+	// firstLook is how long after its start a run is looked at that nothing was heard of,
+	// and lookPause the pause until it is looked at again while it shows no progress.
+	firstLook = 600 * time.Millisecond
+	lookPause = 400 * time.Millisecond
+)
+
+// checkUnits takes back gangs that do not come together and runs that stand still.
+func (p *Pool) checkUnits() {
+	now := p.loop.Now()
+	patience := time.Duration(gangPatience * float64(p.options.Bounds.GangTimeout))
+	for _, w := range p.sortedWorkers() {
+		for _, m := range w.members {
+			u := m.unit
+			switch {
+			case u.state != unitActive:
+			case m.state == memberUncertain && now.Sub(u.startedAt) > patience:
+				p.stopUnit(u, "start unanswered")
+			default:
+				p.checkProgress(m, now)
+			}
+		}
+	}
+}
+
+// checkProgress looks at a run that has shown no progress yet, and moves one that has
+// stood still for long enough.
+func (p *Pool) checkProgress(m *member, now time.Time) {
+	stalled := p.stalledFor(m)
+	if stalled > 0 && p.quickStalls() {
+		m.worker.penaltyUntil = now.Add(penalty)
+	}
+	if stalled > 0 && stalled >= p.stallPatience(m) {
+		p.stopStanding(m.unit)
+		return
+	}
+	if p.quickStalls() && m.unproven() && now.Sub(m.unit.startedAt) > firstLook && now.Sub(m.worker.lookedAt) > lookPause {
+		p.look(m.worker)
+	}
+}
+
+func (p *Pool) quickStalls() bool { return !p.options.Off[mechanism.QuickStalls] }
+
+// unproven reports whether a run should be at work and has shown no progress yet.
+func (m *member) unproven() bool {
+	u := m.unit
+	return m.state == memberRunning && m.percent == 0 && u.startedHere && !u.spec().LongRunning && !u.runningSince.IsZero()
+}
+
+// stalledFor returns how long a run has made no progress by what its worker has listed, or
+// 0 if it moves, waits for others of its gang, or is not known to do neither.
+func (p *Pool) stalledFor(m *member) time.Duration {
+	u := m.unit
+	if m.state != memberRunning || u.spec().LongRunning || m.percentAt.IsZero() || m.percent >= nearEnd {
+		return 0
+	}
+	if u.startedHere && u.runningSince.IsZero() {
+		return 0
+	}
+	since := m.percentAt
+	if u.startedHere && (m.percent == 0 || u.runningSince.After(since)) {
+		since = u.runningSince
+	}
+	limit := max(stallPeriod, time.Duration(stallShare*float64(u.estimate())))
+	if u.resumed {
+		limit += restoreAllowance
+	}
+	if stalled := m.listedAt.Sub(since); stalled >= limit {
+		return stalled
+	}
+	return 0
+}
+
+// stallPatience is how long a run's stall is waited for.
+func (p *Pool) stallPatience(m *member) time.Duration {
+	longest := max(stallLimit, time.Duration(stallLimitShare*float64(m.unit.estimate())))
+	if !p.quickStalls() {
+		return longest
+	}
+	return min(longest, p.workAtStake(m))
+}
+
+// workAtStake is how much of a run's time a move throws away.
+func (p *Pool) workAtStake(m *member) time.Duration {
+	worked := m.percentAt.Sub(m.unit.startedAt)
+	if m.unit.spec().Checkpoints {
+		return min(worked, p.options.Bounds.CheckpointInterval)
+	}
+	return worked
+}
+
+// stopStanding moves a unit away from the workers on which it stands still.
+func (p *Pool) stopStanding(u *unit) {
+	if u.avoid == nil {
+		u.avoid = map[string]bool{}
+	}
+	now := p.loop.Now()
+	for _, m := range u.members {
+		if m.worker == nil || p.stalledFor(m) == 0 {
+			continue
+		}
+		u.avoid[m.worker.ID] = true
+		if !u.spec().Gang || p.quickStalls() {
+			m.worker.penaltyUntil = now.Add(penalty)
+		}
+	}
+	p.stopUnit(u, "stands still")
+}
+
+// noteRunning notes that a member's start was confirmed. The work of a gang begins with
+// its last member.
+func (u *unit) noteRunning(now time.Time) {
+	if !u.runningSince.IsZero() {
+		return
+	}
+	for _, m := range u.members {
+		if m.state != memberRunning {
+			return
+		}
+	}
+	u.runningSince = now
+}
--- a/internal/simulation/worker.go
+++ b/internal/simulation/worker.go
@@ -38,7 +38,8 @@
 	Unreachable bool
 	// Unwell workers refuse starts.
 	Unwell bool
-	// Failing workers fail all that they start, Standing ones make no progress.
+	// Failing workers fail all that they start; on Standing ones nothing makes progress
+	// and nothing finishes.
 	Failing  bool
 	Standing bool
 	// Slowness is how many times longer work takes; 0 means 1.
@@ -55,6 +56,10 @@
 	checkpoint string
 	stopping   bool
 	over       bool
+	// finished runs have done their work; those of a gang then wait for the others.
+	finished bool
+	// percent is the progress that was last listed.
+	percent int
 }
 
 // StopTime is how long a stop takes.
@@ -142,18 +147,24 @@
 		return
 	}
 	r.working = true
-	if w.Standing {
-		return
-	}
 	duration := w.world.Work(r.name) - w.world.saved(r.checkpoint)
 	if w.Slowness > 1 {
 		duration = time.Duration(float64(duration) * w.Slowness)
 	}
-	w.clock.After(duration, func() {
-		if !r.over && !r.stopping && !w.Dead {
-			w.world.finish(r)
-		}
-	})
+	w.clock.After(duration, func() { w.finish(r) })
+}
+
+// standingPause is the pause between two tries of a run to finish on a standing worker.
+const standingPause = 100 * time.Millisecond
+
+func (w *Worker) finish(r *run) {
+	switch {
+	case r.over || r.stopping || w.Dead:
+	case w.Standing:
+		w.clock.After(standingPause, func() { w.finish(r) })
+	default:
+		w.world.finish(r)
+	}
 }
 
 // end lists a run as ended.
@@ -233,11 +244,11 @@
 }
 
 func (w *Worker) percent(r *run) int {
-	if !r.working || w.Standing {
-		return 0
+	if r.working && !w.Standing {
+		share := float64(w.clock.Now().Sub(r.begunAt)) / (float64(w.world.Work(r.name)) * max(1, w.Slowness))
+		r.percent = min(99, int(100*share))
 	}
-	share := float64(w.clock.Now().Sub(r.begunAt)) / (float64(w.world.Work(r.name)) * max(1, w.Slowness))
-	return min(99, int(100*share))
+	return r.percent
 }
 
 // Crash ends the worker's life.
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -379,13 +379,20 @@
 	}
 }
 
-// finish ends a run, and with it its gang, as done.
+// finish ends a run as done, the members of a gang once the last of them has finished.
 func (w *World) finish(r *run) {
+	r.finished = true
 	if !w.step(r.name).Gang {
 		r.worker.end(r, fleet.Done, "")
 		return
 	}
-	for _, member := range w.gang(r) {
+	members := w.gang(r)
+	for _, member := range members {
+		if !member.finished {
+			return
+		}
+	}
+	for _, member := range members {
 		member.worker.end(member, fleet.Done, "")
 	}
 }
