--- a/internal/pool/benchmark_test.go
+++ b/internal/pool/benchmark_test.go
@@ -38,7 +38,7 @@
 // BenchmarkOwner measures the owner's processor time for each virtual second of a
 // busy pool, at two sizes; the ratio of the two is the slope in the number of workers.
 func BenchmarkOwner(b *testing.B) {
-	for _, racks := range []int{4, 30} {
+	for _, racks := range []int{4, 30, 92, 250} {
 		b.Run(fmt.Sprintf("workers=%d", racks*12), func(b *testing.B) {
 			for range b.N {
 				w := simulation.NewWorld(racks, 12)
--- a/internal/simulation/worker.go
+++ b/internal/simulation/worker.go
@@ -131,6 +131,7 @@
 func (w *Worker) begin(order fleet.Start) {
 	r := &run{name: order.Task, number: order.Run, worker: w, begunAt: w.clock.Now(), checkpoint: order.Checkpoint}
 	w.runs[order.Task] = r
+	w.world.enterGang(r)
 	w.world.Judge.started(r, order)
 	if w.Failing {
 		w.clock.After(failAfter, func() { w.end(r, fleet.Failed, "") })
@@ -174,6 +175,7 @@
 	}
 	r.over = true
 	delete(w.runs, r.name)
+	w.world.leaveGang(r)
 	w.barred[r.name] = max(w.barred[r.name], r.number)
 	w.number++
 	w.endedAt[w.number] = w.lapses
@@ -256,6 +258,7 @@
 	w.Dead = true
 	for _, r := range w.sortedRuns() {
 		r.over = true
+		w.world.leaveGang(r)
 		w.world.Judge.ended(r, fleet.Lapsed)
 		w.world.memberEnded(r, fleet.Lapsed)
 	}
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sort"
 	"time"
 
@@ -36,7 +37,9 @@
 	EncodeWorker func(*fleet.Worker) []byte
 	epoch        time.Time
 	jobs         map[string]*taskgraph.Spec
-	owners       int
+	// gangs has the present members of each gang's run.
+	gangs  map[gangRun][]*run
+	owners int
 }
 
 // orderLatency is the way of an order to a worker and back.
@@ -50,7 +53,7 @@
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	clock := emulator.NewClock(start)
 	w := &World{
-		Clock: clock, Store: NewStore(clock), epoch: start, jobs: map[string]*taskgraph.Spec{},
+		Clock: clock, Store: NewStore(clock), epoch: start, jobs: map[string]*taskgraph.Spec{}, gangs: map[gangRun][]*run{},
 		Bounds: pool.Bounds{
 			MaxHold: 6 * time.Second, StopTimeout: 400 * time.Millisecond, GangTimeout: 3 * time.Second,
 			Reclaim: 3 * time.Second, CheckpointInterval: time.Second, StatusRetention: 120 * time.Second, RemoteFactor: 3,
@@ -346,17 +349,30 @@
 // WorkerTable implements pool.Ports.
 func (p *ports) WorkerTable() string { return p.world.WorkerTable }
 
-// gang lists the runs of the same run number of a gang.
-func (w *World) gang(r *run) []*run {
-	var members []*run
-	for _, worker := range w.Workers {
-		for _, other := range worker.sortedRuns() {
-			if other.number == r.number && other.name.Job == r.name.Job && other.name.Time == r.name.Time && other.name.Step == r.name.Step {
-				members = append(members, other)
-			}
-		}
+// gangRun names one run of a gang.
+type gangRun struct {
+	job                string
+	time, step, number int
+}
+
+func (r *run) gangRun() gangRun {
+	return gangRun{job: r.name.Job, time: r.name.Time, step: r.name.Step, number: r.number}
+}
+
+// gang lists the members of a gang's run that are present, in the order of their starts.
+func (w *World) gang(r *run) []*run { return slices.Clone(w.gangs[r.gangRun()]) }
+
+func (w *World) enterGang(r *run) {
+	w.gangs[r.gangRun()] = append(w.gangs[r.gangRun()], r)
+}
+
+func (w *World) leaveGang(r *run) {
+	members := slices.DeleteFunc(w.gangs[r.gangRun()], func(other *run) bool { return other == r })
+	if len(members) == 0 {
+		delete(w.gangs, r.gangRun())
+		return
 	}
-	return members
+	w.gangs[r.gangRun()] = members
 }
 
 // assemble starts the work of a run, or of a gang once all of it is there.
