Cycles of an owner leave three quarters of its processor to everything else

Cause: while units wait the next cycle began 10 ms after the last one. With many units waiting at 1,100 workers a cycle takes tens of milliseconds, so that cycles took most of the processor, and ends, orders and pings came late. Change: the pause is three times what the last cycle took, 10 ms at least; a histogram of cycles' durations.

--- a/internal/pool/cycle.go
+++ b/internal/pool/cycle.go
@@ -9,9 +9,18 @@
 	"github.com/wheatroad/wheatroad/internal/placement"
 )
 
-// cyclePause is the least time between two cycles while units wait that the last one
-// could not place: most of what happens then changes nothing for them.
-const cyclePause = 10 * time.Millisecond
+// Between two cycles while units wait that the last one could not place, the least time
+// is cyclePause, since most of what happens then changes nothing for them, and cycleRest
+// times what the last one took. So cycles leave three quarters of the processor to ends,
+// orders and pings, which else come late when many units wait in a large pool.
+const (
+	cyclePause = 10 * time.Millisecond
+	cycleRest  = 3
+)
+
+// pauseAfter is the least time to the next cycle after one that took a while and left
+// units waiting.
+func pauseAfter(took time.Duration) time.Duration { return max(cyclePause, cycleRest*took) }
 
 // wake runs a scheduling cycle soon.
 func (p *Pool) wake() {
@@ -19,7 +28,7 @@
 		return
 	}
 	p.waking = true
-	pause := p.lastCycle.Add(cyclePause).Sub(p.loop.Now())
+	pause := p.lastCycle.Add(pauseAfter(p.cycleTook)).Sub(p.loop.Now())
 	if !p.crowded || pause <= 0 {
 		p.loop.Post(p.runCycle)
 		return
@@ -36,6 +45,7 @@
 
 // cycle places waiting units, the most pressing first.
 func (p *Pool) cycle() {
+	began := p.loop.Now()
 	waiting := p.waitingUnits()
 	p.crowded = false
 	if len(waiting) == 0 {
@@ -57,6 +67,8 @@
 		}
 	}
 	p.lastCycle = p.loop.Now()
+	p.cycleTook = p.lastCycle.Sub(began)
+	p.record.Observe("cycle", p.cycleTook)
 }
 
 // waitingUnits lists the units that want a place, the most pressing first.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -45,6 +45,8 @@
 	// left units waiting.
 	lastCycle time.Time
 	crowded   bool
+	// cycleTook is how long that cycle took.
+	cycleTook time.Duration
 	// storeAnsweredAt is when the store last answered.
 	storeAnsweredAt time.Time
 	// storeBackAt is when the store last answered after a silence of storeGap.
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -59,6 +59,7 @@
 		"acceptance":             {"wheatroad.job.acceptance", "From a submission's arrival to its answer."},
 		"start_after_acceptance": {"wheatroad.job.start", "From a job's acceptance to its first start order."},
 		"takeover":               {"wheatroad.pool.takeover", "From a pool's acquisition until its rows are read."},
+		"cycle":                  {"wheatroad.pool.cycle", "How long a scheduling cycle of a pool's owner took."},
 		"store_commit":           {"wheatroad.store.commit", "From a batch of the owner's rows to its commit, retries included."},
 		"start_order":            {"wheatroad.worker.start", "From a start order to its answer."},
 		"end_noted":              {"wheatroad.run.end.noted", "From an end taken in until it is written and may be acknowledged."},
