Gangs that a slow member holds up are moved, and its worker is left alone for a while

Cause: workers' speeds were learned from gangs that had ended, which those with a slow member do late, and no run was ever moved for being slow. With a sixth of the workers 6.6 times slower three urgent gangs of eight in four waited for a slow member.

--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -25,6 +25,8 @@
 	// QuickStalls moves runs that stand still once the stall has cost what the move does,
 	// and keeps new work off their workers.
 	QuickStalls Name = "quick-stalls"
+	// Laggards moves gangs that a slow member holds up, and keeps new work off its worker.
+	Laggards Name = "laggards"
 	// Headroom leaves the emptiest racks to urgent jobs.
 	Headroom Name = "headroom"
 	// Pressure holds patient units back after others were stopped for room.
@@ -50,7 +52,7 @@
 // All lists the mechanisms.
 func All() []Name {
 	return []Name{
-		LearnedDurations, LearnedSpeeds, TrustedWorkers, QuickStalls, NearPlaces, Headroom, Pressure, Reservations,
+		LearnedDurations, LearnedSpeeds, TrustedWorkers, QuickStalls, Laggards, NearPlaces, Headroom, Pressure, Reservations,
 		PressingGangs, TimelyFirst, EndDelay, StoreRelay, LongFeeds, Guards, WeakOwners,
 	}
 }
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -311,8 +311,10 @@
 	lossyUntil time.Time
 	// penaltyUntil keeps new work away.
 	penaltyUntil time.Time
-	speed        speed
-	reliability  reliability
+	// slowUntil keeps gangs away.
+	slowUntil   time.Time
+	speed       speed
+	reliability reliability
 }
 
 // stranger is a run that does not belong where it is.
--- a/internal/pool/speed.go
+++ b/internal/pool/speed.go
@@ -91,6 +91,9 @@
 
 // slow reports whether a worker takes longer than most.
 func (p *Pool) slow(w *worker) bool {
+	if p.loop.Now().Before(w.slowUntil) {
+		return true
+	}
 	if p.options.Off[mechanism.LearnedSpeeds] {
 		return false
 	}
--- a/internal/pool/stalls.go
+++ b/internal/pool/stalls.go
@@ -40,6 +40,9 @@
 				p.stopUnit(u, "start unanswered")
 			default:
 				p.checkProgress(m, now)
+				if m == u.members[0] && u.state == unitActive {
+					p.checkLaggards(u, now)
+				}
 			}
 		}
 	}
@@ -56,19 +59,26 @@
 		p.stopStanding(m.unit)
 		return
 	}
-	if p.quickStalls() && m.unproven() && now.Sub(m.unit.startedAt) > firstLook && now.Sub(m.worker.lookedAt) > lookPause {
+	if p.wantsLook(m, now) && now.Sub(m.worker.lookedAt) > lookPause {
 		p.look(m.worker)
 	}
 }
 
-func (p *Pool) quickStalls() bool { return !p.options.Off[mechanism.QuickStalls] }
-
-// unproven reports whether a run should be at work and has shown no progress yet.
-func (m *member) unproven() bool {
+// wantsLook reports whether a young run should be looked at: one that shows no progress
+// yet, and once each member of a gang, to compare them.
+func (p *Pool) wantsLook(m *member, now time.Time) bool {
 	u := m.unit
-	return m.state == memberRunning && m.percent == 0 && u.startedHere && !u.spec().LongRunning && !u.runningSince.IsZero()
+	if m.state != memberRunning || !u.startedHere || u.runningSince.IsZero() || u.spec().LongRunning || now.Sub(u.runningSince) < firstLook {
+		return false
+	}
+	if p.quickStalls() && m.percent == 0 {
+		return true
+	}
+	return !p.options.Off[mechanism.Laggards] && len(u.members) > 1 && m.listedAt.Sub(u.runningSince) < projectionAge
 }
 
+func (p *Pool) quickStalls() bool { return !p.options.Off[mechanism.QuickStalls] }
+
 // stalledFor returns how long a run has made no progress by what its worker has listed, or
 // 0 if it moves, waits for others of its gang, or is not known to do neither.
 func (p *Pool) stalledFor(m *member) time.Duration {
