Orders without an answer get a second try; a run whose stop got no answer is waited out

Two changes of the same functions. 1. Change: a second try after 60 ms, or four times what orders take. TestUnansweredStartIsSentAgainSoon and TestUnansweredStopIsSentAgainSoon failed before. Cause: a run that its worker did not list counted as gone unless the stop's answer had been heard. With that answer lost any other end on the worker within the time of the stop freed the task, which ran twice at once. Change: a run that was ordered to stop counts as gone once its end is listed or the time of a stop has passed. Where a worker's list of ends is full, runs that it does not list are left as they are.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -114,6 +114,9 @@
 	ClockMillis int64
 	Running     []Running
 	Ended       []Ended
+	// MoreEnded is true if the worker may have further ends to tell: a run that is listed
+	// nowhere may then have ended.
+	MoreEnded bool
 }
 
 // Orders sends orders to workers.
--- a/internal/pool/faults_test.go
+++ b/internal/pool/faults_test.go
@@ -79,8 +79,21 @@
 	require.NotEmpty(t, stopUnderWay(pool.Without{StopWait: true}).Judge.Broken)
 }
 
+// changePace lets a worker stand still, turn slow, or work again, now and then.
+func changePace(w *simulation.World, random *rand.Rand) {
+	worker := w.Workers[random.IntN(len(w.Workers))]
+	switch random.IntN(8) {
+	case 0:
+		worker.Standing = !worker.Standing
+	case 1:
+		worker.Slowness = 7
+	case 2:
+		worker.Slowness = 1
+	}
+}
+
 // randomSeeds is how many seeds of random faults are played.
-const randomSeeds = 60
+const randomSeeds = 100
 
 // randomFaults plays a world with faults by seed and returns it, settled, with the
 // number of its jobs.
@@ -101,6 +114,9 @@
 	for _, worker := range w.Workers {
 		worker.LoseOrder = fate(0.05)
 	}
+	// The paces of workers are drawn apart, so that they leave a seed's other faults as
+	// they are.
+	paces := rand.New(rand.NewPCG(seed, 2))
 	owner := w.Own()
 	jobs := 0
 	for range 40 {
@@ -138,6 +154,7 @@
 			w.Run(time.Duration(random.IntN(300)) * time.Millisecond)
 			owner = w.Own()
 		}
+		changePace(w, paces)
 		if owner.Ended != "" {
 			owner = w.Own()
 		}
@@ -149,6 +166,7 @@
 	w.Store.Lose = nil
 	for _, worker := range w.Workers {
 		worker.Cut, worker.LoseOrder = false, nil
+		worker.Standing, worker.Slowness = false, 1
 	}
 	w.Own()
 	w.Run(120 * time.Second)
--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -228,6 +228,9 @@
 		listed[m] = true
 		p.memberListed(m, entry, now)
 	}
+	if reply.MoreEnded {
+		return
+	}
 	for _, m := range w.members {
 		if !listed[m] {
 			p.memberNotListed(m, sentAt)
@@ -274,6 +277,11 @@
 		if sentAt.Sub(m.sentAt) > p.options.Bounds.StopTimeout {
 			p.memberEnded(m, fleet.Stopped)
 		}
+	case m.stopTried && !p.options.Without.StopWait:
+		// The worker may be carrying out a stop whose answer was lost: what ends by it is
+		// not listed and still works.
+		m.stopAnswered = true
+		m.sentAt = p.loop.Now()
 	case m.state == memberUncertain && m.sentAt.IsZero() && p.options.Without.StopWait:
 		p.memberEnded(m, fleet.Lapsed)
 	case m.state == memberUncertain && m.sentAt.IsZero():
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -118,7 +118,9 @@
 	state memberState
 	// worker is nil unless a run of the member may exist there.
 	worker *worker
+	// stopTried is true once a stop of the present run was sent, whatever became of it;
 	// stopSent and stopAnswered tell how far a stop has come.
+	stopTried    bool
 	stopSent     bool
 	stopAnswered bool
 	stopTimer    func()
--- a/internal/pool/orders.go
+++ b/internal/pool/orders.go
@@ -27,7 +27,7 @@
 func (p *Pool) assign(m *member, w *worker) {
 	m.worker = w
 	m.state = memberNone
-	m.stopSent, m.stopAnswered, m.doubtful = false, false, false
+	m.stopTried, m.stopSent, m.stopAnswered, m.doubtful = false, false, false, false
 	m.percent, m.percentAt, m.listedAt = 0, time.Time{}, time.Time{}
 	m.sentAt = time.Time{}
 	m.timed = false
@@ -45,7 +45,7 @@
 	}
 	m.worker = nil
 	m.state = memberNone
-	m.stopSent, m.stopAnswered = false, false
+	m.stopTried, m.stopSent, m.stopAnswered = false, false, false
 }
 
 func (p *Pool) clearMembers(u *unit) {
@@ -125,21 +125,52 @@
 	m.state = memberStarting
 	m.sentAt = now
 	run := u.run
-	p.record.Count("worker_orders", "start")
-	p.ports.Start(&w.Worker, order, func(reply fleet.Reply, err error) {
-		if p.gone || m.worker != w || u.run != run {
-			return
-		}
-		if err == nil {
-			p.started(m, reply)
-			return
+	current := func() bool { return !p.gone && m.worker == w && u.run == run }
+	var sent tries
+	send := func() {
+		p.record.Count("worker_orders", "start")
+		sent.open++
+		p.ports.Start(&w.Worker, order, func(reply fleet.Reply, err error) {
+			sent.open--
+			if current() {
+				p.startAnswered(m, &sent, reply, err)
+			}
+		})
+	}
+	send()
+	p.loop.After(p.secondTryAfter(), func() {
+		if current() && m.state == memberStarting && sent.unanswered() && !m.stopSent {
+			p.record.Count("retries", "start_unanswered")
+			send()
 		}
-		p.startFailed(m, err)
 	})
 }
 
+// startAnswered takes in what became of one try of a start.
+func (p *Pool) startAnswered(m *member, sent *tries, reply fleet.Reply, err error) {
+	reason := fleet.ReasonOf(err)
+	lost := err != nil && reason == fleet.NoAnswer
+	if lost {
+		m.worker.lossyUntil = p.loop.Now().Add(lossyPeriod)
+	}
+	switch {
+	case sent.answered:
+		// The other try told what became of the run.
+	case err == nil:
+		sent.answered = true
+		p.started(m, reply)
+	case sent.open == 0 || reason == fleet.Fenced || reason == fleet.OtherInstance:
+		sent.answered = true
+		p.startFailed(m, err)
+	default:
+		m.doubtful = m.doubtful || lost
+	}
+}
+
 func (p *Pool) started(m *member, reply fleet.Reply) {
-	p.record.Observe("start_order", p.loop.Now().Sub(m.sentAt))
+	took := p.loop.Now().Sub(m.sentAt)
+	p.record.Observe("start_order", took)
+	p.orderLatency += (took - p.orderLatency) / orderLatencyMemory
 	p.heard(m.worker, reply.ClockMillis)
 	if m.state == memberStarting || m.state == memberUncertain {
 		m.state = memberRunning
@@ -216,25 +247,47 @@
 	if m.stopSent || m.worker == nil {
 		return
 	}
-	m.stopSent = true
+	m.stopTried, m.stopSent = true, true
 	u, w, run := m.unit, m.worker, m.unit.run
-	p.record.Count("worker_orders", "stop")
-	p.ports.Stop(&w.Worker, fleet.Stop{Task: m.name(), Run: run, Token: p.token}, func(reply fleet.Reply, err error) {
-		if p.gone || m.worker != w || u.run != run {
-			return
-		}
-		if err == nil {
-			p.heard(w, reply.ClockMillis)
-			m.stopAnswered = true
-			m.sentAt = p.loop.Now()
-			if m.state != memberRunning {
-				p.look(w)
+	current := func() bool { return !p.gone && m.worker == w && u.run == run }
+	var sent tries
+	send := func() {
+		p.record.Count("worker_orders", "stop")
+		sent.open++
+		p.ports.Stop(&w.Worker, fleet.Stop{Task: m.name(), Run: run, Token: p.token}, func(reply fleet.Reply, err error) {
+			sent.open--
+			if current() {
+				p.stopAnswered(m, &sent, reply, err)
 			}
-			return
+		})
+	}
+	send()
+	p.loop.After(p.secondTryAfter(), func() {
+		if current() && m.stopSent && sent.unanswered() {
+			p.record.Count("retries", "stop_unanswered")
+			send()
 		}
-		if p.orderFailed(w, err) {
-			return
+	})
+}
+
+// stopAnswered takes in what became of one try of a stop.
+func (p *Pool) stopAnswered(m *member, sent *tries, reply fleet.Reply, err error) {
+	u, w, run := m.unit, m.worker, m.unit.run
+	switch {
+	case sent.answered:
+	case err == nil:
+		sent.answered = true
+		p.heard(w, reply.ClockMillis)
+		m.stopAnswered = true
+		m.sentAt = p.loop.Now()
+		if m.state != memberRunning {
+			p.look(w)
 		}
+	case sent.open > 0 && fleet.ReasonOf(err) == fleet.NoAnswer:
+		// The other try is under way.
+	case p.orderFailed(w, err):
+	default:
+		sent.answered = true
 		m.stopTimer = p.loop.After(stopRetry, func() {
 			m.stopTimer = nil
 			m.stopSent = false
@@ -242,7 +295,7 @@
 				p.sendStop(m)
 			}
 		})
-	})
+	}
 }
 
 // stopStranger stops a run that does not belong on a worker.
--- a/internal/pool/orders_test.go
+++ b/internal/pool/orders_test.go
@@ -93,3 +93,95 @@
 	requireKept(t, w)
 	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
 }
+
+// loseFirst returns fates of which the first one is given and all others are answered.
+func loseFirst(fate simulation.Fate) func() simulation.Fate {
+	orders := 0
+	return func() simulation.Fate {
+		if orders++; orders == 1 {
+			return fate
+		}
+		return simulation.Answered
+	}
+}
+
+// Symptom: of 104 urgent jobs that ended late on a day on which one order in twenty was
+// left unanswered, 22 had lost nothing but the answer to a start.
+// Sequence: a start gets no answer; it is sent again after 0.4 s; the gang's others wait.
+// Cause: a second start waited for the first one's time to run out, though workers answer
+// within some 4 ms and start a run once, however often they are told.
+// Settled by: the jobs' lines: placed, a start failed with no_answer 0.38 s later, ended
+// 0.2 to 1.1 s late.
+
+func TestUnansweredStartIsSentAgainSoon(t *testing.T) {
+	for name, fate := range map[string]simulation.Fate{"never done": simulation.NeverDone, "done late": simulation.DoneLate, "done": simulation.AnswerLost} {
+		t.Run(name, func(t *testing.T) {
+			w := simulation.NewWorld(1, 2)
+			w.Work = func(taskgraph.TaskName) time.Duration { return 2 * time.Second }
+			w.Workers[0].LoseOrder = loseFirst(fate)
+			w.Own()
+			w.Run(100 * time.Millisecond)
+			w.Submit(spec(1, gang(2)), urgent)
+			w.Run(200 * time.Millisecond)
+			require.Equal(t, 2, w.Workers[0].Runs()+w.Workers[1].Runs())
+			w.Run(2 * time.Second)
+			requireKept(t, w)
+			require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
+			w.Run(5 * time.Second)
+			requireKept(t, w)
+		})
+	}
+}
+
+// TestUnansweredStopIsSentAgainSoon: an urgent gang waited 0.55 s longer for the room of
+// what it pushed out.
+func TestUnansweredStopIsSentAgainSoon(t *testing.T) {
+	w := simulation.NewWorld(1, 1)
+	w.Work = func(taskgraph.TaskName) time.Duration { return 5 * time.Second }
+	w.Own()
+	w.Submit(spec(1, single(8)), batch)
+	w.Run(500 * time.Millisecond)
+	w.Workers[0].LoseOrder = loseFirst(simulation.NeverDone)
+	w.Submit(spec(2, gang(1)), urgent)
+	w.Run(simulation.StopTime + 250*time.Millisecond)
+	require.Equal(t, 1, w.Workers[0].RunsOf(jobID(2)))
+	w.Run(20 * time.Second)
+	requireKept(t, w)
+}
+
+// Symptom: a task was started on a second worker while its first run was still ending.
+// Sequence: a stop is carried out and its answer is lost; within the time of the stop the
+// worker answers a hold, since another run ends there, and lists the stopped run no longer.
+// Cause: a run that the worker did not list counted as gone unless the stop's answer had
+// been heard.
+// Settled by: random faults, seed 596: stopped at 2.286 s, placed anew at 2.296 s, the
+// first run over at 2.587 s.
+
+func TestStopWithoutAnswerIsWaitedOut(t *testing.T) {
+	w := simulation.NewWorld(1, 2)
+	w.Work = func(name taskgraph.TaskName) time.Duration {
+		switch name.Job {
+		case jobID(2):
+			return 1100 * time.Millisecond
+		case jobID(3):
+			// Its end brings the hold that is under way at the stop.
+			return 700 * time.Millisecond
+		}
+		return 6 * time.Second
+	}
+	long := single(2)
+	long.EstimateMillis = 6000
+	w.Submit(spec(1, long), batch)
+	w.Submit(spec(2, single(1)), batch)
+	w.Submit(spec(3, single(1)), batch)
+	w.Own()
+	w.Run(time.Second)
+	leaving := workersOf(w, jobID(2))[0]
+	require.Equal(t, 2, leaving.RunsOf(jobID(1)), "all on one worker")
+	leaving.LoseOrder = func() simulation.Fate { return simulation.AnswerLost }
+	leaving.Draining, leaving.RemainingMillis = true, 3000
+	w.PutWorkerRow(leaving)
+	w.Run(10 * time.Second)
+	requireKept(t, w)
+	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -47,6 +47,8 @@
 	crowded   bool
 	// cycleTook is how long that cycle took.
 	cycleTook time.Duration
+	// orderLatency is how long starts have lately taken to be answered.
+	orderLatency time.Duration
 	// storeAnsweredAt is when the store last answered.
 	storeAnsweredAt time.Time
 	// storeBackAt is when the store last answered after a silence of storeGap.
