Accepted jobs are announced to their pool's owner ahead of its feed

Cause: an owner learned of jobs by its feed only, which is silent for a second before the store cuts its history: jobs accepted at 1.0 s were looked at from 2.25 s on, in a pool with room. Change: the accepting node sends the row to the owner once the store holds it. A row at a version that the feed has passed is ignored, so that a late notice cannot bring back a job whose rows were removed.

--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -43,6 +43,8 @@
 	StoreRelay Name = "store-relay"
 	// LongFeeds follows the store seldom where an owner confirms the configuration.
 	LongFeeds Name = "long-feeds"
+	// Announcements tell a pool's owner of accepted jobs ahead of its feed.
+	Announcements Name = "announcements"
 	// Guards watch owners closely.
 	Guards Name = "guards"
 	// WeakOwners relieves owners on machines much weaker than others.
@@ -53,7 +55,7 @@
 func All() []Name {
 	return []Name{
 		LearnedDurations, LearnedSpeeds, TrustedWorkers, QuickStalls, Laggards, NearPlaces, Headroom, Pressure, Reservations,
-		PressingGangs, TimelyFirst, EndDelay, StoreRelay, LongFeeds, Guards, WeakOwners,
+		PressingGangs, TimelyFirst, EndDelay, StoreRelay, LongFeeds, Announcements, Guards, WeakOwners,
 	}
 }
 
--- /dev/null
+++ b/internal/node/announce.go
@@ -0,0 +1,53 @@
+package node
+
+import (
+	"context"
+
+	"github.com/wheatroad/wheatroad/internal/mechanism"
+	"github.com/wheatroad/wheatroad/internal/rows"
+)
+
+// acceptedNotice tells a pool's owner of a job that another node has accepted.
+type acceptedNotice struct {
+	Pool string   `json:"pool"`
+	Row  rows.Row `json:"row"`
+}
+
+// announce tells a pool's owner of an accepted job, whose row is in the store. Nobody waits
+// for it: the owner's feed brings the row in any case. It may be called anywhere.
+func (n *Node) announce(poolName string, row rows.Row) {
+	if n.options.Off[mechanism.Announcements] {
+		return
+	}
+	v := n.view.Load()
+	if v.owned[poolName] != nil {
+		n.edges.Loop.Post(func() { n.takeAnnounced(poolName, row) })
+		return
+	}
+	lease := v.leases[poolName]
+	if lease.Address == "" || lease.Owner == n.options.Name {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(n.ports.ctx, pingTimeout)
+		defer cancel()
+		result := "told"
+		if _, err := n.call(ctx, lease.Address, methodAccepted, acceptedNotice{Pool: poolName, Row: row}); err != nil {
+			result = "lost"
+		}
+		n.edges.Record.Count("announcements", result)
+	}()
+}
+
+// takeAnnounced hands a row to the pool, if this node owns it.
+func (n *Node) takeAnnounced(poolName string, row rows.Row) {
+	if p := n.owned[poolName]; p != nil {
+		p.TakeAnnounced(row)
+	}
+}
+
+// serveAccepted takes in another node's notice.
+func (n *Node) serveAccepted(notice acceptedNotice) (struct{}, error) {
+	n.edges.Loop.Post(func() { n.takeAnnounced(notice.Pool, notice.Row) })
+	return struct{}{}, nil
+}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -184,6 +184,7 @@
 	case err != nil:
 		return storeFailure(err)
 	case result.Committed:
+		g.node.announce(job.Queue.Pool, rows.Row{Key: key, Value: value, Version: result.Version})
 		return nil
 	}
 	return sameJob(result, job)
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -20,6 +20,8 @@
 	methodWaiting = "waiting"
 	methodStore   = "store"
 	methodChunk   = "chunk"
+	// methodAccepted tells a pool's owner of an accepted job.
+	methodAccepted = "accepted"
 )
 
 // jobRequest names a job or a queue for another node.
@@ -104,6 +106,12 @@
 			return nil, err
 		}
 		return n.serveStore(ctx, request)
+	case methodAccepted:
+		notice, err := decodeBody[acceptedNotice](method, body)
+		if err != nil {
+			return nil, err
+		}
+		return n.serveAccepted(notice)
 	case methodChunk:
 		request, err := decodeBody[chunkRequest](method, body)
 		if err != nil {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -64,6 +64,8 @@
 	// last applied to open jobs.
 	durations   map[string]*durationModel
 	estimatedAt time.Time
+	// jobsVersion is the version of the store up to which the feed of jobs was read.
+	jobsVersion int64
 	// earlyCancels are cancellations read before their job.
 	earlyCancels map[string]bool
 }
--- a/internal/pool/read.go
+++ b/internal/pool/read.go
@@ -37,11 +37,19 @@
 
 func nextPause(pause time.Duration) time.Duration { return min(2*pause, retryPauseMax) }
 
+// passed notes up to which version a table's changes were read.
+func (p *Pool) passed(table string, version int64) {
+	if table == JobTable {
+		p.jobsVersion = version
+	}
+}
+
 // follow reads a table's changes for ever. On lost history it calls again.
 func (p *Pool) follow(table string, after int64, pause time.Duration, apply func(rows.Row), again func()) {
 	if p.gone {
 		return
 	}
+	p.passed(table, after)
 	p.ports.Feed(table, after, func(listing rows.Listing, err error) {
 		switch {
 		case p.gone:
--- a/internal/simulation/store.go
+++ b/internal/simulation/store.go
@@ -26,6 +26,8 @@
 	AwayAll bool
 	// Lose decides the fate of each write.
 	Lose func() Fate
+	// FeedsSilent holds the answers of feeds back.
+	FeedsSilent bool
 	// Latency is the time of a call's way to the store and back.
 	Latency time.Duration
 	waiters []func()
@@ -168,6 +170,10 @@
 		done(rows.Listing{}, rows.ErrRefused)
 		return
 	}
+	if s.FeedsSilent {
+		s.pollLater(table, after, deadline, done)
+		return
+	}
 	listing := rows.Listing{Version: s.version}
 	for _, row := range s.changes {
 		if row.Table == table && row.Version > after {
@@ -178,6 +184,16 @@
 		done(listing, nil)
 		return
 	}
+	s.pollLater(table, after, deadline, done)
+}
+
+// pollLater looks again at the next change, and at the deadline at the latest. A silent
+// feed is looked at again soon.
+func (s *Store) pollLater(table string, after int64, deadline time.Time, done func(rows.Listing, error)) {
+	if s.FeedsSilent {
+		s.clock.After(silentFeedPause, func() { s.poll(table, after, deadline, done) })
+		return
+	}
 	answered := false
 	again := func() {
 		if !answered {
@@ -188,3 +204,6 @@
 	s.waiters = append(s.waiters, again)
 	s.clock.At(deadline, again)
 }
+
+// silentFeedPause is the pause between two looks whether feeds are silent still.
+const silentFeedPause = 50 * time.Millisecond
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -40,6 +40,7 @@
 		"takeovers":         {"wheatroad.pool.ownership.changes", "Pools acquired, lost or left to their owner, by event.", "event"},
 		"feed_gaps":         {"wheatroad.feed.gaps", "Feeds read anew because their history was gone, by table.", "table"},
 		"answers_given_up":  {"wheatroad.store.answers.given.up", "Answers of the store of which only a part arrived in time, by table.", "table"},
+		"announcements":     {"wheatroad.job.announcements", "Accepted jobs told to their pool's owner, by result.", "result"},
 		"store_relays":      {"wheatroad.store.relays", "Calls to the store through another node, by result.", "result"},
 		"start_failures":    {"wheatroad.worker.start.failures", "Starts that did not succeed, by reason.", "reason"},
 		"stops":             {"wheatroad.unit.stops", "Units stopped, by reason.", "reason"},
