--- a/internal/pool/laggards.go
+++ b/internal/pool/laggards.go
@@ -42,7 +42,7 @@
 			continue
 		}
 		m.worker.slowUntil = now.Add(slowPeriod)
-		m.worker.penaltyUntil = now.Add(penalty)
+		p.leaveAlone(m.worker, "a run is much slower than its gang", now)
 		slowest = max(slowest, projected)
 	}
 	left := u.runningSince.Add(slowest).Sub(now)
--- a/internal/pool/stalls.go
+++ b/internal/pool/stalls.go
@@ -56,7 +56,7 @@
 func (p *Pool) checkProgress(m *member, now time.Time) {
 	stalled := p.stalledFor(m)
 	if stalled > 0 && p.quickStalls() {
-		m.worker.penaltyUntil = now.Add(penalty)
+		p.leaveAlone(m.worker, "a run stands still", now)
 	}
 	if stalled > 0 && stalled >= p.stallPatience(m) {
 		p.stopStanding(m.unit)
@@ -136,12 +136,20 @@
 		}
 		u.avoid[m.worker.ID] = true
 		if !u.spec().Gang || p.quickStalls() {
-			m.worker.penaltyUntil = now.Add(penalty)
+			p.leaveAlone(m.worker, "a run stands still", now)
 		}
 	}
 	p.stopUnit(u, "stands still")
 }
 
+// leaveAlone keeps new work off a worker for a while.
+func (p *Pool) leaveAlone(w *worker, reason string, now time.Time) {
+	if !now.Before(w.penaltyUntil) {
+		p.record.Decided("worker left alone", "worker", w.ID, "reason", reason, "for_ms", penalty.Milliseconds(), "runs", len(w.members))
+	}
+	w.penaltyUntil = now.Add(penalty)
+}
+
 // noteRunning notes that a member's start was confirmed. The work of a gang begins with
 // its last member.
 func (u *unit) noteRunning(now time.Time) {
