--- a/scripts/replay-seeds.sh
+++ b/scripts/replay-seeds.sh
@@ -7,7 +7,7 @@
 failed=0
 while read -r site day seed rule _; do
   case $site in '#'*|'') continue ;; esac
-  report=$("$bench" run "$sites/$site-wheatroad.toml" "$day" --seed "$seed" --why "kept seed ($rule)" 2>&1)
+  report=$("$bench" run "$(find "$sites" -name "$site-wheatroad.toml" | head -n 1)" "$day" --seed "$seed" --why "kept seed ($rule)" 2>&1)
   if grep -q 'BROKEN' <<<"$report"; then
     failed=1
     grep 'BROKEN' <<<"$report" | cut -c1-200
