--- a/internal/pool/starts.go
+++ b/internal/pool/starts.go
@@ -45,24 +45,12 @@
 	m.state = memberStarting
 	m.sentAt = now
 	run := u.run
-	current := func() bool { return !p.gone && m.worker == w && u.run == run }
-	var sent tries
-	send := func() {
-		p.record.Count("worker_orders", "start")
-		sent.open++
-		p.ports.Start(&w.Worker, order, func(reply fleet.Reply, err error) {
-			sent.open--
-			if current() {
-				p.startAnswered(m, &sent, reply, err)
-			}
-		})
-	}
-	send()
-	p.loop.After(p.secondTryAfter(), func() {
-		if current() && m.state == memberStarting && sent.unanswered() && !m.stopSent {
-			p.record.Count("retries", "start_unanswered")
-			send()
-		}
+	p.sendTwice(&repeatedOrder{
+		name:     "start",
+		current:  func() bool { return !p.gone && m.worker == w && u.run == run },
+		wanted:   func() bool { return m.state == memberStarting && !m.stopSent },
+		send:     func(done func(fleet.Reply, error)) { p.ports.Start(&w.Worker, order, done) },
+		answered: func(sent *tries, reply fleet.Reply, err error) { p.startAnswered(m, sent, reply, err) },
 	})
 }
 
--- a/internal/pool/stops.go
+++ b/internal/pool/stops.go
@@ -35,24 +35,13 @@
 	}
 	m.stopTried, m.stopSent = true, true
 	u, w, run := m.unit, m.worker, m.unit.run
-	current := func() bool { return !p.gone && m.worker == w && u.run == run }
-	var sent tries
-	send := func() {
-		p.record.Count("worker_orders", "stop")
-		sent.open++
-		p.ports.Stop(&w.Worker, fleet.Stop{Task: m.name(), Run: run, Token: p.token}, func(reply fleet.Reply, err error) {
-			sent.open--
-			if current() {
-				p.stopAnswered(m, &sent, reply, err)
-			}
-		})
-	}
-	send()
-	p.loop.After(p.secondTryAfter(), func() {
-		if current() && m.stopSent && sent.unanswered() {
-			p.record.Count("retries", "stop_unanswered")
-			send()
-		}
+	order := fleet.Stop{Task: m.name(), Run: run, Token: p.token}
+	p.sendTwice(&repeatedOrder{
+		name:     "stop",
+		current:  func() bool { return !p.gone && m.worker == w && u.run == run },
+		wanted:   func() bool { return m.stopSent },
+		send:     func(done func(fleet.Reply, error)) { p.ports.Stop(&w.Worker, order, done) },
+		answered: func(sent *tries, reply fleet.Reply, err error) { p.stopAnswered(m, sent, reply, err) },
 	})
 }
 
--- a/internal/pool/tries.go
+++ b/internal/pool/tries.go
@@ -1,6 +1,10 @@
 package pool
 
-import "time"
+import (
+	"time"
+
+	"github.com/wheatroad/wheatroad/internal/fleet"
+)
 
 // An order without an answer is sent a second time after secondTryLeast, or after
 // secondTryRatio times what orders have lately taken if that is longer, beside the first
@@ -27,3 +31,37 @@
 
 // unanswered reports whether the only try so far is under way still.
 func (t *tries) unanswered() bool { return t.open == 1 && !t.answered }
+
+// repeatedOrder is an order to a worker that gets a second try.
+type repeatedOrder struct {
+	// name is the order's in counters.
+	name string
+	// current reports whether the order still is about its member's present run, and wanted
+	// whether a second try still makes sense.
+	current, wanted func() bool
+	send            func(done func(fleet.Reply, error))
+	// answered takes in what became of one try.
+	answered func(sent *tries, reply fleet.Reply, err error)
+}
+
+// sendTwice sends an order, and once more if it has no answer after a while.
+func (p *Pool) sendTwice(order *repeatedOrder) {
+	sent := &tries{}
+	try := func() {
+		p.record.Count("worker_orders", order.name)
+		sent.open++
+		order.send(func(reply fleet.Reply, err error) {
+			sent.open--
+			if order.current() {
+				order.answered(sent, reply, err)
+			}
+		})
+	}
+	try()
+	p.loop.After(p.secondTryAfter(), func() {
+		if order.current() && order.wanted() && sent.unanswered() {
+			p.record.Count("retries", order.name+"_unanswered")
+			try()
+		}
+	})
+}
