--- a/cmd/wheatroadd/serve.go
+++ b/cmd/wheatroadd/serve.go
@@ -51,10 +51,11 @@
 	callerHeaderTimeout = 5 * time.Second
 	callerIdleTimeout   = 60 * time.Second
 	callerHeaderBytes   = 16 << 10
-	storeConnections    = 40
-	workerConnections   = 6
-	gcPercent           = 400
-	incarnationBytes    = 6
+	// storeConnections lets a takeover read the 32 parts of accepted jobs at once.
+	storeConnections  = 40
+	workerConnections = 6
+	gcPercent         = 400
+	incarnationBytes  = 6
 )
 
 // service is a node and its servers.
--- a/internal/httppool/httppool.go
+++ b/internal/httppool/httppool.go
@@ -74,7 +74,8 @@
 	return known.transport
 }
 
-// sweep forgets servers that were not used for long, once there are many.
+// sweep forgets servers that were not used for long, whenever their number reaches a power
+// of two.
 func (p *Pool) sweep(now time.Time) {
 	count := len(p.servers)
 	if count < serversSwept || count&(count-1) != 0 {
