Work that takes far longer than its estimate is not moved without end

Cause: a run without progress for a second and 0.08 of its estimate counted as standing still. Change: the times double with each stall of a unit, and from the second on its own work counts as slow: no worker is left alone for it or avoided by it. TestTaskFarLongerThanItsEstimateRunsThrough failed before (still running after its work's time).

--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -104,6 +104,8 @@
 	startedHere bool
 	// resumed is true if the latest run goes on from a checkpoint.
 	resumed bool
+	// stalls counts how often the unit was moved since it stood still.
+	stalls int
 	// snapshotNumber is the unit's number in the snapshot of snapshotSerial.
 	snapshotNumber, snapshotSerial int
 	// stopReason says why the unit is being stopped.
--- a/internal/pool/stalls.go
+++ b/internal/pool/stalls.go
@@ -21,6 +21,12 @@
 	// stall is waited for whatever a move throws away.
 	stallLimit      = 8 * time.Second
 	stallLimitShare = 0.4
+	// stallDoublings bounds how often these times double: with each stall of a unit, since
+	// work that takes far longer than its estimate seems to stand still on any worker. The
+	// last is 34 minutes, in which a percent of two days' work is done.
+	stallDoublings = 8
+	// ownStalls is the number of stalls from which a unit's own work counts as slow.
+	ownStalls = 2
 	// gangPatience is the share of the gang timeout after which a gang without all of its
 	// members is taken back.
 	gangPatience = 0.6
@@ -55,7 +61,7 @@
 // stood still for long enough.
 func (p *Pool) checkProgress(m *member, now time.Time) {
 	stalled := p.stalledFor(m)
-	if stalled > 0 && p.quickStalls() {
+	if stalled > 0 && p.quickStalls() && !m.unit.seemsSlow() {
 		p.leaveAlone(m.worker, "a run stands still", now)
 	}
 	if stalled > 0 && stalled >= p.stallPatience(m) {
@@ -96,7 +102,7 @@
 	if u.startedHere && (m.percent == 0 || u.runningSince.After(since)) {
 		since = u.runningSince
 	}
-	limit := max(stallPeriod, time.Duration(stallShare*float64(u.estimate())))
+	limit := max(stallPeriod, time.Duration(stallShare*float64(u.estimate()))) << min(u.stalls, stallDoublings)
 	if u.resumed {
 		limit += restoreAllowance
 	}
@@ -108,7 +114,7 @@
 
 // stallPatience is how long a run's stall is waited for.
 func (p *Pool) stallPatience(m *member) time.Duration {
-	longest := max(stallLimit, time.Duration(stallLimitShare*float64(m.unit.estimate())))
+	longest := max(stallLimit, time.Duration(stallLimitShare*float64(m.unit.estimate()))) << min(m.unit.stalls, stallDoublings)
 	if !p.quickStalls() {
 		return longest
 	}
@@ -124,8 +130,19 @@
 	return worked
 }
 
+// seemsSlow reports whether it is the unit's own work that seems to stand still, since it
+// did so on several sets of workers.
+func (u *unit) seemsSlow() bool { return u.stalls >= ownStalls }
+
 // stopStanding moves a unit away from the workers on which it stands still.
 func (p *Pool) stopStanding(u *unit) {
+	u.stalls++
+	if u.seemsSlow() {
+		// Its workers are not to blame, and may be all there are.
+		u.avoid = nil
+		p.stopUnit(u, "stands still")
+		return
+	}
 	if u.avoid == nil {
 		u.avoid = map[string]bool{}
 	}
--- a/internal/pool/stalls_test.go
+++ b/internal/pool/stalls_test.go
@@ -107,3 +107,23 @@
 	requireKept(t, w)
 	require.Equal(t, 1, w.Judge.Starts(taskgraph.TaskName{Job: jobID(1)}))
 }
+
+// TestTaskFarLongerThanItsEstimateRunsThrough: a percent of its work takes longer than any
+// stall that is expected of such an estimate, on every worker. It was moved without end.
+func TestTaskFarLongerThanItsEstimateRunsThrough(t *testing.T) {
+	const work = 20 * time.Minute
+	for name, estimate := range map[string]int64{"no estimate": 0, "a second": 1000} {
+		t.Run(name, func(t *testing.T) {
+			w := simulation.NewWorld(1, 4)
+			w.Work = func(taskgraph.TaskName) time.Duration { return work }
+			w.Own()
+			step := gang(2)
+			step.EstimateMillis = estimate
+			w.Submit(spec(1, step), batch)
+			w.Run(work + 2*time.Minute)
+			requireKept(t, w)
+			require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
+			require.LessOrEqual(t, w.Judge.Starts(taskgraph.TaskName{Job: jobID(1)}), 6)
+		})
+	}
+}
