--- a/internal/bench/generate.go
+++ b/internal/bench/generate.go
@@ -19,7 +19,7 @@
 	command := &cobra.Command{
 		Use:     "generate --cluster C.toml --out T.jsonl",
 		Short:   "Write a seeded trace",
-		Example: "  wheatroad-bench generate --cluster sahil.toml --load 0.9 --hours 72 --seed 1 --out trace.jsonl",
+		Example: "  wheatroad-bench generate --cluster site.toml --load 0.9 --hours 72 --seed 1 --out trace.jsonl",
 		Args:    cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			options.Bursts = workload.Bursts(bursts)
--- a/internal/bench/replay.go
+++ b/internal/bench/replay.go
@@ -29,7 +29,7 @@
 	command := &cobra.Command{
 		Use:     "replay --cluster C.toml --trace T.jsonl",
 		Short:   "Run a trace in virtual time and print its figures",
-		Example: "  wheatroad-bench replay --cluster sahil.toml --trace trace.jsonl --policy wheatroad --events out.jsonl",
+		Example: "  wheatroad-bench replay --cluster site.toml --trace trace.jsonl --policy wheatroad --events out.jsonl",
 		Args:    cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
 			result, err := replayFile(options)
--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -24,7 +24,7 @@
 	command := &cobra.Command{
 		Use:     "report DIR --cluster C.toml",
 		Short:   "Replay a generated trace under every policy and write plots and a table",
-		Example: "  wheatroad-bench report out/ --cluster examples/replay/sahil.toml --load 0.9",
+		Example: "  wheatroad-bench report out/ --cluster site.toml --load 0.9",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
 			return report(args[0], clusterPath, options)
--- a/internal/faultproxy/proxy.go
+++ b/internal/faultproxy/proxy.go
@@ -39,6 +39,8 @@
 	open     map[net.Conn]bool
 	// silent has open connections that hand on nothing any more.
 	silent map[net.Conn]bool
+	// opened counts the connections that were accepted.
+	opened int
 	// answers and requests pace the two directions, each for all connections together.
 	answers  pace
 	requests pace
@@ -55,6 +57,13 @@
 	return p, nil
 }
 
+// Opened returns how many connections were made through the proxy so far.
+func (p *Proxy) Opened() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.opened
+}
+
 // Address is where the proxy listens.
 func (p *Proxy) Address() string { return p.listener.Addr().String() }
 
@@ -124,6 +133,7 @@
 func (p *Proxy) keep(connections ...net.Conn) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	p.opened++
 	for _, connection := range connections {
 		p.open[connection] = true
 	}
--- a/internal/httppool/httppool_test.go
+++ b/internal/httppool/httppool_test.go
@@ -3,15 +3,16 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
-	"sync/atomic"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
+
+	"github.com/wheatroad/wheatroad/internal/faultproxy"
 )
 
 // TestWhatARequestSaysOfIdleConnections: only a request whose time ran out ends them.
@@ -20,18 +21,18 @@
 	cases := map[string]struct {
 		cause error
 		// opened is how many connections the next request finds opened after it.
-		opened int32
+		opened int
 	}{
 		"time ran out":     {context.DeadlineExceeded, 2},
 		"no longer wanted": {errUnwanted, 1},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			var opened atomic.Int32
-			address := listen(t, &opened)
+			server := listen(t)
+			address := "http://" + server.Address()
 			client := &http.Client{Transport: New(func() *http.Transport { return &http.Transport{MaxIdleConnsPerHost: 2} })}
 			get(t, client, t.Context(), address)
-			require.EqualValues(t, 1, opened.Load())
+			require.Equal(t, 1, server.Opened())
 			ctx, cancel := context.WithCancelCause(t.Context())
 			cancel(c.cause)
 			request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
@@ -39,17 +40,19 @@
 			_, err = client.Do(request)
 			require.Error(t, err)
 			get(t, client, t.Context(), address)
-			require.Equal(t, c.opened, opened.Load())
+			require.Equal(t, c.opened, server.Opened())
 		})
 	}
 }
 
-func listen(t *testing.T, opened *atomic.Int32) string {
-	server := httptest.NewUnstartedServer(http.NotFoundHandler())
-	server.Config.ConnState = countOpened(opened)
-	server.Start()
+// listen serves behind a proxy, which counts the connections.
+func listen(t *testing.T) *faultproxy.Proxy {
+	server := httptest.NewServer(http.NotFoundHandler())
 	t.Cleanup(server.Close)
-	return server.URL
+	proxy, err := faultproxy.New(strings.TrimPrefix(server.URL, "http://"))
+	require.NoError(t, err)
+	t.Cleanup(proxy.Close)
+	return proxy
 }
 
 func get(t *testing.T, client *http.Client, ctx context.Context, address string) {
@@ -80,11 +83,3 @@
 	pool.transport("another")
 	require.Len(t, pool.servers, 2)
 }
-
-func countOpened(opened *atomic.Int32) func(net.Conn, http.ConnState) {
-	return func(_ net.Conn, state http.ConnState) {
-		if state == http.StateNew {
-			opened.Add(1)
-		}
-	}
-}
--- a/internal/peer/silent_connection_test.go
+++ b/internal/peer/silent_connection_test.go
@@ -117,6 +117,16 @@
 	return err
 }
 
+// callLater begins a call that may take long and returns where its outcome comes.
+func (n *silentNetwork) callLater(t *testing.T, id string) <-chan error {
+	ended := make(chan error, 1)
+	go func() {
+		_, err := n.client.Call(t.Context(), "peer", lookup(id))
+		ended <- err
+	}()
+	return ended
+}
+
 func echo(context.Context, *peerpb.Request) ([]byte, error) { return []byte("{}"), nil }
 
 func TestSilentConnectionToANodeCostsOneCall(t *testing.T) {
@@ -158,11 +168,7 @@
 		return []byte("{}"), nil
 	})
 	require.NoError(t, network.call(t, time.Minute))
-	slow := make(chan error, 1)
-	go func() {
-		_, err := network.client.Call(t.Context(), "peer", lookup("slow"))
-		slow <- err
-	}()
+	slow := network.callLater(t, "slow")
 	require.NoError(t, network.call(t, time.Minute))
 	close(release)
 	require.NoError(t, <-slow)
@@ -194,11 +200,7 @@
 		return []byte("{}"), nil
 	})
 	require.NoError(t, network.call(t, time.Minute))
-	slow := make(chan error, 1)
-	go func() {
-		_, err := network.client.Call(t.Context(), "peer", lookup("slow"))
-		slow <- err
-	}()
+	slow := network.callLater(t, "slow")
 	ctx, cancel := context.WithTimeout(t.Context(), silentCallLimit)
 	defer cancel()
 	_, err := network.client.Call(ctx, "peer", lookup("slower"))
--- a/internal/pool/reliability.go
+++ b/internal/pool/reliability.go
@@ -71,6 +71,14 @@
 	}
 }
 
+// leaveAlone keeps new work off a worker for a while.
+func (p *Pool) leaveAlone(w *worker, reason string, now time.Time) {
+	if !now.Before(w.penaltyUntil) {
+		p.record.Decided("worker left alone", "worker", w.ID, "reason", reason, "for_ms", penalty.Milliseconds(), "runs", len(w.members))
+	}
+	w.penaltyUntil = now.Add(penalty)
+}
+
 // failedEarly reports whether the unit's run that has just failed did so at once.
 func (u *unit) failedEarly(now time.Time) bool {
 	limit := min(earlyLimit, time.Duration(earlyShare*float64(u.estimate())))
--- a/internal/pool/stalls.go
+++ b/internal/pool/stalls.go
@@ -159,14 +159,6 @@
 	p.stopUnit(u, "stands still")
 }
 
-// leaveAlone keeps new work off a worker for a while.
-func (p *Pool) leaveAlone(w *worker, reason string, now time.Time) {
-	if !now.Before(w.penaltyUntil) {
-		p.record.Decided("worker left alone", "worker", w.ID, "reason", reason, "for_ms", penalty.Milliseconds(), "runs", len(w.members))
-	}
-	w.penaltyUntil = now.Add(penalty)
-}
-
 // noteRunning notes that a member's start was confirmed. The work of a gang begins with
 // its last member.
 func (u *unit) noteRunning(now time.Time) {
--- a/internal/pool/stalls_test.go
+++ b/internal/pool/stalls_test.go
@@ -29,6 +29,17 @@
 	return w
 }
 
+// worldWithGang returns a world of four workers with an owner and a gang as job 1.
+func worldWithGang(members int, work, estimate time.Duration) *simulation.World {
+	w := simulation.NewWorld(1, 4)
+	w.Work = func(taskgraph.TaskName) time.Duration { return work }
+	w.Own()
+	step := gang(members)
+	step.EstimateMillis = estimate.Milliseconds()
+	w.Submit(spec(1, step), batch)
+	return w
+}
+
 // workersOf returns workers that run tasks of a job now.
 func workersOf(w *simulation.World, job string) []*simulation.Worker {
 	var found []*simulation.Worker
@@ -76,12 +87,7 @@
 // more than a short stall.
 func TestStallIsWaitedForWhileAMoveWouldLoseMore(t *testing.T) {
 	const work, stall = 10 * time.Second, 3 * time.Second
-	w := simulation.NewWorld(1, 4)
-	w.Work = func(taskgraph.TaskName) time.Duration { return work }
-	w.Own()
-	step := gang(3)
-	step.EstimateMillis = work.Milliseconds()
-	w.Submit(spec(1, step), batch)
+	w := worldWithGang(3, work, work)
 	w.Run(work / 2)
 	running := workersOf(w, jobID(1))
 	require.Len(t, running, 3)
@@ -97,12 +103,7 @@
 // TestLongTasksAreNotTakenForStanding: a percent of an hour's work takes 36 s.
 func TestLongTasksAreNotTakenForStanding(t *testing.T) {
 	const work = time.Hour
-	w := simulation.NewWorld(1, 4)
-	w.Work = func(taskgraph.TaskName) time.Duration { return work }
-	w.Own()
-	step := gang(3)
-	step.EstimateMillis = work.Milliseconds()
-	w.Submit(spec(1, step), batch)
+	w := worldWithGang(3, work, work)
 	w.Run(2 * time.Minute)
 	requireKept(t, w)
 	require.Equal(t, 1, w.Judge.Starts(taskgraph.TaskName{Job: jobID(1)}))
@@ -112,14 +113,9 @@
 // stall that is expected of such an estimate, on every worker. It was moved without end.
 func TestTaskFarLongerThanItsEstimateRunsThrough(t *testing.T) {
 	const work = 20 * time.Minute
-	for name, estimate := range map[string]int64{"no estimate": 0, "a second": 1000} {
+	for name, estimate := range map[string]time.Duration{"no estimate": 0, "a second": time.Second} {
 		t.Run(name, func(t *testing.T) {
-			w := simulation.NewWorld(1, 4)
-			w.Work = func(taskgraph.TaskName) time.Duration { return work }
-			w.Own()
-			step := gang(2)
-			step.EstimateMillis = estimate
-			w.Submit(spec(1, step), batch)
+			w := worldWithGang(2, work, estimate)
 			w.Run(work + 2*time.Minute)
 			requireKept(t, w)
 			require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
