Lines and a counter for runs that are lost with their worker

Cause: nothing told that a run was lost with its worker, how old it was, or on which way the owner learned it; the incident's lines had to be pieced together by names of workers. Change: line "run lost" and event "lost" of wheatroad_job_attempts_total, on both ways on which an owner takes a worker's runs as over. No decision changes. Before: no line. After: a line a run; tests of pool, telemetry and losses pass.

--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -153,9 +153,7 @@
 // workerDead ends all that ran on a worker that no longer lives.
 func (p *Pool) workerDead(w *worker, reason string) {
 	p.record.Decided("worker dead", "worker", w.ID, "reason", reason, "runs", len(w.members))
-	for _, m := range w.members {
-		p.memberEnded(m, fleet.Lapsed)
-	}
+	p.loseRuns(w, lostWithInstance)
 	w.listed = false
 	p.forgetIfIdle(w)
 }
@@ -212,9 +210,7 @@
 		silent := w.unanswered > 0 || (!w.greeted && p.loaded)
 		if silent && len(w.members) > 0 && p.lapsed(w) {
 			p.record.Decided("lease ran out", "worker", w.ID, "runs", len(w.members))
-			for _, m := range w.members {
-				p.memberEnded(m, fleet.Lapsed)
-			}
+			p.loseRuns(w, lostWithLease)
 			p.forgetIfIdle(w)
 		}
 	}
