Failing test: a task that crashes every worker that starts it

Runs lost with their worker are counted nowhere: in the simulated world the run number rises with each crash under one owner and over takeovers alike, and rows of progress hold no trace. Change: simulated workers crash under chosen tasks, from the start or from the work of a gang, and come back as another instance; the judge notes the third start after three crashes (and is tested on such a history).

--- /dev/null
+++ b/internal/pool/lostruns_test.go
@@ -0,0 +1,85 @@
+package pool_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wheatroad/wheatroad/internal/simulation"
+	"github.com/wheatroad/wheatroad/internal/taskgraph"
+)
+
+// What happened. Two jobs had a task that took down each worker that started it, 10 ms after
+// the start; a worker each 3.4 s, 25 and 17 of them, to the end of the day, with all that
+// ran beside it. Both jobs were "running" all the while.
+//
+// The sequence: the start is answered; the owner's hold is reset ("worker does not answer");
+// the row lapses; another instance answers at the address ("worker dead"), and the lost run's
+// task is placed again in the same cycle, as if it had never run, beside others that were
+// lost with it. Takeovers, and a loss of all nodes, changed nothing.
+//
+// The cause: only ends that a worker lists as failed were counted, and a worker that crashes
+// lists none, so that nothing told a task's first run from its twentieth. What settled it:
+// "run lost" with the same task each time, 10 ms after its start, confirmed, and rows of
+// progress that hold no trace of it.
+
+// crashAtOnce is how long the tasks of the incident took to crash their worker.
+var crashAtOnce = simulation.Crash{After: 10 * time.Millisecond}
+
+func taskOf(job, step, index int) taskgraph.TaskName {
+	return taskgraph.TaskName{Job: jobID(job), Step: step, Index: index}
+}
+
+// requireGivenUp asks that a job was given up after its task crashed at most so many workers.
+func requireGivenUp(t *testing.T, w *simulation.World, guilty taskgraph.TaskName, mostCrashes int) {
+	t.Helper()
+	requireKept(t, w)
+	require.Equal(t, taskgraph.Failed, w.StoredState(guilty.Job))
+	require.LessOrEqual(t, w.Judge.Crashes(guilty), mostCrashes)
+	require.GreaterOrEqual(t, w.Judge.Crashes(guilty), 2)
+}
+
+// TestTaskThatCrashesWorkersIsGivenUp replays the incident without faults of the owner: the
+// tasks that ran beside the guilty one end well.
+func TestTaskThatCrashesWorkersIsGivenUp(t *testing.T) {
+	w := simulation.NewWorld(2, 4)
+	w.Work = func(taskgraph.TaskName) time.Duration { return 4 * time.Second }
+	guilty := taskOf(2, 0, 0)
+	w.Crashing[guilty] = crashAtOnce
+	w.Own()
+	w.Submit(spec(1, single(30)), batch)
+	w.Run(time.Second)
+	w.Submit(spec(2, single(1)), urgent)
+	w.Run(60 * time.Second)
+	requireGivenUp(t, w, guilty, 2)
+	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
+}
+
+// TestCrashesOutlastOwners: what is known of a task's crashes outlasts the owner, whether it
+// is killed before it noticed the crash, after it, or together with all others.
+func TestCrashesOutlastOwners(t *testing.T) {
+	for name, killAfter := range map[string]time.Duration{
+		"just after the crash":   20 * time.Millisecond,
+		"before the row is gone": 2 * time.Second,
+		"before the new life":    3200 * time.Millisecond,
+		"after the second start": 3500 * time.Millisecond,
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := simulation.NewWorld(2, 4)
+			guilty := taskOf(1, 0, 0)
+			w.Crashing[guilty] = crashAtOnce
+			owner := w.Own()
+			w.Run(time.Second)
+			w.Submit(spec(1, single(1)), urgent)
+			for range 8 {
+				w.Run(killAfter)
+				owner.Process.Kill()
+				w.Run(time.Second)
+				owner = w.Own()
+			}
+			w.Run(60 * time.Second)
+			requireGivenUp(t, w, guilty, 3)
+		})
+	}
+}
--- a/internal/simulation/judge.go
+++ b/internal/simulation/judge.go
@@ -36,6 +36,10 @@
 	noted    bool
 	failures int
 	starts   int
+	// crashes counts the workers that crashed while they ran the task, and startsAfter
+	// the starts since the crash number crashAllowance.
+	crashes     int
+	startsAfter int
 }
 
 func newJudge(w *World) *Judge {
@@ -101,6 +105,32 @@
 	return known
 }
 
+// A task that crashes the workers that start it may be started startAllowance times more, at
+// most, once crashAllowance workers have crashed under it.
+const (
+	crashAllowance = 3
+	startAllowance = 2
+)
+
+// crashed notes that a worker crashed while it ran a task.
+func (j *Judge) crashed(r *run) {
+	t := j.task(r.name)
+	t.crashes++
+}
+
+// checkCrashes notes a start too many of a task that crashes workers.
+func (j *Judge) checkCrashes(r *run, t *judgedTask) {
+	if _, guilty := j.world.Crashing[r.name]; !guilty || t.crashes < crashAllowance {
+		return
+	}
+	if t.startsAfter++; t.startsAfter > startAllowance {
+		j.broken("%v run %d starts on %s though %d workers have crashed under it", r.name, r.number, r.worker.ID, t.crashes)
+	}
+}
+
+// Crashes returns how many workers have crashed while they ran a task.
+func (j *Judge) Crashes(name taskgraph.TaskName) int { return j.task(name).crashes }
+
 // cancelLimit is the time after a cancellation from which a start is wrong.
 const cancelLimit = 3 * time.Second
 
@@ -122,6 +152,7 @@
 		j.broken("%v run %d starts with another payload", r.name, r.number)
 	}
 	j.checkOrder(r, job)
+	j.checkCrashes(r, t)
 	t.running[r] = true
 	j.Decided("begun", "task", r.name.String(), "run", r.number, "worker", r.worker.ID)
 }
--- a/internal/simulation/judge_test.go
+++ b/internal/simulation/judge_test.go
@@ -1,6 +1,7 @@
 package simulation
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -57,6 +58,16 @@
 			w.Run(4 * time.Second)
 			_, _ = w.Workers[0].start(startOrder(0, 1))
 		}, "cancellation"},
+		"after workers have crashed": {func(w *World) {
+			w.Crashing[startOrder(0, 0).Task] = Crash{After: 10 * time.Millisecond}
+			for number := range 6 {
+				worker := w.AddWorker(fmt.Sprintf("extra-%d", number), "r-0")
+				order := startOrder(0, number+1)
+				order.DeadlineMillis = 60000
+				_, _ = worker.start(order)
+				w.Run(time.Second)
+			}
+		}, "have crashed under it"},
 		"another payload": {func(w *World) {
 			order := startOrder(0, 1)
 			order.Payload = "other"
--- a/internal/simulation/worker.go
+++ b/internal/simulation/worker.go
@@ -24,6 +24,8 @@
 	lapses  int
 	endedAt map[int64]int
 	waiters []func()
+	// resets end the holds under way when the worker's process dies.
+	resets []func()
 	// Dead workers run nothing and answer nothing.
 	Dead bool
 	// Cut workers run on and answer nothing.
@@ -137,6 +139,7 @@
 		w.clock.After(failAfter, func() { w.end(r, fleet.Failed, "") })
 		return
 	}
+	w.crashUnder(r, AtStart)
 	w.world.assemble(r)
 }
 
@@ -148,6 +151,7 @@
 		return
 	}
 	r.working = true
+	w.crashUnder(r, AtWork)
 	duration := w.world.Work(r.name) - w.world.saved(r.checkpoint)
 	if w.Slowness > 1 {
 		duration = time.Duration(float64(duration) * w.Slowness)
@@ -232,6 +236,12 @@
 		}
 	}
 	w.waiters = append(w.waiters, answer)
+	w.resets = append(w.resets, func() {
+		if !answered {
+			answered = true
+			done(fleet.Reply{}, fleet.ErrNoAnswer)
+		}
+	})
 	w.clock.After(order.Wait, answer)
 }
 
@@ -258,6 +268,7 @@
 	w.Dead = true
 	for _, r := range w.sortedRuns() {
 		r.over = true
+		w.world.Judge.crashed(r)
 		w.world.leaveGang(r)
 		w.world.Judge.ended(r, fleet.Lapsed)
 		w.world.memberEnded(r, fleet.Lapsed)
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -30,6 +30,8 @@
 	// Work is how long a task takes.
 	Work    func(taskgraph.TaskName) time.Duration
 	Workers []*Worker
+	// Crashing has the tasks that crash each worker that starts them.
+	Crashing map[taskgraph.TaskName]Crash
 	// OrderDelay is how much later an order of the fate DoneLate is carried out.
 	OrderDelay time.Duration
 	// WorkerTable holds the workers' rows, which EncodeWorker renders.
@@ -40,6 +42,8 @@
 	// gangs has the present members of each gang's run.
 	gangs  map[gangRun][]*run
 	owners int
+	// restarts counts the workers that came back as another instance.
+	restarts int
 }
 
 // orderLatency is the way of an order to a worker and back.
@@ -54,6 +58,7 @@
 	clock := emulator.NewClock(start)
 	w := &World{
 		Clock: clock, Store: NewStore(clock), epoch: start, jobs: map[string]*taskgraph.Spec{}, gangs: map[gangRun][]*run{},
+		Crashing: map[taskgraph.TaskName]Crash{},
 		Bounds: pool.Bounds{
 			MaxHold: 6 * time.Second, StopTimeout: 400 * time.Millisecond, GangTimeout: 3 * time.Second,
 			Reclaim: 3 * time.Second, CheckpointInterval: time.Second, StatusRetention: 120 * time.Second, RemoteFactor: 3,
@@ -327,6 +332,10 @@
 			clock.After(orderLatency/2, func() { once(fleet.Reply{}, fleet.ErrOtherInstance) })
 			return
 		}
+		if w.Unreachable && w.Dead {
+			clock.After(orderLatency/2, func() { once(fleet.Reply{}, fleet.ErrUnreachable) })
+			return
+		}
 		if w.Dead || w.Cut {
 			return
 		}
