Jobs whose task crashes workers are given up by the evidence of lost workers

Cause: a run that is lost with its worker went back to the queue as if it had never run. Class: a failure mode without a count, since only what a worker reports was counted and a crashed worker reports nothing. Change: each lost worker is kept in the progress row of the tasks that ran there, as a ratio of likelihoods (internal/poison): poison task, by the age of its run, against chance, by the rate of losses seen beside it, and against other suspects there. Odds over 10 with two workers, or four workers, end the job as failed. Suspects run apart from each other, on an empty worker first, and nothing new joins them for a second. A worker that answers again withdraws its loss; one that drains or left by plan is none. New line and counter. Before: 13 starts too many in 61 s. After: two workers lost, the tasks beside it complete; over killed owners at most three.

--- /dev/null
+++ b/internal/poison/history.go
@@ -0,0 +1,154 @@
+package poison
+
+import "strings"
+
+// History is what lost workers say of one task.
+type History struct {
+	group  *Group
+	losses []taskLoss
+}
+
+// Group has the histories of tasks that run only together. Workers lost under several of
+// them are lost by the same cause.
+type Group struct {
+	losses []*workerLoss
+}
+
+// taskLoss is one worker that was lost under a task.
+type taskLoss struct {
+	worker string
+	// ratio is how much more likely the loss is if the task is poison.
+	ratio float64
+	// loss is nil once the ratio no longer changes.
+	loss *workerLoss
+}
+
+// Record is a lost worker as it is kept in the store.
+type Record struct {
+	Worker string  `json:"w"`
+	Ratio  float64 `json:"r"`
+}
+
+// NewGroup returns the group of tasks that run only together.
+func NewGroup() *Group { return &Group{} }
+
+// NewHistory returns the history of a task from what was kept of it.
+func (g *Group) NewHistory(records []Record) *History {
+	h := &History{group: g}
+	for _, record := range records {
+		h.losses = append(h.losses, taskLoss{worker: record.Worker, ratio: record.Ratio})
+	}
+	return h
+}
+
+// Records renders the history to be kept; that of nil is empty.
+func (h *History) Records() []Record {
+	if h == nil {
+		return nil
+	}
+	records := make([]Record, 0, len(h.losses))
+	for i := range h.losses {
+		records = append(records, Record{Worker: h.losses[i].worker, Ratio: h.losses[i].ratio})
+	}
+	return records
+}
+
+// Workers names the workers that were lost under the task.
+func (h *History) Workers() string {
+	names := make([]string, 0, len(h.losses))
+	for i := range h.losses {
+		names = append(names, h.losses[i].worker)
+	}
+	return strings.Join(names, " ")
+}
+
+// Count returns how many workers were lost under the task.
+func (h *History) Count() int {
+	if h == nil {
+		return 0
+	}
+	return len(h.losses)
+}
+
+// Odds returns the odds that the task is poison.
+func (h *History) Odds() float64 {
+	if h == nil {
+		return priorOdds
+	}
+	return h.oddsWithout(nil)
+}
+
+// Verdict is what is made of a task's history.
+type Verdict string
+
+// The verdicts.
+const (
+	// Sound tasks run like any other.
+	Sound Verdict = "sound"
+	// Suspected tasks run apart from each other, so that the next loss tells them apart.
+	Suspected Verdict = "suspected"
+	// PoisonByOdds and PoisonByLimit tasks are not to run again.
+	PoisonByOdds  Verdict = "crash_odds"
+	PoisonByLimit Verdict = "crash_limit"
+)
+
+// Poison reports whether a task is not to run again.
+func (v Verdict) Poison() bool { return v == PoisonByOdds || v == PoisonByLimit }
+
+// Verdict returns what is made of the task.
+func (h *History) Verdict() Verdict {
+	count := h.Count()
+	if count == 0 {
+		return Sound
+	}
+	odds := h.Odds()
+	switch {
+	case count >= lossesLimit:
+		return PoisonByLimit
+	case count >= lossesLeast && odds >= poisonOdds:
+		return PoisonByOdds
+	case odds >= suspectOdds:
+		return Suspected
+	}
+	return Sound
+}
+
+// oddsWithout returns the odds by all evidence but that of one loss.
+func (h *History) oddsWithout(loss *workerLoss) float64 {
+	odds := priorOdds
+	for i := range h.losses {
+		if loss == nil || h.losses[i].loss != loss {
+			odds *= h.losses[i].ratio
+		}
+	}
+	return odds
+}
+
+func (h *History) setRatio(loss *workerLoss, ratio float64) {
+	for i := range h.losses {
+		if h.losses[i].loss == loss {
+			h.losses[i].ratio = ratio
+		}
+	}
+}
+
+// freeze keeps the evidence of a loss as it is.
+func (h *History) freeze(loss *workerLoss) {
+	for i := range h.losses {
+		if h.losses[i].loss == loss {
+			h.losses[i].loss = nil
+		}
+	}
+}
+
+// forget drops a worker that was not lost after all. It returns false if the worker is not
+// in the history.
+func (h *History) forget(worker string) bool {
+	for i := range h.losses {
+		if h.losses[i].worker == worker {
+			h.losses = append(h.losses[:i:i], h.losses[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/poison/ledger.go
@@ -0,0 +1,253 @@
+package poison
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// lossMemory is how long the evidence of a loss is weighed anew with each other loss.
+	lossMemory = 30 * time.Second
+	// lossLimit bounds the losses that are weighed, each of which has some ten suspects.
+	lossLimit = 256
+	// rounds of weighing: each takes the odds and the rate of the one before.
+	rounds = 4
+)
+
+// Ledger weighs the recent losses of workers against each other.
+type Ledger struct {
+	losses []*workerLoss
+	// settled has the histories with evidence that no longer changes, so that it can still
+	// be withdrawn; the oldest come first.
+	settled []settledLoss
+	// known has the workers in losses and settled.
+	known map[string]bool
+	// workers is the number of workers in the pool.
+	workers int
+}
+
+// settledLoss is a lost worker in a history, whose evidence no longer changes.
+type settledLoss struct {
+	worker  string
+	history *History
+}
+
+// settledLimit bounds the losses that can still be withdrawn; 13,000 workers lose some
+// 1,300 a day.
+const settledLimit = 2048
+
+// workerLoss is one lost worker and the tasks that ran there.
+type workerLoss struct {
+	worker, address string
+	at              time.Time
+	replaced        bool
+	suspects        []Suspect
+	// byChance is the probability that none of the tasks is the cause.
+	byChance float64
+	// rate is the rate of chance losses at the time, and blamed that of losses by one of the
+	// suspects.
+	rate, blamed float64
+}
+
+// Suspect is a task that ran on a worker when it was lost.
+type Suspect struct {
+	History *History
+	// Age of the run when the worker was last known to live.
+	Age time.Duration
+}
+
+// Loss describes a lost worker.
+type Loss struct {
+	Worker string
+	// Address is empty if it is not known.
+	Address string
+	At      time.Time
+	// Replaced is true if another instance has taken the worker's place, so that it surely
+	// runs nothing any more.
+	Replaced bool
+	Suspects []Suspect
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger { return &Ledger{known: map[string]bool{}} }
+
+// SetWorkers tells how many workers the pool has.
+func (l *Ledger) SetWorkers(count int) { l.workers = max(1, count) }
+
+// Lost takes in a lost worker and weighs the evidence anew.
+func (l *Ledger) Lost(lost Loss) {
+	loss := &workerLoss{worker: lost.Worker, address: lost.Address, at: lost.At, replaced: lost.Replaced, byChance: 1}
+	for _, suspect := range lost.Suspects {
+		if suspect.Age < ageHorizon && !suspect.History.has(lost.Worker) {
+			loss.suspects = append(loss.suspects, suspect)
+			suspect.History.losses = append(suspect.History.losses, taskLoss{worker: lost.Worker, ratio: 1, loss: loss})
+			suspect.History.group.add(loss)
+		}
+	}
+	l.prune(lost.At)
+	l.losses = append(l.losses, loss)
+	l.known[lost.Worker] = true
+	l.weigh()
+}
+
+func (h *History) has(worker string) bool {
+	return slices.ContainsFunc(h.losses, func(known taskLoss) bool { return known.worker == worker })
+}
+
+func (g *Group) add(loss *workerLoss) {
+	if !slices.Contains(g.losses, loss) {
+		g.losses = append(g.losses, loss)
+	}
+}
+
+// Restore takes in a history that was kept in the store.
+func (l *Ledger) Restore(h *History) {
+	for i := range h.losses {
+		l.settle(h, h.losses[i].worker)
+	}
+}
+
+func (l *Ledger) settle(h *History, worker string) {
+	l.known[worker] = true
+	l.settled = append(l.settled, settledLoss{worker: worker, history: h})
+	if len(l.settled) > settledLimit {
+		delete(l.known, l.settled[0].worker)
+		l.settled = slices.Delete(l.settled, 0, 1)
+	}
+}
+
+// prune freezes what is old, and the oldest beyond lossLimit.
+func (l *Ledger) prune(now time.Time) {
+	for len(l.losses) > 0 && (now.Sub(l.losses[0].at) > lossMemory || len(l.losses) >= lossLimit) {
+		l.drop(l.losses[0], func(h *History, loss *workerLoss) {
+			h.freeze(loss)
+			l.settle(h, loss.worker)
+		})
+		l.losses = l.losses[1:]
+	}
+}
+
+func (l *Ledger) drop(loss *workerLoss, settle func(*History, *workerLoss)) {
+	for _, suspect := range loss.suspects {
+		settle(suspect.History, loss)
+		group := suspect.History.group
+		group.losses = slices.DeleteFunc(group.losses, func(known *workerLoss) bool { return known == loss })
+	}
+}
+
+// Replaced notes that another instance answers at the address of a lost worker.
+func (l *Ledger) Replaced(address, successor string) {
+	for _, loss := range l.losses {
+		if loss.address == address && address != "" && loss.worker != successor && !loss.replaced {
+			loss.replaced = true
+			l.weigh()
+		}
+	}
+}
+
+// Alive notes that a worker that was taken as lost lives. It returns true if that was so.
+func (l *Ledger) Alive(worker string) bool {
+	if !l.known[worker] {
+		return false
+	}
+	delete(l.known, worker)
+	for i, loss := range l.losses {
+		if loss.worker == worker {
+			l.drop(loss, func(h *History, loss *workerLoss) { h.forget(loss.worker) })
+			l.losses = slices.Delete(l.losses, i, i+1)
+			l.weigh()
+			return true
+		}
+	}
+	return l.withdrawSettled(worker)
+}
+
+func (l *Ledger) withdrawSettled(worker string) bool {
+	found := false
+	l.settled = slices.DeleteFunc(l.settled, func(kept settledLoss) bool {
+		if kept.worker != worker {
+			return false
+		}
+		found = kept.history.forget(worker) || found
+		return true
+	})
+	return found
+}
+
+// weigh settles how much each loss says of each suspect. It begins with all losses taken as
+// chance, which is the cautious way: only what stands out from that rate shifts the odds.
+func (l *Ledger) weigh() {
+	for _, loss := range l.losses {
+		loss.byChance = 1
+		for _, suspect := range loss.suspects {
+			suspect.History.setRatio(loss, 1)
+		}
+	}
+	for range rounds {
+		l.rateAll()
+		for _, loss := range l.losses {
+			loss.weigh(l.share())
+		}
+		for _, loss := range l.losses {
+			loss.byChance = loss.rate / (loss.rate + loss.blamed)
+		}
+	}
+}
+
+// share is what one loss adds to the rate of all workers around its time.
+func (l *Ledger) share() float64 { return 1 / (float64(max(1, l.workers)) * rateWindow.Seconds()) }
+
+// rateAll finds the rate of chance losses at the time of each loss.
+func (l *Ledger) rateAll() {
+	for _, loss := range l.losses {
+		sum := 0.0
+		for _, other := range l.losses {
+			if other != loss && near(other, loss) {
+				sum += other.byChance
+			}
+		}
+		loss.rate = loss.leastRate() + sum*l.share()
+	}
+}
+
+func near(a, b *workerLoss) bool { return a.at.Sub(b.at).Abs() <= rateWindow }
+
+func (loss *workerLoss) leastRate() float64 {
+	if loss.replaced {
+		return chanceRate
+	}
+	return silenceRate
+}
+
+// weigh settles what the loss says of its suspects, by their odds without it.
+func (loss *workerLoss) weigh(share float64) {
+	blamed := 0.0
+	weights := make([]float64, len(loss.suspects))
+	for i, suspect := range loss.suspects {
+		weights[i] = probability(suspect.History.oddsWithout(loss)) * crashDensity(suspect.Age)
+		blamed += weights[i]
+	}
+	for i, suspect := range loss.suspects {
+		group := suspect.History.group
+		innocent := loss.rate - group.chanceBeside(loss)*share + blamed
+		for k, other := range loss.suspects {
+			if k == i || other.History.group == group {
+				innocent -= weights[k]
+			}
+		}
+		suspect.History.setRatio(loss, crashDensity(suspect.Age)/max(innocent, loss.leastRate()))
+	}
+	loss.blamed = blamed
+}
+
+// chanceBeside is what other losses under the group count at the time of one: they have the
+// same cause, if the group is one.
+func (g *Group) chanceBeside(loss *workerLoss) float64 {
+	sum := 0.0
+	for _, other := range g.losses {
+		if other != loss && near(other, loss) {
+			sum += other.byChance
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/poison/model.go
@@ -0,0 +1,51 @@
+package poison
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// priorOdds are the odds that a task of which nothing is known is poison. Chosen, an
+	// upper bound of what operators reported: two tasks of some thousands a day.
+	priorOdds = 1e-3
+	// chanceRate is the least rate, per worker and second, at which workers are lost by
+	// chance: one of 48 workers in 200 s. The platform loses 1,280 of 13,000 a day, a
+	// hundredth of it, but in groups.
+	chanceRate = 1e-4
+	// silenceRate takes its place for workers that only fell silent: cuts and stalls look
+	// the same.
+	silenceRate = 1e-3
+	// poisonOdds are the odds from which a task is given up, once lossesLeast workers were
+	// lost under it, the least that the platform asks for. Under lossesLimit it is given up
+	// whatever the odds; the platform allows two starts more than three losses.
+	poisonOdds  = 10
+	lossesLeast = 2
+	lossesLimit = 4
+	// suspectOdds are the odds from which a task runs apart from other suspects: a loss by
+	// chance among eight tasks of some seconds brings 0.1, one beside a task that was just
+	// started 0.04.
+	suspectOdds = 0.05
+	// rateWindow is how far from a loss others count for the rate at its time.
+	rateWindow = 10 * time.Second
+	// densityScale and ageHorizon shape the density of the age at which poison tasks crash
+	// their workers: about 1/age from a tenth of a second on. Most do so at once, some after a
+	// while of work; a run older than ageHorizon is taken as no cause.
+	densityScale = 100 * time.Millisecond
+	ageHorizon   = 60 * time.Second
+)
+
+// densityNorm makes the density integrate to 1.
+var densityNorm = math.Log(1 + ageHorizon.Seconds()/densityScale.Seconds())
+
+// crashDensity is the probability per second that a poison task crashes its worker at an
+// age of its run.
+func crashDensity(age time.Duration) float64 {
+	if age >= ageHorizon {
+		return 0
+	}
+	return 1 / ((max(0, age) + densityScale).Seconds() * densityNorm)
+}
+
+// probability turns odds into a probability.
+func probability(odds float64) float64 { return odds / (1 + odds) }
--- a/internal/pool/cycle.go
+++ b/internal/pool/cycle.go
@@ -54,6 +54,9 @@
 	s := p.snapshot()
 	refused := map[placementClass]bool{}
 	for _, u := range waiting {
+		if u.state != unitWaiting || p.giveUpPoison(u) {
+			continue
+		}
 		class := classOf(u)
 		if refused[class] {
 			continue
@@ -62,7 +65,7 @@
 			continue
 		}
 		p.crowded = true
-		if len(u.avoid) == 0 {
+		if len(u.avoid) == 0 && !u.suspected() {
 			refused[class] = true
 		}
 	}
@@ -134,7 +137,7 @@
 		return true
 	}
 	p.noteWait(s, u, request)
-	if p.pressing(s, u) && p.preemptFor(s, u, request) {
+	if !u.likelyPoison() && p.pressing(s, u) && p.preemptFor(s, u, request) {
 		return false
 	}
 	if !p.options.Off[mechanism.Reservations] {
@@ -150,4 +153,7 @@
 		workers[i] = s.owners[place]
 	}
 	p.begin(u, workers)
+	if u.suspected() {
+		s.closeToOthers(places)
+	}
 }
--- a/internal/pool/findplace.go
+++ b/internal/pool/findplace.go
@@ -24,11 +24,18 @@
 			visible.Allowed = s.outsideHeadroom(request.Allowed, u.job.Queue.Priority)
 		}
 	}
-	for _, preferred := range p.preferences(s, u) {
+	preferences := p.preferences(s, u)
+	if u.suspected() {
+		preferences = s.trialPlaces()
+	}
+	for _, preferred := range preferences {
 		if places := p.fitByScope(s, u, narrowed(&visible, preferred), &visible); places != nil {
 			return places
 		}
 	}
+	if u.suspected() && s.now.Sub(u.readyAt) < trialPatience {
+		return nil
+	}
 	return p.fitByScope(s, u, &visible, &visible)
 }
 
--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -119,6 +119,10 @@
 		p.record.Decided("worker answers again", "worker", w.ID, "unanswered", w.unanswered)
 	}
 	w.unanswered = 0
+	w.departing = w.departing || (!w.listed && !w.missing)
+	if p.lossLedger.Alive(w.ID) {
+		p.record.Decided("worker lives after all", "worker", w.ID)
+	}
 }
 
 // unheard notes a call without an answer.
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/wheatroad/wheatroad/internal/poison"
 	"github.com/wheatroad/wheatroad/internal/taskgraph"
 )
 
@@ -112,6 +113,8 @@
 	stopReason string
 	// avoid has the workers on which the unit failed.
 	avoid map[string]bool
+	// lossGroup joins what lost workers say of the members; nil if none was lost.
+	lossGroup *poison.Group
 }
 
 // member is one task of a unit.
@@ -136,6 +139,8 @@
 	percent   int
 	percentAt time.Time
 	listedAt  time.Time
+	// losses is what workers that were lost under the member say of it; nil if none was.
+	losses *poison.History
 	// logTime is the logarithm of the time per work of a run that is timed.
 	logTime float64
 	timed   bool
@@ -270,7 +275,7 @@
 }
 
 func (u *unit) progress() unitProgress {
-	record := unitProgress{Index: u.index, Run: u.run, Failures: u.failures, Checkpoint: u.checkpoint}
+	record := unitProgress{Index: u.index, Run: u.run, Failures: u.failures, Checkpoint: u.checkpoint, Losses: u.keptLosses()}
 	if u.active() > 0 {
 		record.Workers = make([]string, len(u.members))
 		for i, m := range u.members {
--- a/internal/pool/options.go
+++ b/internal/pool/options.go
@@ -55,6 +55,8 @@
 	EndRows bool
 	// HeadCondition: writes do not require the head row as this owner left it.
 	HeadCondition bool
+	// LossRecords: no job is given up for crashing workers.
+	LossRecords bool
 }
 
 // Ports reach the outside. Each call returns at once; done runs on the pool's
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/loop"
+	"github.com/wheatroad/wheatroad/internal/poison"
 	"github.com/wheatroad/wheatroad/internal/rows"
 	"github.com/wheatroad/wheatroad/internal/taskgraph"
 )
@@ -67,6 +68,8 @@
 	estimatedAt time.Time
 	// jobsVersion is the version of the store up to which the feed of jobs was read.
 	jobsVersion int64
+	// lossLedger weighs lost workers against each other, to tell tasks that crash workers.
+	lossLedger *poison.Ledger
 	// earlyCancels are cancellations read before their job.
 	earlyCancels map[string]bool
 }
@@ -78,7 +81,7 @@
 		options: options, loop: l, ports: ports, record: record, token: token,
 		jobs: map[string]*job{}, workers: map[string]*worker{},
 		storeAnsweredAt: l.Now(), earlyCancels: map[string]bool{},
-		durations: map[string]*durationModel{}, storeRetries: loop.NewRetries(l),
+		durations: map[string]*durationModel{}, storeRetries: loop.NewRetries(l), lossLedger: poison.NewLedger(),
 	}
 	p.writer = writer{pool: p}
 	return p
--- a/internal/pool/read.go
+++ b/internal/pool/read.go
@@ -239,6 +239,7 @@
 // answered.
 func (p *Pool) restoreUnit(u *unit, saved unitProgress) {
 	u.run, u.failures, u.checkpoint = saved.Run, saved.Failures, saved.Checkpoint
+	p.restoreLosses(u, saved.Losses)
 	for i, id := range saved.Workers {
 		if id == "" || i >= len(u.members) {
 			continue
--- a/internal/pool/records.go
+++ b/internal/pool/records.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/wheatroad/wheatroad/internal/catalog"
+	"github.com/wheatroad/wheatroad/internal/poison"
 	"github.com/wheatroad/wheatroad/internal/rows"
 	"github.com/wheatroad/wheatroad/internal/taskgraph"
 )
@@ -103,6 +104,14 @@
 	Checkpoint string `json:"p,omitempty"`
 	// Workers has the worker of each member that may run, or an empty text.
 	Workers []string `json:"w,omitempty"`
+	// Losses has the members under which workers were lost.
+	Losses []memberLosses `json:"l,omitempty"`
+}
+
+// memberLosses is what lost workers say of one member of a unit.
+type memberLosses struct {
+	Member  int             `json:"m,omitempty"`
+	Records []poison.Record `json:"l"`
 }
 
 // jobParts is over how many parts a pool's accepted jobs are spread. A part carries out
--- a/internal/pool/snapshot.go
+++ b/internal/pool/snapshot.go
@@ -84,6 +84,9 @@
 		Holders: formerHolders(s.workers),
 	}
 	for _, m := range w.members {
+		if m.unit.onTrial(s.now) {
+			entry.Usable = false
+		}
 		room := m.unit.spec().Room()
 		entry.Free = entry.Free.Minus(room)
 		number := p.numberUnit(s, m.unit)
--- a/internal/pool/worker.go
+++ b/internal/pool/worker.go
@@ -13,6 +13,9 @@
 	rack string
 	// listed is false once the worker's row is gone.
 	listed bool
+	// departing is true once the worker has answered without its row: it leaves by plan and
+	// serves on for a while.
+	departing bool
 	// missing is true while the row is gone but may have lapsed with the store away.
 	missing bool
 	// greeted is true once the worker has answered under this owner's token.
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -60,6 +60,7 @@
 	}
 	if w == nil {
 		w = p.unlistedWorker(row.Name)
+		p.lossLedger.Replaced(described.Address, row.Name)
 	}
 	wasDraining := w.Draining
 	w.Worker = *described
@@ -67,7 +68,7 @@
 		w.rack = rack
 		p.memory.racks = nil
 	}
-	w.listed, w.missing = true, false
+	w.listed, w.missing, w.departing = true, false, false
 	if w.Draining && !wasDraining {
 		p.record.Decided("worker draining", "worker", w.ID, "remaining_ms", w.RemainingMillis, "runs", len(w.members))
 		p.evacuate(w)
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -35,6 +35,7 @@
 		"ownership_changes": {"wheatroad.domain.ownership.changes", "Scheduling domains gained and lost, by reason.", "reason"},
 		"table_operations":  {"wheatroad.table.failures", "Periodic table operations that failed, by operation.", "operation"},
 		"worker_orders":     {"wheatroad.worker.orders", "Orders sent to workers, by action.", "action"},
+		"given_up":          {"wheatroad.job.given_up", "Jobs given up because one of their tasks crashes workers, by what settled it.", "reason"},
 		"attempts":          {"wheatroad.job.attempts", "What became of attempts, by event.", "event"},
 		"requests":          {"wheatroad.requests", "Requests answered, by endpoint.", "endpoint"},
 		"takeovers":         {"wheatroad.pool.ownership.changes", "Pools acquired, lost or left to their owner, by event.", "event"},
