Suspects by degree: only likely ones keep everything new off their worker

Cause: each task on a worker that was lost by chance ran its next run apart from everything new, on an empty worker or after a wait of half a second; on small sites many crashes cost room.

--- a/internal/pool/findplace.go
+++ b/internal/pool/findplace.go
@@ -25,8 +25,8 @@
 		}
 	}
 	preferences := p.preferences(s, u)
-	if u.suspected() {
-		preferences = s.trialPlaces()
+	if u.doubtful() {
+		preferences = s.trialPlaces(u)
 	}
 	for _, preferred := range preferences {
 		if places := p.fitByScope(s, u, narrowed(&visible, preferred), &visible); places != nil {
