Owners act by a lease of their own; clocks that count suspensions; starts go by what is known now

The wait for leases on a silent worker counts from the claim of the progress. 2. An owner gives leases, and starts, only up to the longest lease from the moment at which it was surely not replaced yet: its last commit, or a look at the lease row once that is a second old. With the store away for all, other nodes' pings, which name the token that they know, or being the only node, take its place. A ping with a newer token deposes it. 3. A placement whose write took too long, or whose worker has shrunk below what it is to hold, goes back to the queue. 4. Where workers do not guard their capacity, nothing is placed or started while their accounts are older than 2.5 s. Beside these: refusals tell a worker's clock (a worker idle for minutes refused each start as late), clocks of workers are estimated from below, internal/uptime gives the time with suspensions counted to all ages in node and pool, line "machine was suspended".

--- a/internal/emulator/clock.go
+++ b/internal/emulator/clock.go
@@ -91,6 +91,9 @@
 	return p.clock.now
 }
 
+// TimeOfDay returns the virtual time.
+func (p *Process) TimeOfDay() time.Time { return p.clock.now }
+
 // steadyNow is the steady clock, by which timers run.
 func (p *Process) steadyNow() time.Time {
 	now := p.clock.now
@@ -147,6 +150,9 @@
 // NewProcess returns a process that runs on a clock.
 func NewProcess(clock *Clock) *Process { return &Process{clock: clock} }
 
+// PausedUntil is when the process last went on after it stood still.
+func (p *Process) PausedUntil() time.Time { return p.frozenUntil }
+
 // Kill ends the process at once.
 func (p *Process) Kill() { p.dead = true }
 
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -4,12 +4,16 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/wheatroad/wheatroad/internal/uptime"
 )
 
 // Loop runs functions one at a time, in the order in which they were posted.
 type Loop interface {
-	// Now returns the time, with a monotonic reading.
+	// Now returns the time of a clock that never stands still or is set, for ages and waits.
 	Now() time.Time
+	// TimeOfDay returns the time of day, for what other machines are told or say.
+	TimeOfDay() time.Time
 	// Post runs fn soon. It never blocks and may be called from any goroutine.
 	Post(fn func())
 	// After runs fn once after d, unless the returned function was called before.
@@ -59,8 +63,11 @@
 	return batch
 }
 
-// Now returns the wall clock's time with its monotonic reading.
-func (g *Goroutine) Now() time.Time { return time.Now() }
+// Now returns the time with suspensions of the machine counted.
+func (g *Goroutine) Now() time.Time { return uptime.Now() }
+
+// TimeOfDay returns the wall clock's time.
+func (g *Goroutine) TimeOfDay() time.Time { return time.Now() }
 
 // Post queues fn. Functions posted after the end of Run are dropped.
 func (g *Goroutine) Post(fn func()) {
--- a/internal/node/configuration_transfer.go
+++ b/internal/node/configuration_transfer.go
@@ -9,6 +9,7 @@
 
 	"github.com/wheatroad/wheatroad/internal/fault"
 	"github.com/wheatroad/wheatroad/internal/progress"
+	"github.com/wheatroad/wheatroad/internal/uptime"
 )
 
 // Limits of a configuration's transfer from another node.
@@ -144,7 +145,7 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	now := time.Now()
+	now := uptime.Now()
 	s.kept = slices.DeleteFunc(s.kept, func(d servedDocument) bool { return now.Sub(d.askedAt) > servedFor })
 	for _, wanted := range []int64{version, newest.version} {
 		for i := range s.kept {
@@ -171,7 +172,7 @@
 // first byte until the returned function is called.
 func (n *Node) noteArriving(ctx context.Context) (context.Context, func()) {
 	observed := progress.With(ctx, func(int) {
-		now := time.Now()
+		now := uptime.Now()
 		n.configurationArriving.CompareAndSwap(nil, &now)
 	})
 	return observed, func() { n.configurationArriving.Store(nil) }
@@ -181,5 +182,5 @@
 // still has its head start.
 func (n *Node) storeBringsConfiguration() bool {
 	began := n.configurationArriving.Load()
-	return began != nil && time.Since(*began) < storeHeadStart
+	return began != nil && uptime.Since(*began) < storeHeadStart
 }
--- a/internal/node/lookup.go
+++ b/internal/node/lookup.go
@@ -10,6 +10,7 @@
 	"github.com/wheatroad/wheatroad/internal/pool"
 	"github.com/wheatroad/wheatroad/internal/rows"
 	"github.com/wheatroad/wheatroad/internal/taskgraph"
+	"github.com/wheatroad/wheatroad/internal/uptime"
 )
 
 // Lookup returns a job's state.
@@ -163,7 +164,7 @@
 	if err == nil {
 		return reply.Waiting, nil
 	}
-	if cached := v.waiting[poolName]; cached.counts != nil && time.Since(cached.at) < waitingAge {
+	if cached := v.waiting[poolName]; cached.counts != nil && uptime.Since(cached.at) < waitingAge {
 		return cached.counts[queue], nil
 	}
 	return 0, g.refused(fault.New(fault.NoOwner, "the pool's owner does not answer"))
--- a/internal/node/news.go
+++ b/internal/node/news.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"time"
+
+	"github.com/wheatroad/wheatroad/internal/uptime"
 )
 
 // catalogNews says how new a node's configuration is.
@@ -52,7 +54,7 @@
 	}
 	if age(n.confirmed.Load()) > limit {
 		others := n.otherMembers("")
-		askedAt := time.Now()
+		askedAt := uptime.Now()
 		for _, other := range others[:min(2, len(others))] {
 			n.callPeer(other.Address, methodNews, struct{}{}, func(document []byte, err error) {
 				var news catalogNews
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,6 +11,7 @@
 	"github.com/wheatroad/wheatroad/internal/loop"
 	"github.com/wheatroad/wheatroad/internal/pool"
 	"github.com/wheatroad/wheatroad/internal/rows"
+	"github.com/wheatroad/wheatroad/internal/uptime"
 )
 
 // member is another node as its row has it.
@@ -118,6 +119,7 @@
 	n.seekConfiguration()
 	n.probeStore()
 	n.checkConfirmation()
+	n.watchSuspensions()
 }
 
 // now returns the loop's time.
@@ -147,7 +149,7 @@
 	if err != nil {
 		return
 	}
-	now := time.Now()
+	now := uptime.Now()
 	n.storeReached.Store(&now)
 	silentFor := age(n.storeAnswered.Swap(&now))
 	if n.storeAway.CompareAndSwap(true, false) {
@@ -171,7 +173,7 @@
 	if err == nil || errors.Is(err, rows.ErrHistoryGone) {
 		return
 	}
-	now := time.Now()
+	now := uptime.Now()
 	n.storeFailed.Store(&now)
 	if n.storeAway.CompareAndSwap(false, true) {
 		n.feeds.callOff(0)
@@ -181,7 +183,7 @@
 
 // noteStoreReached notes an answer of the store through another node.
 func (n *Node) noteStoreReached() {
-	now := time.Now()
+	now := uptime.Now()
 	n.storeReached.Store(&now)
 }
 
@@ -209,7 +211,7 @@
 	if at == nil {
 		return forever
 	}
-	return time.Since(*at)
+	return uptime.Since(*at)
 }
 
 func memberKey(name string) rows.Key { return rows.Key{Table: pool.NodeTable, Name: name} }
--- a/internal/node/observed_store.go
+++ b/internal/node/observed_store.go
@@ -7,6 +7,7 @@
 
 	"github.com/wheatroad/wheatroad/internal/progress"
 	"github.com/wheatroad/wheatroad/internal/rows"
+	"github.com/wheatroad/wheatroad/internal/uptime"
 )
 
 // observedStore is the store as this node reaches it directly. Each byte of an answer
@@ -19,7 +20,7 @@
 
 // Commit implements rows.Store.
 func (s *observedStore) Commit(ctx context.Context, transaction rows.Transaction) (rows.Result, error) {
-	askedAt := time.Now()
+	askedAt := uptime.Now()
 	result, err := s.Store.Commit(ctx, transaction)
 	s.timed(askedAt, err)
 	return result, err
@@ -28,7 +29,7 @@
 // timed notes the latency of a call that was answered.
 func (s *observedStore) timed(askedAt time.Time, err error) {
 	if err == nil {
-		now := time.Now()
+		now := uptime.Now()
 		s.node.latency.note(now, now.Sub(askedAt))
 	}
 }
@@ -50,7 +51,7 @@
 
 // observe watches an answer about a table arrive.
 func (s *observedStore) observe(ctx context.Context, table string) (context.Context, *observedAnswer) {
-	seen := &observedAnswer{node: s.node, table: table, askedAt: time.Now()}
+	seen := &observedAnswer{node: s.node, table: table, askedAt: uptime.Now()}
 	return progress.With(ctx, seen.arrived), seen
 }
 
@@ -66,7 +67,7 @@
 
 func (a *observedAnswer) arrived(bytes int) {
 	a.bytes.Add(int64(bytes))
-	now := time.Now()
+	now := uptime.Now()
 	a.began.CompareAndSwap(nil, &now)
 	a.node.noteStore(nil)
 }
@@ -75,14 +76,14 @@
 // long the rest was under way.
 func (a *observedAnswer) ended(listing rows.Listing, err error) (rows.Listing, error) {
 	began := a.began.Load()
-	listing.AsOf = time.Now()
+	listing.AsOf = uptime.Now()
 	if began != nil {
 		listing.AsOf = *began
 	}
 	if err != nil && began != nil {
 		a.node.edges.Record.Count("answers_given_up", a.table)
 		a.node.edges.Record.Decided("answer given up", "table", a.table, "bytes", a.bytes.Load(),
-			"after_ms", time.Since(a.askedAt).Milliseconds(), "reason", err.Error())
+			"after_ms", uptime.Since(a.askedAt).Milliseconds(), "reason", err.Error())
 	}
 	return listing, err
 }
--- a/internal/node/ownership_test.go
+++ b/internal/node/ownership_test.go
@@ -24,8 +24,9 @@
 	run func()
 }
 
-func (l *manualLoop) Now() time.Time { return l.now }
-func (l *manualLoop) Post(fn func()) { fn() }
+func (l *manualLoop) Now() time.Time       { return l.now }
+func (l *manualLoop) TimeOfDay() time.Time { return l.now }
+func (l *manualLoop) Post(fn func())       { fn() }
 func (l *manualLoop) After(d time.Duration, fn func()) func() {
 	l.timers = append(l.timers, manualTimer{at: l.now.Add(d), run: fn})
 	return func() {}
--- a/internal/node/pings.go
+++ b/internal/node/pings.go
@@ -8,11 +8,17 @@
 	"github.com/wheatroad/wheatroad/internal/fault"
 	"github.com/wheatroad/wheatroad/internal/loop"
 	"github.com/wheatroad/wheatroad/internal/mechanism"
+	"github.com/wheatroad/wheatroad/internal/pool"
+	"github.com/wheatroad/wheatroad/internal/uptime"
 )
 
 // pingRequest asks a pool's owner how it is.
 type pingRequest struct {
 	Pool string `json:"pool"`
+	// Token is the owner's, by the lease as the asking node knows it.
+	Token int64 `json:"token,omitempty"`
+	// StoreLost is true while the store does not answer the asking node.
+	StoreLost bool `json:"store_lost,omitempty"`
 }
 
 // pingReply is an owner's account of itself.
@@ -43,6 +49,7 @@
 // guardPeriod, others each pingPeriod.
 func (n *Node) pingOwners() {
 	n.pingRound++
+	n.standAlone()
 	others := n.pingRound%int(pingPeriod/guardPeriod) == 0
 	for _, name := range sortedKeys(n.watches) {
 		if n.owned[name] == nil && (others || n.guards(name)) {
@@ -58,8 +65,9 @@
 		n.leaseChanged(w.pool)
 		return
 	}
-	askedAt := time.Now()
-	n.callPeer(lease.Address, methodPing, pingRequest{Pool: w.pool}, func(document []byte, err error) {
+	askedAt := uptime.Now()
+	request := pingRequest{Pool: w.pool, Token: lease.version, StoreLost: n.storeLost()}
+	n.callPeer(lease.Address, methodPing, request, func(document []byte, err error) {
 		if n.leases[w.pool].version != lease.version {
 			return
 		}
@@ -96,7 +104,7 @@
 			w.lost = false
 			n.edges.Record.Decided("owner answers again", "pool", w.pool, "owner", owner)
 		}
-		n.waiting[w.pool] = waitingCounts{counts: reply.Waiting, at: time.Now()}
+		n.waiting[w.pool] = waitingCounts{counts: reply.Waiting, at: uptime.Now()}
 		n.publish()
 	}
 }
@@ -149,6 +157,31 @@
 	}
 }
 
+// standsBy takes in what a node that asks a pool's owner knows of the lease. It returns false
+// if the pool has another owner by now. With the store away for both, that it knows of none
+// lets the owner keep what runs alive.
+func (n *Node) standsBy(p *pool.Pool, request *pingRequest) bool {
+	if request.Token > p.Token() {
+		p.Abandon("another node knows a newer owner")
+		return false
+	}
+	if request.Token == p.Token() && request.StoreLost {
+		p.Confirm(n.now())
+	}
+	return true
+}
+
+// standAlone lets owned pools keep what runs alive while the store is away, if there is no
+// other node that could take them.
+func (n *Node) standAlone() {
+	if !n.storeLost() || len(n.otherMembers("")) > 0 {
+		return
+	}
+	for _, name := range sortedKeys(n.owned) {
+		n.owned[name].Confirm(n.now())
+	}
+}
+
 // servePing answers another node about a pool.
 func (n *Node) servePing(ctx context.Context, request pingRequest) (pingReply, error) {
 	reply := pingReply{
@@ -157,7 +190,7 @@
 	}
 	err := loop.Call(ctx, n.edges.Loop, func() {
 		p := n.owned[request.Pool]
-		if p == nil {
+		if p == nil || !n.standsBy(p, &request) {
 			return
 		}
 		reply.Owner = true
--- a/internal/node/probe.go
+++ b/internal/node/probe.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/pool"
+	"github.com/wheatroad/wheatroad/internal/uptime"
 )
 
 // probeTimeout bounds a look whether the store is there. A store that is slow for all, by
@@ -63,7 +64,7 @@
 		}
 		return n.storeLost()
 	}
-	began := time.Now()
+	began := uptime.Now()
 	ctx, cancel := context.WithTimeout(n.ports.ctx, n.probeLimit())
 	defer cancel()
 	_, err := n.probe(ctx)
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -12,6 +12,7 @@
 	"github.com/wheatroad/wheatroad/internal/pool"
 	"github.com/wheatroad/wheatroad/internal/progress"
 	"github.com/wheatroad/wheatroad/internal/rows"
+	"github.com/wheatroad/wheatroad/internal/uptime"
 )
 
 // Periods and limits of calls to the store through other nodes.
@@ -206,7 +207,7 @@
 	if s.node.options.Off[mechanism.StoreRelay] {
 		return none, failure
 	}
-	if until := s.noRelayUntil.Load(); until != nil && time.Now().Before(*until) {
+	if until := s.noRelayUntil.Load(); until != nil && uptime.Now().Before(*until) {
 		return none, failure
 	}
 	for _, address := range s.relays() {
@@ -231,7 +232,7 @@
 			return none, failure
 		}
 	}
-	until := time.Now().Add(relayPause)
+	until := uptime.Now().Add(relayPause)
 	s.noRelayUntil.Store(&until)
 	return none, failure
 }
--- a/internal/node/store_latency.go
+++ b/internal/node/store_latency.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/wheatroad/wheatroad/internal/uptime"
 )
 
 const (
@@ -71,13 +73,13 @@
 // takeStoreLatency takes in what a pool's owner told, in milliseconds; 0 is nothing.
 func (n *Node) takeStoreLatency(millis int64) {
 	if millis > 0 {
-		n.toldLatency.Store(&toldLatency{latency: time.Duration(millis) * time.Millisecond, at: time.Now()})
+		n.toldLatency.Store(&toldLatency{latency: time.Duration(millis) * time.Millisecond, at: uptime.Now()})
 	}
 }
 
 // storeLatencyMillis is what this node tells of the store's latency; 0 if it knows nothing.
 func (n *Node) storeLatencyMillis() int64 {
-	least, known := n.latency.least(time.Now())
+	least, known := n.latency.least(uptime.Now())
 	if !known {
 		return 0
 	}
@@ -89,9 +91,9 @@
 // not sent a second time, neither to another part nor through another node: copies of
 // calls add to the load under which it is slow. It may be called anywhere.
 func (n *Node) storeSlow() bool {
-	if least, known := n.latency.least(time.Now()); known {
+	if least, known := n.latency.least(uptime.Now()); known {
 		return least > slowStoreLatency
 	}
 	told := n.toldLatency.Load()
-	return told != nil && time.Since(told.at) < toldLatencyAge && told.latency > slowStoreLatency
+	return told != nil && uptime.Since(told.at) < toldLatencyAge && told.latency > slowStoreLatency
 }
--- a/internal/poison/history.go
+++ b/internal/poison/history.go
@@ -41,6 +41,14 @@
 	return h
 }
 
+// AddUnexplained counts a worker that was lost under the task for a reason of its own, so that
+// it is no evidence. Only tasks under which others were lost keep count of such workers.
+func (h *History) AddUnexplained(worker string) {
+	if h.Count() > 0 && !h.has(worker) {
+		h.losses = append(h.losses, taskLoss{worker: worker, ratio: 1})
+	}
+}
+
 // Records renders the history to be kept; that of nil is empty.
 func (h *History) Records() []Record {
 	if h == nil {
@@ -106,7 +114,7 @@
 	}
 	odds := h.Odds()
 	switch {
-	case count >= lossesLimit:
+	case count >= lossesLimit, count == lossesLimit-1 && odds >= lateOdds:
 		return PoisonByLimit
 	case count >= lossesLeast && odds >= poisonOdds:
 		return PoisonByOdds
--- a/internal/pool/claim.go
+++ b/internal/pool/claim.go
@@ -30,6 +30,7 @@
 
 func (w *writer) claimAt(part int, version int64, done func()) {
 	key := headKey(progressPart(w.pool.options.Pool, part))
+	sentAt := w.pool.loop.Now()
 	w.pool.ports.Commit(rows.Transaction{
 		Conditions: []rows.Condition{{Key: key, Version: version}},
 		Puts:       []rows.Put{{Key: key, Value: w.pool.head("claim")}},
@@ -38,6 +39,7 @@
 		case w.pool.gone:
 		case err == nil && result.Committed:
 			w.headVersions[part] = result.Version
+			w.pool.Confirm(sentAt)
 			done()
 		default:
 			w.pool.record.Count("retries", "claim")
--- a/internal/pool/cycle.go
+++ b/internal/pool/cycle.go
@@ -48,7 +48,7 @@
 	began := p.loop.Now()
 	waiting := p.waitingUnits()
 	p.crowded = false
-	if len(waiting) == 0 {
+	if len(waiting) == 0 || !p.accountsKnown() {
 		return
 	}
 	s := p.snapshot()
--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -20,9 +20,12 @@
 	}
 }
 
-// clockNow estimates the worker's clock.
+// clockNow estimates the worker's clock, from below: leases that are given by it end no later
+// than meant. A worker that was idle for minutes may refuse a start as late by it, and tells
+// its clock with that.
 func (w *worker) clockNow(now time.Time) int64 {
-	return w.clock + now.Sub(w.clockAt).Milliseconds()
+	elapsed := float64(now.Sub(w.clockAt).Milliseconds())
+	return w.clock + int64(elapsed*(1-clockDrift))
 }
 
 // hold asks a worker what it runs and extends its lease, unless a hold is under
@@ -40,9 +43,10 @@
 	now := p.loop.Now()
 	if w.greeted && w.unanswered == 0 {
 		order.Wait = p.holdWait(w)
-		extension := min(leaseExtension, p.options.Bounds.MaxHold)
-		order.DeadlineMillis = w.clockNow(now) + extension.Milliseconds()
-		w.deadline = max(w.deadline, order.DeadlineMillis)
+		if extension := min(leaseExtension, p.options.Bounds.MaxHold, p.leaseLeft(now)); extension > 0 {
+			order.DeadlineMillis = w.clockNow(now) + extension.Milliseconds()
+			w.deadline = max(w.deadline, order.DeadlineMillis)
+		}
 	}
 	p.record.Count("worker_orders", "hold")
 	p.ports.Hold(&w.Worker, order, func(reply fleet.Reply, err error) {
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -51,8 +51,9 @@
 	tails []time.Duration
 	times []*jobTime
 	// state is what the store says; next is what it will say.
-	state     taskgraph.State
-	next      taskgraph.State
+	state taskgraph.State
+	next  taskgraph.State
+	// endedAt is a time of day.
 	endedAt   time.Time
 	cancelled bool
 	// begun is true once a task was started.
--- a/internal/pool/lifecycle.go
+++ b/internal/pool/lifecycle.go
@@ -15,8 +15,8 @@
 	now := p.loop.Now()
 	for k := 0; k < j.Spec.Times(); k++ {
 		due := j.Spec.Due(k)
-		if !due.IsZero() && due.After(p.loop.Now()) {
-			p.loop.After(due.Sub(p.loop.Now())+dueMargin, func() { p.advance(j); p.wake() })
+		if timeOfDay := p.loop.TimeOfDay(); !due.IsZero() && due.After(timeOfDay) {
+			p.loop.After(due.Sub(timeOfDay)+dueMargin, func() { p.advance(j); p.wake() })
 			break
 		}
 		t := j.timeAt(k)
@@ -58,7 +58,7 @@
 // finishJob gives a job its final state and stops what still runs of it.
 func (p *Pool) finishJob(j *job, state taskgraph.State) {
 	j.next = state
-	j.endedAt = p.loop.Now()
+	j.endedAt = p.loop.TimeOfDay()
 	for _, t := range j.times {
 		for _, s := range t.steps {
 			for _, u := range s.units {
@@ -88,7 +88,7 @@
 	if p.dropping || p.releasing {
 		return
 	}
-	limit := p.loop.Now().Add(-p.options.Bounds.StatusRetention - retentionMargin)
+	limit := p.loop.TimeOfDay().Add(-p.options.Bounds.StatusRetention - retentionMargin)
 	for id, j := range p.jobs {
 		if j.state.Final() && j.endedAt.Before(limit) {
 			p.dropJob(id)
--- a/internal/pool/lostruns.go
+++ b/internal/pool/lostruns.go
@@ -59,6 +59,9 @@
 func (p *Pool) recordLoss(w *worker, reason string) {
 	if w.Draining || w.departing {
 		// It left by plan, and took with it what was not moved in time.
+		for _, m := range w.members {
+			m.losses.AddUnexplained(w.ID)
+		}
 		return
 	}
 	at := w.lastAlive(p.loop.Now())
--- a/internal/pool/options.go
+++ b/internal/pool/options.go
@@ -55,6 +55,12 @@
 	EndRows bool
 	// HeadCondition: writes do not require the head row as this owner left it.
 	HeadCondition bool
+	// Confirmation: leases are extended though the owner may have been replaced.
+	Confirmation bool
+	// ClaimWait: leases of former owners are waited out from the reading of the workers.
+	ClaimWait bool
+	// AccountAge: starts on workers that do not guard their capacity go by old accounts.
+	AccountAge bool
 	// LossRecords: no job is given up for crashing workers.
 	LossRecords bool
 }
--- a/internal/pool/orders.go
+++ b/internal/pool/orders.go
@@ -58,8 +58,10 @@
 	p.afterWrite(0, func() {
 		switch {
 		case u.state != unitCommitting || u.run != run:
-		case u.active() < len(u.members):
-			// A worker was lost before any start was sent.
+		case u.active() < len(u.members), !p.placeHolds(u):
+			// A worker was lost before any start was sent, or the write took so long that what
+			// it was decided by no longer holds.
+			p.record.Count("start_failures", "place_lost")
 			p.clearMembers(u)
 			u.state = unitWaiting
 			p.persist(u.job)
@@ -70,6 +72,19 @@
 	})
 }
 
+// placeHolds reports whether a unit whose placement is written may be started there still.
+func (p *Pool) placeHolds(u *unit) bool {
+	if !p.mayStart(p.loop.Now()) || !p.accountsKnown() {
+		return false
+	}
+	for _, m := range u.members {
+		if !m.worker.holdsItsMembers() {
+			return false
+		}
+	}
+	return true
+}
+
 // maxLoggedWorkers bounds the workers named on one line.
 const maxLoggedWorkers = 8
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -70,6 +70,14 @@
 	jobsVersion int64
 	// lossLedger weighs lost workers against each other, to tell tasks that crash workers.
 	lossLedger *poison.Ledger
+	// claimedAt is when this owner alone could write the progress.
+	claimedAt time.Time
+	// confirmedAt is when this owner was last known not to be replaced; confirming is true
+	// while the store is asked.
+	confirmedAt time.Time
+	confirming  bool
+	// workersAsOf is the time of which the workers' rows are known.
+	workersAsOf time.Time
 	// earlyCancels are cancellations read before their job.
 	earlyCancels map[string]bool
 }
@@ -148,6 +156,7 @@
 	if p.gone {
 		return
 	}
+	p.checkConfirmation()
 	p.checkWorkers()
 	p.checkStops()
 	p.checkLeaving()
--- a/internal/pool/read.go
+++ b/internal/pool/read.go
@@ -44,12 +44,21 @@
 	}
 }
 
+// noteListing notes as of when a table is known: the answer may have waited for this process
+// since it was asked for.
+func (p *Pool) noteListing(table string, askedAt time.Time) {
+	if table == p.ports.WorkerTable() && askedAt.After(p.workersAsOf) {
+		p.workersAsOf = askedAt
+	}
+}
+
 // follow reads a table's changes for ever. On lost history it calls again.
 func (p *Pool) follow(table string, after int64, pause time.Duration, apply func(rows.Row), again func()) {
 	if p.gone {
 		return
 	}
 	p.passed(table, after)
+	askedAt := p.loop.Now()
 	p.ports.Feed(table, after, func(listing rows.Listing, err error) {
 		switch {
 		case p.gone:
@@ -65,6 +74,7 @@
 			for i := range listing.Rows {
 				apply(listing.Rows[i])
 			}
+			p.noteListing(table, askedAt)
 			p.follow(table, listing.Version, retryPause, apply, again)
 		}
 	})
@@ -87,6 +97,7 @@
 }
 
 func (p *Pool) readJobs(progress []rows.Row) {
+	p.claimedAt = p.loop.Now()
 	p.scanJobs(func(jobs rows.Listing) {
 		p.load(progress, jobs)
 		p.followJobs(jobs.Version)
@@ -180,7 +191,7 @@
 
 func (p *Pool) addJob(id string, accepted Accepted, record Progress) {
 	now := p.loop.Now()
-	age := max(0, now.Sub(accepted.AcceptedAt()))
+	age := max(0, p.loop.TimeOfDay().Sub(accepted.AcceptedAt()))
 	j := newJob(id, accepted, now.Add(-age))
 	p.estimateJob(j)
 	p.jobs[id] = j
--- a/internal/pool/starts.go
+++ b/internal/pool/starts.go
@@ -38,7 +38,7 @@
 	now := p.loop.Now()
 	order := fleet.Start{
 		Task: m.name(), Run: u.run, Payload: u.job.Spec.Payload,
-		DeadlineMillis: w.clockNow(now) + startLimit.Milliseconds(),
+		DeadlineMillis: w.clockNow(now) + min(startLimit, p.leaseLeft(now)).Milliseconds(),
 		Token:          p.token, Checkpoint: u.checkpoint,
 	}
 	w.deadline = max(w.deadline, order.DeadlineMillis)
@@ -58,6 +58,10 @@
 func (p *Pool) startAnswered(m *member, sent *tries, reply fleet.Reply, err error) {
 	reason := fleet.ReasonOf(err)
 	lost := err != nil && reason == fleet.NoAnswer
+	if err != nil && reply.ClockMillis > 0 {
+		// A refusal tells the worker's clock too, by which it may have been late.
+		p.heard(m.worker, reply.ClockMillis)
+	}
 	if lost {
 		m.worker.lossyUntil = p.loop.Now().Add(lossyPeriod)
 	}
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -26,6 +26,7 @@
 // readWorkers reads the workers' rows, then follows them.
 func (p *Pool) readWorkers() {
 	table := p.ports.WorkerTable()
+	askedAt := p.loop.Now()
 	p.scanAll(table, "", retryPause, func(listing rows.Listing) {
 		listed := map[string]bool{}
 		for i := range listing.Rows {
@@ -37,6 +38,7 @@
 				p.unlist(w)
 			}
 		}
+		p.noteListing(table, askedAt)
 		p.follow(table, listing.Version, retryPause, p.applyWorkerRow, p.readWorkers)
 	})
 }
@@ -166,12 +168,15 @@
 		return true
 	}
 	if deadline == 0 {
-		// No lease was given by this owner: those of earlier ones end by then.
-		return p.loop.Now().Sub(w.clockAt) > time.Duration(float64(p.options.Bounds.MaxHold)*(1+clockDrift))+lapseMargin
+		// No lease was given by this owner. The one before may have given some until this one
+		// had claimed the progress.
+		since := w.clockAt
+		if p.claimedAt.After(since) && !p.options.Without.ClaimWait {
+			since = p.claimedAt
+		}
+		return p.loop.Now().Sub(since) > time.Duration(float64(p.options.Bounds.MaxHold)*(1+clockDrift))+lapseMargin
 	}
-	elapsed := p.loop.Now().Sub(w.clockAt)
-	clock := w.clock + int64(float64(elapsed.Milliseconds())*(1-clockDrift))
-	return clock > deadline+lapseMargin.Milliseconds()
+	return w.clockNow(p.loop.Now()) > deadline+lapseMargin.Milliseconds()
 }
 
 // checkLeaving goes on emptying workers that leave.
--- a/internal/pool/writer.go
+++ b/internal/pool/writer.go
@@ -239,6 +239,7 @@
 	answered := false
 	b.open++
 	transaction := w.transaction(b, part)
+	sentAt := w.pool.loop.Now()
 	w.pool.ports.Commit(transaction, func(result rows.Result, err error) {
 		answered = true
 		b.open--
@@ -248,6 +249,7 @@
 			w.retry(b, err)
 		case result.Committed:
 			w.headVersions[part] = max(w.headVersions[part], result.Version)
+			w.pool.Confirm(sentAt)
 			w.finish(b)
 		default:
 			w.conditionFailed(b, part, result)
--- a/internal/pool/writer_test.go
+++ b/internal/pool/writer_test.go
@@ -24,8 +24,9 @@
 	run func()
 }
 
-func (l *steppedLoop) Now() time.Time { return l.now }
-func (l *steppedLoop) Post(fn func()) { fn() }
+func (l *steppedLoop) Now() time.Time       { return l.now }
+func (l *steppedLoop) TimeOfDay() time.Time { return l.now }
+func (l *steppedLoop) Post(fn func())       { fn() }
 func (l *steppedLoop) After(d time.Duration, fn func()) func() {
 	timer := &steppedTimer{at: l.now.Add(d), run: fn}
 	l.timers = append(l.timers, timer)
--- a/internal/simulation/judge.go
+++ b/internal/simulation/judge.go
@@ -145,7 +145,7 @@
 		j.broken("%v run %d starts after an end that was taken note of", r.name, r.number)
 	case t.failures >= job.queue.MaxAttempts && !j.world.step(r.name).LongRunning:
 		j.broken("%v run %d starts after all its attempts", r.name, r.number)
-	case !job.cancelledAt.IsZero() && j.world.Clock.Now().Sub(job.cancelledAt) > cancelLimit:
+	case !job.cancelledAt.IsZero() && j.world.Clock.Now().Sub(job.cancelledAt) > cancelLimit && j.inTouch(order.Token):
 		j.broken("%v run %d starts long after the cancellation", r.name, r.number)
 	}
 	if order.Payload != job.spec.Payload {
@@ -160,6 +160,20 @@
 	j.Decided("begun", "task", r.name.String(), "run", r.number, "worker", r.worker.ID)
 }
 
+// contactTime is how long an owner and the store must have been without trouble for promises
+// that have a time bound.
+const contactTime = 3 * time.Second
+
+// inTouch reports whether neither the store nor the owner that sent an order was in trouble
+// lately: right after it, an owner may know its placements written and not yet the
+// cancellations that were written meanwhile.
+func (j *Judge) inTouch(token int64) bool {
+	now := j.world.Clock.Now()
+	owner := j.world.ownerOf[token]
+	paused := owner != nil && now.Sub(owner.Process.PausedUntil()) < contactTime
+	return !paused && now.Sub(j.world.Store.troubledAt) >= contactTime
+}
+
 func (j *Judge) checkOrder(r *run, job *judgedJob) {
 	for _, earlier := range job.spec.Steps[r.name.Step].After {
 		step := &job.spec.Steps[earlier]
--- a/internal/simulation/store.go
+++ b/internal/simulation/store.go
@@ -31,6 +31,8 @@
 	// Latency is the time of a call's way to the store and back.
 	Latency time.Duration
 	waiters []func()
+	// troubledAt is when a call was last refused or left without an answer.
+	troubledAt time.Time
 }
 
 // Fate is what becomes of a write.
@@ -65,6 +67,7 @@
 func (s *Store) Commit(transaction rows.Transaction, done func(rows.Result, error)) {
 	s.clock.After(s.Latency/2, func() {
 		if s.away(partOf(transaction)) {
+			s.troubledAt = s.clock.Now()
 			s.clock.After(s.Latency/2, func() { done(rows.Result{}, rows.ErrRefused) })
 			return
 		}
@@ -75,6 +78,9 @@
 		if s.Silent[partOf(transaction)] {
 			fate = NeverDone
 		}
+		if fate != Answered {
+			s.troubledAt = s.clock.Now()
+		}
 		switch fate {
 		case Answered:
 			result := s.Apply(transaction)
@@ -139,6 +145,7 @@
 func (s *Store) Scan(table, part, prefix string, done func(rows.Listing, error)) {
 	s.clock.After(s.Latency, func() {
 		if s.away(part) {
+			s.troubledAt = s.clock.Now()
 			done(rows.Listing{}, rows.ErrRefused)
 			return
 		}
@@ -167,10 +174,12 @@
 
 func (s *Store) poll(table string, after int64, deadline time.Time, done func(rows.Listing, error)) {
 	if s.AwayAll {
+		s.troubledAt = s.clock.Now()
 		done(rows.Listing{}, rows.ErrRefused)
 		return
 	}
 	if s.FeedsSilent {
+		s.troubledAt = s.clock.Now()
 		s.pollLater(table, after, deadline, done)
 		return
 	}
