Soak and stand-in: tasks that crash workers, instances that come back, capacities that change

Cause: the soak of real daemons had none of these troubles. The judge asks that jobs with such a task fail, and nothing else does; the limits are judged by the simulated world.

--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -122,7 +122,16 @@
 // never call it.
 func (w *World) Order(id string, order any, done func(fleet.Reply, error)) {
 	worker := w.worker(id)
-	if worker == nil || worker.Dead || worker.Cut {
+	switch {
+	case worker == nil || worker.Cut:
+		return
+	case worker.Replaced:
+		done(fleet.Reply{}, fleet.ErrOtherInstance)
+		return
+	case worker.Unreachable:
+		done(fleet.Reply{}, fleet.ErrUnreachable)
+		return
+	case worker.Dead:
 		return
 	}
 	switch order := order.(type) {
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -43,7 +43,9 @@
 	cancelled bool
 	// cancelTried is true once a cancellation was sent, answered or not.
 	cancelTried bool
-	state       taskgraph.State
+	// poison is true if one of the job's tasks crashes the workers that start it.
+	poison bool
+	state  taskgraph.State
 }
 
 // ledger collects what callers see.
@@ -77,6 +79,9 @@
 		r.ledger.mutex.Unlock()
 		r.platform.Locked(func() {
 			r.platform.World.Expect(*s.spec, catalog.Queue{Name: standin.QueueName, MaxAttempts: maxAttempts})
+			if s.poison = r.workers.poisons(number, serial); s.poison {
+				r.platform.World.Crashing[taskgraph.TaskName{Job: s.spec.ID}] = r.workers.Crash
+			}
 		})
 		r.submit(caller, random, s)
 		if s.accepted && random.Float64() < cancelShare {
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -152,6 +152,8 @@
 		"failed without cause": {submission{accepted: true, state: taskgraph.Failed}, false, "could be done"},
 		"cancelled unasked":    {submission{accepted: true, state: taskgraph.Cancelled}, false, "nobody asked"},
 		"completed, not done":  {submission{accepted: true, state: taskgraph.Completed}, false, "is not"},
+		"completed, poison":    {submission{accepted: true, poison: true, state: taskgraph.Completed}, false, "crashes workers"},
+		"poison never ended":   {submission{accepted: true, poison: true, state: taskgraph.Running}, false, "at the end"},
 	}
 	for name, c := range cases {
 		r, s := judging(t)
@@ -217,10 +219,49 @@
 	return program
 }
 
-// TestShortSoak plays one seed with real daemons.
-func TestShortSoak(t *testing.T) {
-	report, err := Run(Options{Program: buildDaemon(t), Seed: 1, Length: 6 * time.Second, Daemons: 3, Callers: 2, Folder: t.TempDir()})
+// playShort plays one seed with real daemons.
+func playShort(t *testing.T, seed uint64) *Report {
+	report, err := Run(Options{Program: buildDaemon(t), Seed: seed, Length: 6 * time.Second, Daemons: 3, Callers: 2, Folder: t.TempDir()})
 	require.NoError(t, err)
 	require.Empty(t, report.Broken)
 	require.Positive(t, report.States[taskgraph.Completed])
+	return report
+}
+
+func TestShortSoak(t *testing.T) { playShort(t, 1) }
+
+// TestShortSoakOfWorkerTroubles plays a seed whose workers crash under some tasks and by
+// chance, shrink and grow.
+func TestShortSoakOfWorkerTroubles(t *testing.T) {
+	report := playShort(t, 10001)
+	require.Positive(t, report.Workers.PoisonEvery)
+	require.Positive(t, report.States[taskgraph.Failed])
+}
+
+func TestWorkerTroublesAreTheSameForASeed(t *testing.T) {
+	const seeds = 200
+	drawn, poison, unguarded, changes := 0, 0, 0, 0
+	for seed := range uint64(seeds) {
+		troubles := NewWorkerTroubles(seed, time.Minute)
+		require.Equal(t, troubles, NewWorkerTroubles(seed, time.Minute))
+		if troubles.PoisonEvery == 0 {
+			require.Empty(t, troubles)
+			continue
+		}
+		drawn++
+		changes += len(troubles.Capacities)
+		if troubles.Unguarded {
+			unguarded++
+		}
+		for serial := range 100 {
+			if troubles.poisons(0, serial) {
+				poison++
+			}
+		}
+	}
+	require.InDelta(t, seeds/workerTroublesEvery, drawn, seeds/10)
+	require.InDelta(t, drawn/2, unguarded, seeds/10)
+	require.Positive(t, poison)
+	require.Positive(t, changes)
+	require.Empty(t, NewWorkerTroubles(619, 13*time.Second), "a kept seed draws nothing new")
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -41,6 +41,8 @@
 	Links Links `json:"links"`
 	// Silences are when open connections went silent.
 	Silences []Silence `json:"silences,omitempty"`
+	// Workers is what befalls workers beside the plan's faults.
+	Workers WorkerTroubles `json:"workers"`
 	// Answers counts what callers got, by call and status.
 	Answers map[string]int `json:"answers"`
 	// States counts accepted jobs by their state at the end.
@@ -60,6 +62,8 @@
 	keyMutex   sync.Mutex
 	keyVersion int
 
+	workers WorkerTroubles
+
 	// configurationMutex is held while a version is put, so that versions only rise.
 	configurationMutex sync.Mutex
 	// configuration is the newest version.
@@ -81,12 +85,14 @@
 func Run(options Options) (*Report, error) {
 	world := simulation.NewWorld(racks, workersPerRack)
 	world.Work = func(name taskgraph.TaskName) time.Duration { return world.Estimate(name) }
+	troubles := NewWorkerTroubles(options.Seed, options.Length)
+	world.Unguarded = troubles.Unguarded
 	platform, err := standin.Start(world)
 	if err != nil {
 		return nil, err
 	}
 	defer platform.Close()
-	r := &run{options: options, platform: platform, closed: make(chan struct{}), ledger: ledger{answers: map[string]int{}}}
+	r := &run{options: options, workers: troubles, platform: platform, closed: make(chan struct{}), ledger: ledger{answers: map[string]int{}}}
 	r.putFirst()
 	defer r.end()
 	if err := r.start(); err != nil {
@@ -149,6 +155,8 @@
 	r.applyLinks(report.Links, began, &ends)
 	report.Silences = NewSilences(r.options.Seed, r.options.Length)
 	r.applySilences(report.Silences, began, &ends)
+	report.Workers = r.workers
+	r.applyWorkerTroubles(began, &ends)
 	for _, fault := range NewPlan(r.options.Seed, r.options.Length) {
 		time.Sleep(time.Until(began.Add(fault.At)))
 		report.Faults[fault.Kind]++
@@ -238,6 +246,9 @@
 	case !s.accepted:
 	case !s.state.Final():
 		r.ledger.fail("accepted job %s is %q at the end", s.spec.ID, s.state)
+	case s.poison && s.state == taskgraph.Failed:
+	case s.poison && s.state == taskgraph.Completed:
+		r.ledger.fail("job %s is shown as completed and one of its tasks crashes workers", s.spec.ID)
 	case s.state == taskgraph.Failed:
 		r.ledger.fail("job %s is shown as failed and could be done", s.spec.ID)
 	case s.state == taskgraph.Cancelled && !s.cancelTried:
@@ -285,7 +296,7 @@
 // putFirst puts the first configuration.
 func (r *run) putFirst() {
 	r.keyVersion = 1
-	r.configuration = standin.Configuration{MaxAttempts: maxAttempts, Priority: 1}
+	r.configuration = standin.Configuration{MaxAttempts: maxAttempts, Priority: 1, Unguarded: r.workers.Unguarded}
 	r.putKeys(keyName(r.keyVersion))
 }
 
