Failing tests: tasks of cancelled jobs run on when their starter is removed

Cause: progress rows name workers by their identifiers only. Where a worker leaves without a word its row is gone while it serves on; an owner that takes over then knows no address, cannot tell the worker to stop, and the task runs on until its lease ends, up to 6 s. Conclusion: keep the address beside the name for workers whose rows are gone.

--- /dev/null
+++ b/internal/pool/cancel_test.go
@@ -0,0 +1,118 @@
+package pool_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wheatroad/wheatroad/internal/simulation"
+	"github.com/wheatroad/wheatroad/internal/taskgraph"
+)
+
+// stoppedWithin is how soon nothing of a cancelled job may run any more.
+const stoppedWithin = 3400 * time.Millisecond
+
+// TestLateStartOfACancelledJobIsStopped: a worker carries a start out seconds after it was
+// sent and its job cancelled.
+func TestLateStartOfACancelledJobIsStopped(t *testing.T) {
+	for _, late := range []time.Duration{300 * time.Millisecond, time.Second, 2 * time.Second, 2900 * time.Millisecond} {
+		w := simulation.NewWorld(1, 1)
+		w.OrderDelay = late
+		w.Work = func(taskgraph.TaskName) time.Duration { return 30 * time.Second }
+		w.Workers[0].LoseOrder = func() simulation.Fate { return simulation.DoneLate }
+		w.Own()
+		w.Run(time.Second)
+		w.Submit(spec(1, single(1)), batch)
+		w.Run(100 * time.Millisecond)
+		w.Cancel(jobID(1))
+		w.Run(stoppedWithin)
+		w.Workers[0].LoseOrder = nil
+		w.Run(time.Second)
+		require.Zero(t, w.Workers[0].Runs(), late)
+		requireKept(t, w)
+	}
+}
+
+// leavingWorker starts a task on a worker that then leaves without a word: its row goes, and
+// it serves on. Its owner is replaced, and the job is cancelled.
+func leavingWorker(replace func(*simulation.World, *simulation.Owner)) *simulation.World {
+	w, former := longRun()
+	w.RemoveWorkerRow(busyWorker(w))
+	w.Run(500 * time.Millisecond)
+	replace(w, former)
+	return w
+}
+
+// TestTaskOfARemovedStarterIsStopped: the owner that started a task was removed, and its
+// worker's row was gone, so that the next owner knew the worker by name only and could not
+// tell it to stop: the task ran on until its lease ended, 6 s later.
+func TestTaskOfARemovedStarterIsStopped(t *testing.T) {
+	for name, replace := range map[string]func(*simulation.World, *simulation.Owner){
+		"killed": func(w *simulation.World, owner *simulation.Owner) {
+			owner.Process.Kill()
+			w.Cancel(jobID(1))
+			w.Own()
+		},
+		"handed over": func(w *simulation.World, owner *simulation.Owner) {
+			owner.Process.Post(owner.Release)
+			w.Run(100 * time.Millisecond)
+			w.Cancel(jobID(1))
+			w.Own()
+		},
+		"cancelled before it was read": func(w *simulation.World, owner *simulation.Owner) {
+			w.Store.FeedsSilent = true
+			w.Cancel(jobID(1))
+			w.Run(200 * time.Millisecond)
+			owner.Process.Kill()
+			w.Store.FeedsSilent = false
+			w.Own()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := leavingWorker(replace)
+			w.Run(stoppedWithin)
+			for _, worker := range w.Workers {
+				require.Zero(t, worker.Runs())
+			}
+			requireKept(t, w)
+		})
+	}
+}
+
+// TestRunOfAnEndedJobIsStoppedByTheNextOwner: the owner wrote that the job was cancelled and
+// was killed before its stops arrived; the row of an ended job names no workers.
+func TestRunOfAnEndedJobIsStoppedByTheNextOwner(t *testing.T) {
+	w, former := longRun()
+	busy := busyWorker(w)
+	busy.LoseOrder = func() simulation.Fate { return simulation.NeverDone }
+	w.Cancel(jobID(1))
+	w.Run(100 * time.Millisecond)
+	require.Equal(t, taskgraph.Cancelled, w.StoredState(jobID(1)))
+	former.Process.Kill()
+	busy.LoseOrder = nil
+	w.Run(500 * time.Millisecond)
+	w.Own()
+	w.Run(stoppedWithin)
+	require.Zero(t, busy.Runs())
+	requireKept(t, w)
+}
+
+// TestRunOfAnEndedJobOnALeavingWorkerIsStopped: as before, on a worker whose row is gone too,
+// so that the next owner does not meet it by greeting all workers that are listed.
+func TestRunOfAnEndedJobOnALeavingWorkerIsStopped(t *testing.T) {
+	w, former := longRun()
+	busy := busyWorker(w)
+	busy.LoseOrder = func() simulation.Fate { return simulation.NeverDone }
+	w.Cancel(jobID(1))
+	w.Run(100 * time.Millisecond)
+	w.RemoveWorkerRow(busy)
+	w.Run(100 * time.Millisecond)
+	former.Process.Kill()
+	busy.LoseOrder = nil
+	w.Run(500 * time.Millisecond)
+	w.Own()
+	w.Run(stoppedWithin)
+	require.Zero(t, busy.Runs())
+	requireKept(t, w)
+}
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -327,16 +327,21 @@
 
 // Start implements pool.Ports.
 func (p *ports) Start(to *fleet.Worker, order fleet.Start, done func(fleet.Reply, error)) {
-	p.order(to.ID, func(w *Worker) (fleet.Reply, error) { return w.start(order) }, answered(p, done))
+	p.order(to, func(w *Worker) (fleet.Reply, error) { return w.start(order) }, answered(p, done))
 }
 
 // Stop implements pool.Ports.
 func (p *ports) Stop(to *fleet.Worker, order fleet.Stop, done func(fleet.Reply, error)) {
-	p.order(to.ID, func(w *Worker) (fleet.Reply, error) { return w.stop(order) }, answered(p, done))
+	p.order(to, func(w *Worker) (fleet.Reply, error) { return w.stop(order) }, answered(p, done))
 }
 
-func (p *ports) order(id string, carryOut func(*Worker) (fleet.Reply, error), done func(fleet.Reply, error)) {
+func (p *ports) order(to *fleet.Worker, carryOut func(*Worker) (fleet.Reply, error), done func(fleet.Reply, error)) {
 	clock := p.world.Clock
+	id := to.ID
+	if to.Address == "" {
+		clock.After(orderLatency/2, func() { done(fleet.Reply{}, fleet.ErrUnreachable) })
+		return
+	}
 	clock.After(orderLatency/2, func() {
 		w := p.world.worker(id)
 		if w.Replaced {
