Workers whose rows are gone stay reachable for the next owner

Cause: progress rows named such workers by their identifiers only, and rows of ended jobs named none. Change: once a worker's row is gone, the jobs that run there are written again with its address; an ended job keeps what may still run on such workers. The next owner greets them, and stops what it does not want.

--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/wheatroad/wheatroad/internal/fleet"
 	"github.com/wheatroad/wheatroad/internal/poison"
 	"github.com/wheatroad/wheatroad/internal/taskgraph"
 )
@@ -244,12 +245,13 @@
 	if !j.endedAt.IsZero() {
 		record.EndedMillis = j.endedAt.UnixMilli()
 	}
+	render := (*step).progress
 	if j.next.Final() {
-		return record
+		render = (*step).leftovers
 	}
 	for _, t := range j.times {
 		for _, s := range t.steps {
-			if rendered, any := s.progress(t.number); any {
+			if rendered, any := render(s, t.number); any {
 				record.Steps = append(record.Steps, rendered)
 			}
 		}
@@ -280,10 +282,36 @@
 	if u.active() > 0 {
 		record.Workers = make([]string, len(u.members))
 		for i, m := range u.members {
-			if m.worker != nil {
-				record.Workers[i] = m.worker.ID
+			if m.worker == nil {
+				continue
+			}
+			record.Workers[i] = m.worker.ID
+			if !m.worker.listed {
+				record.noteAddress(&m.worker.Worker)
 			}
 		}
 	}
 	return record
 }
+
+func (r *unitProgress) noteAddress(w *fleet.Worker) {
+	if r.Addresses == nil {
+		r.Addresses = map[string]string{}
+	}
+	r.Addresses[w.ID] = w.Address
+}
+
+// leftovers renders the units of an ended job that may still run on workers whose rows are
+// gone, where a next owner would not find them.
+func (s *step) leftovers(number int) (stepProgress, bool) {
+	record := stepProgress{Time: number, Step: s.index}
+	for _, u := range s.units {
+		if u.active() == 0 {
+			continue
+		}
+		if rendered := u.progress(); len(rendered.Addresses) > 0 {
+			record.Units = append(record.Units, rendered)
+		}
+	}
+	return record, len(record.Units) > 0
+}
--- a/internal/pool/read.go
+++ b/internal/pool/read.go
@@ -198,6 +198,7 @@
 	if record.State.Final() {
 		j.state, j.next = record.State, record.State
 		j.endedAt = time.UnixMilli(record.EndedMillis)
+		p.meetLeftovers(&record)
 		return
 	}
 	j.timeAt(0)
@@ -255,11 +256,7 @@
 		if id == "" || i >= len(u.members) {
 			continue
 		}
-		w := p.workers[id]
-		if w == nil {
-			w = p.unlistedWorker(id)
-		}
-		p.assign(u.members[i], w)
+		p.assign(u.members[i], p.workerOfRow(id, saved.Addresses[id]))
 		u.members[i].state = memberUncertain
 		u.state = unitActive
 	}
@@ -267,3 +264,26 @@
 		u.startedAt = p.loop.Now()
 	}
 }
+
+// workerOfRow returns the worker that a row of progress names. Address is empty unless its own
+// row was gone when that was written.
+func (p *Pool) workerOfRow(id, address string) *worker {
+	if known := p.workers[id]; known != nil {
+		return known
+	}
+	w := p.unlistedWorker(id)
+	w.Address = address
+	return w
+}
+
+// meetLeftovers makes the workers known that may still run tasks of an ended job though their
+// rows are gone. What they list is then stopped as unwanted.
+func (p *Pool) meetLeftovers(record *Progress) {
+	for i := range record.Steps {
+		for _, unit := range record.Steps[i].Units {
+			for id, address := range unit.Addresses {
+				p.workerOfRow(id, address)
+			}
+		}
+	}
+}
--- a/internal/pool/records.go
+++ b/internal/pool/records.go
@@ -104,6 +104,9 @@
 	Checkpoint string `json:"p,omitempty"`
 	// Workers has the worker of each member that may run, or an empty text.
 	Workers []string `json:"w,omitempty"`
+	// Addresses has where the workers serve whose own rows are gone: one that leaves without
+	// a word serves on for a while, and a next owner could not reach it by its name.
+	Addresses map[string]string `json:"a,omitempty"`
 	// Losses has the members under which workers were lost.
 	Losses []memberLosses `json:"l,omitempty"`
 }
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -122,6 +122,10 @@
 		p.record.Decided("worker gone from the list", "worker", w.ID, "runs", len(w.members))
 	}
 	w.listed = false
+	for _, m := range w.members {
+		// The rows name the worker's address from now on.
+		p.persist(m.unit.job)
+	}
 	p.forgetIfIdle(w)
 }
 
@@ -218,6 +222,8 @@
 			p.record.Decided("lease ran out", "worker", w.ID, "runs", len(w.members))
 			p.loseRuns(w, lostWithLease)
 			p.forgetIfIdle(w)
+		} else if silent && !w.listed && p.lapsed(w) {
+			p.forgetIfIdle(w)
 		}
 	}
 }
