--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -79,7 +79,7 @@
 		r.ledger.mutex.Unlock()
 		r.platform.Locked(func() {
 			r.platform.World.Expect(*s.spec, catalog.Queue{Name: standin.QueueName, MaxAttempts: maxAttempts})
-			if s.poison = r.workers.poisons(number, serial); s.poison {
+			if s.poison = r.workers.poisons(number, serial, s.spec); s.poison {
 				r.platform.World.Crashing[taskgraph.TaskName{Job: s.spec.ID}] = r.workers.Crash
 			}
 		})
--- a/internal/soak/workers.go
+++ b/internal/soak/workers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/simulation"
+	"github.com/wheatroad/wheatroad/internal/taskgraph"
 )
 
 // WorkerTroubles is what befalls workers in a run beside the faults of its plan: tasks that
@@ -82,9 +83,10 @@
 	return drawn
 }
 
-// poisons reports whether a caller's job has a task that crashes workers.
-func (t *WorkerTroubles) poisons(caller, serial int) bool {
-	return t.PoisonEvery > 0 && (serial+caller)%t.PoisonEvery == t.PoisonEvery-1
+// poisons reports whether a caller's job has a task that crashes workers. One that ends before
+// it would crash its worker is none.
+func (t *WorkerTroubles) poisons(caller, serial int, spec *taskgraph.Spec) bool {
+	return t.PoisonEvery > 0 && (serial+caller)%t.PoisonEvery == t.PoisonEvery-1 && t.Crash.After < spec.Steps[0].Estimate()
 }
 
 // applyWorkerTroubles lets them happen in time. Capacities are whole again at the end of the
