--- a/internal/cli/node_status.go
+++ b/internal/cli/node_status.go
@@ -74,8 +74,8 @@
 		p := &status.Pools[i]
 		fmt.Fprintf(&text, "  pool %s: owner %s, token %d, unanswered pings %d\n", p.Pool, p.Owner, p.Token, p.OwnerFailures)
 		if o := p.Owned; o != nil {
-			fmt.Fprintf(&text, "    owned here: jobs %v, waiting units %d, runs %d, workers %d (unusable %d, slow %d, silent %d)\n",
-				o.Jobs, o.WaitingUnits, o.Runs, o.Workers, o.Unusable, o.Slow, o.Silent)
+			fmt.Fprintf(&text, "    owned here: jobs %v, waiting units %d, runs %d, workers %d (unusable %d, slow %d, silent %d), suspects %d, known to stand %d ms ago\n",
+				o.Jobs, o.WaitingUnits, o.Runs, o.Workers, o.Unusable, o.Slow, o.Silent, o.Suspects, o.ConfirmedMillis)
 		}
 	}
 	_, err := io.WriteString(out, text.String())
--- a/internal/cli/trace.go
+++ b/internal/cli/trace.go
@@ -18,8 +18,9 @@
 	at   string
 	node string
 	text string
-	// decides is true for lines after which the job's fate is settled.
-	decides bool
+	// decides is true for lines after which the job's fate is settled, and explains for those
+	// that say why and are followed by the line that only says so.
+	decides, explains bool
 }
 
 // logRecord has the fields of a log line that the trace reads.
@@ -29,6 +30,9 @@
 	Job       string `json:"job"`
 }
 
+// explainingLine tells why a job is about to end as failed.
+const explainingLine = "job given up"
+
 // decidingLines are the decisions that settle what a caller is told.
 var decidingLines = map[string]bool{
 	"job not accepted": true, "request refused": true, "job ended": true, "lookup refused": true, "cancellation refused": true,
@@ -93,21 +97,31 @@
 		if prefix := strings.TrimSpace(text[:begin]); prefix != "" {
 			source = prefix
 		}
-		lines = append(lines, traceLine{at: record.Timestamp, node: source, text: text[begin:], decides: decidingLines[record.Decision]})
+		lines = append(lines, traceLine{at: record.Timestamp, node: source, text: text[begin:],
+			decides: decidingLines[record.Decision], explains: record.Decision == explainingLine})
 	}
 	return lines, scanner.Err()
 }
 
-func printTrace(output io.Writer, id string, lines []traceLine) error {
-	if len(lines) == 0 {
-		return errors.Newf("no line names job %s", id)
-	}
+// decidingLine returns the place of the line that settled the job's fate, or -1.
+func decidingLine(lines []traceLine) int {
 	deciding := -1
 	for i := range lines {
+		if lines[i].explains {
+			return i
+		}
 		if lines[i].decides {
 			deciding = i
 		}
 	}
+	return deciding
+}
+
+func printTrace(output io.Writer, id string, lines []traceLine) error {
+	if len(lines) == 0 {
+		return errors.Newf("no line names job %s", id)
+	}
+	deciding := decidingLine(lines)
 	for i := range lines {
 		mark := " "
 		if i == deciding {
--- a/internal/cli/trace_test.go
+++ b/internal/cli/trace_test.go
@@ -28,6 +28,25 @@
 	require.True(t, strings.HasPrefix(lines[2], "* 9.9 node-1"), lines[2])
 }
 
+// TestTraceMarksWhyAJobWasGivenUp: the line that says why, not the one that only says that it
+// ended.
+func TestTraceMarksWhyAJobWasGivenUp(t *testing.T) {
+	input := strings.Join([]string{
+		`1.0 node-1 {"ts":"2026-01-01T00:00:01Z","msg":"run lost","job":"00000000000000aa","worker":"w-1"}`,
+		`2.0 node-1 {"ts":"2026-01-01T00:00:02Z","msg":"job given up","job":"00000000000000aa","reason":"crash_odds"}`,
+		`2.0 node-1 {"ts":"2026-01-01T00:00:02Z","msg":"job ended","job":"00000000000000aa","state":"failed"}`,
+	}, "\n")
+	var output bytes.Buffer
+	command := newTraceCommand()
+	command.SetIn(strings.NewReader(input))
+	command.SetOut(&output)
+	command.SetArgs([]string{"00000000000000aa"})
+	require.NoError(t, command.Execute())
+	lines := strings.Split(strings.TrimSpace(output.String()), "\n")
+	require.Len(t, lines, 3)
+	require.True(t, strings.HasPrefix(lines[1], "* 2.0 node-1"), lines[1])
+}
+
 func TestTraceOfAnUnknownJobIsAnError(t *testing.T) {
 	command := newTraceCommand()
 	command.SetIn(strings.NewReader(""))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -83,6 +83,7 @@
 	// look is the look under way whether the store is there, if any.
 	look     atomic.Pointer[storeLook]
 	stopping atomic.Bool
+	lateness lateness
 
 	members  map[string]member
 	leases   map[string]leaseView
@@ -120,6 +121,7 @@
 	n.probeStore()
 	n.checkConfirmation()
 	n.watchSuspensions()
+	n.watchLateness()
 }
 
 // now returns the loop's time.
--- a/internal/node/ownership.go
+++ b/internal/node/ownership.go
@@ -169,6 +169,7 @@
 		Pool: name, Node: n.options.Name, Incarnation: n.options.Incarnation,
 		Address: n.options.PeerAddress, Bounds: n.options.Bounds, Off: n.options.Off,
 		Catalog: func() *catalog.Catalog { return n.catalog.Load() },
+		Late:    n.lateness.allowance,
 		Ended:   func(reason string) { n.disown(name) },
 	}
 }
--- a/internal/node/ports.go
+++ b/internal/node/ports.go
@@ -94,7 +94,7 @@
 // Start implements pool.Ports.
 func (p *ports) Start(to *fleet.Worker, order fleet.Start, done func(fleet.Reply, error)) {
 	target := *to
-	run(p, exactly(orderTimeout), func(ctx context.Context) (fleet.Reply, error) {
+	run(p, exactly(orderTimeout+p.node.lateness.allowance()), func(ctx context.Context) (fleet.Reply, error) {
 		return p.node.edges.Orders.Start(ctx, &target, order)
 	}, done)
 }
@@ -102,7 +102,7 @@
 // Stop implements pool.Ports.
 func (p *ports) Stop(to *fleet.Worker, order fleet.Stop, done func(fleet.Reply, error)) {
 	target := *to
-	run(p, exactly(orderTimeout), func(ctx context.Context) (fleet.Reply, error) {
+	run(p, exactly(orderTimeout+p.node.lateness.allowance()), func(ctx context.Context) (fleet.Reply, error) {
 		return p.node.edges.Orders.Stop(ctx, &target, order)
 	}, done)
 }
@@ -110,7 +110,7 @@
 // Hold implements pool.Ports.
 func (p *ports) Hold(to *fleet.Worker, order fleet.Hold, done func(fleet.Reply, error)) {
 	target := *to
-	run(p, patience(order.Wait+holdSlack), func(ctx context.Context) (fleet.Reply, error) {
+	run(p, patience(order.Wait+holdSlack+p.node.lateness.allowance()), func(ctx context.Context) (fleet.Reply, error) {
 		return p.node.edges.Orders.Hold(ctx, &target, order)
 	}, done)
 }
--- /dev/null
+++ b/internal/node/standing_test.go
@@ -0,0 +1,65 @@
+package node
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wheatroad/wheatroad/internal/pool"
+	"github.com/wheatroad/wheatroad/internal/rows"
+)
+
+// owningNode returns a node that owns the watched pool with a token.
+func owningNode(t *testing.T, others map[string]float64) *watchingNode {
+	n := newWatchingNode(t, 1, others)
+	n.owned[poolName] = pool.New(n.poolOptions(poolName), n.loop, n.ports, silentRecorder{}, 5)
+	return n
+}
+
+// standingFor is how long ago the owner was last known to stand.
+func (n *watchingNode) standingFor() time.Duration {
+	return time.Duration(n.owned[poolName].Summary().ConfirmedMillis) * time.Millisecond
+}
+
+// TestPingsTellAnOwnerWhetherItStands: what a node that asks the owner knows of the lease.
+func TestPingsTellAnOwnerWhetherItStands(t *testing.T) {
+	cases := map[string]struct {
+		request   pingRequest
+		owner     bool
+		confirmed bool
+	}{
+		"newer owner known":         {pingRequest{Pool: poolName, Token: 6}, false, false},
+		"store away for both":       {pingRequest{Pool: poolName, Token: 5, StoreLost: true}, true, true},
+		"store there for the other": {pingRequest{Pool: poolName, Token: 5}, true, false},
+		"older owner known there":   {pingRequest{Pool: poolName, Token: 4, StoreLost: true}, true, false},
+		"earlier version of a node": {pingRequest{Pool: poolName}, true, false},
+		"another pool":              {pingRequest{Pool: "other", Token: 9}, false, false},
+	}
+	for name, c := range cases {
+		n := owningNode(t, nil)
+		reply, err := n.servePing(context.Background(), c.request)
+		require.NoError(t, err, name)
+		require.Equal(t, c.owner, reply.Owner, name)
+		if c.request.Token == 6 {
+			require.Nil(t, n.owned[poolName], name)
+			continue
+		}
+		require.Equal(t, c.confirmed, n.standingFor() < time.Second, name)
+	}
+}
+
+// TestOnlyNodeStandsAloneWhileTheStoreIsAway: no other node could take its pool.
+func TestOnlyNodeStandsAloneWhileTheStoreIsAway(t *testing.T) {
+	alone := owningNode(t, nil)
+	alone.standAlone()
+	require.Greater(t, alone.standingFor(), time.Second, "the store is there to be asked")
+	alone.noteStoreFailure(rows.ErrNoAnswer)
+	alone.standAlone()
+	require.Less(t, alone.standingFor(), time.Second)
+	beside := owningNode(t, map[string]float64{"node-2": 1})
+	beside.noteStoreFailure(rows.ErrNoAnswer)
+	beside.standAlone()
+	require.Greater(t, beside.standingFor(), time.Second)
+}
--- a/internal/pool/cycle.go
+++ b/internal/pool/cycle.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"iter"
 	"slices"
 	"strings"
 	"time"
@@ -74,23 +75,34 @@
 	p.record.Observe("cycle", p.cycleTook)
 }
 
-// waitingUnits lists the units that want a place, the most pressing first.
-func (p *Pool) waitingUnits() []*unit {
-	var waiting []*unit
-	for _, j := range p.jobs {
-		if j.next.Final() {
-			continue
-		}
-		for _, t := range j.times {
-			for _, s := range t.steps {
-				for _, u := range s.units {
-					if u.state == unitWaiting {
-						waiting = append(waiting, u)
+// openUnits yields the units of jobs that have not ended, in no order.
+func (p *Pool) openUnits() iter.Seq[*unit] {
+	return func(yield func(*unit) bool) {
+		for _, j := range p.jobs {
+			if j.next.Final() {
+				continue
+			}
+			for _, t := range j.times {
+				for _, s := range t.steps {
+					for _, u := range s.units {
+						if !yield(u) {
+							return
+						}
 					}
 				}
 			}
 		}
 	}
+}
+
+// waitingUnits lists the units that want a place, the most pressing first.
+func (p *Pool) waitingUnits() []*unit {
+	var waiting []*unit
+	for u := range p.openUnits() {
+		if u.state == unitWaiting {
+			waiting = append(waiting, u)
+		}
+	}
 	now := p.loop.Now()
 	timelyFirst := !p.options.Off[mechanism.TimelyFirst]
 	slices.SortFunc(waiting, func(a, b *unit) int { return compareUnits(a, b, now, timelyFirst) })
--- a/internal/pool/options.go
+++ b/internal/pool/options.go
@@ -41,6 +41,9 @@
 	Off mechanism.Off
 	// Without takes mechanisms out, for tests that show what they prevent.
 	Without Without
+	// Late returns how much longer orders may take because this process is late itself; nil
+	// is none.
+	Late func() time.Duration
 	// Ended is called once the node is no longer the owner.
 	Ended func(reason string)
 }
--- a/internal/pool/summary.go
+++ b/internal/pool/summary.go
@@ -17,6 +17,10 @@
 	Slow     int `json:"slow"`
 	Silent   int `json:"silent"`
 	Runs     int `json:"runs"`
+	// Suspects counts the tasks and gangs that wait or run and may well crash workers.
+	Suspects int `json:"suspects"`
+	// ConfirmedMillis is how long ago the owner was last known not to be replaced.
+	ConfirmedMillis int64 `json:"confirmed_ms"`
 }
 
 // Summary returns the owner's account of its pool.
@@ -26,6 +30,12 @@
 		summary.Jobs[j.next]++
 	}
 	now := p.loop.Now()
+	summary.ConfirmedMillis = now.Sub(p.confirmedAt).Milliseconds()
+	for u := range p.openUnits() {
+		if u.suspected() {
+			summary.Suspects++
+		}
+	}
 	for _, w := range p.workers {
 		summary.Runs += len(w.members)
 		if !p.usable(w, now) {
--- a/internal/pool/tries.go
+++ b/internal/pool/tries.go
@@ -19,7 +19,11 @@
 
 // secondTryAfter is how long an order may go without an answer before it is sent again.
 func (p *Pool) secondTryAfter() time.Duration {
-	return max(secondTryLeast, secondTryRatio*p.orderLatency)
+	after := max(secondTryLeast, secondTryRatio*p.orderLatency)
+	if p.options.Late != nil {
+		after += p.options.Late()
+	}
+	return after
 }
 
 // tries are the tries of one order that are under way.
