One job a file: progress, restoring, batches, simulated owners, ports and gangs

Two pairs of tests that stood twice share their set-up; the two tests of ended jobs' runs are one with two cases, as strict.

--- a/internal/cli/trace_test.go
+++ b/internal/cli/trace_test.go
@@ -8,6 +8,17 @@
 	"github.com/stretchr/testify/require"
 )
 
+// traced returns what the command prints about a job from log lines.
+func traced(t *testing.T, input string) []string {
+	var output bytes.Buffer
+	command := newTraceCommand()
+	command.SetIn(strings.NewReader(input))
+	command.SetOut(&output)
+	command.SetArgs([]string{"00000000000000aa"})
+	require.NoError(t, command.Execute())
+	return strings.Split(strings.TrimSpace(output.String()), "\n")
+}
+
 func TestTraceOrdersLinesAndMarksTheDecidingOne(t *testing.T) {
 	input := strings.Join([]string{
 		`  1.0 node-2 {"ts":"2026-01-01T00:00:01Z","msg":"job accepted","job":"00000000000000aa"}`,
@@ -16,13 +27,7 @@
 		`not a line of ours 00000000000000aa`,
 		`  9.9 node-1 {"ts":"2026-01-01T00:00:09Z","msg":"job ended","job":"00000000000000aa","state":"failed"}`,
 	}, "\n")
-	var output bytes.Buffer
-	command := newTraceCommand()
-	command.SetIn(strings.NewReader(input))
-	command.SetOut(&output)
-	command.SetArgs([]string{"00000000000000aa"})
-	require.NoError(t, command.Execute())
-	lines := strings.Split(strings.TrimSpace(output.String()), "\n")
+	lines := traced(t, input)
 	require.Len(t, lines, 3)
 	require.Contains(t, lines[0], "job accepted")
 	require.True(t, strings.HasPrefix(lines[2], "* 9.9 node-1"), lines[2])
@@ -36,13 +41,7 @@
 		`2.0 node-1 {"ts":"2026-01-01T00:00:02Z","msg":"job given up","job":"00000000000000aa","reason":"crash_odds"}`,
 		`2.0 node-1 {"ts":"2026-01-01T00:00:02Z","msg":"job ended","job":"00000000000000aa","state":"failed"}`,
 	}, "\n")
-	var output bytes.Buffer
-	command := newTraceCommand()
-	command.SetIn(strings.NewReader(input))
-	command.SetOut(&output)
-	command.SetArgs([]string{"00000000000000aa"})
-	require.NoError(t, command.Execute())
-	lines := strings.Split(strings.TrimSpace(output.String()), "\n")
+	lines := traced(t, input)
 	require.Len(t, lines, 3)
 	require.True(t, strings.HasPrefix(lines[1], "* 2.0 node-1"), lines[1])
 }
--- /dev/null
+++ b/internal/pool/batch.go
@@ -0,0 +1,201 @@
+package pool
+
+import (
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wheatroad/wheatroad/internal/rows"
+)
+
+// batchLimit bounds the rows of one transaction, whose limit is 100 entries, and
+// batchBytes their size, whose limit is 1 MB with its encoding.
+const (
+	batchLimit = 80
+	batchBytes = 700 << 10
+)
+
+// batch is a set of rows that is written at once, and what depends on it.
+type batch struct {
+	serial   int
+	jobs     []*job
+	progress []Progress
+	values   [][]byte
+	removes  []string
+	after    []func()
+	// left is true if rows were left for the next batch: they have waited long enough.
+	left   bool
+	sentAt time.Time
+	// failures counts tries without success, and open those without an answer yet.
+	failures int
+	open     int
+	// written is true once a try has taken effect.
+	written bool
+}
+
+func (w *writer) nextBatch() *batch {
+	w.serial++
+	b := &batch{serial: w.serial, sentAt: w.pool.loop.Now()}
+	bytes := 0
+	for len(w.dirty) > 0 && len(b.jobs) < batchLimit {
+		j := w.dirty[0]
+		progress := j.progress()
+		progress.Token, progress.Serial = w.pool.token, b.serial
+		value := mustEncode(progress)
+		bytes += len(value)
+		if bytes > batchBytes && len(b.jobs) > 0 {
+			break
+		}
+		w.dirty = w.dirty[1:]
+		w.taken++
+		j.dirty = false
+		b.jobs = append(b.jobs, j)
+		b.progress = append(b.progress, progress)
+		b.values = append(b.values, value)
+	}
+	b.left = len(w.dirty) > 0
+	b.after = w.takeAfter()
+	if !b.left {
+		count := min(len(w.removes), batchLimit-len(b.jobs))
+		b.removes, w.removes = w.removes[:count], w.removes[count:]
+	}
+	return b
+}
+
+// transaction renders a batch for a part.
+func (w *writer) transaction(b *batch, part int) rows.Transaction {
+	name := progressPart(w.pool.options.Pool, part)
+	transaction := rows.Transaction{
+		Conditions: []rows.Condition{{Key: headKey(name), Version: w.headVersions[part]}},
+		Puts:       []rows.Put{{Key: headKey(name), Value: w.pool.head(strconv.Itoa(b.serial))}},
+	}
+	if w.pool.options.Without.HeadCondition {
+		transaction.Conditions = nil
+	}
+	for i, j := range b.jobs {
+		transaction.Puts = append(transaction.Puts, rows.Put{Key: progressKey(name, j.id), Value: b.values[i]})
+	}
+	for _, id := range b.removes {
+		transaction.Removes = append(transaction.Removes, progressKey(name, id))
+	}
+	return transaction
+}
+
+// head renders this owner's head row.
+func (p *Pool) head(nonce string) []byte {
+	return mustEncode(head{Token: p.token, Nonce: p.options.Incarnation + "." + nonce, Durations: p.durations})
+}
+
+// partPatience is how long a part of the store may go without an answer before the batch
+// is sent to the next one as well, on top of what it takes to send. A store that is fifty
+// times slower answers in 0.5 s.
+const partPatience = 600 * time.Millisecond
+
+func (w *writer) send(b *batch) {
+	part := w.part
+	answered := false
+	b.open++
+	transaction := w.transaction(b, part)
+	sentAt := w.pool.loop.Now()
+	w.pool.ports.Commit(transaction, func(result rows.Result, err error) {
+		answered = true
+		b.open--
+		switch {
+		case w.pool.gone:
+		case err != nil:
+			w.retry(b, err)
+		case result.Committed:
+			w.headVersions[part] = max(w.headVersions[part], result.Version)
+			w.pool.Confirm(sentAt)
+			w.finish(b)
+		default:
+			w.conditionFailed(b, part, result)
+		}
+	})
+	w.pool.loop.After(partPatience+rows.SendTime(transaction), func() {
+		if !w.pool.gone && !answered && !b.written && b.open < progressParts {
+			w.pool.record.Count("retries", "commit_slow")
+			w.part = (part + 1) % progressParts
+			w.send(b)
+		}
+	})
+}
+
+// retry sends a batch again, to the next part. Its rows are the same there, so it
+// does not matter which of the tries take effect.
+func (w *writer) retry(b *batch, err error) {
+	w.pool.record.Count("retries", commitRetryReason(err))
+	b.failures++
+	if b.written || b.open > 0 {
+		return
+	}
+	w.part = (w.part + 1) % progressParts
+	if b.failures%progressParts != 0 {
+		w.send(b)
+		return
+	}
+	pause := retryPause
+	for range min(b.failures/progressParts, retryDoublings) {
+		pause = nextPause(pause)
+	}
+	w.pool.storeRetries.After(pause, func() {
+		if !w.pool.gone {
+			w.send(b)
+		}
+	})
+}
+
+// retryDoublings bounds how often the pause between tries doubles.
+const retryDoublings = 4
+
+func commitRetryReason(err error) string {
+	if errors.Is(err, rows.ErrRefused) {
+		return "commit_refused"
+	}
+	return "commit_no_answer"
+}
+
+// conditionFailed tells an own try whose answer was lost from another owner's write.
+func (w *writer) conditionFailed(b *batch, part int, result rows.Result) {
+	w.pool.noteStore()
+	for i := range result.Current {
+		row := &result.Current[i]
+		var current head
+		if row.Name != headRow || json.Unmarshal(row.Value, &current) != nil || current.Token != w.pool.token {
+			continue
+		}
+		w.headVersions[part] = max(w.headVersions[part], row.Version)
+		if current.Nonce == w.pool.options.Incarnation+"."+strconv.Itoa(b.serial) {
+			w.finish(b)
+			return
+		}
+		if !b.written {
+			w.send(b)
+		}
+		return
+	}
+	w.pool.Abandon("fenced by the store")
+}
+
+func (w *writer) finish(b *batch) {
+	if b.written {
+		return
+	}
+	b.written = true
+	w.pool.noteStore()
+	w.pool.record.Observe("store_commit", w.pool.storeAnsweredAt.Sub(b.sentAt))
+	w.sending = false
+	for i, j := range b.jobs {
+		j.state = b.progress[i].State
+	}
+	w.runAfter(b.after)
+	waiting := len(w.dirty) > 0 || len(w.removes) > 0 || len(w.after) > 0
+	if b.left || waiting && w.dueAt.IsZero() {
+		w.dueAt = w.pool.loop.Now()
+	}
+	if !w.dueAt.IsZero() {
+		w.arm()
+	}
+}
--- a/internal/pool/cancel_test.go
+++ b/internal/pool/cancel_test.go
@@ -81,38 +81,29 @@
 }
 
 // TestRunOfAnEndedJobIsStoppedByTheNextOwner: the owner wrote that the job was cancelled and
-// was killed before its stops arrived; the row of an ended job names no workers.
+// was killed before its stops arrived; the row of an ended job names no workers, but for those
+// that are no longer listed, which a next owner does not meet by greeting all others.
 func TestRunOfAnEndedJobIsStoppedByTheNextOwner(t *testing.T) {
-	w, former := longRun()
-	busy := busyWorker(w)
-	busy.LoseOrder = func() simulation.Fate { return simulation.NeverDone }
-	w.Cancel(jobID(1))
-	w.Run(100 * time.Millisecond)
-	require.Equal(t, taskgraph.Cancelled, w.StoredState(jobID(1)))
-	former.Process.Kill()
-	busy.LoseOrder = nil
-	w.Run(500 * time.Millisecond)
-	w.Own()
-	w.Run(stoppedWithin)
-	require.Zero(t, busy.Runs())
-	requireKept(t, w)
-}
-
-// TestRunOfAnEndedJobOnALeavingWorkerIsStopped: as before, on a worker whose row is gone too,
-// so that the next owner does not meet it by greeting all workers that are listed.
-func TestRunOfAnEndedJobOnALeavingWorkerIsStopped(t *testing.T) {
-	w, former := longRun()
-	busy := busyWorker(w)
-	busy.LoseOrder = func() simulation.Fate { return simulation.NeverDone }
-	w.Cancel(jobID(1))
-	w.Run(100 * time.Millisecond)
-	w.RemoveWorkerRow(busy)
-	w.Run(100 * time.Millisecond)
-	former.Process.Kill()
-	busy.LoseOrder = nil
-	w.Run(500 * time.Millisecond)
-	w.Own()
-	w.Run(stoppedWithin)
-	require.Zero(t, busy.Runs())
-	requireKept(t, w)
+	for name, leave := range map[string]func(*simulation.World, *simulation.Worker){
+		"listed":  func(*simulation.World, *simulation.Worker) {},
+		"leaving": func(w *simulation.World, worker *simulation.Worker) { w.RemoveWorkerRow(worker) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			w, former := longRun()
+			busy := busyWorker(w)
+			busy.LoseOrder = func() simulation.Fate { return simulation.NeverDone }
+			w.Cancel(jobID(1))
+			w.Run(100 * time.Millisecond)
+			require.Equal(t, taskgraph.Cancelled, w.StoredState(jobID(1)))
+			leave(w, busy)
+			w.Run(100 * time.Millisecond)
+			former.Process.Kill()
+			busy.LoseOrder = nil
+			w.Run(500 * time.Millisecond)
+			w.Own()
+			w.Run(stoppedWithin)
+			require.Zero(t, busy.Runs())
+			requireKept(t, w)
+		})
+	}
 }
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/wheatroad/wheatroad/internal/fleet"
 	"github.com/wheatroad/wheatroad/internal/poison"
 	"github.com/wheatroad/wheatroad/internal/taskgraph"
 )
@@ -238,80 +237,3 @@
 	}
 	return s.units[name.Index].members[0]
 }
-
-// progress renders the job's row.
-func (j *job) progress() Progress {
-	record := Progress{State: j.next}
-	if !j.endedAt.IsZero() {
-		record.EndedMillis = j.endedAt.UnixMilli()
-	}
-	render := (*step).progress
-	if j.next.Final() {
-		render = (*step).leftovers
-	}
-	for _, t := range j.times {
-		for _, s := range t.steps {
-			if rendered, any := render(s, t.number); any {
-				record.Steps = append(record.Steps, rendered)
-			}
-		}
-	}
-	return record
-}
-
-func (s *step) progress(number int) (stepProgress, bool) {
-	record := stepProgress{Time: number, Step: s.index, Complete: s.complete}
-	if s.complete || s.units == nil {
-		return record, s.complete
-	}
-	if s.ended > 0 {
-		record.Ended = newBitset(len(s.units))
-	}
-	for _, u := range s.units {
-		if u.state == unitEnded {
-			bitset(record.Ended).set(u.index)
-		} else if u.run > 0 {
-			record.Units = append(record.Units, u.progress())
-		}
-	}
-	return record, s.ended > 0 || len(record.Units) > 0
-}
-
-func (u *unit) progress() unitProgress {
-	record := unitProgress{Index: u.index, Run: u.run, Failures: u.failures, Checkpoint: u.checkpoint, Losses: u.keptLosses()}
-	if u.active() > 0 {
-		record.Workers = make([]string, len(u.members))
-		for i, m := range u.members {
-			if m.worker == nil {
-				continue
-			}
-			record.Workers[i] = m.worker.ID
-			if !m.worker.listed {
-				record.noteAddress(&m.worker.Worker)
-			}
-		}
-	}
-	return record
-}
-
-func (r *unitProgress) noteAddress(w *fleet.Worker) {
-	if r.Addresses == nil {
-		r.Addresses = map[string]string{}
-	}
-	r.Addresses[w.ID] = w.Address
-}
-
-// leftovers renders the units of an ended job that may still run on workers whose rows are
-// gone, where a next owner would not find them.
-func (s *step) leftovers(number int) (stepProgress, bool) {
-	record := stepProgress{Time: number, Step: s.index}
-	for _, u := range s.units {
-		if u.active() == 0 {
-			continue
-		}
-		if rendered := u.progress(); len(rendered.Addresses) > 0 {
-			record.Units = append(record.Units, rendered)
-		}
-	}
-	return record, len(record.Units) > 0
-}
--- /dev/null
+++ b/internal/pool/restore.go
@@ -0,0 +1,104 @@
+package pool
+
+import (
+	"time"
+)
+
+func (p *Pool) addJob(id string, accepted Accepted, record Progress) {
+	now := p.loop.Now()
+	age := max(0, p.loop.TimeOfDay().Sub(accepted.AcceptedAt()))
+	j := newJob(id, accepted, now.Add(-age))
+	p.estimateJob(j)
+	p.jobs[id] = j
+	if record.State.Final() {
+		j.state, j.next = record.State, record.State
+		j.endedAt = time.UnixMilli(record.EndedMillis)
+		p.meetLeftovers(&record)
+		return
+	}
+	j.timeAt(0)
+	if record.State != "" {
+		j.state, j.next = record.State, record.State
+		p.restore(j, record)
+	}
+	if p.earlyCancels[id] {
+		p.applyCancel(id)
+		return
+	}
+	p.advance(j)
+	p.wake()
+}
+
+// restore takes over what an earlier owner wrote of a job.
+func (p *Pool) restore(j *job, record Progress) {
+	for i := range record.Steps {
+		saved := &record.Steps[i]
+		t := j.timeAt(saved.Time)
+		if saved.Step >= len(t.steps) {
+			continue
+		}
+		p.restoreStep(j, t, t.steps[saved.Step], saved)
+	}
+}
+
+func (p *Pool) restoreStep(j *job, t *jobTime, s *step, saved *stepProgress) {
+	j.begun, j.ordered = true, true
+	if saved.Complete {
+		s.complete = true
+		t.ended++
+		return
+	}
+	s.createUnits(j, t, p.loop.Now())
+	for _, u := range s.units {
+		if bitset(saved.Ended).has(u.index) {
+			u.state = unitEnded
+			s.ended++
+		}
+	}
+	for _, savedUnit := range saved.Units {
+		if savedUnit.Index < len(s.units) {
+			p.restoreUnit(s.units[savedUnit.Index], savedUnit)
+		}
+	}
+}
+
+// restoreUnit assumes that the unit runs where its row says until its workers have
+// answered.
+func (p *Pool) restoreUnit(u *unit, saved unitProgress) {
+	u.run, u.failures, u.checkpoint = saved.Run, saved.Failures, saved.Checkpoint
+	p.restoreLosses(u, saved.Losses)
+	for i, id := range saved.Workers {
+		if id == "" || i >= len(u.members) {
+			continue
+		}
+		p.assign(u.members[i], p.workerOfRow(id, saved.Addresses[id]))
+		u.members[i].state = memberUncertain
+		u.state = unitActive
+	}
+	if u.state == unitActive {
+		u.startedAt = p.loop.Now()
+	}
+}
+
+// workerOfRow returns the worker that a row of progress names. Address is empty unless its own
+// row was gone when that was written.
+func (p *Pool) workerOfRow(id, address string) *worker {
+	if known := p.workers[id]; known != nil {
+		return known
+	}
+	w := p.unlistedWorker(id)
+	w.Address = address
+	return w
+}
+
+// meetLeftovers makes the workers known that may still run tasks of an ended job though their
+// rows are gone. What they list is then stopped as unwanted.
+func (p *Pool) meetLeftovers(record *Progress) {
+	for i := range record.Steps {
+		for _, unit := range record.Steps[i].Units {
+			for id, address := range unit.Addresses {
+				p.workerOfRow(id, address)
+			}
+		}
+	}
+}
--- a/internal/simulation/worker.go
+++ b/internal/simulation/worker.go
@@ -1,6 +1,7 @@
 package simulation
 
 import (
+	"sort"
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/emulator"
@@ -291,3 +292,13 @@
 	}
 	return count
 }
+
+// sortedRuns lists the worker's runs in the order of their names.
+func (w *Worker) sortedRuns() []*run {
+	sorted := make([]*run, 0, len(w.runs))
+	for _, r := range w.runs {
+		sorted = append(sorted, r)
+	}
+	sort.Slice(sorted, func(i, j int) bool { return sorted[i].name.String() < sorted[j].name.String() })
+	return sorted
+}
