A new owner greets 128 workers at a time, those that run something first

Cause: at a takeover an owner of 3,000 workers opened as many connections at once, read their answers late and took them for none. Change: greetings wait for their turn.

--- /dev/null
+++ b/internal/pool/greet_test.go
@@ -0,0 +1,51 @@
+package pool_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wheatroad/wheatroad/internal/simulation"
+	"github.com/wheatroad/wheatroad/internal/taskgraph"
+)
+
+// TestGreetingsAreBounded: a new owner greeted all workers at once; with 3,000 of them it read
+// their answers too late and took them for silent. Workers that do run something come first.
+func TestGreetingsAreBounded(t *testing.T) {
+	const most = 128
+	w := simulation.NewWorld(30, 10)
+	w.Work = func(taskgraph.TaskName) time.Duration { return 20 * time.Second }
+	last := w.Workers[len(w.Workers)-1]
+	for _, worker := range w.Workers {
+		worker.Draining = worker != last
+		w.PutWorkerRow(worker)
+	}
+	w.Submit(spec(1, single(1)), urgent)
+	first := w.Own()
+	w.Run(time.Second)
+	require.Equal(t, 1, last.Runs())
+	first.Process.Kill()
+	for _, worker := range w.Workers {
+		worker.Draining, worker.Cut = false, worker != last
+		w.PutWorkerRow(worker)
+	}
+	before := w.Judge.Counts["worker_orders/hold"]
+	w.Own()
+	w.Run(100 * time.Millisecond)
+	require.LessOrEqual(t, w.Judge.Counts["worker_orders/hold"]-before, most+2)
+	require.Contains(t, w.Judge.Trace[len(w.Judge.Trace)-1], "rows read", "no worker is taken as silent yet")
+	for _, worker := range w.Workers {
+		worker.Cut = false
+	}
+	w.Submit(spec(2, single(100)), batch)
+	w.Run(10 * time.Second)
+	running := 0
+	for _, worker := range w.Workers {
+		running += worker.RunsOf(jobID(2))
+	}
+	require.Equal(t, 100, running)
+	w.Run(20 * time.Second)
+	requireKept(t, w)
+	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
+}
--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -6,20 +6,6 @@
 	"github.com/wheatroad/wheatroad/internal/fleet"
 )
 
-// greetAll asks every worker what it runs.
-func (p *Pool) greetAll() {
-	for _, w := range p.sortedWorkers() {
-		p.greet(w)
-	}
-}
-
-// greet makes the first contact with a worker, which fences former owners.
-func (p *Pool) greet(w *worker) {
-	if p.loaded && !w.greeted && w.Address != "" {
-		p.hold(w)
-	}
-}
-
 // clockNow estimates the worker's clock, from below: leases that are given by it end no later
 // than meant. A worker that was idle for minutes may refuse a start as late by it, and tells
 // its clock with that.
@@ -50,6 +36,7 @@
 	}
 	p.record.Count("worker_orders", "hold")
 	p.ports.Hold(&w.Worker, order, func(reply fleet.Reply, err error) {
+		p.greetingEnded(w)
 		if p.gone || p.workers[w.ID] != w {
 			return
 		}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -35,6 +35,7 @@
 	// workerOrder has the workers in the order of their names; nil once they change.
 	workerOrder []*worker
 	memory      snapshotMemory
+	greetings   greetings
 	writer      writer
 	// storeRetries are calls to the store that wait to be made again.
 	storeRetries *loop.Retries
--- a/internal/pool/worker.go
+++ b/internal/pool/worker.go
@@ -20,6 +20,8 @@
 	missing bool
 	// greeted is true once the worker has answered under this owner's token.
 	greeted bool
+	// toGreet is true while the worker waits to be greeted, and greeting while it is.
+	toGreet, greeting bool
 	// members that may run here, in the order of their assignment.
 	members []*member
 	// strangers are runs that the worker lists and the owner does not want.
