Soak: daemons listen on ports of the soak's own

The system offers a port anew, also to another process, as soon as the listener that found it is closed. Change: ports below those that the system gives out, from a place that differs by process. Conclusion: the soak's own fault; no daemon code is touched, but for a line's ran_ms that is no longer negative and a comment.

--- a/internal/pool/confirmation.go
+++ b/internal/pool/confirmation.go
@@ -6,19 +6,15 @@
 	"github.com/wheatroad/wheatroad/internal/rows"
 )
 
-// An owner extends the leases of what runs, and starts more, by its own lease on the pool:
-// only as far as a successor waits that cannot reach a worker, which is the longest lease of a
-// run from the moment at which this owner was surely not replaced yet. Else an owner that was
-// replaced while it was cut off, frozen or suspended keeps tasks running that its successor
-// takes as over, and they run twice at once.
-
-const (
-	// confirmPeriod is the age from which the store is asked whether this owner stands. The
-	// shortest lease of the platform's sites is 6 s; a busy owner's writes tell all the time.
-	confirmPeriod = time.Second
-)
-
-// Confirm notes that this owner was not replaced at a time.
+// confirmPeriod is the age from which the store is asked whether this owner stands. The
+// shortest lease of the platform's sites is 6 s; a busy owner's writes tell all the time.
+const confirmPeriod = time.Second
+
+// Confirm notes that this owner was surely not replaced at a time. It extends the leases of
+// what runs, and starts more, only for as long as a successor waits that cannot reach a worker:
+// the longest lease of a run from that time on. Else an owner that was replaced while it was cut
+// off, frozen or suspended keeps tasks running that its successor takes as over, and they run
+// twice at once.
 func (p *Pool) Confirm(at time.Time) {
 	if at.After(p.confirmedAt) {
 		p.confirmedAt = at
--- a/internal/pool/lostruns.go
+++ b/internal/pool/lostruns.go
@@ -37,7 +37,7 @@
 	if m.state == memberNone {
 		return
 	}
-	ranMillis := w.lastAlive(p.loop.Now()).Sub(u.startedAt).Milliseconds()
+	ranMillis := max(0, w.lastAlive(p.loop.Now()).Sub(u.startedAt).Milliseconds())
 	if !u.startedHere {
 		ranMillis = 0
 	}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -64,23 +65,33 @@
 	return d, err
 }
 
-// givenPorts are the addresses that freeAddress has given out. The system may offer a
-// port anew as soon as its listener is closed.
-var givenPorts sync.Map
+// Daemons listen on ports below those that the system gives out by itself, 32768 and up on
+// Linux: of those it may give one to another process as soon as its listener is closed, as it
+// did to two soaks that ran at once.
+const (
+	firstPort = 10000
+	portCount = 22000
+	// portSpread lies between the ports that processes with successive identifiers begin at.
+	portSpread = 611
+)
+
+// portsGiven counts the ports that were tried.
+var portsGiven atomic.Int64
 
 // freeAddress returns a loopback address that nobody listens on, another one each time.
 func freeAddress() (string, error) {
-	for {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	var failure error
+	for range portCount {
+		port := firstPort + (int64(os.Getpid())*portSpread+portsGiven.Add(1))%portCount
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
-			return "", err
+			failure = err
+			continue
 		}
 		address := listener.Addr().String()
-		listener.Close()
-		if _, given := givenPorts.LoadOrStore(address, true); !given {
-			return address, nil
-		}
+		return address, listener.Close()
 	}
+	return "", failure
 }
 
 // begin starts the process, unless one runs.
