Nodes that guard no owner ping it again

Change: whether a round is one for all nodes goes by when the last such one was. Test: TestAllNodesPingOwners, TestRoundsOfANodeThatGuardsNobody.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -94,8 +94,7 @@
 	waiting  map[string]waitingCounts
 	released func()
 	download download
-	// pingRound counts the rounds of pings.
-	pingRound int
+	pings    pingSchedule
 }
 
 // New returns a node that does nothing until Start.
--- a/internal/node/pings.go
+++ b/internal/node/pings.go
@@ -48,24 +48,32 @@
 // pingOwners asks the owners of all pools how they are, again and again: a guard each
 // guardPeriod, others each pingPeriod.
 func (n *Node) pingOwners() {
-	n.pingRound++
 	n.standAlone()
-	others := n.pingRound%int(pingPeriod/guardPeriod) == 0
-	period := pingPeriod
+	others := n.pings.othersDue(n.now())
+	pause := pingPeriod
 	for _, name := range sortedKeys(n.watches) {
 		guards := n.guards(name)
 		if n.owned[name] == nil && (others || guards) {
 			n.pingOwner(n.watches[name])
 		}
 		if guards || n.owned[name] != nil {
-			period = guardPeriod
+			pause = guardPeriod
 		}
 	}
-	if period == pingPeriod {
-		// The round of the guards in between is left out.
-		n.pingRound += int(pingPeriod/guardPeriod) - 1
+	n.edges.Loop.After(pause, n.pingOwners)
+}
+
+// pingSchedule says in which rounds of pings a node that guards no owner takes part. Rounds
+// come each guardPeriod or pingPeriod.
+type pingSchedule struct{ othersAt time.Time }
+
+// othersDue reports whether a round at a time is one for all nodes.
+func (s *pingSchedule) othersDue(now time.Time) bool {
+	if now.Sub(s.othersAt) < pingPeriod-guardPeriod/2 {
+		return false
 	}
-	n.edges.Loop.After(period, n.pingOwners)
+	s.othersAt = now
+	return true
 }
 
 func (n *Node) pingOwner(w *watch) {
--- /dev/null
+++ b/internal/node/pings_test.go
@@ -0,0 +1,48 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestAllNodesPingOwners: with rounds of both lengths, and with timers that are a little late,
+// a node that guards no owner asks it each half second.
+func TestAllNodesPingOwners(t *testing.T) {
+	const span = 20 * time.Second
+	for _, pause := range []time.Duration{guardPeriod, pingPeriod} {
+		for _, late := range []time.Duration{0, 3 * time.Millisecond, 40 * time.Millisecond} {
+			var schedule pingSchedule
+			now := time.Now()
+			end := now.Add(span)
+			asked := 0
+			for ; now.Before(end); now = now.Add(pause + late) {
+				if schedule.othersDue(now) {
+					asked++
+				}
+			}
+			require.InDelta(t, span.Seconds()/pingPeriod.Seconds(), asked, 8, "rounds of %v, %v late", pause, late)
+		}
+	}
+}
+
+// TestRoundsOfANodeThatGuardsNobody: it sets a round each pingPeriod, one that guards an owner
+// each guardPeriod.
+func TestRoundsOfANodeThatGuardsNobody(t *testing.T) {
+	heavier := map[string]float64{}
+	for _, name := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i"} {
+		heavier[name] = 2
+	}
+	for name, c := range map[string]struct {
+		others map[string]float64
+		pause  time.Duration
+	}{"guard": {nil, guardPeriod}, "other": {heavier, pingPeriod}} {
+		n := newWatchingNode(t, 1, c.others)
+		n.leaseOf("node-1", 5)
+		n.loop.timers = nil
+		n.pingOwners()
+		require.Len(t, n.loop.timers, 1, name)
+		require.Equal(t, c.pause, n.loop.timers[0].at.Sub(n.loop.now), name)
+	}
+}
