Failing test: sound jobs given up for workers that had died before their starts

The store is away for 4 s; idle workers crash and come back meanwhile, which the owner's listing cannot show; on its return the gang's starts meet other instances twice in half a second, and the owner counts both workers as lost under it, 9 ms and 1 ms after starts that were refused. Change: a test with workers that were replaced, and one with workers that are silent. Before: both cases are given up. Conclusion: a run that never began is no evidence.

--- a/internal/pool/lostruns_test.go
+++ b/internal/pool/lostruns_test.go
@@ -83,3 +83,49 @@
 		})
 	}
 }
+
+// What happened. A gang of eight was given up as one that crashes workers, and no worker had
+// crashed under it.
+//
+// The sequence: the store was away for 4 s; idle workers crashed and came back as other
+// instances meanwhile, which the owner's listing could not show. On its return the gang was
+// placed on some of them twice in half a second; their starts were refused ("other_instance"),
+// their workers counted as lost under it, 9 ms and 1 ms after the start.
+//
+// The cause: a loss counted against runs that had never begun. What settled it: "run lost" with
+// confirmed false behind "start failed" with reason other_instance, at each of both workers.
+
+// staleWorkers lets all workers be replaced, or die, while the owner's feeds are silent, and a
+// job come then.
+func staleWorkers(die func(*simulation.Worker)) *simulation.World {
+	w := simulation.NewWorld(2, 4)
+	owner := w.Own()
+	w.Run(time.Second)
+	w.Store.FeedsSilent = true
+	for _, worker := range w.Workers {
+		die(worker)
+	}
+	w.Run(5 * time.Second)
+	w.Submit(spec(1, single(3)), urgent)
+	row := acceptedRow(w, jobID(1))
+	owner.Process.Post(func() { owner.TakeAnnounced(row) })
+	w.Run(8 * time.Second)
+	w.Store.FeedsSilent = false
+	w.AddWorker("fresh", "r-9")
+	w.Run(60 * time.Second)
+	return w
+}
+
+// TestWorkersThatDiedBeforeAStartAreNoEvidence: they were replaced, or are silent.
+func TestWorkersThatDiedBeforeAStartAreNoEvidence(t *testing.T) {
+	for name, die := range map[string]func(*simulation.Worker){
+		"replaced": (*simulation.Worker).CrashAndRestart,
+		"silent":   (*simulation.Worker).Crash,
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := staleWorkers(die)
+			requireKept(t, w)
+			require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
+		})
+	}
+}
