A run that never began is no evidence of a task that crashes workers

Cause: a loss counted against every run that was ordered on the worker, also where the start was refused by another instance or got no answer. Change: evidence are runs that were confirmed, begun by an earlier owner, or ordered while a hold was open on the worker. Starts without an answer on others only count towards the limit of five. Two pieces of evidence are needed, not two lost workers. Before: TestWorkersThatDiedBeforeAStartAreNoEvidence fails in both cases.

--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -134,7 +134,9 @@
 	// doubtful is true once a start of the present run got no answer: it may be carried
 	// out later, whatever later tries are told.
 	doubtful bool
-	sentAt   time.Time
+	// watched is true if a hold was open on the worker when the run was ordered: it lived then.
+	watched bool
+	sentAt  time.Time
 	// percent is the progress that the worker last listed, percentAt when it last
 	// changed, and listedAt when it was last listed.
 	percent   int
--- a/internal/pool/lostruns.go
+++ b/internal/pool/lostruns.go
@@ -60,7 +60,9 @@
 	if w.Draining || w.departing {
 		// It left by plan, and took with it what was not moved in time.
 		for _, m := range w.members {
-			m.losses.AddUnexplained(w.ID)
+			if m.losses.Count() > 0 {
+				m.losses.AddUnexplained(w.ID)
+			}
 		}
 		return
 	}
@@ -70,11 +72,15 @@
 		Replaced: reason == lostWithInstance || p.addressTaken(w),
 	}
 	for _, m := range w.members {
-		if m.state == memberNone || (m.unit.startedHere && at.Before(m.unit.startedAt)) {
-			// It was not started, or the worker was silent before.
+		presence := m.presenceAt(at)
+		if presence == neverThere {
 			continue
 		}
-		if history := m.lossHistory(); history != nil {
+		switch history := m.lossHistory(); {
+		case history == nil:
+		case presence == perhapsThere:
+			history.AddUnexplained(w.ID)
+		default:
 			loss.Suspects = append(loss.Suspects, poison.Suspect{History: history, Age: m.unit.ageAt(at)})
 		}
 	}
@@ -82,6 +88,36 @@
 	p.lossLedger.Lost(loss)
 }
 
+// presence says whether a run can have been on a worker when that was lost.
+type presence int
+
+const (
+	// neverThere runs were not started, or their starts were refused or came after the worker
+	// had fallen silent: an owner whose listing is old places tasks on workers that have died.
+	neverThere presence = iota
+	// perhapsThere runs have a start without an answer, on a worker that may have died before.
+	perhapsThere
+	// surelyThere runs were confirmed, or begun by an earlier owner, or ordered while a hold
+	// was open, whose connection the crash reset.
+	surelyThere
+)
+
+// presenceAt tells whether the member's run was on its worker when that was lost.
+func (m *member) presenceAt(at time.Time) presence {
+	u := m.unit
+	switch {
+	case m.state == memberNone, u.startedHere && at.Before(u.startedAt):
+		return neverThere
+	case !u.startedHere, m.state == memberRunning:
+		return surelyThere
+	case !m.doubtful:
+		return neverThere
+	case m.watched:
+		return surelyThere
+	}
+	return perhapsThere
+}
+
 // addressTaken reports whether another worker is listed at a worker's address.
 func (p *Pool) addressTaken(w *worker) bool {
 	for _, other := range p.workers {
--- a/internal/pool/lostruns_test.go
+++ b/internal/pool/lostruns_test.go
@@ -129,3 +129,19 @@
 		})
 	}
 }
+
+// TestTaskThatCrashesBeforeItsStartIsAnswered: no start of it is ever confirmed, so that it is
+// given up by the number of workers alone, in time still.
+func TestTaskThatCrashesBeforeItsStartIsAnswered(t *testing.T) {
+	w := simulation.NewWorld(2, 4)
+	guilty := taskOf(1, 0, 0)
+	w.Crashing[guilty] = crashAtOnce
+	for _, worker := range w.Workers {
+		worker.LoseOrder = func() simulation.Fate { return simulation.AnswerLost }
+	}
+	w.Own()
+	w.Run(time.Second)
+	w.Submit(spec(1, single(1)), urgent)
+	w.Run(90 * time.Second)
+	requireGivenUp(t, w, guilty, 5)
+}
--- a/internal/pool/orders.go
+++ b/internal/pool/orders.go
@@ -13,6 +13,7 @@
 	m.worker = w
 	m.state = memberNone
 	m.stopTried, m.stopSent, m.stopAnswered, m.doubtful = false, false, false, false
+	m.watched = false
 	m.percent, m.percentAt, m.listedAt = 0, time.Time{}, time.Time{}
 	m.sentAt = time.Time{}
 	m.timed = false
--- a/internal/pool/starts.go
+++ b/internal/pool/starts.go
@@ -44,6 +44,7 @@
 	w.deadline = max(w.deadline, order.DeadlineMillis)
 	m.state = memberStarting
 	m.sentAt = now
+	m.watched = m.watched || w.holding && w.greeted && w.unanswered == 0
 	run := u.run
 	p.sendTwice(&repeatedOrder{
 		name:     "start",
