--- a/scripts/play-days.sh
+++ b/scripts/play-days.sh
@@ -12,7 +12,7 @@
   '"$0" run "$3" "$4" --seed "$1" --why "own days" >"$2/$(basename "$3" .toml)--$(basename "$4" .toml).txt" 2>&1 || true' \
   "$bench" "$seed" "$output"
 for report in "$output"/*.txt; do
-  line=$(grep -A1 '^day ' "$report" | tail -n 1)
+  line=$(grep -A1 '^day ' "$report" | tail -n 1 || true)
   printf '%s %s\n' "$(basename "$report" .txt)" "${line:-no result: $(tail -n 1 "$report")}" | cut -c1-230
   grep -E '^rules broken|exits of its own$' "$report" | grep -v -- '-0.0000  0.0 exits' || true
 done
