Failing test: sound jobs given up in a full pool with many tasks that crash workers

Cause: trials of suspects lie beside other suspects once their patience is over, and a fifth loss ends a job whatever the odds.

--- /dev/null
+++ b/internal/pool/crowdedtrials_test.go
@@ -0,0 +1,82 @@
+package pool_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wheatroad/wheatroad/internal/simulation"
+	"github.com/wheatroad/wheatroad/internal/taskgraph"
+)
+
+// Symptom: in a full pool with many tasks that crash workers sound jobs were shown as failed.
+//
+// The sequence: a sound task loses two workers to others that crash them; it is suspected and
+// wants a worker without other suspects, finds none within half a second, and is placed in the
+// same cycle, on the same worker, as the task that does crash it. That loss, or the fifth one
+// whatever the odds, ends its job.
+//
+// The cause: a trial that lies beside other suspects proves nothing, and a count of losses
+// took the place of the odds. Settled by the lines "placed" of three suspects on one worker at
+// one time, and "job given up" with five losses and odds of one to a million.
+
+// crowdedTrials plays a full pool in which one job in eleven has a task that crashes each
+// worker that starts it, and returns how many sound jobs were given up.
+func crowdedTrials(t *testing.T, seed uint64) (sound, givenUp int) {
+	random := rand.New(rand.NewPCG(seed, 7))
+	w := simulation.NewWorld(3, 4)
+	guilty := map[string]bool{}
+	w.Work = func(name taskgraph.TaskName) time.Duration { return w.Estimate(name) }
+	w.Own()
+	w.Run(time.Second)
+	const jobs = 440
+	for n := range jobs {
+		step := single(1 + random.IntN(6))
+		step.GPUs = 1 << random.IntN(3)
+		step.EstimateMillis = int64(200 + random.IntN(1300))
+		step.Gang = random.IntN(10) < 3
+		if n%11 == 10 {
+			guilty[jobID(n)] = true
+			w.Crashing[taskOf(n, 0, 0)] = simulation.Crash{From: simulation.AtWork, After: 10 * time.Millisecond}
+		}
+		queue := batch
+		queue.MaxAttempts = 40
+		w.Submit(spec(n, step), queue)
+		w.Run(85 * time.Millisecond)
+	}
+	w.Run(120 * time.Second)
+	requireKept(t, w)
+	for n := range jobs {
+		state := w.StoredState(jobID(n))
+		if guilty[jobID(n)] {
+			require.Equal(t, taskgraph.Failed, state, "job %d, whose task crashes workers", n)
+			continue
+		}
+		sound++
+		if state == taskgraph.Failed {
+			givenUp++
+			for _, line := range w.Judge.Trace {
+				if strings.Contains(line, "job given up") && strings.Contains(line, jobID(n)) {
+					t.Log(line)
+				}
+			}
+			continue
+		}
+		require.Equal(t, taskgraph.Completed, state, "job %d", n)
+	}
+	return sound, givenUp
+}
+
+func TestSoundTasksAmongManyThatCrashWorkersAreKept(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 7} {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			sound, givenUp := crowdedTrials(t, seed)
+			require.Zero(t, givenUp, "of %d sound jobs", sound)
+		})
+	}
+}
