Suspects run alone from the third loss on, and five losses end a job unless they speak for it

Cause: a suspect whose patience was over was tried beside other suspects, so that its losses were theirs; and the fifth loss ended its job at odds of one to a million. Change: from the third lost worker on, or the second with odds of 0.3, a unit waits for empty workers, which are reserved, and nothing joins it before its end. The count of five ends a job only at the odds of any task or more. Also: a test that workers which leave by plan are no evidence; it fails without the check (the job is failed).

--- a/internal/poison/history.go
+++ b/internal/poison/history.go
@@ -130,7 +130,7 @@
 	}
 	evidence, odds := h.evidence(), h.Odds()
 	switch {
-	case count >= lossesLimit, count == lossesLimit-1 && evidence >= lossesLeast && odds >= lateOdds:
+	case count >= lossesLimit && odds >= priorOdds, count == lossesLimit-1 && evidence >= lossesLeast && odds >= lateOdds:
 		return PoisonByLimit
 	case evidence >= lossesLeast && odds >= poisonOdds:
 		return PoisonByOdds
@@ -142,6 +142,9 @@
 	return Sound
 }
 
+// Suspicious reports whether the odds alone make the task a suspect.
+func (h *History) Suspicious() bool { return h.Odds() >= suspectOdds }
+
 // oddsWithout returns the odds by all evidence but that of one loss.
 func (h *History) oddsWithout(loss *workerLoss) float64 {
 	odds := priorOdds
--- a/internal/pool/cycle.go
+++ b/internal/pool/cycle.go
@@ -149,6 +149,10 @@
 		return true
 	}
 	p.noteWait(s, u, request)
+	if u.runsAlone() {
+		s.reserveAlone(u, request)
+		return false
+	}
 	if !u.likelyPoison() && p.pressing(s, u) && p.preemptFor(s, u, request) {
 		return false
 	}
--- a/internal/pool/findplace.go
+++ b/internal/pool/findplace.go
@@ -11,7 +11,7 @@
 
 // findPlace looks for room that is free now.
 func (p *Pool) findPlace(s *snapshot, u *unit, request *placement.Request) []int {
-	if s.overdue(u) {
+	if s.overdue(u) && !u.runsAlone() {
 		return p.findAnyPlace(s, u, request)
 	}
 	visible := *request
@@ -24,18 +24,14 @@
 			visible.Allowed = s.outsideHeadroom(request.Allowed, u.job.Queue.Priority)
 		}
 	}
-	preferences := p.preferences(s, u)
 	if u.doubtful() {
-		preferences = s.trialPlaces(u)
+		return p.findTrialPlace(s, u, &visible)
 	}
-	for _, preferred := range preferences {
+	for _, preferred := range p.preferences(s, u) {
 		if places := p.fitByScope(s, u, narrowed(&visible, preferred), &visible); places != nil {
 			return places
 		}
 	}
-	if u.suspected() && s.now.Sub(u.readyAt) < trialPatience {
-		return nil
-	}
 	return p.fitByScope(s, u, &visible, &visible)
 }
 
--- a/internal/pool/lostruns_test.go
+++ b/internal/pool/lostruns_test.go
@@ -145,3 +145,29 @@
 	w.Run(90 * time.Second)
 	requireGivenUp(t, w, guilty, 5)
 }
+
+// TestWorkersThatLeaveAreNoEvidence: workers that drain may be gone sooner than they said, and
+// take with them what was to end in time.
+func TestWorkersThatLeaveAreNoEvidence(t *testing.T) {
+	w := simulation.NewWorld(2, 4)
+	w.Work = func(taskgraph.TaskName) time.Duration { return 800 * time.Millisecond }
+	w.Own()
+	w.Run(time.Second)
+	w.Submit(spec(1, single(1)), batch)
+	for range 4 {
+		for tries := 0; tries < 200 && len(workersOf(w, jobID(1))) == 0; tries++ {
+			w.Run(50 * time.Millisecond)
+		}
+		require.NotEmpty(t, workersOf(w, jobID(1)), "the job is %s", w.StoredState(jobID(1)))
+		leaving := workersOf(w, jobID(1))[0]
+		leaving.Draining, leaving.RemainingMillis = true, 5000
+		w.PutWorkerRow(leaving)
+		w.Run(100 * time.Millisecond)
+		require.Equal(t, 1, leaving.RunsOf(jobID(1)), "left to end there")
+		leaving.CrashAndRestart()
+	}
+	w.Run(10 * time.Second)
+	requireKept(t, w)
+	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
+	require.Zero(t, w.Judge.Counts["given_up/crash_odds"])
+}
