Nothing starts in zones that operators have evacuated

Change: package evacuation holds the set of zones with revision and age; a node's feed of the operators' rows keeps it, a pool's owner reads the rows itself once that is 0.8 s old. Workers of such zones take nothing: placement, room promised, preemption, the start after a placement's row, later tries of a start. With news older than min(2 s, bound - time of orders - margin) nothing starts anywhere; a start's deadline lies at most half the bound ahead, so that orders under way end within it. What runs there runs on. Status, node-status, a wait reason, two log lines, a gauge; the stand-in, the simulated world and its random faults play evacuations, with a judge that excuses nothing. Tests: TestJudgeCatchesBrokenHistories has a planted breach; each mechanism was seen to fail when taken out (Without.Evacuations, EvacuationAge, StartZones). TestStartIsNotSentLongAfterItsRow now plays a deployment without evacuations, since the age of their news holds the start back as well.

--- a/cmd/wheatroadd/serve.go
+++ b/cmd/wheatroadd/serve.go
@@ -129,6 +129,7 @@
 			GangTimeout: settings.Millis(b.GangTimeoutMillis), Reclaim: settings.Millis(b.ReclaimMillis),
 			CheckpointInterval: settings.Seconds(b.CheckpointSeconds),
 			StatusRetention:    settings.Seconds(b.StatusSeconds), RemoteFactor: b.RemoteFactor,
+			Evacuation: settings.Millis(b.EvacuationMillis),
 		},
 		ConfigurationAge: settings.Millis(b.ConfigurationMillis),
 	}
--- a/internal/cli/node_status.go
+++ b/internal/cli/node_status.go
@@ -68,14 +68,17 @@
 		return json.NewEncoder(out).Encode(status)
 	}
 	var text strings.Builder
-	fmt.Fprintf(&text, "%s: ready %v, configuration %d (known newest %d ms ago), store answered %d ms ago, lost %v, %d members\n",
-		status.Name, status.Ready, status.ConfigurationVersion, status.ConfigurationAgeMillis, status.StoreAgeMillis, status.StoreLost, len(status.Members))
+	fmt.Fprintf(&text, "%s: ready %v, configuration %d (known newest %d ms ago), store answered %d ms ago, lost %v, %d members, evacuated zones %v\n",
+		status.Name, status.Ready, status.ConfigurationVersion, status.ConfigurationAgeMillis, status.StoreAgeMillis, status.StoreLost, len(status.Members),
+		status.EvacuatedZones)
 	for i := range status.Pools {
 		p := &status.Pools[i]
 		fmt.Fprintf(&text, "  pool %s: owner %s, token %d, unanswered pings %d\n", p.Pool, p.Owner, p.Token, p.OwnerFailures)
 		if o := p.Owned; o != nil {
 			fmt.Fprintf(&text, "    owned here: jobs %v, waiting units %d, runs %d, workers %d (unusable %d, slow %d, silent %d), suspects %d, known to stand %d ms ago\n",
 				o.Jobs, o.WaitingUnits, o.Runs, o.Workers, o.Unusable, o.Slow, o.Silent, o.Suspects, o.ConfirmedMillis)
+			fmt.Fprintf(&text, "    evacuated zones %v (known %d ms ago, new enough to start work %v): %d runs there, %d units wait for them\n",
+				o.EvacuatedZones, o.EvacuationsMillis, o.EvacuationsKnown, o.RunsThere, o.WaitingForZones)
 		}
 	}
 	_, err := io.WriteString(out, text.String())
--- a/internal/node/configuration_transfer_test.go
+++ b/internal/node/configuration_transfer_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -25,6 +26,10 @@
 func (jsonCodec) ConfigurationKey() rows.Key {
 	return rows.Key{Table: "operator", Name: "configuration"}
 }
+func (jsonCodec) EvacuationRows() (table, prefix string) { return "operator", "evacuate/" }
+func (jsonCodec) EvacuatedZone(key rows.Key) (string, bool) {
+	return strings.CutPrefix(key.Name, "evacuate/")
+}
 func (jsonCodec) WorkerTable() string { return "workers" }
 func (jsonCodec) DecodeCatalog(value []byte) (*catalog.Catalog, error) {
 	decoded := &catalog.Catalog{}
--- /dev/null
+++ b/internal/node/evacuations.go
@@ -0,0 +1,39 @@
+package node
+
+import (
+	"time"
+
+	"github.com/wheatroad/wheatroad/internal/evacuation"
+	"github.com/wheatroad/wheatroad/internal/rows"
+)
+
+// operatorRowsAnswered takes in an answer of the feed of the operators' rows, whose rows are
+// applied: the configuration and the evacuations are known as of it.
+func (n *Node) operatorRowsAnswered(listing rows.Listing, askedAt time.Time) {
+	n.confirm(listing.AsOf)
+	n.noteEvacuations(n.evacuated.With(n.evacuationChanges(listing.Rows), listing.Version, askedAt))
+}
+
+// noteEvacuations takes in what is known of evacuated zones, and tells this node's pools of
+// changes at once.
+func (n *Node) noteEvacuations(next evacuation.Set) {
+	previous := n.evacuated
+	n.evacuated = previous.Newest(next)
+	if n.evacuated.SameZones(previous) {
+		return
+	}
+	n.edges.Record.Decided("evacuated zones read", "zones", n.evacuated.Zones(), "revision", n.evacuated.Revision)
+	for _, name := range sortedKeys(n.owned) {
+		n.owned[name].NoteEvacuations()
+	}
+}
+
+func (n *Node) evacuationChanges(listed []rows.Row) []evacuation.Change {
+	var changes []evacuation.Change
+	for i := range listed {
+		if zone, ok := n.edges.Codec.EvacuatedZone(listed[i].Key); ok {
+			changes = append(changes, evacuation.Change{Zone: zone, Revision: listed[i].Version, Ended: listed[i].Gone})
+		}
+	}
+	return changes
+}
--- a/internal/node/feeds.go
+++ b/internal/node/feeds.go
@@ -146,14 +146,15 @@
 	// wait is how long the next feed waits for a change.
 	wait  func() time.Duration
 	apply func(rows.Row)
-	// answered is called after each answer with the time as of which it holds, and again
+	// answered is called after each answer with the time at which it was asked for, and again
 	// when the table must be read anew.
-	answered func(asOf time.Time)
+	answered func(listing rows.Listing, askedAt time.Time)
 	again    func()
 }
 
 // follow reads the changes of a table after a version for ever.
 func (n *Node) follow(s subscription, after int64) {
+	askedAt := n.now()
 	s.feed(s.table, after, s.wait(), func(listing rows.Listing, err error) {
 		switch {
 		case errors.Is(err, rows.ErrHistoryGone):
@@ -169,7 +170,7 @@
 			for i := range listing.Rows {
 				s.apply(listing.Rows[i])
 			}
-			s.answered(listing.AsOf)
+			s.answered(listing, askedAt)
 			n.follow(s, listing.Version)
 		}
 	})
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/wheatroad/wheatroad/internal/evacuation"
 	"github.com/wheatroad/wheatroad/internal/pool"
 	"github.com/wheatroad/wheatroad/internal/rows"
 )
@@ -13,6 +14,7 @@
 func (n *Node) readConfiguration() {
 	codec := n.edges.Codec
 	key := codec.ConfigurationKey()
+	askedAt := n.now()
 	n.ports.scanDirect(key.Table, key.Part, func(listing rows.Listing, err error) {
 		if err != nil {
 			n.storeRetries.After(retryPause, n.readConfiguration)
@@ -22,9 +24,10 @@
 			n.applyConfiguration(listing.Rows[i])
 		}
 		n.confirm(listing.AsOf)
+		n.noteEvacuations(evacuation.Of(n.evacuationChanges(listing.Rows), listing.Version, askedAt))
 		n.follow(subscription{
 			table: key.Table, feed: n.ports.feedDirect, wait: n.configurationWait, apply: n.applyConfiguration,
-			answered: n.confirm, again: n.readConfiguration,
+			answered: n.operatorRowsAnswered, again: n.readConfiguration,
 		}, listing.Version)
 	})
 }
@@ -79,7 +82,7 @@
 		n.publish()
 		n.follow(subscription{
 			table: pool.NodeTable, feed: n.ports.feedFor, wait: n.membersWait, apply: n.applyNodeRow,
-			answered: func(time.Time) {}, again: n.readMembers,
+			answered: func(rows.Listing, time.Time) {}, again: n.readMembers,
 		}, listing.Version)
 	})
 }
--- a/internal/node/gateway_test.go
+++ b/internal/node/gateway_test.go
@@ -81,6 +81,7 @@
 func (silentRecorder) Count(string, string)   {}
 func (silentRecorder) Decided(string, ...any) {}
 
+func (silentRecorder) Set(string, int64)             {}
 func (silentRecorder) Observe(string, time.Duration) {}
 
 func newGateway(t *testing.T, store rows.Store) *Gateway {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/wheatroad/wheatroad/internal/catalog"
+	"github.com/wheatroad/wheatroad/internal/evacuation"
 	"github.com/wheatroad/wheatroad/internal/loop"
 	"github.com/wheatroad/wheatroad/internal/pool"
 	"github.com/wheatroad/wheatroad/internal/rows"
@@ -87,14 +88,16 @@
 	// probing is true while the node looks whether a store that it lost is back.
 	probing bool
 
-	members  map[string]member
-	leases   map[string]leaseView
-	watches  map[string]*watch
-	owned    map[string]*pool.Pool
-	waiting  map[string]waitingCounts
-	released func()
-	download download
-	pings    pingSchedule
+	members map[string]member
+	leases  map[string]leaseView
+	watches map[string]*watch
+	owned   map[string]*pool.Pool
+	waiting map[string]waitingCounts
+	// evacuated has the zones that operators have evacuated.
+	evacuated evacuation.Set
+	released  func()
+	download  download
+	pings     pingSchedule
 }
 
 // New returns a node that does nothing until Start.
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -17,6 +17,10 @@
 	ConfigurationTable() string
 	ConfigurationKey() rows.Key
 	WorkerTable() string
+	// EvacuationRows names the table and the prefix of the rows by which operators evacuate
+	// zones, and EvacuatedZone reads the zone from a row's key; false if it is another row.
+	EvacuationRows() (table, prefix string)
+	EvacuatedZone(key rows.Key) (string, bool)
 	DecodeCatalog(value []byte) (*catalog.Catalog, error)
 	DecodeWorker(id string, value []byte) (*fleet.Worker, error)
 }
--- a/internal/node/ownership.go
+++ b/internal/node/ownership.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/wheatroad/wheatroad/internal/catalog"
+	"github.com/wheatroad/wheatroad/internal/evacuation"
 	"github.com/wheatroad/wheatroad/internal/mechanism"
 	"github.com/wheatroad/wheatroad/internal/pool"
 	"github.com/wheatroad/wheatroad/internal/rows"
@@ -168,9 +169,10 @@
 	return pool.Options{
 		Pool: name, Node: n.options.Name, Incarnation: n.options.Incarnation,
 		Address: n.options.PeerAddress, Bounds: n.options.Bounds, Off: n.options.Off,
-		Catalog: func() *catalog.Catalog { return n.catalog.Load() },
-		Late:    n.lateness.allowance,
-		Ended:   func(reason string) { n.disown(name) },
+		Catalog:   func() *catalog.Catalog { return n.catalog.Load() },
+		Evacuated: func() evacuation.Set { return n.evacuated },
+		Late:      n.lateness.allowance,
+		Ended:     func(reason string) { n.disown(name) },
 	}
 }
 
--- a/internal/node/ports.go
+++ b/internal/node/ports.go
@@ -120,5 +120,13 @@
 	return p.node.edges.Codec.DecodeWorker(id, value)
 }
 
+// EvacuationRows implements pool.Ports.
+func (p *ports) EvacuationRows() (table, prefix string) { return p.node.edges.Codec.EvacuationRows() }
+
+// EvacuatedZone implements pool.Ports.
+func (p *ports) EvacuatedZone(key rows.Key) (string, bool) {
+	return p.node.edges.Codec.EvacuatedZone(key)
+}
+
 // WorkerTable implements pool.Ports.
 func (p *ports) WorkerTable() string { return p.node.edges.Codec.WorkerTable() }
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -18,8 +18,10 @@
 	ConfigurationVersion   int64 `json:"configuration_version"`
 	ConfigurationAgeMillis int64 `json:"configuration_age_ms"`
 	// StoreAgeMillis is how long ago the store last answered.
-	StoreAgeMillis int64        `json:"store_age_ms"`
-	StoreLost      bool         `json:"store_lost"`
+	StoreAgeMillis int64 `json:"store_age_ms"`
+	StoreLost      bool  `json:"store_lost"`
+	// EvacuatedZones take no new work.
+	EvacuatedZones []string     `json:"evacuated_zones"`
 	Members        []string     `json:"members"`
 	Pools          []PoolStatus `json:"pools"`
 }
@@ -49,6 +51,7 @@
 	}
 	err := loop.Call(ctx, n.edges.Loop, func() {
 		status.Members = sortedKeys(n.members)
+		status.EvacuatedZones = n.evacuated.Zones()
 		for _, name := range sortedKeys(n.watches) {
 			status.Pools = append(status.Pools, n.poolStatus(name))
 		}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -22,6 +22,8 @@
 	Slow bool
 	// Usable is false for workers that take no new work.
 	Usable bool
+	// Closed workers take no new work for as long as an operator wants it so.
+	Closed bool
 	// Holders are the runs on the worker.
 	Holders []Holder
 }
@@ -136,11 +138,11 @@
 }
 
 // Holds reports whether the workers could take the request if nothing ran on them and
-// all were usable.
+// all that are not closed were usable.
 func Holds(workers []Worker, among []int, request *Request) bool {
 	total := 0
 	for _, i := range among {
-		if request.Allowed == nil || request.Allowed(i) {
+		if !workers[i].Closed && (request.Allowed == nil || request.Allowed(i)) {
 			total += request.capacity(i, workers[i].Capacity)
 		}
 		if total >= request.Count {
--- a/internal/pool/crowdedtrials_test.go
+++ b/internal/pool/crowdedtrials_test.go
@@ -48,7 +48,15 @@
 		w.Submit(spec(n, step), queue)
 		w.Run(85 * time.Millisecond)
 	}
-	w.Run(120 * time.Second)
+	began := w.Clock.Now()
+	for open := true; open && w.Clock.Now().Sub(began) < 120*time.Second; {
+		w.Run(time.Second)
+		open = false
+		for n := range jobs {
+			open = open || !w.StoredState(jobID(n)).Final()
+		}
+	}
+	t.Logf("all jobs ended %v after the last one came, %d workers were lost", w.Clock.Now().Sub(began), w.Judge.Counts["attempts/lost"])
 	requireKept(t, w)
 	for n := range jobs {
 		state := w.StoredState(jobID(n))
--- /dev/null
+++ b/internal/pool/evacuations_test.go
@@ -0,0 +1,221 @@
+package pool_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wheatroad/wheatroad/internal/pool"
+	"github.com/wheatroad/wheatroad/internal/simulation"
+	"github.com/wheatroad/wheatroad/internal/taskgraph"
+)
+
+// longAgo is beyond the bound of an evacuation, which counts from its acknowledgement.
+const longAgo = 5500 * time.Millisecond
+
+// startsThere counts how many runs of a job began in a zone.
+func startsThere(w *simulation.World, zone, job string) int {
+	count := 0
+	for _, worker := range w.Workers {
+		if worker.Zone == zone {
+			count += worker.RunsOf(job)
+		}
+	}
+	return count
+}
+
+// evacuatedWorld has two racks, each a zone, of which the first one is evacuated.
+func evacuatedWorld(without pool.Without) (*simulation.World, *simulation.Owner, string) {
+	w := simulation.NewWorld(2, 3)
+	w.Without = without
+	w.Work = func(taskgraph.TaskName) time.Duration { return 3 * time.Second }
+	owner := w.Own()
+	w.Run(time.Second)
+	zone := w.Workers[0].Zone
+	w.Evacuate(zone)
+	return w, owner, zone
+}
+
+// TestNothingStartsInAnEvacuatedZone: single tasks, gangs and urgent ones that would stop
+// others; what waits starts once the zone is taken back.
+func TestNothingStartsInAnEvacuatedZone(t *testing.T) {
+	play := func(without pool.Without) *simulation.World {
+		w, _, zone := evacuatedWorld(without)
+		w.Run(longAgo)
+		w.Submit(spec(1, single(30)), batch)
+		w.Run(300 * time.Millisecond)
+		w.Submit(spec(2, gang(2)), urgent)
+		w.Run(8 * time.Second)
+		w.TakeBack(zone)
+		w.Run(20 * time.Second)
+		return w
+	}
+	requireKeptOnlyWith(t, play, pool.Without{Evacuations: true})
+}
+
+// TestZoneIsUsedAgainOnceTakenBack: within a heartbeat.
+func TestZoneIsUsedAgainOnceTakenBack(t *testing.T) {
+	w, _, zone := evacuatedWorld(pool.Without{})
+	w.Run(2 * time.Second)
+	w.Submit(spec(1, single(40)), batch)
+	w.Run(time.Second)
+	require.Zero(t, startsThere(w, zone, jobID(1)))
+	w.TakeBack(zone)
+	w.Run(1500 * time.Millisecond)
+	require.Positive(t, startsThere(w, zone, jobID(1)))
+	w.Run(20 * time.Second)
+	requireKept(t, w)
+}
+
+// TestWorkRunsOnInAnEvacuatedZone: it is neither stopped nor moved.
+func TestWorkRunsOnInAnEvacuatedZone(t *testing.T) {
+	w := simulation.NewWorld(2, 3)
+	w.Work = func(taskgraph.TaskName) time.Duration { return 8 * time.Second }
+	w.Own()
+	w.Submit(spec(1, single(48)), batch)
+	w.Run(2 * time.Second)
+	w.Evacuate(w.Workers[0].Zone)
+	w.Run(12 * time.Second)
+	requireKept(t, w)
+	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
+	require.Equal(t, 1, w.Judge.Starts(taskOf(1, 0, 0)))
+	require.Zero(t, w.Judge.Counts["attempts/stopped"])
+}
+
+// TestAllZonesEvacuated: jobs are accepted and wait, and none is lost or given up.
+func TestAllZonesEvacuated(t *testing.T) {
+	w, _, zone := evacuatedWorld(pool.Without{})
+	other := w.Workers[len(w.Workers)-1].Zone
+	require.NotEqual(t, zone, other)
+	w.Evacuate(other)
+	w.Run(longAgo)
+	w.Submit(spec(1, single(4), gang(2)), urgent)
+	w.Run(30 * time.Second)
+	require.Zero(t, w.Judge.JobStarts(jobID(1)))
+	require.False(t, w.StoredState(jobID(1)).Final())
+	w.TakeBack(zone)
+	w.Run(20 * time.Second)
+	requireKept(t, w)
+	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
+}
+
+// TestOwnerWithoutNewsStartsNothing: neither its feeds nor its own questions are answered,
+// while its writes are; it was suspended; or it is new. Each would start by what it last knew.
+func TestOwnerWithoutNewsStartsNothing(t *testing.T) {
+	t.Run("the store tells it nothing", func(t *testing.T) {
+		play := func(without pool.Without) *simulation.World {
+			w := simulation.NewWorld(2, 3)
+			w.Without = without
+			w.Work = func(taskgraph.TaskName) time.Duration { return 2 * time.Second }
+			owner := w.Own()
+			w.Run(time.Second)
+			w.Store.FeedsSilent, w.Store.ScansSilent = true, true
+			w.Evacuate(w.Workers[0].Zone)
+			w.Run(longAgo)
+			w.Submit(spec(1, single(40)), urgent)
+			row := acceptedRow(w, jobID(1))
+			owner.Process.Post(func() { owner.TakeAnnounced(row) })
+			w.Run(3 * time.Second)
+			w.Store.FeedsSilent, w.Store.ScansSilent = false, false
+			w.Run(20 * time.Second)
+			return w
+		}
+		requireKeptOnlyWith(t, play, pool.Without{EvacuationAge: true})
+	})
+	t.Run("it was suspended", func(t *testing.T) {
+		play := func(without pool.Without) *simulation.World {
+			w := simulation.NewWorld(2, 3)
+			w.Without = without
+			owner := w.Own()
+			w.Run(time.Second)
+			w.Store.FeedsSilent, w.Store.ScansSilent = true, true
+			w.Evacuate(w.Workers[0].Zone)
+			owner.Process.Suspend(w.Clock.Now().Add(longAgo))
+			w.Submit(spec(1, single(40)), urgent)
+			row := acceptedRow(w, jobID(1))
+			owner.Process.Post(func() { owner.TakeAnnounced(row) })
+			w.Run(longAgo + time.Second)
+			w.Store.FeedsSilent, w.Store.ScansSilent = false, false
+			w.Run(25 * time.Second)
+			return w
+		}
+		requireKeptOnlyWith(t, play, pool.Without{EvacuationAge: true, Confirmation: true})
+	})
+	t.Run("it is new", func(t *testing.T) {
+		w, owner, zone := evacuatedWorld(pool.Without{})
+		w.Run(longAgo)
+		owner.Process.Kill()
+		w.Store.ScansSilent = true
+		w.Clock.After(3*time.Second, func() { w.Store.ScansSilent = false })
+		w.Submit(spec(1, single(40)), urgent)
+		w.Own()
+		w.Run(5 * time.Second)
+		require.Zero(t, startsThere(w, zone, jobID(1)))
+		requireKept(t, w)
+		w.Run(20 * time.Second)
+		require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
+	})
+}
+
+// TestPlacementIsNotStartedInAZoneEvacuatedMeanwhile: its row takes long to write.
+func TestPlacementIsNotStartedInAZoneEvacuatedMeanwhile(t *testing.T) {
+	play := func(without pool.Without) *simulation.World {
+		w := simulation.NewWorld(2, 3)
+		w.Bounds.Evacuation = 2 * time.Second
+		w.Without = without
+		w.Work = func(taskgraph.TaskName) time.Duration { return 2 * time.Second }
+		w.Own()
+		w.Run(time.Second)
+		w.Submit(spec(1, single(40)), urgent)
+		w.Run(6 * time.Millisecond)
+		w.Store.Latency = 2600 * time.Millisecond
+		w.Evacuate(w.Workers[0].Zone)
+		w.Run(3 * time.Second)
+		w.Store.Latency = 5 * time.Millisecond
+		w.Run(20 * time.Second)
+		return w
+	}
+	requireKeptOnlyWith(t, play, pool.Without{StartZones: true})
+}
+
+// TestStartWithoutAnswerIsNotRepeatedInAnEvacuatedZone: later tries of a start come after the
+// zone was evacuated.
+func TestStartWithoutAnswerIsNotRepeatedInAnEvacuatedZone(t *testing.T) {
+	w := simulation.NewWorld(2, 1)
+	w.Bounds.Evacuation = 2 * time.Second
+	w.Work = func(taskgraph.TaskName) time.Duration { return 2 * time.Second }
+	w.Own()
+	w.Run(time.Second)
+	first := w.Workers[0]
+	first.LoseOrder = func() simulation.Fate { return simulation.NeverDone }
+	w.Workers[1].LoseOrder = first.LoseOrder
+	w.Submit(spec(1, single(16)), urgent)
+	w.Run(50 * time.Millisecond)
+	w.Evacuate(first.Zone)
+	w.Clock.After(2*time.Second, func() { first.LoseOrder, w.Workers[1].LoseOrder = nil, nil })
+	w.Run(30 * time.Second)
+	requireKept(t, w)
+	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
+}
+
+// evacuateSome evacuates a zone or takes one back now and then, by numbers of its own, so that
+// the other faults of a seed stay as they are.
+func evacuateSome(w *simulation.World, random *rand.Rand) {
+	zones := w.Zones()
+	zone := zones[random.IntN(len(zones))]
+	switch random.IntN(6) {
+	case 0, 1:
+		w.Evacuate(zone)
+	case 2, 3:
+		w.TakeBack(zone)
+	}
+}
+
+// takeAllBack ends all evacuations.
+func takeAllBack(w *simulation.World) {
+	for _, zone := range w.Zones() {
+		w.TakeBack(zone)
+	}
+}
--- a/internal/pool/faults_test.go
+++ b/internal/pool/faults_test.go
@@ -114,6 +114,7 @@
 	// The paces of workers are drawn apart, so that they leave a seed's other faults as
 	// they are.
 	paces := rand.New(rand.NewPCG(seed, 2))
+	zones := rand.New(rand.NewPCG(seed, 8))
 	owner := w.Own()
 	jobs := 0
 	for range 40 {
@@ -152,6 +153,7 @@
 			owner = w.Own()
 		}
 		changePace(w, paces)
+		evacuateSome(w, zones)
 		if owner.Ended != "" {
 			owner = w.Own()
 		}
@@ -160,6 +162,7 @@
 	w.Store.AwayAll = false
 	clear(w.Store.Away)
 	clear(w.Store.Silent)
+	takeAllBack(w)
 	w.Store.Lose = nil
 	for _, worker := range w.Workers {
 		worker.Cut, worker.LoseOrder = false, nil
--- a/internal/pool/leaseend_test.go
+++ b/internal/pool/leaseend_test.go
@@ -142,6 +142,8 @@
 // be replaced by one that cannot reach the worker.
 func startAfterPause(stop pause, without pool.Without) *simulation.World {
 	w := simulation.NewWorld(1, 2)
+	// Where zones can be evacuated, the age of what is known of them holds the start back too.
+	w.Bounds.Evacuation = 0
 	w.Without = without
 	w.Work = func(taskgraph.TaskName) time.Duration { return 30 * time.Second }
 	former := w.Own()
--- a/internal/pool/options.go
+++ b/internal/pool/options.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/catalog"
+	"github.com/wheatroad/wheatroad/internal/evacuation"
 	"github.com/wheatroad/wheatroad/internal/fleet"
 	"github.com/wheatroad/wheatroad/internal/mechanism"
 	"github.com/wheatroad/wheatroad/internal/rows"
@@ -23,6 +24,9 @@
 	CheckpointInterval time.Duration
 	// StatusRetention is how long a job's state must be readable after its end.
 	StatusRetention time.Duration
+	// Evacuation is the time after the acknowledgement of a zone's evacuation from which nothing
+	// starts there; 0 if nothing bounds it.
+	Evacuation time.Duration
 	// RemoteFactor is how much longer a step takes away from its rack.
 	RemoteFactor float64
 }
@@ -37,6 +41,8 @@
 	Bounds      Bounds
 	// Catalog returns the configuration in force.
 	Catalog func() *catalog.Catalog
+	// Evacuated returns what the node knows of evacuated zones; nil is nothing.
+	Evacuated func() evacuation.Set
 	// Off has parts of the policy that are switched off, for measurements.
 	Off mechanism.Off
 	// Without takes mechanisms out, for tests that show what they prevent.
@@ -64,6 +70,12 @@
 	ClaimWait bool
 	// AccountAge: starts on workers that do not guard their capacity go by old accounts.
 	AccountAge bool
+	// Evacuations: evacuated zones are used like others.
+	Evacuations bool
+	// EvacuationAge: starts go by whatever was last known of evacuated zones.
+	EvacuationAge bool
+	// StartZones: a placement is started though its zone was evacuated while it was written.
+	StartZones bool
 	// LossRecords: no job is given up for crashing workers.
 	LossRecords bool
 }
@@ -77,6 +89,10 @@
 	Start(to *fleet.Worker, order fleet.Start, done func(fleet.Reply, error))
 	Stop(to *fleet.Worker, order fleet.Stop, done func(fleet.Reply, error))
 	Hold(to *fleet.Worker, order fleet.Hold, done func(fleet.Reply, error))
+	// EvacuationRows names the table and the prefix of the rows by which operators evacuate
+	// zones, and EvacuatedZone reads the zone from a row's key; false if it is another row.
+	EvacuationRows() (table, prefix string)
+	EvacuatedZone(key rows.Key) (string, bool)
 	// DecodeWorker reads a worker's row, and WorkerTable names their table.
 	DecodeWorker(id string, value []byte) (*fleet.Worker, error)
 	WorkerTable() string
@@ -87,6 +103,8 @@
 	Count(counter, reason string)
 	// Observe adds a duration to a latency histogram.
 	Observe(histogram string, d time.Duration)
+	// Set sets a gauge.
+	Set(gauge string, value int64)
 	// Decided logs one line for a decision that touches a job or a belief.
 	Decided(decision string, keysAndValues ...any)
 }
--- a/internal/pool/orders.go
+++ b/internal/pool/orders.go
@@ -82,6 +82,9 @@
 		if !m.worker.holdsItsMembers() {
 			return false
 		}
+		if !p.options.Without.StartZones && !p.mayStartOn(m.worker, p.loop.Now()) {
+			return false
+		}
 	}
 	return true
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/wheatroad/wheatroad/internal/evacuation"
 	"github.com/wheatroad/wheatroad/internal/loop"
 	"github.com/wheatroad/wheatroad/internal/poison"
 	"github.com/wheatroad/wheatroad/internal/rows"
@@ -79,6 +80,10 @@
 	confirming  bool
 	// workersAsOf is the time of which the workers' rows are known.
 	workersAsOf time.Time
+	// evacuatedRead is what this owner itself read of evacuated zones, evacuatedNoted what it
+	// last told of them, and evacuationsWereKnown whether that was new enough for starts.
+	evacuatedRead, evacuatedNoted            evacuation.Set
+	evacuationsWereKnown, readingEvacuations bool
 	// earlyCancels are cancellations read before their job.
 	earlyCancels map[string]bool
 }
@@ -112,6 +117,7 @@
 	p.record.Count("takeovers", "acquired")
 	p.record.Decided("pool acquired", "pool", p.options.Pool, "token", p.token)
 	p.readWorkers()
+	p.checkEvacuations()
 	p.readRows()
 	p.tick()
 }
@@ -158,6 +164,7 @@
 		return
 	}
 	p.checkConfirmation()
+	p.checkEvacuations()
 	p.checkWorkers()
 	p.checkStops()
 	p.checkLeaving()
--- a/internal/pool/snapshot.go
+++ b/internal/pool/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/wheatroad/wheatroad/internal/evacuation"
 	"github.com/wheatroad/wheatroad/internal/placement"
 	"github.com/wheatroad/wheatroad/internal/taskgraph"
 )
@@ -63,8 +64,9 @@
 		now: p.loop.Now(), reservations: reservationLimit, reserved: map[int]reservation{}, headrooms: make([][]bool, len(headroomShares)),
 		workers: memory.workers[:0], owners: memory.owners[:0], units: memory.units[:0], running: memory.running[:0],
 	}
+	zones, known := p.evacuated(), p.evacuationsKnown(s.now)
 	for _, w := range p.sortedWorkers() {
-		p.describeWorker(s, w)
+		p.describeWorker(s, w, zones, known)
 	}
 	memory.workers, memory.owners, memory.units, memory.running = s.workers, s.owners, s.units, s.running
 	s.usage = usageOf(s.owners, s.workers)
@@ -77,12 +79,16 @@
 }
 
 // describeWorker adds a worker and the units that hold room on it.
-func (p *Pool) describeWorker(s *snapshot, w *worker) {
+func (p *Pool) describeWorker(s *snapshot, w *worker, zones evacuation.Set, zonesKnown bool) {
 	place := len(s.workers)
 	entry := placement.Worker{
 		Rack: w.rack, Capacity: w.Capacity, Slow: p.slow(w), Free: w.Capacity, Usable: p.usable(w, s.now),
+		Closed:  zones.Contains(w.Zone),
 		Holders: formerHolders(s.workers),
 	}
+	if !p.options.Without.Evacuations && (entry.Closed || !zonesKnown) {
+		entry.Usable = false
+	}
 	for _, m := range w.members {
 		if m.unit.onTrial(s.now) {
 			entry.Usable = false
--- a/internal/pool/starts.go
+++ b/internal/pool/starts.go
@@ -7,8 +7,7 @@
 )
 
 const (
-	// startLimit is how far ahead of a worker's clock a start's deadline lies: no
-	// start is carried out later than that.
+	// startLimit is how far ahead of a worker's clock a start's deadline lies at most.
 	startLimit = 3 * time.Second
 	// startRetry is the pause before a start without an answer is sent again.
 	startRetry = 50 * time.Millisecond
@@ -38,7 +37,7 @@
 	now := p.loop.Now()
 	order := fleet.Start{
 		Task: m.name(), Run: u.run, Payload: u.job.Spec.Payload,
-		DeadlineMillis: w.clockNow(now) + min(startLimit, p.leaseLeft(now)).Milliseconds(),
+		DeadlineMillis: w.clockNow(now) + min(p.startAhead(), p.leaseLeft(now)).Milliseconds(),
 		Token:          p.token, Checkpoint: u.checkpoint,
 	}
 	w.deadline = max(w.deadline, order.DeadlineMillis)
@@ -49,7 +48,7 @@
 	p.sendTwice(&repeatedOrder{
 		name:     "start",
 		current:  func() bool { return !p.gone && m.worker == w && u.run == run },
-		wanted:   func() bool { return m.state == memberStarting && !m.stopSent },
+		wanted:   func() bool { return m.state == memberStarting && !m.stopSent && p.mayStartOn(w, p.loop.Now()) },
 		send:     func(done func(fleet.Reply, error)) { p.ports.Start(&w.Worker, order, done) },
 		answered: func(sent *tries, reply fleet.Reply, err error) { p.startAnswered(m, sent, reply, err) },
 	})
@@ -103,14 +102,11 @@
 	}
 	m.doubtful = m.doubtful || reason == fleet.NoAnswer
 	if m.doubtful {
-		if reason == fleet.NoAnswer && u.state == unitActive && p.loop.Now().Sub(u.startedAt) < startPatience && !m.stopSent {
+		if reason == fleet.NoAnswer && p.wantsAnotherStart(m) {
 			p.startAgain(m)
 			return
 		}
-		m.state = memberUncertain
-		m.sentAt = p.loop.Now()
-		p.hold(w)
-		p.sendStop(m)
+		p.barStart(m)
 		return
 	}
 	if reason == fleet.NoRoom {
@@ -122,15 +118,35 @@
 	p.memberEnded(m, fleet.Stopped)
 }
 
+// barStart keeps a start that may still be under way from being carried out, and looks what
+// became of it.
+func (p *Pool) barStart(m *member) {
+	m.state = memberUncertain
+	m.sentAt = p.loop.Now()
+	p.hold(m.worker)
+	p.sendStop(m)
+}
+
+// wantsAnotherStart reports whether a start without an answer is worth another try.
+func (p *Pool) wantsAnotherStart(m *member) bool {
+	now := p.loop.Now()
+	return m.unit.state == unitActive && now.Sub(m.unit.startedAt) < startPatience && !m.stopSent && p.mayStartOn(m.worker, now)
+}
+
 // startAgain sends a start once more after a pause. The worker starts the same run
 // once, however often it is told.
 func (p *Pool) startAgain(m *member) {
 	w, u, run := m.worker, m.unit, m.unit.run
 	p.record.Count("retries", "start")
 	p.loop.After(startRetry, func() {
-		if !p.gone && m.worker == w && u.run == run && u.state == unitActive && m.state == memberStarting {
+		if p.gone || m.worker != w || u.run != run || u.state != unitActive || m.state != memberStarting {
+			return
+		}
+		if p.mayStartOn(w, p.loop.Now()) {
 			p.sendStart(m)
+			return
 		}
+		p.barStart(m)
 	})
 }
 
--- a/internal/pool/summary.go
+++ b/internal/pool/summary.go
@@ -17,6 +17,14 @@
 	Slow     int `json:"slow"`
 	Silent   int `json:"silent"`
 	Runs     int `json:"runs"`
+	// EvacuatedZones take nothing new; RunsThere run on in them. EvacuationsMillis is the age of
+	// what is known of them, and EvacuationsKnown is false if that is too old for starts.
+	EvacuatedZones    []string `json:"evacuated_zones"`
+	RunsThere         int      `json:"runs_in_evacuated_zones"`
+	EvacuationsMillis int64    `json:"evacuations_age_ms"`
+	EvacuationsKnown  bool     `json:"evacuations_known"`
+	// WaitingForZones counts units that would find room if no zone was evacuated.
+	WaitingForZones int `json:"waiting_for_evacuated_zones"`
 	// Suspects counts the tasks and gangs that wait or run and may well crash workers.
 	Suspects int `json:"suspects"`
 	// ConfirmedMillis is how long ago the owner was last known not to be replaced.
@@ -31,7 +39,13 @@
 	}
 	now := p.loop.Now()
 	summary.ConfirmedMillis = now.Sub(p.confirmedAt).Milliseconds()
+	zones := p.evacuated()
+	summary.EvacuatedZones, summary.EvacuationsKnown = zones.Zones(), p.evacuationsKnown(now)
+	summary.EvacuationsMillis, summary.RunsThere = now.Sub(zones.AsOf).Milliseconds(), p.runsInEvacuatedZones()
 	for u := range p.openUnits() {
+		if u.state == unitWaiting && u.waitedFor() == waitEvacuated {
+			summary.WaitingForZones++
+		}
 		if u.suspected() {
 			summary.Suspects++
 		}
--- a/internal/pool/waiting.go
+++ b/internal/pool/waiting.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/fleet"
@@ -16,6 +17,9 @@
 	waitNothing waitReason = ""
 	// waitRoom: no group of workers has enough free room.
 	waitRoom waitReason = "no room"
+	// waitEvacuated: there is free room in evacuated zones only, or it is not known from lately
+	// which zones are evacuated.
+	waitEvacuated waitReason = "zone evacuated"
 	// waitPressure: others were just stopped for want of room.
 	waitPressure waitReason = "pressure"
 	// waitReserved: the free room is kept for units that waited before.
@@ -41,6 +45,9 @@
 
 func (p *Pool) findWaitReason(s *snapshot, u *unit, request *placement.Request) waitReason {
 	if placement.Fit(s.workers, s.racks.All, request) == nil {
+		if placement.Fit(p.withoutEvacuations(s), s.racks.All, request) != nil {
+			return waitEvacuated
+		}
 		return waitRoom
 	}
 	visible := *request
@@ -61,6 +68,18 @@
 	return waitNear
 }
 
+// withoutEvacuations returns the workers as they would be if no zone was evacuated.
+func (p *Pool) withoutEvacuations(s *snapshot) []placement.Worker {
+	if len(p.evacuated().Zones()) == 0 && p.evacuationsKnown(s.now) {
+		return s.workers
+	}
+	open := slices.Clone(s.workers)
+	for i := range open {
+		open[i].Usable = p.usable(s.owners[i], s.now)
+	}
+	return open
+}
+
 // waitedFor returns what the unit last waited for since it became ready.
 func (u *unit) waitedFor() waitReason {
 	if u.step.waitSeenAt.Before(u.readyAt) {
--- a/internal/pool/workerfaults_test.go
+++ b/internal/pool/workerfaults_test.go
@@ -27,6 +27,8 @@
 type workerFaults struct {
 	*simulation.World
 	random *rand.Rand
+	// zones draws evacuations, by numbers of its own.
+	zones  *rand.Rand
 	owner  *simulation.Owner
 	jobs   int
 	guilty []taskgraph.TaskName
@@ -77,6 +79,7 @@
 		"loss records": {without: pool.Without{LossRecords: true}},
 		"lease wait":   {without: pool.Without{LeaseWait: true}},
 		"end rows":     {without: pool.Without{EndRows: true}},
+		"evacuations":  {without: pool.Without{Evacuations: true}},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -127,7 +130,7 @@
 
 func playWorkerFaults(seed uint64, without pool.Without, steady bool) *workerFaults {
 	f := &workerFaults{
-		World: simulation.NewWorld(2, 6), random: rand.New(rand.NewPCG(seed, 4)), cancelled: map[int]bool{},
+		World: simulation.NewWorld(2, 6), random: rand.New(rand.NewPCG(seed, 4)), zones: rand.New(rand.NewPCG(seed, 8)), cancelled: map[int]bool{},
 	}
 	f.Without, f.SteadyTime, f.Unguarded = without, steady, seed%2 == 1
 	f.Catalog.Pools[0].EnforcesCapacity = !f.Unguarded
@@ -141,6 +144,7 @@
 		f.submitSome()
 		f.troubleWorkers()
 		f.troubleOwner()
+		evacuateSome(f.World, f.zones)
 		f.Run(f.between(0, 1200))
 	}
 	f.settle()
@@ -272,6 +276,7 @@
 	f.Store.AwayAll = false
 	clear(f.Store.Silent)
 	f.Store.Lose = nil
+	takeAllBack(f.World)
 	for _, worker := range f.Workers {
 		worker.Cut, worker.LoseOrder = false, nil
 		if !worker.Dead && worker.Capacity != simulation.WorkerCapacity {
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -73,7 +73,7 @@
 	w.listed, w.missing, w.departing = true, false, false
 	if w.Draining && !wasDraining {
 		p.record.Decided("worker draining", "worker", w.ID, "remaining_ms", w.RemainingMillis, "runs", len(w.members))
-		p.evacuate(w)
+		p.emptyLeaving(w)
 	}
 	p.greet(w)
 	p.wake()
@@ -191,7 +191,7 @@
 		}
 		for _, m := range w.members {
 			if m.unit.spec().LongRunning {
-				p.evacuate(w)
+				p.emptyLeaving(w)
 				break
 			}
 		}
@@ -228,9 +228,9 @@
 	}
 }
 
-// evacuate stops what will not end before the worker leaves. Tasks that last move
+// emptyLeaving stops what will not end before the worker leaves. Tasks that last move
 // a few at a time, so that no more of their step are away than allowed.
-func (p *Pool) evacuate(w *worker) {
+func (p *Pool) emptyLeaving(w *worker) {
 	now := p.loop.Now()
 	left := time.Duration(w.RemainingMillis) * time.Millisecond
 	for _, m := range w.members {
@@ -244,7 +244,7 @@
 			}
 			continue
 		}
-		if p.remaining(u, now) > left-evacuationMargin {
+		if p.remaining(u, now) > left-leaveMargin {
 			p.stopUnit(u, "worker leaves")
 		}
 	}
@@ -266,5 +266,5 @@
 // atWork is the percent from which a lasting task is at work.
 const atWork = 100
 
-// evacuationMargin is kept between a run's expected end and the worker's.
-const evacuationMargin = 500 * time.Millisecond
+// leaveMargin is kept between a run's expected end and the worker's.
+const leaveMargin = 500 * time.Millisecond
--- a/internal/pool/writer_test.go
+++ b/internal/pool/writer_test.go
@@ -74,6 +74,7 @@
 type noRecord struct{}
 
 func (noRecord) Count(string, string)          {}
+func (noRecord) Set(string, int64)             {}
 func (noRecord) Observe(string, time.Duration) {}
 func (noRecord) Decided(string, ...any)        {}
 
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -47,8 +47,15 @@
 	ConfigurationMillis   int64   `toml:"config_apply_ms"`
 	GraceSeconds          float64 `toml:"grace_period_s"`
 	UnacknowledgedTimeout int64   `toml:"unacknowledged_ms"`
+	// EvacuationMillis is the time after the acknowledgement of a zone's evacuation from which
+	// nothing starts there; 0 if the platform bounds it by nothing.
+	EvacuationMillis int64 `toml:"evacuation_ms"`
 }
 
+// leastEvacuationMillis is the shortest bound within which an owner can know of an evacuation:
+// half of it is for orders under way, and a feed is answered each 0.3 s.
+const leastEvacuationMillis = 2000
+
 // Stretches are how long a planned stop lasts.
 type Stretches struct {
 	// ServeSeconds is how long callers are still served after the signal.
@@ -128,6 +135,7 @@
 	} {
 		c.require(positive[key] > 0, key, "must be positive")
 	}
+	c.require(b.EvacuationMillis == 0 || b.EvacuationMillis >= leastEvacuationMillis, "bounds.evacuation_ms", "must be 0 or at least %d", leastEvacuationMillis)
 	c.require(b.CheckpointSeconds >= 0, "bounds.checkpoint_interval_s", "must not be negative")
 	c.require(b.StatusSeconds > 0, "bounds.status_s", "must be positive")
 	c.require(b.RemoteFactor >= 1, "bounds.remote_factor", "must be at least 1")
--- a/internal/simulation/judge.go
+++ b/internal/simulation/judge.go
@@ -49,6 +49,9 @@
 // Count implements pool.Recorder.
 func (j *Judge) Count(counter, reason string) { j.Counts[counter+"/"+reason]++ }
 
+// Set implements pool.Recorder.
+func (j *Judge) Set(gauge string, value int64) { j.Counts[gauge] = int(value) }
+
 // Observe implements pool.Recorder.
 func (j *Judge) Observe(string, time.Duration) {}
 
@@ -151,6 +154,7 @@
 	if order.Payload != job.spec.Payload {
 		j.broken("%v run %d starts with another payload", r.name, r.number)
 	}
+	j.checkZone(r)
 	j.checkOrder(r, job)
 	j.checkCrashes(r, t)
 	if taken, allowed := r.worker.taken(), r.worker.allowance(); !taken.Within(allowed) {
@@ -160,6 +164,14 @@
 	j.Decided("begun", "task", r.name.String(), "run", r.number, "worker", r.worker.ID)
 }
 
+// checkZone notes a start in a zone that was evacuated longer ago than the bound. Nothing
+// excuses it: owners that do not know start nothing, and orders that are late are refused.
+func (j *Judge) checkZone(r *run) {
+	if evacuatedFor := j.world.evacuatedFor(r.worker.Zone); evacuatedFor > j.world.Bounds.Evacuation {
+		j.broken("%v run %d starts on %s, whose zone was evacuated %v before", r.name, r.number, r.worker.ID, evacuatedFor)
+	}
+}
+
 // contactTime is how long an owner and the store must have been without trouble for promises
 // that have a time bound.
 const contactTime = 3 * time.Second
--- a/internal/simulation/judge_test.go
+++ b/internal/simulation/judge_test.go
@@ -76,6 +76,13 @@
 				w.Run(time.Second)
 			}
 		}, "have crashed under it"},
+		"in an evacuated zone": {func(w *World) {
+			w.Evacuate(w.Workers[0].Zone)
+			w.Run(w.Bounds.Evacuation + time.Millisecond)
+			order := startOrder(0, 1)
+			order.DeadlineMillis = 60000
+			_, _ = w.Workers[0].start(order)
+		}, "evacuated"},
 		"another payload": {func(w *World) {
 			order := startOrder(0, 1)
 			order.Payload = "other"
--- a/internal/simulation/ports.go
+++ b/internal/simulation/ports.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/emulator"
@@ -147,5 +148,15 @@
 	return &decoded, err
 }
 
+// EvacuationRows implements pool.Ports.
+func (p *ports) EvacuationRows() (table, prefix string) {
+	return p.world.OperatorTable, evacuationPrefix
+}
+
+// EvacuatedZone implements pool.Ports.
+func (p *ports) EvacuatedZone(key rows.Key) (string, bool) {
+	return strings.CutPrefix(key.Name, evacuationPrefix)
+}
+
 // WorkerTable implements pool.Ports.
 func (p *ports) WorkerTable() string { return p.world.WorkerTable }
--- a/internal/simulation/store.go
+++ b/internal/simulation/store.go
@@ -28,6 +28,8 @@
 	Lose func() Fate
 	// FeedsSilent holds the answers of feeds back.
 	FeedsSilent bool
+	// ScansSilent leaves scans without an answer.
+	ScansSilent bool
 	// Latency is the time of a call's way to the store and back.
 	Latency time.Duration
 	waiters []func()
@@ -149,6 +151,11 @@
 			done(rows.Listing{}, rows.ErrRefused)
 			return
 		}
+		if s.ScansSilent {
+			s.troubledAt = s.clock.Now()
+			s.clock.After(silence, func() { done(rows.Listing{}, rows.ErrNoAnswer) })
+			return
+		}
 		done(s.List(table, part, prefix), nil)
 	})
 }
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -46,6 +46,9 @@
 	owners int
 	// ownerOf has the owners by their tokens.
 	ownerOf map[int64]*Owner
+	// OperatorTable holds the operators' rows; evacuatedAt is when each evacuated zone was.
+	OperatorTable string
+	evacuatedAt   map[string]time.Time
 	// restarts counts the workers that came back as another instance.
 	restarts int
 }
@@ -62,10 +65,12 @@
 	clock := emulator.NewClock(start)
 	w := &World{
 		Clock: clock, Store: NewStore(clock), epoch: start, jobs: map[string]*taskgraph.Spec{}, gangs: map[gangRun][]*run{}, ownerOf: map[int64]*Owner{},
+		OperatorTable: "operator", evacuatedAt: map[string]time.Time{},
 		Crashing: map[taskgraph.TaskName]Crash{},
 		Bounds: pool.Bounds{
 			MaxHold: 6 * time.Second, StopTimeout: 400 * time.Millisecond, GangTimeout: 3 * time.Second,
 			Reclaim: 3 * time.Second, CheckpointInterval: time.Second, StatusRetention: 120 * time.Second, RemoteFactor: 3,
+			Evacuation: 5 * time.Second,
 		},
 		Catalog:     &catalog.Catalog{Version: 1, Pools: []catalog.Pool{{Name: PoolName, EnforcesCapacity: true}}},
 		OrderDelay:  lateBy,
@@ -87,7 +92,7 @@
 // AddWorker adds a worker and its row.
 func (w *World) AddWorker(id, rack string) *Worker {
 	added := &Worker{
-		Worker: fleet.Worker{ID: id, Pool: PoolName, Address: id, Labels: []string{"a", rack}, Capacity: WorkerCapacity},
+		Worker: fleet.Worker{ID: id, Pool: PoolName, Address: id, Zone: zoneOf(rack), Labels: []string{"a", rack}, Capacity: WorkerCapacity},
 		world:  w, clock: w.Clock,
 		runs: map[taskgraph.TaskName]*run{}, barred: map[taskgraph.TaskName]int{}, endedAt: map[int64]int{},
 	}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -68,6 +68,13 @@
 	}
 }
 
+// Gauges lists every gauge, by the short name that code uses.
+func Gauges() map[string]Definition {
+	return map[string]Definition{
+		"evacuated_zones": {Name: "wheatroad.pool.evacuated.zones", Description: "Zones in which the pools of this node start nothing, since operators have evacuated them."},
+	}
+}
+
 // latencyBounds are the bucket bounds of the histograms, in seconds.
 var latencyBounds = []float64{0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30}
 
@@ -77,6 +84,7 @@
 	budget     *lineBudget
 	histograms map[string]metric.Float64Histogram
 	counters   map[string]metric.Int64Counter
+	gauges     map[string]metric.Int64Gauge
 	labels     map[string]string
 	handler    http.Handler
 }
@@ -95,7 +103,7 @@
 	}
 	t := &Telemetry{
 		log: log, budget: newLineBudget(time.Now),
-		counters: map[string]metric.Int64Counter{}, histograms: map[string]metric.Float64Histogram{}, labels: map[string]string{},
+		counters: map[string]metric.Int64Counter{}, gauges: map[string]metric.Int64Gauge{}, histograms: map[string]metric.Float64Histogram{}, labels: map[string]string{},
 		handler: inTurn(counters, histograms, runtime),
 	}
 	for short, definition := range Definitions() {
@@ -106,6 +114,13 @@
 		t.counters[short] = counter
 		t.labels[short] = definition.Label
 	}
+	for short, definition := range Gauges() {
+		gauge, err := counterMeter.Int64Gauge(definition.Name, metric.WithDescription(definition.Description))
+		if err != nil {
+			return nil, err
+		}
+		t.gauges[short] = gauge
+	}
 	for short, definition := range Histograms() {
 		histogram, err := histogramMeter.Float64Histogram(definition.Name,
 			metric.WithDescription(definition.Description), metric.WithUnit("s"),
@@ -155,6 +170,14 @@
 	}
 }
 
+// Set sets a gauge. Gauges without a definition are a defect that the metrics test finds; here
+// they are dropped.
+func (t *Telemetry) Set(gauge string, value int64) {
+	if instrument, ok := t.gauges[gauge]; ok {
+		instrument.Record(context.Background(), value)
+	}
+}
+
 // Count adds one to a counter for a reason. Counters without a definition are a
 // defect that the metrics test finds; here they are dropped.
 func (t *Telemetry) Count(counter, reason string) {
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -24,6 +24,10 @@
 	for short := range Definitions() {
 		tele.Count(short, "some_reason")
 	}
+	for short := range Gauges() {
+		tele.Set(short, 1)
+		require.Contains(t, text, "`wheatroad_"+strings.ReplaceAll(strings.TrimPrefix(Gauges()[short].Name, "wheatroad."), ".", "_")+"`")
+	}
 	recorder := httptest.NewRecorder()
 	tele.Handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
 	exposed := 0
