--- /dev/null
+++ b/cmd/wheatroad-bench/load_command.go
@@ -0,0 +1,104 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/wheatroad/wheatroad/internal/loadplay"
+	"github.com/wheatroad/wheatroad/internal/mechanism"
+)
+
+// loadFlags are the flags of the command load.
+type loadFlags struct {
+	loads     []string
+	without   []string
+	firstSeed uint64
+	seeds     int
+}
+
+func newLoadCommand() *cobra.Command {
+	flags := &loadFlags{}
+	command := &cobra.Command{
+		Use:   "load",
+		Short: "Play load at its worst against a pool's owner in virtual time, with ways of deciding side by side",
+		Long: `Plays arrivals in bursts against a pool's owner in virtual time, by the same seeds for each way, and
+prints what each way is worth: means over the seeds with 95% confidence intervals. The first way has all
+mechanisms, each --without is one more way with some of them switched off.`,
+		Example: "  wheatroad-bench load --seeds 20 --without pressure --without pressure,headroom",
+		Args:    cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			return runLoad(command.OutOrStdout(), flags)
+		},
+	}
+	command.Flags().StringArrayVar(&flags.loads, "load", nil, "load to play, repeatable (default all)")
+	command.Flags().StringArrayVar(&flags.without, "without", nil, "a way without these mechanisms, joined by commas; repeatable")
+	command.Flags().Uint64Var(&flags.firstSeed, "seed", 1, "first seed")
+	command.Flags().IntVar(&flags.seeds, "seeds", 10, "how many seeds")
+	return command
+}
+
+func runLoad(out io.Writer, flags *loadFlags) error {
+	if flags.seeds < 2 {
+		return errors.New("--seeds must be at least 2")
+	}
+	ways := []loadplay.Way{{Name: "all"}}
+	for _, names := range flags.without {
+		off, err := mechanism.ParseOff(strings.Split(names, ","))
+		if err != nil {
+			return errors.Wrap(err, "--without")
+		}
+		ways = append(ways, loadplay.Way{Name: "without " + names, Off: off})
+	}
+	loads, err := chosenLoads(flags.loads)
+	if err != nil {
+		return err
+	}
+	for i := range loads {
+		printComparison(out, &loads[i], loadplay.Compare(&loads[i], ways, flags.firstSeed, flags.seeds, runtime.NumCPU()))
+	}
+	return nil
+}
+
+func chosenLoads(names []string) ([]loadplay.Load, error) {
+	all := loadplay.Loads()
+	if len(names) == 0 {
+		return all, nil
+	}
+	var chosen []loadplay.Load
+	for _, name := range names {
+		i := slices.IndexFunc(all, func(load loadplay.Load) bool { return load.Name == name })
+		if i < 0 {
+			return nil, errors.Newf("--load: no load %q", name)
+		}
+		chosen = append(chosen, all[i])
+	}
+	return chosen, nil
+}
+
+func printComparison(out io.Writer, load *loadplay.Load, compared []loadplay.Comparison) {
+	fmt.Fprintf(out, "%s: %d seeds\n", load.Name, len(compared[0].Results))
+	fmt.Fprintf(out, "  %-44s %-15s %-15s %-8s", "way", "worth", "gain", "served")
+	for _, class := range compared[0].Results[0].Classes {
+		fmt.Fprintf(out, " %-8s", class.Name)
+	}
+	fmt.Fprintf(out, " %-12s %-10s %s\n", "stops/placed", "most stops", "thrown away, core-s")
+	for i := range compared {
+		c := &compared[i]
+		fmt.Fprintf(out, "  %-44s %.3f +- %.3f  %+.3f +- %.3f %.3f   ", c.Way.Name, c.Worth.Mean, c.Worth.Error, c.Gain.Mean, c.Gain.Error, c.Served.Mean)
+		for _, class := range c.Classes {
+			fmt.Fprintf(out, " %-8.3f", class.Mean)
+		}
+		fmt.Fprintf(out, " %-12.3f %-10d %.0f\n", c.StopShare.Mean, c.MostStops, c.ThrownAway.Mean)
+		for _, result := range c.Results {
+			for _, broken := range result.Broken {
+				fmt.Fprintf(out, "    BROKEN %s\n", broken)
+			}
+		}
+	}
+}
--- a/cmd/wheatroad-bench/main.go
+++ b/cmd/wheatroad-bench/main.go
@@ -20,7 +20,7 @@
 
 func main() {
 	root := bench.NewCommand(buildinfo.Version)
-	root.AddCommand(newStormCommand(), newFaultsCommand())
+	root.AddCommand(newStormCommand(), newFaultsCommand(), newLoadCommand())
 	err := root.Execute()
 	if err == nil {
 		return
--- /dev/null
+++ b/internal/loadplay/load.go
@@ -0,0 +1,112 @@
+// Package loadplay plays load at its worst against a pool's owner in virtual time: arrivals in
+// bursts, sizes, estimates with errors. The same load is played with several ways of a decision
+// side by side, over many seeds.
+package loadplay
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/wheatroad/wheatroad/internal/catalog"
+	"github.com/wheatroad/wheatroad/internal/taskgraph"
+)
+
+// Class is one kind of job.
+type Class struct {
+	Queue catalog.Queue
+	// Rate is how many jobs come in a second, before bursts.
+	Rate float64
+	// Width is the mean number of tasks, WidthSpread its spread in logarithms, MaxWidth its bound.
+	Width, WidthSpread float64
+	MaxWidth           int
+	// Work is the mean time of a task, WorkSpread its spread in logarithms.
+	Work       time.Duration
+	WorkSpread float64
+	// EstimateError is the spread of estimates in logarithms.
+	EstimateError float64
+	// GPUs are drawn from for each task, all tasks of a job alike.
+	GPUs []int
+	// Room is a task's without its accelerators.
+	Room taskgraph.Amount
+	// Gang, SameRack and Checkpoints are the shares of jobs that are so.
+	Gang, SameRack, Checkpoints float64
+	// Worth of a job of mean size that ends in time, and of a late one.
+	Worth, LateWorth float64
+}
+
+// Burst multiplies the rate of a class, or of all if its name is empty, for a while.
+type Burst struct {
+	Class       string
+	From, Until time.Duration
+	Times       float64
+}
+
+// Load is what comes.
+type Load struct {
+	Name    string
+	Racks   int
+	PerRack int
+	Length  time.Duration
+	Classes []Class
+	Bursts  []Burst
+}
+
+// arrival is one job of a load.
+type arrival struct {
+	at    time.Duration
+	class int
+	spec  taskgraph.Spec
+	work  time.Duration
+}
+
+// arrivalStep is the grid on which arrivals are drawn.
+const arrivalStep = 10 * time.Millisecond
+
+// draw returns the arrivals of a load: the same for the same seed.
+func (l *Load) draw(seed uint64) []arrival {
+	random := rand.New(rand.NewPCG(seed, 11))
+	var arrivals []arrival
+	for at := time.Duration(0); at < l.Length; at += arrivalStep {
+		for class := range l.Classes {
+			if random.Float64() < l.rateAt(class, at)*arrivalStep.Seconds() {
+				arrivals = append(arrivals, l.drawJob(random, class, at, len(arrivals)))
+			}
+		}
+	}
+	return arrivals
+}
+
+func (l *Load) rateAt(class int, at time.Duration) float64 {
+	rate := l.Classes[class].Rate
+	for i := range l.Bursts {
+		burst := &l.Bursts[i]
+		if at >= burst.From && at < burst.Until && (burst.Class == "" || burst.Class == l.Classes[class].Queue.Name) {
+			rate *= burst.Times
+		}
+	}
+	return rate
+}
+
+func (l *Load) drawJob(random *rand.Rand, class int, at time.Duration, number int) arrival {
+	c := &l.Classes[class]
+	work := time.Duration(float64(c.Work) * spread(random, c.WorkSpread))
+	step := taskgraph.Step{
+		Count:          min(c.MaxWidth, max(1, int(math.Round(c.Width*spread(random, c.WidthSpread))))),
+		Amount:         c.Room,
+		EstimateMillis: int64(float64(work.Milliseconds()) * math.Exp((2*random.Float64()-1)*c.EstimateError)),
+		Gang:           random.Float64() < c.Gang,
+		Checkpoints:    random.Float64() < c.Checkpoints,
+	}
+	step.GPUs = c.GPUs[random.IntN(len(c.GPUs))]
+	step.SameRack = step.Gang && random.Float64() < c.SameRack
+	return arrival{at: at, class: class, work: work, spec: taskgraph.Spec{
+		ID: fmt.Sprintf("%016x", number+1), Payload: "load", Steps: []taskgraph.Step{step},
+	}}
+}
+
+// spread draws a factor of mean 1 whose logarithm has a spread.
+func spread(random *rand.Rand, deviation float64) float64 {
+	return math.Exp(random.NormFloat64()*deviation - deviation*deviation/2)
+}
--- /dev/null
+++ b/internal/loadplay/loads.go
@@ -0,0 +1,62 @@
+package loadplay
+
+import (
+	"time"
+
+	"github.com/wheatroad/wheatroad/internal/catalog"
+	"github.com/wheatroad/wheatroad/internal/taskgraph"
+)
+
+// Names of the classes of the loads below.
+const (
+	urgentClass = "urgent"
+	middleClass = "middle"
+	wideClass   = "wide"
+)
+
+// accelerators are drawn for urgent jobs and gangs: half of them take a worker, or half of one.
+var accelerators = []int{1, 2, 4, 8, 8}
+
+// classes returns urgent short gangs, long gangs and wide steps of small tasks, for a pool of 112
+// workers that they fill by two thirds.
+func classes() []Class {
+	return []Class{
+		{
+			Queue: catalog.Queue{Name: urgentClass, Priority: 0, MaxAttempts: 3, Stretch: 1.5, TargetMillis: 300},
+			Rate:  3.6, Width: 5.4, WidthSpread: 0.8, MaxWidth: 32, Work: 2500 * time.Millisecond, WorkSpread: 0.5, EstimateError: 0.9,
+			GPUs: accelerators, Room: taskgraph.Amount{CPU: 15000, MemoryMB: 44000}, Gang: 1, SameRack: 0.8, Worth: 4, LateWorth: 0.8,
+		},
+		{
+			Queue: catalog.Queue{Name: middleClass, Priority: 1, MaxAttempts: 4, Stretch: 3, TargetMillis: 1000},
+			Rate:  0.39, Width: 13, WidthSpread: 0.8, MaxWidth: 64, Work: 8500 * time.Millisecond, WorkSpread: 0.3, EstimateError: 0.2,
+			GPUs: accelerators, Room: taskgraph.Amount{CPU: 52000, MemoryMB: 270000}, Gang: 1, SameRack: 0.4, Checkpoints: 0.45, Worth: 3, LateWorth: 0.9,
+		},
+		{
+			Queue: catalog.Queue{Name: wideClass, Priority: 2, MaxAttempts: 2, Stretch: 3, TargetMillis: 3000},
+			Rate:  0.48, Width: 39, WidthSpread: 0.8, MaxWidth: 230, Work: 6100 * time.Millisecond, WorkSpread: 0.3, EstimateError: 0.2,
+			GPUs: []int{1}, Room: taskgraph.Amount{CPU: 11000, MemoryMB: 59000}, Checkpoints: 0.45, Worth: 1, LateWorth: 0.3,
+		},
+	}
+}
+
+// Loads lists the loads that can be played.
+func Loads() []Load {
+	base := Load{Racks: 14, PerRack: 8, Length: 34 * time.Second, Classes: classes()}
+	calm := base
+	calm.Name = "calm"
+	urgent := base
+	urgent.Name = "urgent-burst"
+	urgent.Bursts = []Burst{{Class: urgentClass, From: 10 * time.Second, Until: 16 * time.Second, Times: 2.6}}
+	three := base
+	three.Name = "three-bursts"
+	three.Bursts = []Burst{
+		{Class: urgentClass, From: 5 * time.Second, Until: 11 * time.Second, Times: 2.6},
+		{Class: wideClass, From: 10 * time.Second, Until: 15 * time.Second, Times: 2.6},
+		{From: 15 * time.Second, Until: 20 * time.Second, Times: 2.8},
+		{From: 0, Until: base.Length, Times: 1.45},
+	}
+	full := base
+	full.Name = "full"
+	full.Bursts = []Burst{{From: 0, Until: base.Length, Times: 2}}
+	return []Load{calm, urgent, three, full}
+}
--- /dev/null
+++ b/internal/loadplay/play.go
@@ -0,0 +1,151 @@
+package loadplay
+
+import (
+	"time"
+
+	"github.com/wheatroad/wheatroad/internal/mechanism"
+	"github.com/wheatroad/wheatroad/internal/simulation"
+	"github.com/wheatroad/wheatroad/internal/taskgraph"
+)
+
+// ClassResult is what became of the jobs of a class.
+type ClassResult struct {
+	Name                        string
+	Jobs, InTime, Late, Missing int
+	// Worth is the share of what the jobs could have earned.
+	Worth float64
+}
+
+// Result is what one play of a load came to.
+type Result struct {
+	Classes []ClassResult
+	// Worth is the share of all that could be earned.
+	Worth float64
+	// Served is the share of jobs that ended in time or late.
+	Served float64
+	// Placed and Stopped count runs of tasks and gangs that were placed, and stopped for others.
+	Placed, Stopped int
+	// MostStops is how often one task or gang was stopped for others at most.
+	MostStops int
+	// ThrownAway is the work of stopped runs that no checkpoint held, in core-seconds.
+	ThrownAway float64
+	// Broken are promises that were broken.
+	Broken []string
+}
+
+const (
+	// constantShare of a job's worth does not depend on its size; a job earns four times the
+	// mean at most.
+	constantShare = 0.3
+	mostWorth     = 4
+	// lateLimit times its objective after its arrival a job earns nothing any more.
+	lateLimit = 3
+	// settling is how long after the last arrival jobs are waited for.
+	settling = 40 * time.Second
+	// pollPeriod is how often ends are looked for.
+	pollPeriod = 50 * time.Millisecond
+	// stopTime and checkpoints are those of large pools of the platform.
+	stopTime           = 200 * time.Millisecond
+	checkpointInterval = 500 * time.Millisecond
+	reclaimTime        = 2700 * time.Millisecond
+)
+
+// Play plays a load by seed, with some mechanisms switched off.
+func (l *Load) Play(seed uint64, off mechanism.Off) Result {
+	arrivals := l.draw(seed)
+	w := simulation.NewWorld(l.Racks, l.PerRack)
+	w.Off, w.StopTime, w.Judge.Quiet = off, stopTime, true
+	w.Bounds.StopTimeout, w.Bounds.CheckpointInterval, w.Bounds.Reclaim = stopTime, checkpointInterval, reclaimTime
+	for _, worker := range w.Workers {
+		worker.SetCapacity(taskgraph.Amount{CPU: 128000, MemoryMB: 524288, GPUs: 8}, 0)
+	}
+	works := map[string]time.Duration{}
+	for i := range arrivals {
+		works[arrivals[i].spec.ID] = arrivals[i].work
+	}
+	w.Work = func(name taskgraph.TaskName) time.Duration { return works[name.Job] }
+	w.Own()
+	w.Run(time.Second)
+	ends := l.drive(w, arrivals)
+	return l.judge(w, arrivals, ends)
+}
+
+// drive hands the jobs in and returns how long each took that ended well.
+func (l *Load) drive(w *simulation.World, arrivals []arrival) map[string]time.Duration {
+	ends := map[string]time.Duration{}
+	open := map[string]time.Duration{}
+	next := 0
+	for now := time.Duration(0); now < l.Length+settling && (next < len(arrivals) || len(open) > 0); now += pollPeriod {
+		for ; next < len(arrivals) && arrivals[next].at <= now; next++ {
+			w.Submit(arrivals[next].spec, l.Classes[arrivals[next].class].Queue)
+			open[arrivals[next].spec.ID] = now
+		}
+		w.Run(pollPeriod)
+		for id, since := range open {
+			if w.Judge.JobDone(id) {
+				ends[id] = now + pollPeriod - since
+				delete(open, id)
+			}
+		}
+	}
+	return ends
+}
+
+func (l *Load) judge(w *simulation.World, arrivals []arrival, ends map[string]time.Duration) Result {
+	result := Result{Classes: make([]ClassResult, len(l.Classes)), Broken: w.Judge.Broken}
+	owed, earned := make([]float64, len(l.Classes)), make([]float64, len(l.Classes))
+	sizes := l.meanSizes(arrivals)
+	for i := range arrivals {
+		a := &arrivals[i]
+		c, r := &l.Classes[a.class], &result.Classes[a.class]
+		size := min(mostWorth, constantShare+(1-constantShare)*a.size()/sizes[a.class])
+		objective := c.Queue.Objective(a.work)
+		took, ended := ends[a.spec.ID]
+		r.Jobs++
+		owed[a.class] += size * c.Worth
+		switch {
+		case ended && took <= objective:
+			r.InTime++
+			earned[a.class] += size * c.Worth
+		case ended && took <= lateLimit*objective:
+			r.Late++
+			earned[a.class] += size * c.LateWorth
+		default:
+			r.Missing++
+		}
+	}
+	allOwed, allEarned, served := 0.0, 0.0, 0
+	for k := range result.Classes {
+		r := &result.Classes[k]
+		r.Name = l.Classes[k].Queue.Name
+		r.Worth = earned[k] / max(owed[k], 1e-9)
+		allOwed += owed[k]
+		allEarned += earned[k]
+		served += r.InTime + r.Late
+	}
+	result.Worth = allEarned / allOwed
+	result.Served = float64(served) / float64(len(arrivals))
+	result.Placed = w.Judge.Decisions["placed"]
+	result.Stopped = w.Judge.Counts["stops/preempted"]
+	result.MostStops = w.Judge.MostStops()
+	result.ThrownAway = w.Judge.ThrownAway
+	return result
+}
+
+// size is a job's work in core-seconds.
+func (a *arrival) size() float64 {
+	step := &a.spec.Steps[0]
+	return step.Amount.Cores() * float64(step.Count) * a.work.Seconds()
+}
+
+func (l *Load) meanSizes(arrivals []arrival) []float64 {
+	sums, counts := make([]float64, len(l.Classes)), make([]float64, len(l.Classes))
+	for i := range arrivals {
+		sums[arrivals[i].class] += arrivals[i].size()
+		counts[arrivals[i].class]++
+	}
+	for k := range sums {
+		sums[k] /= max(1, counts[k])
+	}
+	return sums
+}
--- a/internal/simulation/gang.go
+++ b/internal/simulation/gang.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/wheatroad/wheatroad/internal/fleet"
 )
@@ -82,6 +81,3 @@
 		}
 	}
 }
-
-// saved is the work that a checkpoint holds.
-func (w *World) saved(string) time.Duration { return 0 }
--- a/internal/simulation/judge.go
+++ b/internal/simulation/judge.go
@@ -15,11 +15,17 @@
 	world *World
 	// Broken lists what went wrong, in the order in which it was seen.
 	Broken []string
-	// Trace has the owners' decisions.
-	Trace  []string
-	Counts map[string]int
-	jobs   map[string]*judgedJob
-	tasks  map[taskgraph.TaskName]*judgedTask
+	// Trace has the owners' decisions, unless Quiet.
+	Trace []string
+	Quiet bool
+	// Decisions counts the owners' decisions by name, ThrownAway adds up the work, in
+	// core-seconds, that ended runs lose, and preempted counts the stops of each unit.
+	Decisions  map[string]int
+	ThrownAway float64
+	preempted  map[string]int
+	Counts     map[string]int
+	jobs       map[string]*judgedJob
+	tasks      map[taskgraph.TaskName]*judgedTask
 }
 
 type judgedJob struct {
@@ -43,7 +49,7 @@
 }
 
 func newJudge(w *World) *Judge {
-	return &Judge{world: w, Counts: map[string]int{}, jobs: map[string]*judgedJob{}, tasks: map[taskgraph.TaskName]*judgedTask{}}
+	return &Judge{world: w, Counts: map[string]int{}, Decisions: map[string]int{}, preempted: map[string]int{}, jobs: map[string]*judgedJob{}, tasks: map[taskgraph.TaskName]*judgedTask{}}
 }
 
 // Count implements pool.Recorder.
@@ -57,10 +63,47 @@
 
 // Decided implements pool.Recorder.
 func (j *Judge) Decided(decision string, keysAndValues ...any) {
+	j.Decisions[decision]++
+	switch decision {
+	case "stopped":
+		j.noteStop(fieldsOf(keysAndValues))
+	case "run ended":
+		lost, _ := fieldsOf(keysAndValues)["unsaved_core_s"].(float64)
+		j.ThrownAway += lost
+	}
+	if j.Quiet {
+		return
+	}
 	at := j.world.Clock.Now().Sub(j.world.epoch)
 	j.Trace = append(j.Trace, fmt.Sprintf("%v %s %v", at, decision, keysAndValues))
 }
 
+// fieldsOf turns a line's fields into a map.
+func fieldsOf(keysAndValues []any) map[string]any {
+	fields := map[string]any{}
+	for i := 0; i+1 < len(keysAndValues); i += 2 {
+		if key, ok := keysAndValues[i].(string); ok {
+			fields[key] = keysAndValues[i+1]
+		}
+	}
+	return fields
+}
+
+func (j *Judge) noteStop(fields map[string]any) {
+	if fields["reason"] == "preempted" {
+		j.preempted[fmt.Sprint(fields["job"], " ", fields["step"], " ", fields["unit"])]++
+	}
+}
+
+// MostStops returns how often one unit was stopped for others, at most.
+func (j *Judge) MostStops() int {
+	most := 0
+	for _, stops := range j.preempted {
+		most = max(most, stops)
+	}
+	return most
+}
+
 func (j *Judge) broken(format string, args ...any) {
 	at := j.world.Clock.Now().Sub(j.world.epoch)
 	j.Broken = append(j.Broken, fmt.Sprintf("%v: ", at)+fmt.Sprintf(format, args...))
--- a/internal/simulation/owner.go
+++ b/internal/simulation/owner.go
@@ -30,7 +30,7 @@
 	owner := &Owner{world: w, Process: emulator.NewProcess(w.Clock), CutFrom: map[string]bool{}}
 	owner.Process.SteadyTime = w.SteadyTime
 	options := pool.Options{
-		Pool: PoolName, Node: name, Incarnation: name, Address: name, Bounds: w.Bounds, Without: w.Without,
+		Pool: PoolName, Node: name, Incarnation: name, Address: name, Bounds: w.Bounds, Without: w.Without, Off: w.Off,
 		Catalog: func() *catalog.Catalog { return w.Catalog },
 		Ended:   func(reason string) { owner.Ended = reason },
 	}
--- a/internal/simulation/worker.go
+++ b/internal/simulation/worker.go
@@ -53,21 +53,23 @@
 
 // run is one run of a task.
 type run struct {
-	name       taskgraph.TaskName
-	number     int
-	worker     *Worker
-	begunAt    time.Time
-	working    bool
-	checkpoint string
-	stopping   bool
-	over       bool
+	name    taskgraph.TaskName
+	number  int
+	worker  *Worker
+	begunAt time.Time
+	working bool
+	// workingSince is when its work began.
+	workingSince time.Time
+	checkpoint   string
+	stopping     bool
+	over         bool
 	// finished runs have done their work; those of a gang then wait for the others.
 	finished bool
 	// percent is the progress that was last listed.
 	percent int
 }
 
-// StopTime is how long a stop takes.
+// StopTime is how long a stop takes, unless a world says otherwise.
 const StopTime = 300 * time.Millisecond
 
 // clockMillis is the worker's clock.
@@ -154,8 +156,9 @@
 		return
 	}
 	r.working = true
+	r.workingSince = w.clock.Now()
 	w.crashUnder(r, AtWork)
-	duration := w.world.Work(r.name) - w.world.saved(r.checkpoint)
+	duration := w.world.Work(r.name) - saved(r.checkpoint)
 	if w.Slowness > 1 {
 		duration = time.Duration(float64(duration) * w.Slowness)
 	}
@@ -205,7 +208,7 @@
 	w.barred[order.Task] = max(w.barred[order.Task], order.Run)
 	if r := w.runs[order.Task]; r != nil && r.number <= order.Run && !r.stopping {
 		r.stopping = true
-		w.clock.After(StopTime, func() { w.end(r, fleet.Stopped, "") })
+		w.clock.After(w.world.StopTime, func() { w.end(r, fleet.Stopped, w.newCheckpoint(r)) })
 	}
 	return reply, nil
 }
@@ -260,7 +263,7 @@
 
 func (w *Worker) percent(r *run) int {
 	if r.working && !w.Standing {
-		share := float64(w.clock.Now().Sub(r.begunAt)) / (float64(w.world.Work(r.name)) * max(1, w.Slowness))
+		share := float64(w.worked(r)) / float64(w.world.Work(r.name))
 		r.percent = min(99, int(100*share))
 	}
 	return r.percent
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -8,6 +8,7 @@
 	"github.com/wheatroad/wheatroad/internal/catalog"
 	"github.com/wheatroad/wheatroad/internal/emulator"
 	"github.com/wheatroad/wheatroad/internal/fleet"
+	"github.com/wheatroad/wheatroad/internal/mechanism"
 	"github.com/wheatroad/wheatroad/internal/pool"
 	"github.com/wheatroad/wheatroad/internal/rows"
 	"github.com/wheatroad/wheatroad/internal/taskgraph"
@@ -36,6 +37,10 @@
 	Crashing map[taskgraph.TaskName]Crash
 	// OrderDelay is how much later an order of the fate DoneLate is carried out.
 	OrderDelay time.Duration
+	// StopTime is how long a stop takes.
+	StopTime time.Duration
+	// Off is handed to every owner.
+	Off mechanism.Off
 	// WorkerTable holds the workers' rows, which EncodeWorker renders.
 	WorkerTable  string
 	EncodeWorker func(*fleet.Worker) []byte
@@ -74,6 +79,7 @@
 		},
 		Catalog:     &catalog.Catalog{Version: 1, Pools: []catalog.Pool{{Name: PoolName, EnforcesCapacity: true}}},
 		OrderDelay:  lateBy,
+		StopTime:    StopTime,
 		WorkerTable: "workers", EncodeWorker: encodeWorker,
 		Work: func(taskgraph.TaskName) time.Duration { return time.Second },
 	}
