--- a/internal/simulation/worker.go
+++ b/internal/simulation/worker.go
@@ -263,7 +263,8 @@
 
 func (w *Worker) percent(r *run) int {
 	if r.working && !w.Standing {
-		share := float64(w.worked(r)) / float64(w.world.Work(r.name))
+		done := float64(saved(r.checkpoint)) + float64(w.clock.Now().Sub(r.begunAt))/max(1, w.Slowness)
+		share := done / float64(w.world.Work(r.name))
 		r.percent = min(99, int(100*share))
 	}
 	return r.percent
