--- a/internal/pool/workerfaults_test.go
+++ b/internal/pool/workerfaults_test.go
@@ -129,11 +129,32 @@
 }
 
 func playWorkerFaults(seed uint64, without pool.Without, steady bool) *workerFaults {
+	return playWorkerFaultsHolding(seed, without, steady, 0)
+}
+
+// TestRandomFaultsOfWorkersThatHoldLonger: as before, where the platform allows longer leases
+// than owners give.
+func TestRandomFaultsOfWorkersThatHoldLonger(t *testing.T) {
+	for seed := range uint64(*workerSeeds) / 3 {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			f := playWorkerFaultsHolding(seed, pool.Without{}, false, 10*time.Second)
+			requireKept(t, f.World)
+			f.countSound(t)
+		})
+	}
+}
+
+// playWorkerFaultsHolding plays a seed with a bound of leases of its own; 0 is the usual one.
+func playWorkerFaultsHolding(seed uint64, without pool.Without, steady bool, maxHold time.Duration) *workerFaults {
 	f := &workerFaults{
 		World: simulation.NewWorld(2, 6), random: rand.New(rand.NewPCG(seed, 4)), zones: rand.New(rand.NewPCG(seed, 8)), cancelled: map[int]bool{},
 	}
 	f.Without, f.SteadyTime, f.Unguarded = without, steady, seed%2 == 1
 	f.Catalog.Pools[0].EnforcesCapacity = !f.Unguarded
+	if maxHold > 0 {
+		f.Bounds.MaxHold = maxHold
+	}
 	f.Work = func(taskgraph.TaskName) time.Duration { return f.between(500, 3500) }
 	f.Store.Lose = f.fate(0.03)
 	for _, worker := range f.Workers {
