--- a/internal/simulation/evacuation.go
+++ b/internal/simulation/evacuation.go
@@ -9,6 +9,10 @@
 // evacuationPrefix comes before the zone in the name of a row that evacuates it.
 const evacuationPrefix = "evacuate/"
 
+// EvacuationBound is the time after the acknowledgement of a zone's evacuation from which nothing
+// may start there, unless a world says otherwise.
+const EvacuationBound = 5 * time.Second
+
 // zoneOf names the zone of a rack: each rack is a zone of its own.
 func zoneOf(rack string) string { return "zone-" + rack }
 
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -75,7 +75,7 @@
 		Bounds: pool.Bounds{
 			MaxHold: 6 * time.Second, StopTimeout: 400 * time.Millisecond, GangTimeout: 3 * time.Second,
 			Reclaim: 3 * time.Second, CheckpointInterval: time.Second, StatusRetention: 120 * time.Second, RemoteFactor: 3,
-			Evacuation: 5 * time.Second,
+			Evacuation: EvacuationBound,
 		},
 		Catalog:     &catalog.Catalog{Version: 1, Pools: []catalog.Pool{{Name: PoolName, EnforcesCapacity: true}}},
 		OrderDelay:  lateBy,
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -30,6 +30,30 @@
 	require.Len(t, drawn, len(Kinds()), "every kind comes")
 }
 
+func TestEvacuationsAreTheSameForASeed(t *testing.T) {
+	const seeds = 100
+	drawn, overlapping := 0, 0
+	for seed := range uint64(seeds) {
+		evacuations := NewEvacuations(seed, time.Minute)
+		require.Equal(t, evacuations, NewEvacuations(seed, time.Minute))
+		if len(evacuations) > 0 {
+			drawn++
+		}
+		if len(evacuations) > 2 {
+			overlapping++
+		}
+		for _, evacuation := range evacuations {
+			require.Less(t, evacuation.At, time.Minute)
+			require.GreaterOrEqual(t, evacuation.Length, shortestEvacuation)
+		}
+	}
+	require.Greater(t, drawn, seeds/4)
+	require.Positive(t, overlapping)
+	for _, kept := range []uint64{619, 10113, 12000, 60601} {
+		require.Empty(t, NewEvacuations(kept, time.Minute), "seeds of soak/regressions.txt stay as they are")
+	}
+}
+
 func TestLinksAreTheSameForASeed(t *testing.T) {
 	const (
 		seeds   = 300
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/faultproxy"
+	"github.com/wheatroad/wheatroad/internal/simulation"
 )
 
 // daemon is one real process of wheatroadd and what was done to it.
@@ -56,8 +57,8 @@
 		}
 	}
 	d.settings = filepath.Join(folder, fmt.Sprintf("node-%d.toml", number))
-	text := fmt.Sprintf("name = \"node-%d\"\nzone = \"z\"\ncallers = %q\nreadiness = %q\npeers = %q\nstore = %q\ncpu_share = 0.5\n",
-		number, d.callers, d.ready, peers, proxy.Address())
+	text := fmt.Sprintf("name = \"node-%d\"\nzone = \"z\"\ncallers = %q\nreadiness = %q\npeers = %q\nstore = %q\ncpu_share = 0.5\n[bounds]\nevacuation_ms = %d\n",
+		number, d.callers, d.ready, peers, proxy.Address(), simulation.EvacuationBound.Milliseconds())
 	if err := os.WriteFile(d.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -41,6 +41,8 @@
 	Links Links `json:"links"`
 	// Silences are when open connections went silent.
 	Silences []Silence `json:"silences,omitempty"`
+	// Evacuations are the zones that were emptied.
+	Evacuations []Evacuation `json:"evacuations,omitempty"`
 	// Workers is what befalls workers beside the plan's faults.
 	Workers WorkerTroubles `json:"workers"`
 	// Answers counts what callers got, by call and status.
@@ -155,6 +157,8 @@
 	r.applyLinks(report.Links, began, &ends)
 	report.Silences = NewSilences(r.options.Seed, r.options.Length)
 	r.applySilences(report.Silences, began, &ends)
+	report.Evacuations = NewEvacuations(r.options.Seed, r.options.Length)
+	r.applyEvacuations(report.Evacuations, began, &ends)
 	report.Workers = r.workers
 	r.applyWorkerTroubles(began, &ends)
 	for _, fault := range NewPlan(r.options.Seed, r.options.Length) {
