The clock that counts suspensions never goes back

The time suspended is the difference of two clocks read one after the other; a process that loses the processor in between finds a negative suspension, and its clock goes back by that until the next look a second later. Accounts of workers are held against starts by that clock: a hold that was sent before a start's answer then counts as sent after it, so that a run which it does not list yet is taken as gone and its task started elsewhere. Test: TestClockNeverGoesBack fails with the former count ("Should be false"), TestClocksThatAreReadApartAreReadAgain.

--- a/internal/uptime/uptime.go
+++ b/internal/uptime/uptime.go
@@ -56,7 +56,11 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.drift.Store(int64(drift))
-	c.offset.Store(int64(c.suspended() - c.before))
+	// The clock never goes back, and small differences are errors of the reading: what was
+	// written down earlier must not seem later.
+	if offset := c.suspended() - c.before; offset-time.Duration(c.offset.Load()) > noticeable {
+		c.offset.Store(int64(offset))
+	}
 }
 
 // Look asks the system how long it was suspended. Now does so by itself when the time of day
@@ -96,9 +100,42 @@
 // systemSuspended is how much further the clock has run that counts suspensions. Both clocks
 // are there on every Linux system; without them nothing counts as suspended.
 func systemSuspended() time.Duration {
-	var boot, monotonic unix.Timespec
-	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &boot) != nil || unix.ClockGettime(unix.CLOCK_MONOTONIC, &monotonic) != nil {
-		return 0
+	return difference(systemClock(unix.CLOCK_BOOTTIME), systemClock(unix.CLOCK_MONOTONIC))
+}
+
+func systemClock(id int32) func() (time.Duration, bool) {
+	return func() (time.Duration, bool) {
+		var now unix.Timespec
+		err := unix.ClockGettime(id, &now)
+		return time.Duration(now.Nano()), err == nil
+	}
+}
+
+const (
+	// closeReads is how close together the readings of both clocks have to be: a call takes
+	// some microseconds, unless the process loses the processor in between.
+	closeReads = time.Millisecond
+	// readTries bounds how often they are read.
+	readTries = 5
+)
+
+// difference returns how far counting is ahead of monotonic, by the tries whose readings lie
+// closest together; 0 if a clock is missing.
+func difference(counting, monotonic func() (time.Duration, bool)) time.Duration {
+	best, closest := time.Duration(0), time.Duration(-1)
+	for range readTries {
+		before, known := monotonic()
+		now, counted := counting()
+		after, _ := monotonic()
+		if !known || !counted {
+			return 0
+		}
+		if apart := after - before; closest < 0 || apart < closest {
+			best, closest = now-before-apart/2, apart
+		}
+		if closest <= closeReads {
+			break
+		}
 	}
-	return time.Duration(boot.Nano() - monotonic.Nano())
+	return best
 }
--- a/internal/uptime/uptime_test.go
+++ b/internal/uptime/uptime_test.go
@@ -89,3 +89,38 @@
 	require.InDelta(t, time.Since(began).Seconds(), Since(ours).Seconds(), 0.5)
 	require.Less(t, Suspended(), time.Second)
 }
+
+// TestClockNeverGoesBack: the time suspended is the difference of two clocks, which are read one
+// after the other. A process that lost the processor in between found a negative suspension, and
+// its clock went back by that: what was sent before an answer seemed sent after it, so that a run
+// which an older account of its worker did not list counted as gone.
+func TestClockNeverGoesBack(t *testing.T) {
+	m := newMachine()
+	c := m.clock()
+	m.run(time.Second)
+	before := c.Now()
+	m.suspended = -70 * time.Millisecond
+	c.Look()
+	require.False(t, c.Now().Before(before))
+	m.suspended = 0
+	c.Look()
+	require.Equal(t, before, c.Now(), "nor forward without a suspension")
+}
+
+// TestClocksThatAreReadApartAreReadAgain: the reading whose parts lie closest together counts.
+func TestClocksThatAreReadApartAreReadAgain(t *testing.T) {
+	now := time.Duration(0)
+	reads := 0
+	monotonic := func() (time.Duration, bool) { return now, true }
+	counting := func() (time.Duration, bool) {
+		if reads++; reads == 1 {
+			// The process loses the processor for a while.
+			now += 90 * time.Millisecond
+		}
+		return now + 5*time.Second, true
+	}
+	require.Equal(t, 5*time.Second, difference(counting, monotonic))
+	require.Equal(t, 2, reads)
+	missing := func() (time.Duration, bool) { return 0, false }
+	require.Zero(t, difference(missing, monotonic))
+}
