Cold workers are slow, not bad

Cause: a worker that is slow for a while after its start (an evacuated zone comes back so) was learned to be slow by gangs that it held up, and then left alone for 6 s, as if it was in trouble; its row had said so before. Change: how long it is cold is read from its row; gangs go elsewhere if they can, single tasks may come, and no penalty follows. Tests: TestGangsLeaveColdWorkersToSingleTasks, TestColdWorkersAreNotLeftAlone; both fail with the check out.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -21,8 +21,8 @@
 	Draining bool
 	// RemainingMillis is the least time left during a drain.
 	RemainingMillis int64
-	// Slowdown is true while the worker is slow after its start.
-	Cold bool
+	// ColdMillis is how much longer the worker is slow after its start.
+	ColdMillis int64
 }
 
 // rackLabel is the place of the rack among the labels.
--- /dev/null
+++ b/internal/pool/cold_test.go
@@ -0,0 +1,64 @@
+package pool_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wheatroad/wheatroad/internal/simulation"
+	"github.com/wheatroad/wheatroad/internal/taskgraph"
+)
+
+// coldFor makes a worker slow for a while, as its row says.
+func coldFor(w *simulation.World, worker *simulation.Worker, d time.Duration) {
+	worker.Slowness, worker.ColdMillis = 4, d.Milliseconds()
+	w.PutWorkerRow(worker)
+	w.Clock.After(d, func() {
+		worker.Slowness, worker.ColdMillis = 1, 0
+		w.PutWorkerRow(worker)
+	})
+}
+
+// TestGangsLeaveColdWorkersToSingleTasks: a gang is as slow as its slowest member.
+func TestGangsLeaveColdWorkersToSingleTasks(t *testing.T) {
+	w := simulation.NewWorld(1, 4)
+	w.Own()
+	w.Run(time.Second)
+	coldFor(w, w.Workers[0], 6*time.Second)
+	coldFor(w, w.Workers[1], 6*time.Second)
+	w.Run(100 * time.Millisecond)
+	w.Submit(spec(1, gang(2)), urgent)
+	w.Run(100 * time.Millisecond)
+	require.Zero(t, w.Workers[0].RunsOf(jobID(1))+w.Workers[1].RunsOf(jobID(1)))
+	w.Submit(spec(2, single(4)), urgent)
+	w.Run(100 * time.Millisecond)
+	require.Equal(t, 4, w.Workers[0].RunsOf(jobID(2))+w.Workers[1].RunsOf(jobID(2)), "single tasks may come")
+	w.Run(20 * time.Second)
+	requireKept(t, w)
+}
+
+// TestColdWorkersAreNotLeftAlone: a slow member shows a worker that is in trouble, unless it is
+// just cold.
+func TestColdWorkersAreNotLeftAlone(t *testing.T) {
+	for name, cold := range map[string]bool{"cold": true, "slow": false} {
+		t.Run(name, func(t *testing.T) {
+			w := simulation.NewWorld(1, 3)
+			w.Work = func(taskgraph.TaskName) time.Duration { return 4 * time.Second }
+			w.Own()
+			w.Run(time.Second)
+			first := w.Workers[0]
+			first.Slowness = 8
+			if cold {
+				coldFor(w, first, 12*time.Second)
+				first.Slowness = 8
+			}
+			w.Run(100 * time.Millisecond)
+			step := gang(3)
+			step.EstimateMillis = 4000
+			w.Submit(spec(1, step), urgent)
+			w.Run(6 * time.Second)
+			require.Equal(t, !cold, w.Judge.Decisions["worker left alone"] > 0)
+		})
+	}
+}
--- a/internal/pool/laggards.go
+++ b/internal/pool/laggards.go
@@ -41,7 +41,9 @@
 		if !ok || float64(projected) < laggardRatio*float64(sound) {
 			continue
 		}
-		m.worker.slowUntil = now.Add(slowPeriod)
+		if !m.worker.cold(now) {
+			m.worker.slowUntil = now.Add(slowPeriod)
+		}
 		p.leaveAlone(m.worker, "a run is much slower than its gang", now)
 		slowest = max(slowest, projected)
 	}
--- a/internal/pool/reliability.go
+++ b/internal/pool/reliability.go
@@ -71,8 +71,16 @@
 	}
 }
 
-// leaveAlone keeps new work off a worker for a while.
+// cold reports whether the worker is slow for a while after its start. It is as sound as any
+// other: gangs go elsewhere if they can, since they are as slow as their slowest member, and
+// single tasks may come.
+func (w *worker) cold(now time.Time) bool { return now.Before(w.coldUntil) }
+
+// leaveAlone keeps new work off a worker for a while, unless it is just cold.
 func (p *Pool) leaveAlone(w *worker, reason string, now time.Time) {
+	if w.cold(now) {
+		return
+	}
 	if !now.Before(w.penaltyUntil) {
 		p.record.Decided("worker left alone", "worker", w.ID, "reason", reason, "for_ms", penalty.Milliseconds(), "runs", len(w.members))
 	}
--- a/internal/pool/speed.go
+++ b/internal/pool/speed.go
@@ -91,7 +91,7 @@
 
 // slow reports whether a worker takes longer than most.
 func (p *Pool) slow(w *worker) bool {
-	if p.loop.Now().Before(w.slowUntil) {
+	if now := p.loop.Now(); now.Before(w.slowUntil) || w.cold(now) {
 		return true
 	}
 	if p.options.Off[mechanism.LearnedSpeeds] {
--- a/internal/pool/worker.go
+++ b/internal/pool/worker.go
@@ -46,8 +46,9 @@
 	lossyUntil time.Time
 	// penaltyUntil keeps new work away.
 	penaltyUntil time.Time
-	// slowUntil keeps gangs away.
+	// slowUntil keeps gangs away, and coldUntil is how long the worker is slow after its start.
 	slowUntil   time.Time
+	coldUntil   time.Time
 	speed       speed
 	reliability reliability
 }
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -71,6 +71,7 @@
 		p.memory.racks = nil
 	}
 	w.listed, w.missing, w.departing = true, false, false
+	w.coldUntil = p.loop.Now().Add(time.Duration(described.ColdMillis) * time.Millisecond)
 	if w.Draining && !wasDraining {
 		p.record.Decided("worker draining", "worker", w.ID, "remaining_ms", w.RemainingMillis, "runs", len(w.members))
 		p.emptyLeaving(w)
