Simulated work takes longer away from its rack; loads ask for racks that can hold them

Change: runs away from their data, and gangs on several racks, take the bound's factor longer; a load asks for one rack only where a rack holds the gang.

--- a/internal/loadplay/load.go
+++ b/internal/loadplay/load.go
@@ -100,12 +100,23 @@
 		Checkpoints:    random.Float64() < c.Checkpoints,
 	}
 	step.GPUs = c.GPUs[random.IntN(len(c.GPUs))]
-	step.SameRack = step.Gang && random.Float64() < c.SameRack
+	wantsRack := step.Gang && random.Float64() < c.SameRack
+	step.SameRack = wantsRack && l.rackHolds(&step)
 	return arrival{at: at, class: class, work: work, spec: taskgraph.Spec{
 		ID: fmt.Sprintf("%016x", number+1), Payload: "load", Steps: []taskgraph.Step{step},
 	}}
 }
 
+// rackHolds reports whether all tasks of a step fit on one rack at once.
+func (l *Load) rackHolds(step *taskgraph.Step) bool {
+	perWorker := workerCapacity.GPUs / max(1, step.GPUs)
+	perWorker = min(perWorker, workerCapacity.CPU/max(1, step.CPU), workerCapacity.MemoryMB/max(1, step.MemoryMB))
+	return step.Count <= perWorker*l.PerRack
+}
+
+// workerCapacity is the room of each worker.
+var workerCapacity = taskgraph.Amount{CPU: 128000, MemoryMB: 524288, GPUs: 8}
+
 // spread draws a factor of mean 1 whose logarithm has a spread.
 func spread(random *rand.Rand, deviation float64) float64 {
 	return math.Exp(random.NormFloat64()*deviation - deviation*deviation/2)
--- a/internal/loadplay/play.go
+++ b/internal/loadplay/play.go
@@ -57,7 +57,7 @@
 	w.Off, w.StopTime, w.Judge.Quiet = off, stopTime, true
 	w.Bounds.StopTimeout, w.Bounds.CheckpointInterval, w.Bounds.Reclaim = stopTime, checkpointInterval, reclaimTime
 	for _, worker := range w.Workers {
-		worker.SetCapacity(taskgraph.Amount{CPU: 128000, MemoryMB: 524288, GPUs: 8}, 0)
+		worker.SetCapacity(workerCapacity, 0)
 	}
 	works := map[string]time.Duration{}
 	for i := range arrivals {
--- a/internal/simulation/gang.go
+++ b/internal/simulation/gang.go
@@ -52,6 +52,22 @@
 	}
 }
 
+// distance is how many times longer a run takes because its data, or others of its gang that
+// want one rack, are on another rack.
+func (w *World) distance(r *run) float64 {
+	step := w.step(r.name)
+	far := step.PreferredRack != "" && step.PreferredRack != r.worker.Rack()
+	if step.SameRack && step.Gang {
+		for _, member := range w.gang(r) {
+			far = far || member.worker.Rack() != r.worker.Rack()
+		}
+	}
+	if far {
+		return w.Bounds.RemoteFactor
+	}
+	return 1
+}
+
 // finish ends a run as done, the members of a gang once the last of them has finished.
 func (w *World) finish(r *run) {
 	r.finished = true
