An owner reads workers' heartbeats together

Change: the owner leaves that table alone for 0.2 s after an answer with rows. A drain is known that much later, of the 2 s at least that sites give. Switched off by `paced-feeds`.

--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -43,6 +43,8 @@
 	StoreRelay Name = "store-relay"
 	// LongFeeds follows the store seldom where an owner confirms the configuration.
 	LongFeeds Name = "long-feeds"
+	// PacedFeeds reads workers' heartbeats together.
+	PacedFeeds Name = "paced-feeds"
 	// Announcements tell a pool's owner of accepted jobs ahead of its feed.
 	Announcements Name = "announcements"
 	// Guards watch owners closely.
@@ -55,7 +57,7 @@
 func All() []Name {
 	return []Name{
 		LearnedDurations, LearnedSpeeds, TrustedWorkers, QuickStalls, Laggards, NearPlaces, Headroom, Pressure, Reservations,
-		PressingGangs, TimelyFirst, EndDelay, StoreRelay, LongFeeds, Announcements, Guards, WeakOwners,
+		PressingGangs, TimelyFirst, EndDelay, StoreRelay, LongFeeds, PacedFeeds, Announcements, Guards, WeakOwners,
 	}
 }
 
--- a/internal/pool/read.go
+++ b/internal/pool/read.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/wheatroad/wheatroad/internal/mechanism"
 	"github.com/wheatroad/wheatroad/internal/rows"
 )
 
@@ -75,11 +76,34 @@
 				apply(listing.Rows[i])
 			}
 			p.noteListing(table, askedAt)
-			p.follow(table, listing.Version, retryPause, apply, again)
+			p.followAfter(p.feedPause(table, listing), func() { p.follow(table, listing.Version, retryPause, apply, again) })
 		}
 	})
 }
 
+// workerFeedPause is the pause between an answer of the workers' feed and the next question. Each
+// heartbeat ends the feed, though it tells nothing new: with 350 workers it was asked for 132
+// times a second, 8,110 of 12,086 calls to the store on a calm day. A drain is known that much
+// later, of at least 2 s that the platform's sites give.
+const workerFeedPause = 200 * time.Millisecond
+
+// followAfter goes on with a feed after a pause, or at once.
+func (p *Pool) followAfter(pause time.Duration, next func()) {
+	if pause == 0 {
+		next()
+		return
+	}
+	p.loop.After(pause, next)
+}
+
+// feedPause is how long the owner leaves a table alone after an answer.
+func (p *Pool) feedPause(table string, answer rows.Listing) time.Duration {
+	if table != p.ports.WorkerTable() || len(answer.Rows) == 0 || p.options.Off[mechanism.PacedFeeds] {
+		return 0
+	}
+	return workerFeedPause
+}
+
 // readRows claims and reads the progress, then reads the jobs and follows them.
 func (p *Pool) readRows() {
 	var progress []rows.Row
--- a/internal/simulation/store.go
+++ b/internal/simulation/store.go
@@ -33,6 +33,8 @@
 	// Latency is the time of a call's way to the store and back.
 	Latency time.Duration
 	waiters []func()
+	// Feeds counts the feeds that were asked for, by table.
+	Feeds map[string]int
 	// troubledAt is when a call was last refused or left without an answer.
 	troubledAt time.Time
 }
@@ -60,7 +62,7 @@
 
 // NewStore returns an empty store.
 func NewStore(clock *emulator.Clock) *Store {
-	return &Store{clock: clock, rows: map[rows.Key]rows.Row{}, Away: map[string]bool{}, Silent: map[string]bool{}, Latency: 5 * time.Millisecond}
+	return &Store{clock: clock, rows: map[rows.Key]rows.Row{}, Away: map[string]bool{}, Silent: map[string]bool{}, Feeds: map[string]int{}, Latency: 5 * time.Millisecond}
 }
 
 func (s *Store) away(part string) bool { return s.AwayAll || s.Away[part] }
@@ -175,6 +177,7 @@
 // Feed answers with the changes of a table as soon as there are any, or without any
 // after a wait.
 func (s *Store) Feed(table string, after int64, wait time.Duration, done func(rows.Listing, error)) {
+	s.Feeds[table]++
 	deadline := s.clock.Now().Add(wait)
 	s.clock.After(s.Latency, func() { s.poll(table, after, deadline, done) })
 }
