--- a/internal/loadplay/load.go
+++ b/internal/loadplay/load.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/catalog"
@@ -107,6 +108,17 @@
 	}}
 }
 
+// scaled returns the load for a share of the racks, with as much less to do.
+func (l *Load) scaled(share float64) *Load {
+	small := *l
+	small.Racks = max(1, int(math.Round(share*float64(l.Racks))))
+	small.Classes = slices.Clone(l.Classes)
+	for i := range small.Classes {
+		small.Classes[i].Rate *= float64(small.Racks) / float64(l.Racks)
+	}
+	return &small
+}
+
 // rackHolds reports whether all tasks of a step fit on one rack at once.
 func (l *Load) rackHolds(step *taskgraph.Step) bool {
 	perWorker := workerCapacity.GPUs / max(1, step.GPUs)
--- a/internal/loadplay/loadplay_test.go
+++ b/internal/loadplay/loadplay_test.go
@@ -1,9 +1,13 @@
 package loadplay
 
 import (
+	"math"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/wheatroad/wheatroad/internal/mechanism"
 )
 
 // TestPlaysAreTheSameBySeed and keep all promises.
@@ -16,3 +20,41 @@
 	require.Greater(t, first.Worth, 0.5)
 	require.NotEqual(t, first, load.Play(4, nil))
 }
+
+// TestWhatGainsAtWorstLoad replays three overlapping bursts: units that can still end in time go
+// before late ones, and work waits for a place near its data or rack. Without the first wide steps
+// lose most, without the second nearly everything.
+func TestWhatGainsAtWorstLoad(t *testing.T) {
+	load := threeBursts(t).scaled(0.4)
+	load.Length = 24 * time.Second
+	ways := []Way{
+		{Name: "all"},
+		{Name: "late units first", Off: mechanism.Off{mechanism.TimelyFirst: true}},
+		{Name: "anywhere", Off: mechanism.Off{mechanism.NearPlaces: true}},
+	}
+	compared := Compare(load, ways, 1, 2, 3)
+	require.Less(t, compared[1].Gain.Mean, 0.0)
+	require.Less(t, compared[1].Classes[2].Mean, compared[0].Classes[2].Mean, "wide steps")
+	require.Less(t, compared[2].Gain.Mean, -0.1)
+	for _, way := range compared {
+		for _, result := range way.Results {
+			require.Empty(t, result.Broken)
+		}
+	}
+}
+
+func threeBursts(t *testing.T) *Load {
+	loads := Loads()
+	for i := range loads {
+		if loads[i].Name == "three-bursts" {
+			return &loads[i]
+		}
+	}
+	require.Fail(t, "no such load")
+	return nil
+}
+
+func TestEstimatesOfConfidence(t *testing.T) {
+	require.Equal(t, Estimate{Mean: 2, Error: confidence / math.Sqrt(3)}, estimate([]float64{1, 2, 3}))
+	require.True(t, math.IsInf(estimate([]float64{1}).Error, 1))
+}
