--- a/internal/evacuation/evacuation.go
+++ b/internal/evacuation/evacuation.go
@@ -7,6 +7,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/wheatroad/wheatroad/internal/rows"
 )
 
 // Change is one row by which an operator evacuates a zone, or its removal.
@@ -18,6 +20,18 @@
 	Ended bool
 }
 
+// Changes reads the changes from rows; zoneOf tells the zone that a row evacuates, and false for
+// any other row.
+func Changes(listed []rows.Row, zoneOf func(rows.Key) (string, bool)) []Change {
+	var changes []Change
+	for i := range listed {
+		if zone, ok := zoneOf(listed[i].Key); ok {
+			changes = append(changes, Change{Zone: zone, Revision: listed[i].Version, Ended: listed[i].Gone})
+		}
+	}
+	return changes
+}
+
 // Set has the evacuated zones. It is immutable; its zero value knows nothing.
 type Set struct {
 	zones map[string]int64
--- a/internal/loadplay/play.go
+++ b/internal/loadplay/play.go
@@ -40,6 +40,8 @@
 	mostWorth     = 4
 	// lateLimit times its objective after its arrival a job earns nothing any more.
 	lateLimit = 3
+	// leastOwed stands for nothing owed, of which all is earned or none.
+	leastOwed = 1e-9
 	// settling is how long after the last arrival jobs are waited for.
 	settling = 40 * time.Second
 	// pollPeriod is how often ends are looked for.
@@ -92,44 +94,56 @@
 }
 
 func (l *Load) judge(w *simulation.World, arrivals []arrival, ends map[string]time.Duration) Result {
-	result := Result{Classes: make([]ClassResult, len(l.Classes)), Broken: w.Judge.Broken}
+	result := Result{
+		Classes: make([]ClassResult, len(l.Classes)), Broken: w.Judge.Broken,
+		Placed: w.Judge.Decisions["placed"], Stopped: w.Judge.Counts["stops/preempted"],
+		MostStops: w.Judge.MostStops(), ThrownAway: w.Judge.ThrownAway,
+	}
 	owed, earned := make([]float64, len(l.Classes)), make([]float64, len(l.Classes))
 	sizes := l.meanSizes(arrivals)
 	for i := range arrivals {
 		a := &arrivals[i]
-		c, r := &l.Classes[a.class], &result.Classes[a.class]
 		size := min(mostWorth, constantShare+(1-constantShare)*a.size()/sizes[a.class])
-		objective := c.Queue.Objective(a.work)
 		took, ended := ends[a.spec.ID]
-		r.Jobs++
-		owed[a.class] += size * c.Worth
-		switch {
-		case ended && took <= objective:
-			r.InTime++
-			earned[a.class] += size * c.Worth
-		case ended && took <= lateLimit*objective:
-			r.Late++
-			earned[a.class] += size * c.LateWorth
-		default:
-			r.Missing++
-		}
+		owed[a.class] += size * l.Classes[a.class].Worth
+		earned[a.class] += size * l.credit(a, took, ended, &result.Classes[a.class])
 	}
-	allOwed, allEarned, served := 0.0, 0.0, 0
-	for k := range result.Classes {
-		r := &result.Classes[k]
-		r.Name = l.Classes[k].Queue.Name
-		r.Worth = earned[k] / max(owed[k], 1e-9)
+	result.sum(l, owed, earned)
+	return result
+}
+
+// credit returns what a job of mean size earns by the time it took, and counts it.
+func (l *Load) credit(a *arrival, took time.Duration, ended bool, counts *ClassResult) float64 {
+	class := &l.Classes[a.class]
+	objective := class.Queue.Objective(a.work)
+	counts.Jobs++
+	switch {
+	case ended && took <= objective:
+		counts.InTime++
+		return class.Worth
+	case ended && took <= lateLimit*objective:
+		counts.Late++
+		return class.LateWorth
+	}
+	counts.Missing++
+	return 0
+}
+
+// sum adds up the classes.
+func (r *Result) sum(l *Load, owed, earned []float64) {
+	allOwed, allEarned := 0.0, 0.0
+	jobs, served := 0, 0
+	for k := range r.Classes {
+		class := &r.Classes[k]
+		class.Name = l.Classes[k].Queue.Name
+		class.Worth = earned[k] / max(owed[k], leastOwed)
 		allOwed += owed[k]
 		allEarned += earned[k]
-		served += r.InTime + r.Late
+		jobs += class.Jobs
+		served += class.InTime + class.Late
 	}
-	result.Worth = allEarned / allOwed
-	result.Served = float64(served) / float64(len(arrivals))
-	result.Placed = w.Judge.Decisions["placed"]
-	result.Stopped = w.Judge.Counts["stops/preempted"]
-	result.MostStops = w.Judge.MostStops()
-	result.ThrownAway = w.Judge.ThrownAway
-	return result
+	r.Worth = allEarned / max(allOwed, leastOwed)
+	r.Served = float64(served) / float64(max(1, jobs))
 }
 
 // size is a job's work in core-seconds.
--- a/internal/node/evacuations.go
+++ b/internal/node/evacuations.go
@@ -29,11 +29,5 @@
 }
 
 func (n *Node) evacuationChanges(listed []rows.Row) []evacuation.Change {
-	var changes []evacuation.Change
-	for i := range listed {
-		if zone, ok := n.edges.Codec.EvacuatedZone(listed[i].Key); ok {
-			changes = append(changes, evacuation.Change{Zone: zone, Revision: listed[i].Version, Ended: listed[i].Gone})
-		}
-	}
-	return changes
+	return evacuation.Changes(listed, n.edges.Codec.EvacuatedZone)
 }
--- a/internal/pool/evacuations.go
+++ b/internal/pool/evacuations.go
@@ -80,21 +80,12 @@
 			return
 		}
 		p.noteStore()
-		p.evacuatedRead = p.evacuatedRead.Newest(evacuation.Of(p.evacuationChanges(listing.Rows), listing.Version, askedAt))
+		read := evacuation.Of(evacuation.Changes(listing.Rows, p.ports.EvacuatedZone), listing.Version, askedAt)
+		p.evacuatedRead = p.evacuatedRead.Newest(read)
 		p.NoteEvacuations()
 	})
 }
 
-func (p *Pool) evacuationChanges(listed []rows.Row) []evacuation.Change {
-	var changes []evacuation.Change
-	for i := range listed {
-		if zone, ok := p.ports.EvacuatedZone(listed[i].Key); ok {
-			changes = append(changes, evacuation.Change{Zone: zone, Revision: listed[i].Version, Ended: listed[i].Gone})
-		}
-	}
-	return changes
-}
-
 // NoteEvacuations tells of zones that were evacuated or taken back, and lets waiting units try
 // again.
 func (p *Pool) NoteEvacuations() {
