Owners read evacuations' rows in time also where the bound is short

Cause: with a bound of 2 s starts may go by news of 0.75 s, and the owner read the rows itself from 0.8 s on only: a node without a feed of its own would have stopped and gone on by turns. Change: it reads from half of that age on, 0.8 s at most; nothing changes for the bound of 5 s. Found by reading.

--- a/internal/pool/evacuations.go
+++ b/internal/pool/evacuations.go
@@ -18,9 +18,9 @@
 	// evacuationMargin is left of the bound: timers that fire late and clocks that drift by
 	// 2% in five seconds.
 	evacuationMargin = 250 * time.Millisecond
-	// evacuationReadAge is the age from which the owner reads the rows itself: the node's own
-	// feed is silent, or the store turns the node away while others reach it.
-	evacuationReadAge = 800 * time.Millisecond
+	// evacuationReadAgeMost bounds the age from which the owner reads the rows itself: the node's
+	// own feed is silent, or the store turns the node away while others reach it.
+	evacuationReadAgeMost = 800 * time.Millisecond
 )
 
 // startAhead is how far ahead of a worker's clock a start's deadline lies: no start is carried
@@ -42,6 +42,14 @@
 	return min(evacuationAgeMost, bound-p.startAhead()-evacuationMargin)
 }
 
+// evacuationReadAge leaves half of the age that starts may go by to the reading.
+func (p *Pool) evacuationReadAge() time.Duration {
+	if limit := p.evacuationAge(); limit > 0 {
+		return min(evacuationReadAgeMost, limit/2)
+	}
+	return evacuationReadAgeMost
+}
+
 // evacuated returns the newest that is known of evacuated zones.
 func (p *Pool) evacuated() evacuation.Set {
 	if p.options.Evacuated == nil {
@@ -69,7 +77,7 @@
 func (p *Pool) checkEvacuations() {
 	p.NoteEvacuations()
 	askedAt := p.loop.Now()
-	if p.readingEvacuations || askedAt.Sub(p.evacuated().AsOf) < evacuationReadAge {
+	if p.readingEvacuations || askedAt.Sub(p.evacuated().AsOf) < p.evacuationReadAge() {
 		return
 	}
 	p.readingEvacuations = true
