--- a/internal/pool/evacuations_test.go
+++ b/internal/pool/evacuations_test.go
@@ -168,9 +168,9 @@
 		w.Work = func(taskgraph.TaskName) time.Duration { return 2 * time.Second }
 		w.Own()
 		w.Run(time.Second)
+		w.Store.Latency = 2600 * time.Millisecond
 		w.Submit(spec(1, single(40)), urgent)
 		w.Run(6 * time.Millisecond)
-		w.Store.Latency = 2600 * time.Millisecond
 		w.Evacuate(w.Workers[0].Zone)
 		w.Run(3 * time.Second)
 		w.Store.Latency = 5 * time.Millisecond
