Feeds of thousands of workers keep up

Cause: with a pause after each answer an owner of more than some 3,000 workers reads their heartbeats more slowly than they come (500 rows an answer, 2,000 rows a second at 3,000 workers); what it knows of its workers grows older and older. Change: no pause after an answer of 250 rows or more. The simulated store bounds a feed's answers by 500 rows. Test: TestFeedOfManyWorkersKeepsUp fails without (a drain is not known 0.5 s later, of 4,500 workers).

--- a/internal/pool/feedpace_test.go
+++ b/internal/pool/feedpace_test.go
@@ -53,3 +53,18 @@
 	w.Run(10 * time.Second)
 	requireKept(t, w)
 }
+
+// TestFeedOfManyWorkersKeepsUp: 4,500 workers write 3,000 rows a second, more than answers of 500
+// rows bring with a pause after each; what the owner knew of its workers grew older and older.
+func TestFeedOfManyWorkersKeepsUp(t *testing.T) {
+	w := simulation.NewWorld(45, 100)
+	w.Judge.Quiet = true
+	beat(w, 1500*time.Millisecond)
+	w.Own()
+	w.Run(8 * time.Second)
+	leaving := w.Workers[0]
+	leaving.Draining, leaving.RemainingMillis = true, 5000
+	w.PutWorkerRow(leaving)
+	w.Run(500 * time.Millisecond)
+	require.Equal(t, 1, w.Judge.Decisions["worker draining"])
+}
--- a/internal/pool/read.go
+++ b/internal/pool/read.go
@@ -87,6 +87,11 @@
 // later, of at least 2 s that the platform's sites give.
 const workerFeedPause = 200 * time.Millisecond
 
+// workerFeedFull is how many rows an answer has after which there is no pause: half of what the
+// platform gives at once. More than 3,000 workers write faster than full answers with pauses
+// bring their rows.
+const workerFeedFull = 250
+
 // followAfter goes on with a feed after a pause, or at once.
 func (p *Pool) followAfter(pause time.Duration, next func()) {
 	if pause == 0 {
@@ -98,7 +103,8 @@
 
 // feedPause is how long the owner leaves a table alone after an answer.
 func (p *Pool) feedPause(table string, answer rows.Listing) time.Duration {
-	if table != p.ports.WorkerTable() || len(answer.Rows) == 0 || p.options.Off[mechanism.PacedFeeds] {
+	count := len(answer.Rows)
+	if table != p.ports.WorkerTable() || count == 0 || count >= workerFeedFull || p.options.Off[mechanism.PacedFeeds] {
 		return 0
 	}
 	return workerFeedPause
--- a/internal/simulation/store.go
+++ b/internal/simulation/store.go
@@ -194,10 +194,15 @@
 		return
 	}
 	listing := rows.Listing{Version: s.version}
-	for _, row := range s.changes {
-		if row.Table == table && row.Version > after {
-			listing.Rows = append(listing.Rows, row)
+	for _, row := range s.changes[s.firstAfter(after):] {
+		if row.Table != table {
+			continue
+		}
+		if full := len(listing.Rows) >= feedLimit; full && row.Version > listing.Rows[len(listing.Rows)-1].Version {
+			listing.Version = listing.Rows[len(listing.Rows)-1].Version
+			break
 		}
+		listing.Rows = append(listing.Rows, row)
 	}
 	if len(listing.Rows) > 0 || !s.clock.Now().Before(deadline) {
 		done(listing, nil)
@@ -206,6 +211,14 @@
 	s.pollLater(table, after, deadline, done)
 }
 
+// feedLimit bounds the rows of one answer of a feed, those of one transaction together.
+const feedLimit = 500
+
+// firstAfter returns the place of the first change after a version.
+func (s *Store) firstAfter(version int64) int {
+	return sort.Search(len(s.changes), func(i int) bool { return s.changes[i].Version > version })
+}
+
 // pollLater looks again at the next change, and at the deadline at the latest. A silent
 // feed is looked at again soon.
 func (s *Store) pollLater(table string, after int64, deadline time.Time, done func(rows.Listing, error)) {
