Five losses end a job whatever the odds, as before

Change: the rule that five losses must not speak for a task is taken back, with its two tests; the test that it replaced stands again. Sound tasks are kept by running alone from the third loss on. Test: TestTasksThatCrashAfterSomeWorkAreGivenUpInAFullPool breaks the limit of starts with the rule, holds without.

--- a/internal/poison/history.go
+++ b/internal/poison/history.go
@@ -130,7 +130,7 @@
 	}
 	evidence, odds := h.evidence(), h.Odds()
 	switch {
-	case count >= lossesLimit && odds >= priorOdds, count == lossesLimit-1 && evidence >= lossesLeast && odds >= lateOdds:
+	case count >= lossesLimit, count == lossesLimit-1 && evidence >= lossesLeast && odds >= lateOdds:
 		return PoisonByLimit
 	case evidence >= lossesLeast && odds >= poisonOdds:
 		return PoisonByOdds
--- a/internal/poison/ledger_test.go
+++ b/internal/poison/ledger_test.go
@@ -140,9 +140,7 @@
 	require.Equal(t, 1, restored.Count())
 }
 
-// TestLimitNeedsOddsOfAnyTask: five losses amid some sixty others each, at an age at which a
-// poison task is rarely the cause, speak for the task; two more that nothing else explains end it.
-func TestLimitNeedsOddsOfAnyTask(t *testing.T) {
+func TestLimitHoldsWhateverTheOdds(t *testing.T) {
 	l, task := newLedger(48), alone()
 	for round := range lossesLimit {
 		for range 60 {
@@ -158,24 +156,6 @@
 		}
 		lose(l, float64(4*round), 5*time.Second, task)
 	}
-	require.Equal(t, lossesLimit, task.Count())
-	require.Less(t, task.Odds(), priorOdds)
-	require.Equal(t, Suspected, task.Verdict())
-	lose(l, 60, atOnce, task)
-	if !task.Verdict().Poison() {
-		lose(l, 64, atOnce, task)
-	}
-	require.True(t, task.Verdict().Poison(), "odds %v", task.Odds())
-}
-
-// TestLimitHoldsWithoutEvidence: five losses that say nothing either way end the task's job.
-func TestLimitHoldsWithoutEvidence(t *testing.T) {
-	task := alone()
-	for number := range lossesLimit {
-		require.False(t, task.Verdict().Poison())
-		task.AddUnexplained(fmt.Sprint("unexplained ", number))
-	}
-	require.InDelta(t, priorOdds, task.Odds(), 1e-12)
 	require.Equal(t, PoisonByLimit, task.Verdict())
 }
 
--- a/internal/poison/model.go
+++ b/internal/poison/model.go
@@ -18,12 +18,10 @@
 	silenceRate = 1e-3
 	// poisonOdds are the odds from which a task is given up, once lossesLeast workers were
 	// lost under it, the least that the platform asks for. Under lossesLimit it is given up
-	// unless its losses speak for it, which leaves its odds under priorOdds: the platform allows
-	// two starts more after three losses, and from the third on a task runs alone on its workers,
-	// so that a loss of one that is poison raises its odds. Under one less it is if its odds have
-	// risen to lateOdds at all, so that a loss that was not seen does not matter. Of 19,840 sound
-	// jobs of random faults, whose workers are lost each 14 s, 48 reached four losses, with lower
-	// odds.
+	// whatever the odds: the platform allows two starts more after three losses. Under one
+	// less it is if its odds have risen to lateOdds at all, so that a loss that was not seen
+	// does not matter. Of 19,840 sound jobs of random faults, whose workers are lost each 14 s,
+	// 48 reached four losses, with lower odds.
 	poisonOdds  = 10
 	lossesLeast = 2
 	lateOdds    = 10 * priorOdds
--- a/internal/pool/crowdedtrials_test.go
+++ b/internal/pool/crowdedtrials_test.go
@@ -24,24 +24,23 @@
 // took the place of the odds. Settled by the lines "placed" of three suspects on one worker at
 // one time, and "job given up" with five losses and odds of one to a million.
 
-// crowdedTrials plays a full pool in which one job in eleven has a task that crashes each
+// crowdedTrials plays a full pool in which one job in so many has a task that crashes each
 // worker that starts it, and returns how many sound jobs were given up.
-func crowdedTrials(t *testing.T, seed uint64) (sound, givenUp int) {
+func crowdedTrials(t *testing.T, seed uint64, jobs, every int, crash simulation.Crash) (sound, givenUp int) {
 	random := rand.New(rand.NewPCG(seed, 7))
 	w := simulation.NewWorld(3, 4)
 	guilty := map[string]bool{}
 	w.Work = func(name taskgraph.TaskName) time.Duration { return w.Estimate(name) }
 	w.Own()
 	w.Run(time.Second)
-	const jobs = 440
 	for n := range jobs {
 		step := single(1 + random.IntN(6))
 		step.GPUs = 1 << random.IntN(3)
-		step.EstimateMillis = int64(200 + random.IntN(1300))
+		step.EstimateMillis = max(int64(200+random.IntN(1300)), 2*crash.After.Milliseconds())
 		step.Gang = random.IntN(10) < 3
-		if n%11 == 10 {
+		if n%every == every-1 {
 			guilty[jobID(n)] = true
-			w.Crashing[taskOf(n, 0, 0)] = simulation.Crash{From: simulation.AtWork, After: 10 * time.Millisecond}
+			w.Crashing[taskOf(n, 0, 0)] = crash
 		}
 		queue := batch
 		queue.MaxAttempts = 40
@@ -49,7 +48,7 @@
 		w.Run(85 * time.Millisecond)
 	}
 	began := w.Clock.Now()
-	for open := true; open && w.Clock.Now().Sub(began) < 120*time.Second; {
+	for open := true; open && w.Clock.Now().Sub(began) < 300*time.Second; {
 		w.Run(time.Second)
 		open = false
 		for n := range jobs {
@@ -83,8 +82,27 @@
 	for _, seed := range []uint64{1, 2, 7} {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Parallel()
-			sound, givenUp := crowdedTrials(t, seed)
+			sound, givenUp := crowdedTrials(t, seed, 440, 11, simulation.Crash{From: simulation.AtWork, After: 10 * time.Millisecond})
 			require.Zero(t, givenUp, "of %d sound jobs", sound)
 		})
 	}
 }
+
+// Symptom: after a soak's end a pool made no progress; a dozen tasks crashed its twelve workers by
+// turns, each for the fourteenth time.
+//
+// The sequence: the tasks crash their workers after half a second of work, all workers at once;
+// losses at that age look like chance where all workers are lost all the time, so that no odds
+// rise; and the number of losses no longer ended a job whose odds were low.
+//
+// The cause: what is taken as chance is the rate of losses, which these tasks make. Five losses end
+// a job whatever the odds; that they are a task's own is seen to by letting it run alone.
+func TestTasksThatCrashAfterSomeWorkAreGivenUpInAFullPool(t *testing.T) {
+	for _, seed := range []uint64{1, 2} {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			sound, givenUp := crowdedTrials(t, seed, 200, 6, simulation.Crash{From: simulation.AtStart, After: 553 * time.Millisecond})
+			require.LessOrEqual(t, 100*givenUp, sound, "sound jobs given up")
+		})
+	}
+}
--- a/internal/soak/evacuations.go
+++ b/internal/soak/evacuations.go
@@ -16,7 +16,7 @@
 
 const (
 	// evacuationsEvery is one in how many seeds has evacuations, and evacuationsDrawn the draw
-	// that gives a seed some. The seeds of soak/regressions.txt have none.
+	// that gives a seed some. The seeds that were kept before there were evacuations have none.
 	evacuationsEvery = 2
 	evacuationsDrawn = 1
 	// evacuationsStream tells the numbers drawn here from those of other troubles.
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -50,7 +50,7 @@
 	require.Greater(t, drawn, seeds/4)
 	require.Positive(t, overlapping)
 	for _, kept := range []uint64{619, 10113, 12000, 60601} {
-		require.Empty(t, NewEvacuations(kept, time.Minute), "seeds of soak/regressions.txt stay as they are")
+		require.Empty(t, NewEvacuations(kept, time.Minute), "seeds kept before stay as they are")
 	}
 }
 
