Logs: runs that are listed nowhere, and clocks of workers that jump

Cause: when a confirmed run is neither running nor listed as ended it counts as gone and its task is placed again, without a line.

Change: lines 'run listed nowhere' (also counted as an event of attempts) and 'worker clock jumped'. No logic changes.

--- a/internal/pool/account.go
+++ b/internal/pool/account.go
@@ -99,10 +99,20 @@
 		// The start may still be carried out; a stop bars it.
 		p.sendStop(m)
 	case m.state == memberRunning && m.sentAt.Before(sentAt):
+		p.noteUnlistedRun(m)
 		p.memberEnded(m, fleet.Lapsed)
 	}
 }
 
+// noteUnlistedRun records that a confirmed run is over and nobody said how: the worker neither
+// runs it nor lists its end.
+func (p *Pool) noteUnlistedRun(m *member) {
+	u, w := m.unit, m.worker
+	p.record.Count("attempts", "unlisted")
+	p.record.Decided("run listed nowhere", "job", u.job.id, "task", m.name().String(), "run", u.run, "worker", w.ID,
+		"ran_ms", u.ranMillis(p.loop.Now()), "acknowledged_end", w.lastSeen)
+}
+
 // takeEnds takes in the ends that a worker lists and acknowledges them once written.
 func (p *Pool) takeEnds(w *worker, ends []fleet.Ended) {
 	highest := w.processed
@@ -137,14 +147,9 @@
 		u.checkpoint = end.Checkpoint
 	}
 	p.record.Count("attempts", string(end.How))
-	ran := p.loop.Now().Sub(u.startedAt)
-	ranMillis := ran.Milliseconds()
-	if !u.startedHere {
-		// An earlier owner started it; its line tells when.
-		ranMillis = 0
-	}
+	now := p.loop.Now()
 	p.record.Decided("run ended", "job", u.job.id, "task", end.Task.String(), "run", end.Run, "worker", w.ID, "how", string(end.How),
-		"reason", u.stopReason, "ran_ms", ranMillis, "unsaved_core_s", p.unsavedWork(u, end.How, ran))
+		"reason", u.stopReason, "ran_ms", u.ranMillis(now), "unsaved_core_s", p.unsavedWork(u, end.How, now.Sub(u.startedAt)))
 	switch end.How {
 	case fleet.Done:
 		if u.startedHere {
--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -105,7 +105,9 @@
 
 // heard notes an answer of a worker.
 func (p *Pool) heard(w *worker, clock int64) {
-	w.clock, w.clockAt = clock, p.loop.Now()
+	now := p.loop.Now()
+	p.noteClockJump(w, clock, now)
+	w.clock, w.clockAt = clock, now
 	if w.unanswered > 0 {
 		p.record.Decided("worker answers again", "worker", w.ID, "unanswered", w.unanswered)
 	}
@@ -116,6 +118,22 @@
 	}
 }
 
+// clockJump is by how much a worker's clock may differ from its estimate beyond drift before that
+// is told: far more than answers are late or pass each other.
+const clockJump = 10 * time.Second
+
+// noteClockJump records that a worker's clock is not where it was expected.
+func (p *Pool) noteClockJump(w *worker, clock int64, now time.Time) {
+	if w.clock == 0 {
+		return
+	}
+	expected := w.clockNow(now)
+	allowed := clockJump + time.Duration(2*clockDrift*float64(now.Sub(w.clockAt)))
+	if by := time.Duration(clock-expected) * time.Millisecond; by.Abs() > allowed {
+		p.record.Decided("worker clock jumped", "worker", w.ID, "by_ms", by.Milliseconds(), "runs", len(w.members))
+	}
+}
+
 // unheard notes a call without an answer.
 func (p *Pool) unheard(w *worker) {
 	if w.unanswered == 0 {
--- a/internal/pool/lostruns.go
+++ b/internal/pool/lostruns.go
@@ -38,13 +38,18 @@
 	if m.state == memberNone {
 		return
 	}
-	ranMillis := max(0, w.lastAlive(p.loop.Now()).Sub(u.startedAt).Milliseconds())
-	if !u.startedHere {
-		ranMillis = 0
-	}
 	p.record.Count("attempts", "lost")
 	p.record.Decided("run lost", "job", u.job.id, "task", m.name().String(), "run", u.run, "worker", w.ID, "reason", string(reason),
-		"confirmed", m.state == memberRunning, "ran_ms", ranMillis)
+		"confirmed", m.state == memberRunning, "ran_ms", u.ranMillis(w.lastAlive(p.loop.Now())))
+}
+
+// ranMillis is how long the unit's run had run at a time, for logs: 0 if an earlier owner started
+// it, whose line tells when.
+func (u *unit) ranMillis(at time.Time) int64 {
+	if !u.startedHere {
+		return 0
+	}
+	return max(0, at.Sub(u.startedAt).Milliseconds())
 }
 
 // lastAlive is when the worker fell silent, or now if it did not.
