Failing tests: ends of a worker that started again under its identifier

Simulated workers can start again under their identifier: the next life runs nothing, numbers its ends from 1, and has another clock. The judge now also counts a start as wrong if it followed an end as done that is taken note of later, as the platform does; a planted breach is in its own test.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -12,7 +12,7 @@
 
 // Worker is one life of a worker, as it records itself.
 type Worker struct {
-	ID       string
+	Life
 	Pool     string
 	Address  string
 	Zone     string
@@ -111,6 +111,8 @@
 
 // Reply is an answer to an order.
 type Reply struct {
+	// Born is when the life that answers began; 0 if the answer does not tell. Lists of runs do.
+	Born        int64
 	ClockMillis int64
 	Running     []Running
 	Ended       []Ended
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -83,7 +83,7 @@
 // unlistedWorker makes a worker of which only the name is known.
 func (p *Pool) unlistedWorker(id string) *worker {
 	w := &worker{
-		Worker:    fleet.Worker{ID: id},
+		Worker:    fleet.Worker{Life: fleet.Life{ID: id}},
 		strangers: map[stranger]taskgraph.Amount{},
 		clockAt:   p.loop.Now(),
 	}
--- a/internal/simulation/crash.go
+++ b/internal/simulation/crash.go
@@ -43,12 +43,7 @@
 // CrashAndRestart ends the worker's process: connections are reset and new ones refused
 // until another instance, with nothing running, is up at its address.
 func (w *Worker) CrashAndRestart() {
-	w.Crash()
-	w.Unreachable = true
-	for _, reset := range w.resets {
-		w.clock.After(orderLatency/2, reset)
-	}
-	w.resets = nil
+	w.crashVisibly()
 	w.clock.After(rowLapse, func() { w.world.RemoveWorkerRow(w) })
 	w.clock.After(restartTime, func() {
 		w.Unreachable, w.Replaced = false, true
@@ -60,3 +55,34 @@
 		w.world.PutWorkerRow(successor)
 	})
 }
+
+// crashVisibly ends the worker's process: open connections are reset and new ones refused.
+func (w *Worker) crashVisibly() {
+	w.Crash()
+	w.Unreachable = true
+	for _, reset := range w.resets {
+		w.clock.After(orderLatency/2, reset)
+	}
+	w.resets = nil
+}
+
+// Restart ends the worker's process and starts it again after some time, under its identifier and
+// at its address. The next life's clock stands at clockMillis at its start.
+func (w *Worker) Restart(after time.Duration, clockMillis int64) {
+	w.crashVisibly()
+	w.world.startAgain(w, after, clockMillis)
+}
+
+// startAgain starts the next life of a worker that has crashed.
+func (w *World) startAgain(former *Worker, after time.Duration, clockMillis int64) {
+	if after > rowLapse {
+		w.Clock.After(rowLapse, func() { w.RemoveWorkerRow(former) })
+	}
+	w.Clock.After(after, func() {
+		next := w.AddWorker(former.ID, former.Rack())
+		next.Address = former.Address
+		next.clockEpoch = w.Clock.Now().Add(-time.Duration(clockMillis) * time.Millisecond)
+		next.LoseOrder, next.LoseAnswer = former.LoseOrder, former.LoseAnswer
+		w.PutWorkerRow(next)
+	})
+}
--- a/internal/simulation/judge.go
+++ b/internal/simulation/judge.go
@@ -40,6 +40,8 @@
 	// doneRuns has runs that ended as done, noted those whose end is taken note of.
 	doneRuns map[int]bool
 	noted    bool
+	// repeated is the latest run that started after one had ended as done; 0 if none did.
+	repeated int
 	failures int
 	starts   int
 	// crashes counts the workers that crashed while they ran the task, and startsAfter
@@ -203,6 +205,9 @@
 	if taken, allowed := r.worker.taken(), r.worker.allowance(); !taken.Within(allowed) {
 		j.broken("%v run %d brings %s to %+v, over %+v", r.name, r.number, r.worker.ID, taken, allowed)
 	}
+	if t.done && !j.world.step(r.name).LongRunning {
+		t.repeated = max(t.repeated, r.number)
+	}
 	t.running[r] = true
 	j.Decided("begun", "task", r.name.String(), "run", r.number, "worker", r.worker.ID)
 }
@@ -270,8 +275,13 @@
 // noted notes that an end was acknowledged, which counts unless the worker's lease
 // ran out in between.
 func (j *Judge) noted(w *Worker, entry fleet.Ended) {
-	if entry.How == fleet.Done && w.endedAt[entry.Number] == w.lapses {
-		j.task(entry.Task).noted = true
+	if entry.How != fleet.Done || w.endedAt[entry.Number] != w.lapses {
+		return
+	}
+	t := j.task(entry.Task)
+	t.noted = true
+	if t.repeated > entry.Run {
+		j.broken("%v run %d was started after run %d had ended as done, which is taken note of only now", entry.Task, t.repeated, entry.Run)
 	}
 }
 
--- a/internal/simulation/judge_test.go
+++ b/internal/simulation/judge_test.go
@@ -43,6 +43,12 @@
 			w.Workers[0].hold(fleet.Hold{LastSeen: 1}, func(fleet.Reply, error) {})
 			_, _ = w.Workers[1].start(startOrder(0, 2))
 		}, "taken note of"},
+		"after an end that is noted later": {func(w *World) {
+			_, _ = w.Workers[0].start(startOrder(0, 1))
+			w.Run(2 * time.Second)
+			_, _ = w.Workers[1].start(startOrder(0, 2))
+			w.Workers[0].hold(fleet.Hold{LastSeen: 1}, func(fleet.Reply, error) {})
+		}, "only now"},
 		"before an earlier step": {func(w *World) {
 			_, _ = w.Workers[0].start(startOrder(1, 1))
 		}, "before"},
--- a/internal/simulation/worker.go
+++ b/internal/simulation/worker.go
@@ -14,7 +14,9 @@
 	fleet.Worker
 	world *World
 	clock *emulator.Clock
-	token int64
+	// clockEpoch is when the worker's own clock stood at 0.
+	clockEpoch time.Time
+	token      int64
 	// leaseEnd is when all that runs is killed.
 	leaseEnd time.Time
 	runs     map[taskgraph.TaskName]*run
@@ -73,13 +75,13 @@
 const StopTime = 300 * time.Millisecond
 
 // clockMillis is the worker's clock.
-func (w *Worker) clockMillis() int64 { return w.clock.Now().Sub(w.world.epoch).Milliseconds() }
+func (w *Worker) clockMillis() int64 { return w.clock.Now().Sub(w.clockEpoch).Milliseconds() }
 
 func (w *Worker) extend(deadline int64) {
 	if deadline == 0 {
 		return
 	}
-	end := w.world.epoch.Add(time.Duration(deadline) * time.Millisecond)
+	end := w.clockEpoch.Add(time.Duration(deadline) * time.Millisecond)
 	if limit := w.clock.Now().Add(w.world.Bounds.MaxHold); end.After(limit) {
 		end = limit
 	}
@@ -252,7 +254,7 @@
 }
 
 func (w *Worker) account() fleet.Reply {
-	reply := fleet.Reply{ClockMillis: w.clockMillis(), Ended: append([]fleet.Ended(nil), w.ended...)}
+	reply := fleet.Reply{Born: w.Born, ClockMillis: w.clockMillis(), Ended: append([]fleet.Ended(nil), w.ended...)}
 	for _, r := range w.sortedRuns() {
 		if !r.stopping {
 			reply.Running = append(reply.Running, fleet.Running{Task: r.name, Run: r.number, Percent: w.percent(r)})
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/catalog"
@@ -98,8 +99,11 @@
 // AddWorker adds a worker and its row.
 func (w *World) AddWorker(id, rack string) *Worker {
 	added := &Worker{
-		Worker: fleet.Worker{ID: id, Pool: PoolName, Address: id, Zone: zoneOf(rack), Labels: []string{"a", rack}, Capacity: WorkerCapacity},
-		world:  w, clock: w.Clock,
+		Worker: fleet.Worker{
+			Life: fleet.Life{ID: id, Born: w.Clock.Now().UnixMilli()},
+			Pool: PoolName, Address: id, Zone: zoneOf(rack), Labels: []string{"a", rack}, Capacity: WorkerCapacity,
+		},
+		world: w, clock: w.Clock, clockEpoch: w.epoch,
 		runs: map[taskgraph.TaskName]*run{}, barred: map[taskgraph.TaskName]int{}, endedAt: map[int64]int{},
 	}
 	added.noteCapacity()
@@ -173,8 +177,9 @@
 	}
 }
 
+// worker returns the latest life of a worker, or nil.
 func (w *World) worker(id string) *Worker {
-	for _, candidate := range w.Workers {
+	for _, candidate := range slices.Backward(w.Workers) {
 		if candidate.ID == id {
 			return candidate
 		}
