Ends are acknowledged once, soon after an account of the same life

Cause: each hold carried the highest number acknowledged, for ever. One that reaches the next life of its worker drops ends there that nobody has seen, and the owner can't tell from answers to starts which life it speaks to.

Change: a number goes with holds until one that carried it is answered, and only within 0.5 s of an account of that life; a list's ends count by their run, not by their number.

--- a/internal/pool/account.go
+++ b/internal/pool/account.go
@@ -110,33 +110,31 @@
 	u, w := m.unit, m.worker
 	p.record.Count("attempts", "unlisted")
 	p.record.Decided("run listed nowhere", "job", u.job.id, "task", m.name().String(), "run", u.run, "worker", w.ID,
-		"ran_ms", u.ranMillis(p.loop.Now()), "acknowledged_end", w.lastSeen)
+		"ran_ms", u.ranMillis(p.loop.Now()), "acknowledged_end", w.ends.acknowledged)
 }
 
-// takeEnds takes in the ends that a worker lists and acknowledges them once written.
+// takeEnds takes in the ends that a worker lists and acknowledges them once written. An end counts
+// for its run, not by its number: a list may come twice.
 func (p *Pool) takeEnds(w *worker, ends []fleet.Ended) {
-	highest := w.processed
+	var highest int64
 	for i := range ends {
 		end := &ends[i]
-		if end.Number <= w.processed {
-			continue
-		}
 		highest = max(highest, end.Number)
 		if m := p.memberAt(w, end.Task, end.Run); m != nil {
 			p.takeEnd(w, m, end)
 		}
 	}
-	if highest == w.processed {
+	if w.ends.known(highest) {
 		return
 	}
-	w.processed = highest
+	w.ends.writing = highest
 	if p.options.Without.EndRows {
-		w.lastSeen = highest
+		w.ends.written(highest)
 	}
 	takenAt := p.loop.Now()
 	p.afterWrite(p.writer.delayOfEnds(), func() {
 		p.record.Observe("end_noted", p.loop.Now().Sub(takenAt))
-		w.lastSeen = max(w.lastSeen, highest)
+		w.ends.written(highest)
 		p.hold(w)
 	})
 }
--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -25,8 +25,8 @@
 		w.holdTimer = nil
 	}
 	w.holding = true
-	order := fleet.Hold{Token: p.token, LastSeen: w.lastSeen}
 	now := p.loop.Now()
+	order := fleet.Hold{Token: p.token, LastSeen: w.ends.toSend(now, p.options.Without)}
 	if w.greeted && w.unanswered == 0 {
 		order.Wait = p.holdWait(w)
 		if extension := min(leaseExtension, p.options.Bounds.MaxHold, p.leaseLeft(now)); extension > 0 {
@@ -45,13 +45,17 @@
 			p.holdFailed(w, err)
 			return
 		}
+		if p.answeredByAnotherLife(w, reply, now) {
+			return
+		}
+		w.ends.answered(order.LastSeen)
 		p.holdAnswered(w, reply, now)
 	})
 }
 
 // holdWait is 0 while something is to be known soon.
 func (p *Pool) holdWait(w *worker) time.Duration {
-	if w.processed > w.lastSeen || len(w.members) == 0 {
+	if w.ends.pending() || len(w.members) == 0 {
 		return 0
 	}
 	if w.uncertain() {
@@ -90,7 +94,7 @@
 	}
 	sentAt := p.loop.Now()
 	p.record.Count("worker_orders", "look")
-	p.ports.Hold(&w.Worker, fleet.Hold{Token: p.token, LastSeen: w.lastSeen}, func(reply fleet.Reply, err error) {
+	p.ports.Hold(&w.Worker, fleet.Hold{Token: p.token}, func(reply fleet.Reply, err error) {
 		if p.gone || p.workers[w.ID] != w {
 			return
 		}
@@ -102,7 +106,7 @@
 			return
 		}
 		p.heard(w, reply.ClockMillis)
-		p.lives(w)
+		p.accounted(w)
 		p.takeAccount(w, reply, sentAt)
 	})
 }
@@ -125,8 +129,9 @@
 	w.departing = w.departing || (!w.listed && !w.missing)
 }
 
-// lives notes that the life that is known has given its account.
-func (p *Pool) lives(w *worker) {
+// accounted notes that the known life has given an account.
+func (p *Pool) accounted(w *worker) {
+	w.ends.accountAt = p.loop.Now()
 	if p.lossLedger.Alive(w.Life.String()) {
 		p.record.Decided("worker lives after all", "worker", w.ID)
 	}
@@ -163,11 +168,8 @@
 
 // holdAnswered takes in a hold that was sent at sentAt.
 func (p *Pool) holdAnswered(w *worker, reply fleet.Reply, sentAt time.Time) {
-	if p.answeredByAnotherLife(w, reply, sentAt) {
-		return
-	}
 	p.heard(w, reply.ClockMillis)
-	p.lives(w)
+	p.accounted(w)
 	first := !w.greeted
 	w.greeted = true
 	p.takeAccount(w, reply, sentAt)
@@ -189,7 +191,11 @@
 // scheduleHold keeps holds going while anything runs on the worker, and
 // acknowledges ends once they are written.
 func (p *Pool) scheduleHold(w *worker) {
-	if w.processed > w.lastSeen {
+	if w.ends.due > 0 {
+		p.hold(w)
+		return
+	}
+	if w.ends.pending() {
 		// The hold after the write acknowledges; until then the lease needs care.
 		p.holdLater(w, holdRetry)
 		return
--- a/internal/pool/options.go
+++ b/internal/pool/options.go
@@ -78,6 +78,8 @@
 	StartZones bool
 	// Lives: the lives of a worker are not told apart.
 	Lives bool
+	// FreshAccount: ends are acknowledged however old the last account of the worker is.
+	FreshAccount bool
 	// LossRecords: no job is given up for crashing workers.
 	LossRecords bool
 }
--- a/internal/pool/worker.go
+++ b/internal/pool/worker.go
@@ -46,11 +46,7 @@
 	clockAt time.Time
 	// deadline is the latest lease end, on the worker's clock, that was sent.
 	deadline int64
-	// lastSeen is the highest end that is acknowledged. A worker numbers its ends from 1 in each
-	// life: by the numbers of a former one, ends would be skipped here and dropped there.
-	lastSeen int64
-	// processed is the highest end that was taken in but perhaps not written yet.
-	processed int64
+	ends     endNumbers
 	// lookedAt is when the worker was last asked for its account beside a hold.
 	lookedAt time.Time
 	// holding is true while a hold is under way.
