Runs of a former life are barred in the next before they are placed again; tests of lives

Cause: a run whose start had a copy without an answer was looked for in the next life, not found, and placed again; the copy was carried out there two seconds later, beside it (TestStartsForAFormerLifeAreBarredInTheNext).

Change: whatever is moved to the next life is in doubt until it is listed there or barred. Tests take out: lives, fresh accounts, open starts, the next life's lease; each breaks.

--- a/internal/pool/lives.go
+++ b/internal/pool/lives.go
@@ -125,8 +125,10 @@
 		// The life that the row named may be a later one yet.
 		n.Born = reply.Born
 	}
-	// Owners that did not know of the life gave leases by the clock of the former one.
-	n.deadline = reply.ClockMillis + p.options.Bounds.MaxHold.Milliseconds()
+	if !p.options.Without.NextLifeLease {
+		// Orders that were meant for the former life gave leases by its clock.
+		n.deadline = reply.ClockMillis + p.options.Bounds.MaxHold.Milliseconds()
+	}
 	p.holdAnswered(n, reply, sentAt)
 }
 
@@ -150,7 +152,7 @@
 	w.members = nil
 	var kept []*member
 	for _, m := range all {
-		if m.overWithLife(sentAt) && !there[stranger{task: m.name(), run: m.unit.run}] {
+		if m.overWithLife(sentAt, p.options.Without) && !there[stranger{task: m.name(), run: m.unit.run}] {
 			w.members = append(w.members, m)
 		} else {
 			kept = append(kept, m)
@@ -163,13 +165,13 @@
 // overWithLife reports whether the member's run surely is over if it is in no account that the
 // next life of its worker gave on a question of sentAt. A start without an answer, or a copy of
 // one, may come to the next life, and a run that is being stopped is in no account.
-func (m *member) overWithLife(sentAt time.Time) bool {
+func (m *member) overWithLife(sentAt time.Time, without Without) bool {
 	switch m.state {
 	case memberNone:
 		return true
 	case memberRunning:
-		inFlight := m.doubtful || m.startTries != nil && m.startTries.open > 0
-		return !inFlight && !m.stopTried && m.sentAt.Before(sentAt)
+		open := m.doubtful || m.startTries != nil && m.startTries.open > 0
+		return (!open || without.OpenStarts) && !m.stopTried && m.sentAt.Before(sentAt)
 	}
 	return false
 }
@@ -194,8 +196,9 @@
 	return n
 }
 
-// moveToLife lets a member's run be looked for in the next life of its worker. Answers to orders
-// under way will come from the former one, and say nothing.
+// moveToLife lets a member's run be looked for in the next life of its worker. Unless that lists
+// the run, it is barred there before the task is placed again: the start, or a copy of it, may
+// still come. Answers to orders under way say nothing any more.
 func (p *Pool) moveToLife(m *member, n *worker) {
 	m.worker = n
 	n.members = append(n.members, m)
@@ -204,7 +207,7 @@
 		m.stopTimer()
 		m.stopTimer = nil
 	}
-	if m.state == memberStarting {
+	if m.state == memberStarting || m.state == memberRunning {
 		m.state = memberUncertain
 		m.sentAt = p.loop.Now()
 	}
--- /dev/null
+++ b/internal/pool/lives_test.go
@@ -0,0 +1,261 @@
+package pool_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wheatroad/wheatroad/internal/fleet"
+	"github.com/wheatroad/wheatroad/internal/pool"
+	"github.com/wheatroad/wheatroad/internal/simulation"
+	"github.com/wheatroad/wheatroad/internal/taskgraph"
+)
+
+// farAhead is where the clock of a next life stands that is far ahead of the former one's.
+const farAhead = 7_000_000
+
+// oneWorker returns a world with a single worker, so that everything is placed there, and its
+// owner. Tasks take two seconds.
+func oneWorker(without pool.Without) (*simulation.World, *simulation.Owner) {
+	w := simulation.NewWorld(1, 1)
+	w.Without = without
+	w.Work = func(taskgraph.TaskName) time.Duration { return 2 * time.Second }
+	owner := w.Own()
+	w.Run(100 * time.Millisecond)
+	return w, owner
+}
+
+// numbersOfFormerLife lets ends be written by a slow store while their worker starts again. Starts
+// that the former life left undone reach the next one, where they fail at once, with numbers below
+// those of the former life's ends. Answers to holds are lost for a while if holdsLost is true.
+func numbersOfFormerLife(without pool.Without, holdsLost bool) *simulation.World {
+	w, _ := oneWorker(without)
+	w.Submit(spec(1, single(4)), batch)
+	w.Run(1990 * time.Millisecond)
+	former := w.Workers[0]
+	former.LoseOrder = func() simulation.Fate { return simulation.NeverDone }
+	once := batch
+	once.MaxAttempts = 1
+	for n := range 3 {
+		w.Submit(spec(10+n, single(1)), once)
+	}
+	for w.Judge.Decisions["run ended"] == 0 {
+		w.Run(time.Millisecond)
+	}
+	w.Store.Latency, w.Store.FeedsSilent = 200*time.Millisecond, true
+	former.Restart(10*time.Millisecond, 0)
+	w.Run(11 * time.Millisecond)
+	next := w.Workers[1]
+	next.Failing, next.LoseOrder = true, nil
+	next.LoseAnswer = func() bool { return holdsLost }
+	w.Run(2 * time.Second)
+	holdsLost = false
+	w.Run(4 * time.Second)
+	w.Store.Latency, w.Store.FeedsSilent = 0, false
+	w.Run(20 * time.Second)
+	return w
+}
+
+// TestNumbersOfAFormerLifeDoNotReachTheNext: neither when the next life's account comes before the
+// ends are written, nor when no account comes at all.
+func TestNumbersOfAFormerLifeDoNotReachTheNext(t *testing.T) {
+	for name, c := range map[string]struct {
+		holdsLost bool
+		without   pool.Without
+	}{
+		"next life known":   {without: pool.Without{Lives: true}},
+		"next life unknown": {holdsLost: true, without: pool.Without{FreshAccount: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			requireKept(t, numbersOfFormerLife(pool.Without{}, c.holdsLost))
+			require.NotEmpty(t, numbersOfFormerLife(c.without, c.holdsLost).Judge.Broken, "without the mechanism")
+		})
+	}
+}
+
+// TestStartsForAFormerLifeAreBarredInTheNext: the second copy of a start was answered, and the
+// first one is carried out late, by the next life of the worker.
+func TestStartsForAFormerLifeAreBarredInTheNext(t *testing.T) {
+	play := func(without pool.Without) *simulation.World {
+		w := simulation.NewWorld(1, 2)
+		w.Without = without
+		w.Work = func(taskgraph.TaskName) time.Duration { return 8 * time.Second }
+		w.LateOrdersOutliveWorkers = true
+		w.Own()
+		w.Run(100 * time.Millisecond)
+		for _, worker := range w.Workers {
+			first := true
+			worker.LoseOrder = func() simulation.Fate {
+				if first {
+					first = false
+					return simulation.DoneLate
+				}
+				return simulation.Answered
+			}
+		}
+		w.Submit(spec(1, single(1)), batch)
+		w.Run(time.Second)
+		busyWorker(w).Restart(50*time.Millisecond, 0)
+		w.Run(40 * time.Second)
+		return w
+	}
+	requireKeptOnlyWith(t, play, pool.Without{OpenStarts: true})
+}
+
+// leaseInNextLife lets a start that was meant for a former life give a lease of the platform's
+// longest, as its deadline lies far ahead on the next life's clock. The worker is cut off right
+// after its first account.
+func leaseInNextLife(without pool.Without) *simulation.World {
+	w := simulation.NewWorld(1, 2)
+	w.Bounds.MaxHold = 10 * time.Second
+	w.Without = without
+	w.Work = func(taskgraph.TaskName) time.Duration { return 9 * time.Second }
+	other := w.Workers[1]
+	w.Workers[0].Restart(time.Millisecond, farAhead)
+	w.Run(2 * time.Millisecond)
+	owner := w.Own()
+	w.Run(time.Second)
+	other.Unwell, w.Store.FeedsSilent = true, true
+	w.Workers[2].Restart(50*time.Millisecond, 0)
+	w.Run(100 * time.Millisecond)
+	w.Submit(spec(1, single(1)), batch)
+	row := acceptedRow(w, jobID(1))
+	owner.Process.Post(func() { owner.TakeAnnounced(row) })
+	for w.Judge.Decisions["worker restarted"] == 0 {
+		w.Run(time.Millisecond / 2)
+	}
+	next := w.Workers[3]
+	next.Cut, other.Unwell, w.Store.FeedsSilent = true, false, false
+	w.Run(40 * time.Second)
+	return w
+}
+
+func TestLeasesInTheNextLifeAreCountedInFull(t *testing.T) {
+	requireKeptOnlyWith(t, leaseInNextLife, pool.Without{NextLifeLease: true})
+}
+
+// TestRunInTheNextLifeGoesOnUnderTheNextOwner: the worker starts again while a placement there is
+// written, the start goes to the next life, and the owner is killed. The row names the former life.
+func TestRunInTheNextLifeGoesOnUnderTheNextOwner(t *testing.T) {
+	w, owner := oneWorker(pool.Without{})
+	w.Store.FeedsSilent = true
+	w.Store.Latency = 400 * time.Millisecond
+	w.Submit(spec(1, single(2)), batch)
+	row := acceptedRow(w, jobID(1))
+	owner.Process.Post(func() { owner.TakeAnnounced(row) })
+	w.Run(100 * time.Millisecond)
+	w.Workers[0].Restart(50*time.Millisecond, 0)
+	w.Run(500 * time.Millisecond)
+	require.Equal(t, 2, w.Workers[1].Runs(), "started in the next life")
+	owner.Process.Kill()
+	w.Store.FeedsSilent, w.Store.Latency = false, 0
+	w.Own()
+	w.Run(30 * time.Second)
+	requireKept(t, w)
+	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
+	require.Equal(t, 1, w.Judge.Starts(taskOf(1, 0, 0)))
+}
+
+// TestRunThatEndedWithItsLifeIsPlacedAgain: by an owner that saw the restart, by one that was
+// killed before it, and by one that was killed after it, with and without power lost by all nodes.
+func TestRunThatEndedWithItsLifeIsPlacedAgain(t *testing.T) {
+	cases := map[string]struct {
+		killBefore, killAfter bool
+		away                  time.Duration
+	}{
+		"owner stays":                   {},
+		"owner killed before":           {killBefore: true},
+		"owner killed after":            {killAfter: true},
+		"no owner for seconds, restart": {killBefore: true, away: 8 * time.Second},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			w, owner := oneWorker(pool.Without{})
+			w.Submit(spec(1, single(4)), batch)
+			w.Run(time.Second)
+			if c.killBefore {
+				owner.Process.Kill()
+			}
+			w.Workers[0].Restart(200*time.Millisecond, farAhead)
+			w.Run(250*time.Millisecond + c.away)
+			if c.killAfter {
+				owner.Process.Kill()
+			}
+			if c.killBefore || c.killAfter {
+				w.Own()
+			}
+			w.Run(20 * time.Second)
+			requireKept(t, w)
+			require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
+			require.LessOrEqual(t, w.Judge.Starts(taskOf(1, 0, 0)), 2)
+		})
+	}
+}
+
+// TestRestartIsKnownAtOnce: what ran in a life that surely ended needs no wait for a lease.
+func TestRestartIsKnownAtOnce(t *testing.T) {
+	w, _ := oneWorker(pool.Without{})
+	w.Submit(spec(1, single(8)), batch)
+	w.Run(time.Second)
+	w.Workers[0].Restart(500*time.Millisecond, 0)
+	w.Run(1000 * time.Millisecond)
+	require.Equal(t, 8, w.Workers[1].Runs(), "0.5 s after the restart")
+	require.Equal(t, 8, w.Judge.Counts["attempts/lost"])
+	requireKept(t, w)
+}
+
+// TestStaleRowOfAFormerLifeChangesNothing: a row of the former life comes after one of the next.
+func TestStaleRowOfAFormerLifeChangesNothing(t *testing.T) {
+	w, _ := oneWorker(pool.Without{})
+	former := w.Workers[0]
+	former.Restart(100*time.Millisecond, 0)
+	w.Run(time.Second)
+	w.Submit(spec(1, single(4)), batch)
+	w.Run(500 * time.Millisecond)
+	former.Draining = true
+	w.PutWorkerRow(former)
+	w.Run(500 * time.Millisecond)
+	w.Submit(spec(2, single(2)), batch)
+	w.Run(20 * time.Second)
+	requireKept(t, w)
+	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(2)))
+	require.Equal(t, 1, w.Judge.Starts(taskOf(1, 0, 0)), "nothing was stopped for it")
+	require.NotZero(t, w.Judge.Counts["refusals/worker_row_stale"])
+}
+
+// TestUntrueRowOfALaterLifeEndsNothing: a row names a life that there is not. What runs goes on;
+// nothing new is placed there until a true row is back.
+func TestUntrueRowOfALaterLifeEndsNothing(t *testing.T) {
+	w, _ := oneWorker(pool.Without{})
+	w.Submit(spec(1, single(4)), batch)
+	w.Run(500 * time.Millisecond)
+	untrue := *w.Workers[0]
+	untrue.Born += 3_600_000
+	w.PutWorkerRow(&untrue)
+	w.Run(500 * time.Millisecond)
+	w.Submit(spec(2, single(2)), batch)
+	w.Run(5 * time.Second)
+	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
+	require.Equal(t, 1, w.Judge.Starts(taskOf(1, 0, 0)))
+	require.Zero(t, w.Judge.JobStarts(jobID(2)), "the row names no worker to use")
+	w.PutWorkerRow(w.Workers[0])
+	w.Run(20 * time.Second)
+	requireKept(t, w)
+	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(2)))
+}
+
+// TestWorkersThatDoNotTellTheirBirth: on platforms whose workers do not, an identifier stands for
+// one life.
+func TestWorkersThatDoNotTellTheirBirth(t *testing.T) {
+	w := simulation.NewWorld(1, 2)
+	for _, worker := range w.Workers {
+		worker.Life = fleet.Life{ID: worker.ID}
+		w.PutWorkerRow(worker)
+	}
+	w.Own()
+	w.Submit(spec(1, single(8), gang(2)), batch)
+	w.Run(10 * time.Second)
+	requireKept(t, w)
+	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
+}
--- a/internal/pool/options.go
+++ b/internal/pool/options.go
@@ -78,6 +78,10 @@
 	StartZones bool
 	// Lives: the lives of a worker are not told apart.
 	Lives bool
+	// NextLifeLease: leases in a worker's next life are counted by its own owner's orders only.
+	NextLifeLease bool
+	// OpenStarts: starts without an answer do not come to a worker's next life.
+	OpenStarts bool
 	// FreshAccount: ends are acknowledged however old the last account of the worker is.
 	FreshAccount bool
 	// LossRecords: no job is given up for crashing workers.
--- a/internal/pool/workerfaults_test.go
+++ b/internal/pool/workerfaults_test.go
@@ -27,11 +27,12 @@
 type workerFaults struct {
 	*simulation.World
 	random *rand.Rand
-	// zones draws evacuations, by numbers of its own.
-	zones  *rand.Rand
-	owner  *simulation.Owner
-	jobs   int
-	guilty []taskgraph.TaskName
+	// zones draws evacuations, and restarts those of workers, each by numbers of its own.
+	zones    *rand.Rand
+	restarts *rand.Rand
+	owner    *simulation.Owner
+	jobs     int
+	guilty   []taskgraph.TaskName
 	// cancelled has the jobs that were cancelled.
 	cancelled map[int]bool
 }
@@ -148,10 +149,11 @@
 // playWorkerFaultsHolding plays a seed with a bound of leases of its own; 0 is the usual one.
 func playWorkerFaultsHolding(seed uint64, without pool.Without, steady bool, maxHold time.Duration) *workerFaults {
 	f := &workerFaults{
-		World: simulation.NewWorld(2, 6), random: rand.New(rand.NewPCG(seed, 4)), zones: rand.New(rand.NewPCG(seed, 8)), cancelled: map[int]bool{},
+		World: simulation.NewWorld(2, 6), random: rand.New(rand.NewPCG(seed, 4)), zones: rand.New(rand.NewPCG(seed, 8)), restarts: rand.New(rand.NewPCG(seed, 16)), cancelled: map[int]bool{},
 	}
 	f.Without, f.SteadyTime, f.Unguarded = without, steady, seed%2 == 1
 	f.Catalog.Pools[0].EnforcesCapacity = !f.Unguarded
+	f.LateOrdersOutliveWorkers = seed%3 == 0
 	if maxHold > 0 {
 		f.Bounds.MaxHold = maxHold
 	}
@@ -166,6 +168,7 @@
 		f.troubleWorkers()
 		f.troubleOwner()
 		evacuateSome(f.World, f.zones)
+		f.RestartSome(f.restarts)
 		f.Run(f.between(0, 1200))
 	}
 	f.settle()
--- a/internal/simulation/crash.go
+++ b/internal/simulation/crash.go
@@ -65,24 +65,3 @@
 	}
 	w.resets = nil
 }
-
-// Restart ends the worker's process and starts it again after some time, under its identifier and
-// at its address. The next life's clock stands at clockMillis at its start.
-func (w *Worker) Restart(after time.Duration, clockMillis int64) {
-	w.crashVisibly()
-	w.world.startAgain(w, after, clockMillis)
-}
-
-// startAgain starts the next life of a worker that has crashed.
-func (w *World) startAgain(former *Worker, after time.Duration, clockMillis int64) {
-	if after > rowLapse {
-		w.Clock.After(rowLapse, func() { w.RemoveWorkerRow(former) })
-	}
-	w.Clock.After(after, func() {
-		next := w.AddWorker(former.ID, former.Rack())
-		next.Address = former.Address
-		next.clockEpoch = w.Clock.Now().Add(-time.Duration(clockMillis) * time.Millisecond)
-		next.LoseOrder, next.LoseAnswer = former.LoseOrder, former.LoseAnswer
-		w.PutWorkerRow(next)
-	})
-}
--- a/internal/simulation/ports.go
+++ b/internal/simulation/ports.go
@@ -98,8 +98,12 @@
 			_, _ = carryOut(w)
 		case DoneLate:
 			clock.After(p.world.OrderDelay, func() {
-				if !w.Dead {
-					_, _ = carryOut(w)
+				then := w
+				if p.world.LateOrdersOutliveWorkers {
+					then = p.world.worker(id)
+				}
+				if !then.Dead {
+					_, _ = carryOut(then)
 				}
 			})
 		}
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -38,6 +38,8 @@
 	Crashing map[taskgraph.TaskName]Crash
 	// OrderDelay is how much later an order of the fate DoneLate is carried out.
 	OrderDelay time.Duration
+	// LateOrdersOutliveWorkers lets such an order be carried out by the worker's next life.
+	LateOrdersOutliveWorkers bool
 	// StopTime is how long a stop takes.
 	StopTime time.Duration
 	// Off is handed to every owner.
