--- a/internal/pool/capacity_test.go
+++ b/internal/pool/capacity_test.go
@@ -95,3 +95,55 @@
 		})
 	}
 }
+
+// Work that is being stopped takes room until its end, and no account of its worker names it. A
+// run of a cancelled job was being stopped by one owner when the next one took over: that counted
+// its room as free and filled it, nine accelerators of eight. The next owner's rows showed the job
+// as cancelled with nothing left of it, and the worker's account listed seven runs; the
+// "begun" of the ninth stood 68 ms before the "over" of the stopped one.
+
+// takeOverWhileStopping lets an owner be replaced just after it has stopped a cancelled job that
+// fills a worker, while another one waits.
+func takeOverWhileStopping(without pool.Without) *simulation.World {
+	w := unguardedWorld(1)
+	w.Without = without
+	w.Work = func(taskgraph.TaskName) time.Duration { return 3 * time.Second }
+	w.Submit(spec(2, single(8)), batch)
+	owner := w.Own()
+	w.Run(time.Second)
+	w.Submit(spec(1, single(8)), batch)
+	w.Cancel(jobID(2))
+	for w.Judge.Decisions["stopped"] == 0 {
+		w.Run(time.Millisecond)
+	}
+	w.Run(20 * time.Millisecond)
+	owner.Process.Kill()
+	w.Own()
+	w.Run(20 * time.Second)
+	return w
+}
+
+func TestStoppingWorkKeepsItsRoomOverATakeover(t *testing.T) {
+	requireKept(t, takeOverWhileStopping(pool.Without{}))
+}
+
+// TestStoppingStrangersKeepTheirRoom: the same for runs that the owner itself stops because the
+// rows do not name them.
+func TestStoppingStrangersKeepTheirRoom(t *testing.T) {
+	w := unguardedWorld(1)
+	w.StopTime = w.Bounds.StopTimeout - 10*time.Millisecond
+	w.Work = func(taskgraph.TaskName) time.Duration { return 5 * time.Second }
+	w.Submit(spec(2, single(8)), batch)
+	owner := w.Own()
+	w.Run(time.Second)
+	w.Submit(spec(1, single(8)), batch)
+	w.Workers[0].LoseOrder = func() simulation.Fate { return simulation.NeverDone }
+	w.Cancel(jobID(2))
+	w.Run(100 * time.Millisecond)
+	owner.Process.Kill()
+	w.Workers[0].LoseOrder = nil
+	w.Own()
+	w.Run(20 * time.Second)
+	requireKept(t, w)
+	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
+}
