Work that is being stopped keeps its room in pools that do not guard theirs

Cause: accounts of workers name no work that is being stopped. A new owner counted the room of what the former one was stopping as free, and an owner that of unwanted runs once an account no longer listed them.

Change: unwanted runs take room until their end is listed or the time of a stop has passed; a worker that does not guard its capacity takes nothing new until that time after its first answer.

The second test was given a job that comes at the moment in question: it passed on the old code by the tick's timing, and fails there now.

--- a/internal/pool/account.go
+++ b/internal/pool/account.go
@@ -21,7 +21,7 @@
 // compare settles members against what the worker lists. Ends have been taken in.
 func (p *Pool) compare(w *worker, reply fleet.Reply, sentAt time.Time) {
 	now := p.loop.Now()
-	clear(w.strangers)
+	p.settleStrangers(w, reply)
 	listed := map[*member]bool{}
 	for i := range reply.Running {
 		entry := &reply.Running[i]
--- a/internal/pool/capacity.go
+++ b/internal/pool/capacity.go
@@ -33,13 +33,11 @@
 
 // holdsItsMembers reports whether all that runs or is to run on the worker fits into the
 // capacity that it has now.
-func (w *worker) holdsItsMembers() bool {
+func (w *worker) holdsItsMembers(now time.Time) bool {
 	free := w.Capacity
 	for _, m := range w.members {
 		free = free.Minus(m.unit.spec().Room())
 	}
-	for _, room := range w.strangers {
-		free = free.Minus(room)
-	}
+	free = w.withoutStrangers(free, now)
 	return free.CPU >= 0 && free.MemoryMB >= 0 && free.GPUs >= 0
 }
--- a/internal/pool/capacity_test.go
+++ b/internal/pool/capacity_test.go
@@ -143,6 +143,8 @@
 	owner.Process.Kill()
 	w.Workers[0].LoseOrder = nil
 	w.Own()
+	w.Run(330 * time.Millisecond)
+	w.Submit(spec(3, single(1)), batch)
 	w.Run(20 * time.Second)
 	requireKept(t, w)
 	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -171,7 +171,9 @@
 	p.heard(w, reply.ClockMillis)
 	p.accounted(w)
 	first := !w.greeted
-	w.greeted = true
+	if first {
+		w.greeted, w.greetedAt = true, p.loop.Now()
+	}
 	p.takeAccount(w, reply, sentAt)
 	if first {
 		p.extendAtOnce(w)
--- a/internal/pool/lives.go
+++ b/internal/pool/lives.go
@@ -119,7 +119,7 @@
 	p.noteRestart(w, next.Life, by, len(w.members))
 	p.loseFormerRuns(w, reply, sentAt)
 	n := p.replaceLife(w, next)
-	n.greeted = true
+	n.greeted, n.greetedAt = true, p.loop.Now()
 	if claimed != nil {
 		p.describe(n, claimed)
 		// The life that the row named may be a later one yet.
@@ -141,18 +141,18 @@
 // loseFormerRuns settles the members that were confirmed in the former life before the next one
 // was asked, and are not in its account.
 func (p *Pool) loseFormerRuns(w *worker, reply fleet.Reply, sentAt time.Time) {
-	there := map[stranger]bool{}
+	there := map[runName]bool{}
 	for i := range reply.Running {
-		there[stranger{task: reply.Running[i].Task, run: reply.Running[i].Run}] = true
+		there[runName{task: reply.Running[i].Task, run: reply.Running[i].Run}] = true
 	}
 	for i := range reply.Ended {
-		there[stranger{task: reply.Ended[i].Task, run: reply.Ended[i].Run}] = true
+		there[runName{task: reply.Ended[i].Task, run: reply.Ended[i].Run}] = true
 	}
 	all := w.members
 	w.members = nil
 	var kept []*member
 	for _, m := range all {
-		if m.overWithLife(sentAt, p.options.Without) && !there[stranger{task: m.name(), run: m.unit.run}] {
+		if m.overWithLife(sentAt, p.options.Without) && !there[runName{task: m.name(), run: m.unit.run}] {
 			w.members = append(w.members, m)
 		} else {
 			kept = append(kept, m)
--- a/internal/pool/orders.go
+++ b/internal/pool/orders.go
@@ -80,7 +80,7 @@
 		return false
 	}
 	for _, m := range u.members {
-		if !m.worker.holdsItsMembers() {
+		if !m.worker.holdsItsMembers(p.loop.Now()) {
 			return false
 		}
 		if !p.options.Without.StartZones && !p.mayStartOn(m.worker, p.loop.Now()) {
--- a/internal/pool/snapshot.go
+++ b/internal/pool/snapshot.go
@@ -99,9 +99,7 @@
 		s.units[number].Places = append(s.units[number].Places, place)
 		entry.Holders = append(entry.Holders, placement.Holder{Unit: number, Room: room})
 	}
-	for _, room := range w.strangers {
-		entry.Free = entry.Free.Minus(room)
-	}
+	entry.Free = w.withoutStrangers(entry.Free, s.now)
 	s.workers = append(s.workers, entry)
 	s.owners = append(s.owners, w)
 }
@@ -157,7 +155,7 @@
 
 // usable reports whether a worker may take new work.
 func (p *Pool) usable(w *worker, now time.Time) bool {
-	return w.greeted && w.unanswered == 0 && w.claimed == nil && !w.leaving() && now.After(w.penaltyUntil)
+	return w.greeted && w.unanswered == 0 && w.claimed == nil && p.roomKnown(w, now) && !w.leaving() && now.After(w.penaltyUntil)
 }
 
 // describeUnit renders a unit that holds room.
--- a/internal/pool/stops.go
+++ b/internal/pool/stops.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/fleet"
-	"github.com/wheatroad/wheatroad/internal/taskgraph"
 )
 
 // stopRetry is the pause before a stop whose tries all failed is sent again.
@@ -72,19 +71,3 @@
 		})
 	}
 }
-
-// stopStranger stops a run that does not belong on a worker.
-func (p *Pool) stopStranger(w *worker, name taskgraph.TaskName, run int) {
-	room := taskgraph.Amount{}
-	if j := p.jobs[name.Job]; j != nil && name.Step < len(j.Spec.Steps) {
-		room = j.Spec.Steps[name.Step].Room()
-	}
-	w.strangers[stranger{task: name, run: run}] = room
-	p.record.Count("worker_orders", "stop_stranger")
-	p.record.Decided("unwanted run stopped", "job", name.Job, "task", name.String(), "run", run, "worker", w.ID)
-	p.ports.Stop(&w.Worker, fleet.Stop{Task: name, Run: run, Token: p.token}, func(_ fleet.Reply, err error) {
-		if !p.gone && err != nil {
-			p.orderFailed(w, err)
-		}
-	})
-}
--- a/internal/pool/worker.go
+++ b/internal/pool/worker.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/fleet"
-	"github.com/wheatroad/wheatroad/internal/taskgraph"
 )
 
 // machineRecord is what is known of the machine below a worker, whichever life runs on it: a
@@ -35,12 +34,14 @@
 	missing bool
 	// greeted is true once the worker has answered under this owner's token.
 	greeted bool
+	// greetedAt is when it first did.
+	greetedAt time.Time
 	// toGreet is true while the worker waits to be greeted, and greeting while it is.
 	toGreet, greeting bool
 	// members that may run here, in the order of their assignment.
 	members []*member
 	// strangers are runs that the worker lists and the owner does not want.
-	strangers map[stranger]taskgraph.Amount
+	strangers map[runName]stranger
 	// clock is the worker's clock in milliseconds at clockAt.
 	clock   int64
 	clockAt time.Time
@@ -61,11 +62,5 @@
 	coldUntil time.Time
 }
 
-// stranger is a run that does not belong where it is.
-type stranger struct {
-	task taskgraph.TaskName
-	run  int
-}
-
-// draining reports whether the worker leaves.
+// leaving reports whether the worker leaves.
 func (w *worker) leaving() bool { return w.Draining || !w.listed }
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -5,7 +5,6 @@
 
 	"github.com/wheatroad/wheatroad/internal/fleet"
 	"github.com/wheatroad/wheatroad/internal/rows"
-	"github.com/wheatroad/wheatroad/internal/taskgraph"
 )
 
 // What the owner makes of workers that do not answer or that fail.
@@ -101,7 +100,7 @@
 func (p *Pool) unlistedWorker(life fleet.Life) *worker {
 	w := &worker{
 		Worker:    fleet.Worker{Life: life},
-		strangers: map[stranger]taskgraph.Amount{},
+		strangers: map[runName]stranger{},
 		clockAt:   p.loop.Now(),
 	}
 	p.workers[life.ID] = w
