--- a/internal/pool/lostruns_test.go
+++ b/internal/pool/lostruns_test.go
@@ -171,3 +171,60 @@
 	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
 	require.Zero(t, w.Judge.Counts["given_up/crash_odds"])
 }
+
+// What happened. A sound job was given up after two lost workers, on none of which it had run: its
+// odds of crashing them were 16.
+//
+// The sequence: a start was sent to a worker that had just been cut off and had a hold open; the
+// worker crashed behind the cut and started again. The owner was killed, and the next one found the
+// second start in the rows, written and never sent, on a worker that started again too.
+//
+// The cause: a hold that was open, and a row of an earlier owner, counted as proof that the run had
+// been there. What settled it: "run lost" with confirmed false, ran_ms 411 and 0, "job given up" with
+// losses 2, and one run on the platform, which began later.
+
+// startsThatNeverArrive lets a job's first start go to a worker that has a hold open, is cut off and
+// crashes, and the next three be written by owners that are killed before they are sent, on workers
+// that crash.
+func startsThatNeverArrive() *simulation.World {
+	const workers = 16
+	w := simulation.NewWorld(1, workers)
+	w.Work = func(taskgraph.TaskName) time.Duration { return 30 * time.Second }
+	owner := w.Own()
+	w.Submit(spec(9, single(8*workers-2)), batch)
+	w.Run(time.Second)
+	var roomy *simulation.Worker
+	for _, worker := range w.Workers {
+		if worker.Runs() < 8 {
+			roomy = worker
+		}
+	}
+	roomy.Cut = true
+	w.Submit(spec(1, single(1)), urgent)
+	w.Run(300 * time.Millisecond)
+	roomy.ReplaceUnseen()
+	for range 3 {
+		w.Store.Latency = 20 * time.Millisecond
+		lost := w.Judge.Counts["attempts/lost"]
+		for w.Judge.Counts["attempts/lost"] == lost {
+			w.Run(time.Millisecond)
+		}
+		// The placement is written 10 ms later, and the start would go out 10 ms after that.
+		w.Run(11 * time.Millisecond)
+		owner.Process.Kill()
+		w.Store.Latency = 0
+		w.Workers[len(w.Workers)-1].CrashAndRestart()
+		w.Run(time.Second)
+		owner = w.Own()
+	}
+	w.Run(90 * time.Second)
+	return w
+}
+
+func TestStartsThatNeverArriveAreNoEvidence(t *testing.T) {
+	w := startsThatNeverArrive()
+	requireKept(t, w)
+	require.Equal(t, 1, w.Judge.Starts(taskOf(1, 0, 0)), "only the last start arrived")
+	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
+	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(9)))
+}
--- a/internal/simulation/restart.go
+++ b/internal/simulation/restart.go
@@ -19,6 +19,12 @@
 	w.world.startAgain(w, after, clockMillis)
 }
 
+// ReplaceUnseen is CrashAndRestart behind a cut: open connections are not reset but stay silent.
+func (w *Worker) ReplaceUnseen() {
+	w.resets = nil
+	w.CrashAndRestart()
+}
+
 // startAgain starts the next life of a worker that has crashed.
 func (w *World) startAgain(former *Worker, after time.Duration, clockMillis int64) {
 	if after > rowLapse {
