--- a/internal/poison/ledger_test.go
+++ b/internal/poison/ledger_test.go
@@ -280,7 +280,7 @@
 }
 
 // TestBurstsOfLossesAccuseNobody: a third of the workers start again within a second, four times in
-// 20 s. A task that ran for some seconds on one of them each time is as innocent as the others. By
+// 20 s. A task that ran for half a second on one of them each time is as innocent as the others. By
 // the rate within 10 s alone its odds were enough to give it up at the fourth loss.
 func TestBurstsOfLossesAccuseNobody(t *testing.T) {
 	l, struck := newLedger(48), alone()
@@ -291,7 +291,7 @@
 			if worker == 8 {
 				tasks = []*History{struck}
 			}
-			lose(l, when, 300*time.Millisecond, tasks...)
+			lose(l, when, 550*time.Millisecond, tasks...)
 		}
 	}
 	require.False(t, struck.Verdict().Poison(), "odds %g", struck.Odds())
