Rows of another writer name no worker to use

Cause: rows of workers were taken with any state, any capacity and without an address; null was a worker; and a value that is no base64 spoiled the whole scan or feed that it came in.

Change: the adapter checks a row field by field against what every worker writes (the twelve deployments' rows have the same twelve fields) and names the fault; the pool counts it, starts nothing on a worker of that name until its own row is back, and lets what runs there go on under its lease. One log line in 10 s at most, a gauge with their number. Rows of progress name the address then, so that a next owner reaches the worker.

--- /dev/null
+++ b/internal/pool/foreignrows_test.go
@@ -0,0 +1,74 @@
+package pool_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wheatroad/wheatroad/internal/simulation"
+	"github.com/wheatroad/wheatroad/internal/taskgraph"
+)
+
+// TestRunsGoOnUnderAForeignRow: a worker's row turns unreadable while tasks run there, and back.
+func TestRunsGoOnUnderAForeignRow(t *testing.T) {
+	for name, value := range map[string]string{"no document": "{", "null": "null", "another service": `{"ID":"w-0-0","Pool":"other","Address":"w-0-0"}`} {
+		t.Run(name, func(t *testing.T) {
+			w := simulation.NewWorld(1, 1)
+			w.Work = func(taskgraph.TaskName) time.Duration { return 9 * time.Second }
+			w.Own()
+			w.Submit(spec(1, single(4)), batch)
+			w.Run(time.Second)
+			w.PutForeignRow(w.Workers[0].ID, []byte(value))
+			w.Run(500 * time.Millisecond)
+			w.Submit(spec(2, single(2)), batch)
+			w.Run(10 * time.Second)
+			require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)), "runs outlast their first lease")
+			require.Equal(t, 1, w.Judge.Starts(taskOf(1, 0, 0)))
+			require.Zero(t, w.Judge.JobStarts(jobID(2)), "nothing new starts there")
+			w.PutWorkerRow(w.Workers[0])
+			w.Run(20 * time.Second)
+			requireKept(t, w)
+			require.Equal(t, taskgraph.Completed, w.StoredState(jobID(2)))
+		})
+	}
+}
+
+// TestNextOwnerFindsRunsUnderAForeignRow: the owner is killed while a worker's row is another
+// writer's; the next one reaches the worker by what the rows of progress tell.
+func TestNextOwnerFindsRunsUnderAForeignRow(t *testing.T) {
+	w := simulation.NewWorld(1, 1)
+	w.Work = func(taskgraph.TaskName) time.Duration { return 9 * time.Second }
+	owner := w.Own()
+	w.Submit(spec(1, single(4)), batch)
+	w.Run(time.Second)
+	w.PutForeignRow(w.Workers[0].ID, []byte("null"))
+	w.Run(500 * time.Millisecond)
+	owner.Process.Kill()
+	w.Run(time.Second)
+	w.Own()
+	w.Run(20 * time.Second)
+	requireKept(t, w)
+	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
+	require.Equal(t, 1, w.Judge.Starts(taskOf(1, 0, 0)))
+}
+
+// TestThousandsOfForeignRowsCostOneLine: the others are used as ever, and log and feed bear them.
+func TestThousandsOfForeignRowsCostOneLine(t *testing.T) {
+	w := simulation.NewWorld(1, 2)
+	for n := range 3000 {
+		w.PutForeignRow(fmt.Sprintf("foreign-%d", n), []byte("{}"))
+	}
+	w.Own()
+	w.Submit(spec(1, single(16)), batch)
+	w.Run(3 * time.Second)
+	for n := range 3000 {
+		w.PutForeignRow(fmt.Sprintf("foreign-%d", n), []byte("[]"))
+	}
+	w.Run(5 * time.Second)
+	requireKept(t, w)
+	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
+	require.Equal(t, 1, w.Judge.Decisions["rows of another writer"])
+	require.Equal(t, 3000, w.Judge.Counts["foreign_rows"])
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/evacuation"
+	"github.com/wheatroad/wheatroad/internal/fleet"
 	"github.com/wheatroad/wheatroad/internal/loop"
 	"github.com/wheatroad/wheatroad/internal/poison"
 	"github.com/wheatroad/wheatroad/internal/rows"
@@ -84,6 +85,7 @@
 	// last told of them, and evacuationsWereKnown whether that was new enough for starts.
 	evacuatedRead, evacuatedNoted            evacuation.Set
 	evacuationsWereKnown, readingEvacuations bool
+	foreign                                  foreignRows
 	// earlyCancels are cancellations read before their job.
 	earlyCancels map[string]bool
 }
@@ -96,6 +98,7 @@
 		jobs: map[string]*job{}, workers: map[string]*worker{},
 		storeAnsweredAt: l.Now(), earlyCancels: map[string]bool{},
 		durations: map[string]*durationModel{}, storeRetries: loop.NewRetries(l), lossLedger: poison.NewLedger(),
+		foreign: foreignRows{faults: map[string]fleet.RowFault{}},
 	}
 	p.writer = writer{pool: p}
 	return p
@@ -166,6 +169,7 @@
 	p.checkConfirmation()
 	p.checkEvacuations()
 	p.checkWorkers()
+	p.tellForeignRows()
 	p.checkStops()
 	p.checkLeaving()
 	p.checkUnits()
--- a/internal/pool/workerfaults_test.go
+++ b/internal/pool/workerfaults_test.go
@@ -30,9 +30,11 @@
 	// zones draws evacuations, and restarts those of workers, each by numbers of its own.
 	zones    *rand.Rand
 	restarts *rand.Rand
-	owner    *simulation.Owner
-	jobs     int
-	guilty   []taskgraph.TaskName
+	// foreign draws rows of another writer.
+	foreign *rand.Rand
+	owner   *simulation.Owner
+	jobs    int
+	guilty  []taskgraph.TaskName
 	// cancelled has the jobs that were cancelled.
 	cancelled map[int]bool
 }
@@ -149,7 +151,8 @@
 // playWorkerFaultsHolding plays a seed with a bound of leases of its own; 0 is the usual one.
 func playWorkerFaultsHolding(seed uint64, without pool.Without, steady bool, maxHold time.Duration) *workerFaults {
 	f := &workerFaults{
-		World: simulation.NewWorld(2, 6), random: rand.New(rand.NewPCG(seed, 4)), zones: rand.New(rand.NewPCG(seed, 8)), restarts: rand.New(rand.NewPCG(seed, 16)), cancelled: map[int]bool{},
+		World: simulation.NewWorld(2, 6), random: rand.New(rand.NewPCG(seed, 4)), zones: rand.New(rand.NewPCG(seed, 8)), restarts: rand.New(rand.NewPCG(seed, 16)),
+		foreign: rand.New(rand.NewPCG(seed, 32)), cancelled: map[int]bool{},
 	}
 	f.Without, f.SteadyTime, f.Unguarded = without, steady, seed%2 == 1
 	f.Catalog.Pools[0].EnforcesCapacity = !f.Unguarded
@@ -169,6 +172,7 @@
 		f.troubleOwner()
 		evacuateSome(f.World, f.zones)
 		f.RestartSome(f.restarts)
+		f.ForeignRowsSome(f.foreign)
 		f.Run(f.between(0, 1200))
 	}
 	f.settle()
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"maps"
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/fleet"
@@ -37,6 +38,7 @@
 				p.unlist(w)
 			}
 		}
+		maps.DeleteFunc(p.foreign.faults, func(name string, _ fleet.RowFault) bool { return !listed[name] })
 		p.noteListing(table, askedAt)
 		p.follow(table, listing.Version, retryPause, p.applyWorkerRow, p.readWorkers)
 	})
@@ -46,6 +48,7 @@
 func (p *Pool) applyWorkerRow(row rows.Row) {
 	w := p.workers[row.Name]
 	if row.Gone {
+		delete(p.foreign.faults, row.Name)
 		if w != nil {
 			p.unlist(w)
 		}
@@ -53,10 +56,12 @@
 	}
 	described, err := p.ports.DecodeWorker(row.Name, row.Value)
 	if err != nil {
-		p.record.Count("refusals", "worker_row_invalid")
+		p.takeForeignRow(row.Name, err)
 		return
 	}
+	delete(p.foreign.faults, row.Name)
 	if described.Pool != p.options.Pool {
+		p.distrust(row.Name)
 		return
 	}
 	if w == nil {
--- /dev/null
+++ b/internal/simulation/foreignrows.go
@@ -0,0 +1,58 @@
+package simulation
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+
+	"github.com/wheatroad/wheatroad/internal/fleet"
+	"github.com/wheatroad/wheatroad/internal/rows"
+)
+
+// PutForeignRow writes a worker's row as another writer would leave it.
+func (w *World) PutForeignRow(name string, value []byte) {
+	w.Store.Apply(rows.Transaction{Puts: []rows.Put{{Key: rows.Key{Table: w.WorkerTable, Name: name}, Value: value}}})
+}
+
+// foreignValues are rows that name no worker to use.
+var foreignValues = [][]byte{
+	nil, []byte("null"), []byte("{}"), []byte("[]"), []byte("{"), {0xff, 0x00, 0xfe}, []byte(`"ready"`),
+	[]byte(`{"ID":7}`), []byte(`{"Pool":"workers","Address":["w-0-0"],"Capacity":{"GPUs":"8"}}`),
+}
+
+// foreignRowLasts is how long another writer's row stands under a worker's name until the worker's
+// next heartbeat replaces it.
+const foreignRowLasts = heartbeat
+
+// ForeignRowsSome lets another writer leave a row now and then, under the name of a worker or of
+// none. It changes nothing that is drawn elsewhere.
+func (w *World) ForeignRowsSome(random *rand.Rand) {
+	value := foreignValues[random.IntN(len(foreignValues))]
+	living := w.living()
+	switch random.IntN(8) {
+	case 0:
+		w.PutForeignRow("nobody", value)
+	case 1:
+		if len(living) == 0 {
+			return
+		}
+		struck := living[random.IntN(len(living))]
+		w.PutForeignRow(struck.ID, value)
+		w.Clock.After(foreignRowLasts, func() {
+			if !struck.Dead {
+				w.PutWorkerRow(struck)
+			}
+		})
+	}
+}
+
+// decodeWorker reads what encodeWorker wrote, and refuses what another writer left.
+func decodeWorker(value []byte) (*fleet.Worker, error) {
+	var decoded fleet.Worker
+	if err := json.Unmarshal(value, &decoded); err != nil {
+		return nil, &fleet.RowError{Fault: fleet.RowUnreadable}
+	}
+	if decoded.ID == "" || decoded.Pool == "" || decoded.Address == "" {
+		return nil, &fleet.RowError{Fault: fleet.RowIncomplete}
+	}
+	return &decoded, nil
+}
--- a/internal/simulation/ports.go
+++ b/internal/simulation/ports.go
@@ -1,7 +1,6 @@
 package simulation
 
 import (
-	"encoding/json"
 	"strings"
 	"time"
 
@@ -147,9 +146,7 @@
 
 // DecodeWorker implements pool.Ports.
 func (p *ports) DecodeWorker(_ string, value []byte) (*fleet.Worker, error) {
-	var decoded fleet.Worker
-	err := json.Unmarshal(value, &decoded)
-	return &decoded, err
+	return decodeWorker(value)
 }
 
 // EvacuationRows implements pool.Ports.
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -43,6 +43,7 @@
 		"answers_given_up":  {"wheatroad.store.answers.given.up", "Answers of the store of which only a part arrived in time, by table.", "table"},
 		"announcements":     {"wheatroad.job.announcements", "Accepted jobs told to their pool's owner, by result.", "result"},
 		"store_relays":      {"wheatroad.store.relays", "Calls to the store through another node, by result.", "result"},
+		"foreign_rows":      {"wheatroad.worker.rows.foreign", "Rows of workers that name no worker to use, each time one is read, by fault.", "fault"},
 		"worker_restarts":   {"wheatroad.worker.restarts", "Workers that started again under their identifier, by how that was known.", "known_by"},
 		"start_failures":    {"wheatroad.worker.start.failures", "Starts that did not succeed, by reason.", "reason"},
 		"stops":             {"wheatroad.unit.stops", "Units stopped, by reason.", "reason"},
@@ -72,6 +73,7 @@
 // Gauges lists every gauge, by the short name that code uses.
 func Gauges() map[string]Definition {
 	return map[string]Definition{
+		"foreign_rows":    {Name: "wheatroad.pool.foreign.rows", Description: "Rows of workers that name no worker to use, as another writer left them."},
 		"evacuated_zones": {Name: "wheatroad.pool.evacuated.zones", Description: "Zones in which the pools of this node start nothing, since operators have evacuated them."},
 	}
 }
