--- /dev/null
+++ b/internal/pool/fuzz_test.go
@@ -0,0 +1,68 @@
+package pool_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/wheatroad/wheatroad/internal/pool"
+	"github.com/wheatroad/wheatroad/internal/rows"
+	"github.com/wheatroad/wheatroad/internal/simulation"
+	"github.com/wheatroad/wheatroad/internal/taskgraph"
+)
+
+// Rows that outlast an owner may be damaged, or another writer's. A new owner takes over all the same.
+
+// takeOverWithRow lets an owner read a row beside those of a sound job.
+func takeOverWithRow(key rows.Key, value []byte) *simulation.World {
+	w := simulation.NewWorld(1, 2)
+	w.Judge.Quiet = true
+	for _, worker := range w.Workers {
+		worker.Unwell = key.Table == pool.JobTable
+	}
+	w.Submit(spec(1, single(2), gang(2)), batch)
+	w.Submit(spec(2, single(1)), batch)
+	w.Store.Apply(rows.Transaction{Puts: []rows.Put{{Key: key, Value: value}}})
+	w.Own()
+	w.Run(300 * time.Millisecond)
+	return w
+}
+
+func FuzzProgressRow(f *testing.F) {
+	f.Add([]byte(`{"token":3,"serial":4,"state":"running","steps":[{"s":0,"e":"AQ==","u":[{"i":1,"r":2,"f":1,"w":["w-0-0"],"b":[5],"n":"AQ==","a":{"w-0-0":"w-0-0"},"l":[{"l":[{"w":"x","r":3}]}]}]}]}`))
+	f.Add([]byte(`{"state":"failed","ended_ms":5,"steps":[{"s":1,"u":[{"i":0,"r":1,"w":["w-0-1","gone"],"a":{"gone":"z"}}]}]}`))
+	f.Fuzz(func(_ *testing.T, value []byte) {
+		key := rows.Key{Table: pool.ProgressTable, Part: pool.ProgressParts(simulation.PoolName)[0], Name: jobID(1)}
+		takeOverWithRow(key, value)
+	})
+}
+
+func FuzzAcceptedRow(f *testing.F) {
+	f.Add(pool.Encode(pool.Accepted{Spec: spec(3, single(2)), Queue: batch}))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		var accepted pool.Accepted
+		if json.Unmarshal(value, &accepted) == nil && mostTasks(&accepted.Spec) > fuzzedTasks {
+			t.Skip("20,000 tasks that ask for nothing take 6 s on two workers")
+		}
+		// The world knows nothing of such a job, so that its workers do not start it.
+		takeOverWithRow(pool.AcceptedKey(pool.JobParts(simulation.PoolName, jobID(3))[0], jobID(3)), value)
+	})
+}
+
+// fuzzedTasks bounds the tasks of one time of a job that is taken over.
+const fuzzedTasks = 500
+
+func mostTasks(spec *taskgraph.Spec) int {
+	most := 0
+	for i := range spec.Steps {
+		most = max(most, spec.Steps[i].Count)
+	}
+	return most
+}
+
+func FuzzHeadRow(f *testing.F) {
+	f.Add([]byte(`{"token":1,"nonce":"n","durations":{"q":{}}}`))
+	f.Fuzz(func(_ *testing.T, value []byte) {
+		takeOverWithRow(rows.Key{Table: pool.ProgressTable, Part: pool.ProgressParts(simulation.PoolName)[0], Name: "!head"}, value)
+	})
+}
--- a/internal/pool/read.go
+++ b/internal/pool/read.go
@@ -213,9 +213,14 @@
 		return
 	}
 	var accepted Accepted
-	if err := json.Unmarshal(row.Value, &accepted); err != nil {
+	if err := json.Unmarshal(row.Value, &accepted); err != nil || accepted.Spec.ID != id || accepted.Spec.Validate() != nil {
 		p.record.Count("refusals", "job_row_invalid")
 		return
 	}
-	p.addJob(id, accepted, records[id])
+	record := records[id]
+	if !record.fits(&accepted.Spec) {
+		p.record.Count("refusals", "progress_row_invalid")
+		record = Progress{}
+	}
+	p.addJob(id, accepted, record)
 }
--- a/internal/pool/records.go
+++ b/internal/pool/records.go
@@ -87,6 +87,30 @@
 	return p.Serial > other.Serial
 }
 
+// maxRun bounds the number of a run: far more than a task is ever started.
+const maxRun = 1 << 30
+
+// fits reports whether the row can be of a job. One that can't is damaged, or another writer's.
+func (p *Progress) fits(spec *taskgraph.Spec) bool {
+	for i := range p.Steps {
+		saved := &p.Steps[i]
+		if saved.Time < 0 || saved.Time >= spec.Times() || saved.Step < 0 || saved.Step >= len(spec.Steps) {
+			return false
+		}
+		for k := range saved.Units {
+			if !saved.Units[k].fits(&spec.Steps[saved.Step]) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (r *unitProgress) fits(step *taskgraph.Step) bool {
+	numbered := r.Index >= 0 && r.Index < step.Count && r.Run >= 0 && r.Run <= maxRun
+	return numbered && r.Failures >= 0 && r.Failures <= maxRun && len(r.Workers) <= step.Count
+}
+
 // stepProgress is the progress of one step of one time.
 type stepProgress struct {
 	Time     int  `json:"k,omitempty"`
--- a/internal/simulation/ports.go
+++ b/internal/simulation/ports.go
@@ -73,6 +73,11 @@
 	}
 	clock.After(orderLatency/2, func() {
 		w := p.world.worker(id)
+		if w == nil {
+			// Nobody listens at the address that a row told.
+			clock.After(orderLatency/2, func() { done(fleet.Reply{}, fleet.ErrUnreachable) })
+			return
+		}
 		if w.Replaced {
 			clock.After(orderLatency/2, func() { done(fleet.Reply{}, fleet.ErrOtherInstance) })
 			return
@@ -124,6 +129,10 @@
 	clock.After(order.Wait+orderSilence, func() { once(fleet.Reply{}, fleet.ErrNoAnswer) })
 	clock.After(orderLatency/2, func() {
 		w := p.world.worker(to.ID)
+		if w == nil {
+			clock.After(orderLatency/2, func() { once(fleet.Reply{}, fleet.ErrUnreachable) })
+			return
+		}
 		if w.Replaced {
 			clock.After(orderLatency/2, func() { once(fleet.Reply{}, fleet.ErrOtherInstance) })
 			return
