--- a/internal/simulation/foreignrows.go
+++ b/internal/simulation/foreignrows.go
@@ -27,7 +27,7 @@
 // none. It changes nothing that is drawn elsewhere.
 func (w *World) ForeignRowsSome(random *rand.Rand) {
 	value := foreignValues[random.IntN(len(foreignValues))]
-	living := w.living()
+	living := w.Living()
 	switch random.IntN(8) {
 	case 0:
 		w.PutForeignRow("nobody", value)
--- a/internal/simulation/restart.go
+++ b/internal/simulation/restart.go
@@ -52,7 +52,7 @@
 // RestartSome lets a worker start again under its identifier, now and then: alone, twice in a row,
 // behind a cut, or with a third of the others. It changes nothing that is drawn elsewhere.
 func (w *World) RestartSome(random *rand.Rand) {
-	living := w.living()
+	living := w.Living()
 	if len(living) == 0 {
 		return
 	}
@@ -79,7 +79,8 @@
 	}
 }
 
-func (w *World) living() []*Worker {
+// Living lists the workers that have not crashed.
+func (w *World) Living() []*Worker {
 	var living []*Worker
 	for _, worker := range w.Workers {
 		if !worker.Dead {
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -262,6 +262,38 @@
 	require.Positive(t, report.States[taskgraph.Failed])
 }
 
+// TestShortSoakOfLives plays a seed whose workers start again under their identifiers and whose
+// rows are another writer's for a while.
+func TestShortSoakOfLives(t *testing.T) {
+	report := playShort(t, 20063)
+	require.NotEmpty(t, report.Lives.Restarts)
+	require.NotEmpty(t, report.Lives.ForeignRows)
+}
+
+func TestLivesAreTheSameForASeed(t *testing.T) {
+	const seeds = 200
+	drawn, series, foreign := 0, 0, 0
+	for seed := range uint64(seeds) {
+		lives := NewLives(seed, time.Minute)
+		require.Equal(t, lives, NewLives(seed, time.Minute))
+		if len(lives.Restarts) > 0 {
+			drawn++
+		}
+		for _, restart := range lives.Restarts {
+			if restart.Series {
+				series++
+			}
+		}
+		foreign += len(lives.ForeignRows)
+	}
+	require.InDelta(t, seeds/livesEvery, drawn, seeds/10)
+	require.Positive(t, series)
+	require.Positive(t, foreign)
+	for _, kept := range []uint64{619, 10113, 12000, 60601, 72014, 73019} {
+		require.Empty(t, NewLives(kept, time.Minute), "seeds kept before stay as they are")
+	}
+}
+
 func TestWorkerTroublesAreTheSameForASeed(t *testing.T) {
 	const seeds = 200
 	drawn, poison, unguarded, changes := 0, 0, 0, 0
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -45,6 +45,8 @@
 	Evacuations []Evacuation `json:"evacuations,omitempty"`
 	// Workers is what befalls workers beside the plan's faults.
 	Workers WorkerTroubles `json:"workers"`
+	// Lives is what befalls workers' lives and rows.
+	Lives Lives `json:"lives"`
 	// Answers counts what callers got, by call and status.
 	Answers map[string]int `json:"answers"`
 	// States counts accepted jobs by their state at the end.
@@ -161,6 +163,8 @@
 	r.applyEvacuations(report.Evacuations, began, &ends)
 	report.Workers = r.workers
 	r.applyWorkerTroubles(began, &ends)
+	report.Lives = NewLives(r.options.Seed, r.options.Length)
+	r.applyLives(report.Lives, began, &ends)
 	for _, fault := range NewPlan(r.options.Seed, r.options.Length) {
 		time.Sleep(time.Until(began.Add(fault.At)))
 		report.Faults[fault.Kind]++
