--- a/internal/cli/node_status.go
+++ b/internal/cli/node_status.go
@@ -79,6 +79,11 @@
 				o.Jobs, o.WaitingUnits, o.Runs, o.Workers, o.Unusable, o.Slow, o.Silent, o.Suspects, o.ConfirmedMillis)
 			fmt.Fprintf(&text, "    evacuated zones %v (known %d ms ago, new enough to start work %v): %d runs there, %d units wait for them\n",
 				o.EvacuatedZones, o.EvacuationsMillis, o.EvacuationsKnown, o.RunsThere, o.WaitingForZones)
+			fmt.Fprintf(&text, "    restarts of workers %d, rows of another writer %d\n", o.Restarts, o.ForeignRows)
+			for _, restarted := range o.Restarted {
+				fmt.Fprintf(&text, "      %s came back %d times, last born %s, %d runs\n",
+					restarted.Worker, restarted.Times, time.UnixMilli(restarted.Born).UTC().Format(time.RFC3339Nano), restarted.Runs)
+			}
 		}
 	}
 	_, err := io.WriteString(out, text.String())
--- a/internal/cli/trace.go
+++ b/internal/cli/trace.go
@@ -11,16 +11,48 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
+
+	"github.com/wheatroad/wheatroad/internal/fleet"
 )
 
 // traceLine is a log line that names a job.
 type traceLine struct {
-	at   string
-	node string
-	text string
+	at       string
+	node     string
+	text     string
+	decision string
 	// decides is true for lines after which the job's fate is settled, and explains for those
 	// that say why and are followed by the line that only says so.
 	decides, explains bool
+	// end is what became of a run; nil for other lines.
+	end *runEnd
+}
+
+// runEnd is what a line tells of the end of a run.
+type runEnd struct {
+	Task   string `json:"task"`
+	Run    int    `json:"run"`
+	Worker string `json:"worker"`
+	// Born is when the worker's life began in which it ran; 0 if that is not known.
+	Born   int64  `json:"born"`
+	How    string `json:"how"`
+	Reason string `json:"reason"`
+}
+
+// endingLines are the decisions that tell of the end of a run.
+var endingLines = map[string]bool{"run ended": true, "run lost": true, "run listed nowhere": true}
+
+// describe renders the end with the life of the worker.
+func (e *runEnd) describe(decision string) string {
+	life := fleet.Life{ID: e.Worker, Born: e.Born}
+	how := e.How
+	if how == "" {
+		how = strings.TrimPrefix(decision, "run ")
+	}
+	if e.Reason != "" {
+		how += ", " + e.Reason
+	}
+	return fmt.Sprintf("%s run %d in %s: %s", e.Task, e.Run, life, how)
 }
 
 // logRecord has the fields of a log line that the trace reads.
@@ -28,6 +60,7 @@
 	Timestamp string `json:"ts"`
 	Decision  string `json:"msg"`
 	Job       string `json:"job"`
+	runEnd
 }
 
 // explainingLine tells why a job is about to end as failed.
@@ -97,8 +130,12 @@
 		if prefix := strings.TrimSpace(text[:begin]); prefix != "" {
 			source = prefix
 		}
-		lines = append(lines, traceLine{at: record.Timestamp, node: source, text: text[begin:],
-			decides: decidingLines[record.Decision], explains: record.Decision == explainingLine})
+		line := traceLine{at: record.Timestamp, node: source, text: text[begin:], decision: record.Decision,
+			decides: decidingLines[record.Decision], explains: record.Decision == explainingLine}
+		if endingLines[record.Decision] {
+			line.end = &record.runEnd
+		}
+		lines = append(lines, line)
 	}
 	return lines, scanner.Err()
 }
@@ -132,8 +169,23 @@
 		}
 	}
 	if deciding < 0 {
-		_, err := fmt.Fprintln(output, "no deciding line yet")
-		return err
+		if _, err := fmt.Fprintln(output, "no deciding line yet"); err != nil {
+			return err
+		}
+	}
+	return printRuns(output, lines)
+}
+
+// printRuns lists the runs that ended, with the lives of the workers they ran in: whether a task was
+// rightly started again shows in how its runs before ended.
+func printRuns(output io.Writer, lines []traceLine) error {
+	for i := range lines {
+		if lines[i].end == nil {
+			continue
+		}
+		if _, err := fmt.Fprintf(output, "  run: %s\n", lines[i].end.describe(lines[i].decision)); err != nil {
+			return err
+		}
 	}
 	return nil
 }
--- a/internal/pool/account.go
+++ b/internal/pool/account.go
@@ -112,7 +112,7 @@
 func (p *Pool) noteUnlistedRun(m *member) {
 	u, w := m.unit, m.worker
 	p.record.Count("attempts", "unlisted")
-	p.record.Decided("run listed nowhere", "job", u.job.id, "task", m.name().String(), "run", u.run, "worker", w.ID,
+	p.record.Decided("run listed nowhere", "job", u.job.id, "task", m.name().String(), "run", u.run, "worker", w.ID, "born", w.Born,
 		"ran_ms", u.ranMillis(p.loop.Now()), "acknowledged_end", w.ends.acknowledged)
 }
 
@@ -149,7 +149,7 @@
 	}
 	p.record.Count("attempts", string(end.How))
 	now := p.loop.Now()
-	p.record.Decided("run ended", "job", u.job.id, "task", end.Task.String(), "run", end.Run, "worker", w.ID, "how", string(end.How),
+	p.record.Decided("run ended", "job", u.job.id, "task", end.Task.String(), "run", end.Run, "worker", w.ID, "born", w.Born, "how", string(end.How),
 		"reason", u.stopReason, "ran_ms", u.ranMillis(now), "unsaved_core_s", p.unsavedWork(u, end.How, now.Sub(u.startedAt)))
 	switch end.How {
 	case fleet.Done:
--- a/internal/pool/lives.go
+++ b/internal/pool/lives.go
@@ -214,6 +214,7 @@
 	n.Draining = false
 	n.missing = true
 	n.machineRecord = w.machineRecord
+	n.restarts++
 	moved := w.members
 	w.members = nil
 	for _, m := range moved {
--- a/internal/pool/lostruns.go
+++ b/internal/pool/lostruns.go
@@ -41,7 +41,7 @@
 		return
 	}
 	p.record.Count("attempts", "lost")
-	p.record.Decided("run lost", "job", u.job.id, "task", m.name().String(), "run", u.run, "worker", w.ID, "reason", string(reason),
+	p.record.Decided("run lost", "job", u.job.id, "task", m.name().String(), "run", u.run, "worker", w.ID, "born", w.Born, "reason", string(reason),
 		"confirmed", m.state == memberRunning, "ran_ms", u.ranMillis(w.lastAlive(p.loop.Now())))
 }
 
--- a/internal/pool/starts.go
+++ b/internal/pool/starts.go
@@ -97,7 +97,7 @@
 	w, u := m.worker, m.unit
 	reason := fleet.ReasonOf(err)
 	p.record.Count("start_failures", string(reason))
-	p.record.Decided("start failed", "job", u.job.id, "task", m.name().String(), "run", u.run, "worker", w.ID, "reason", string(reason))
+	p.record.Decided("start failed", "job", u.job.id, "task", m.name().String(), "run", u.run, "worker", w.ID, "born", w.Born, "reason", string(reason))
 	if p.orderFailed(w, err) {
 		return
 	}
--- a/internal/pool/summary.go
+++ b/internal/pool/summary.go
@@ -1,6 +1,24 @@
 package pool
 
-import "github.com/wheatroad/wheatroad/internal/taskgraph"
+import (
+	"cmp"
+	"slices"
+
+	"github.com/wheatroad/wheatroad/internal/taskgraph"
+)
+
+// RestartedWorker is a worker that started again under its identifier.
+type RestartedWorker struct {
+	Worker string `json:"worker"`
+	// Born is when its present life began, in milliseconds since 1970.
+	Born int64 `json:"born"`
+	// Times is how often it came back since the owner met it.
+	Times int `json:"times"`
+	Runs  int `json:"runs"`
+}
+
+// mostRestarted bounds the workers that a summary names.
+const mostRestarted = 16
 
 // Summary is an owner's account of its pool for operators.
 type Summary struct {
@@ -27,6 +45,11 @@
 	WaitingForZones int `json:"waiting_for_evacuated_zones"`
 	// Suspects counts the tasks and gangs that wait or run and may well crash workers.
 	Suspects int `json:"suspects"`
+	// Restarted names the workers that came back most often, and Restarts counts all their returns.
+	Restarted []RestartedWorker `json:"restarted"`
+	Restarts  int               `json:"restarts"`
+	// ForeignRows counts rows of workers that another writer left.
+	ForeignRows int `json:"foreign_rows"`
 	// ConfirmedMillis is how long ago the owner was last known not to be replaced.
 	ConfirmedMillis int64 `json:"confirmed_ms"`
 }
@@ -50,6 +73,8 @@
 			summary.Suspects++
 		}
 	}
+	summary.ForeignRows = len(p.foreign.faults)
+	summary.addRestarted(p.sortedWorkers())
 	for _, w := range p.workers {
 		summary.Runs += len(w.members)
 		if !p.usable(w, now) {
@@ -64,3 +89,15 @@
 	}
 	return summary
 }
+
+// addRestarted adds the workers that came back, most often first.
+func (s *Summary) addRestarted(workers []*worker) {
+	for _, w := range workers {
+		if w.restarts > 0 {
+			s.Restarts += w.restarts
+			s.Restarted = append(s.Restarted, RestartedWorker{Worker: w.ID, Born: w.Born, Times: w.restarts, Runs: len(w.members)})
+		}
+	}
+	slices.SortStableFunc(s.Restarted, func(a, b RestartedWorker) int { return cmp.Compare(b.Times, a.Times) })
+	s.Restarted = s.Restarted[:min(len(s.Restarted), mostRestarted)]
+}
--- a/internal/pool/worker.go
+++ b/internal/pool/worker.go
@@ -14,6 +14,8 @@
 	slowUntil    time.Time
 	speed        speed
 	reliability  reliability
+	// restarts is how often its worker started again under its identifier since the owner met it.
+	restarts int
 }
 
 // worker is one life of a worker and what the owner believes of it.
