--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -28,7 +28,7 @@
 	now := p.loop.Now()
 	order := fleet.Hold{Token: p.token, LastSeen: w.ends.toSend(now, p.options.Without)}
 	if w.greeted && w.unanswered == 0 {
-		order.Wait = p.holdWait(w)
+		order.Wait = p.holdWait(w, order.LastSeen)
 		if extension := min(leaseExtension, p.options.Bounds.MaxHold, p.leaseLeft(now)); extension > 0 {
 			order.DeadlineMillis = w.clockNow(now) + extension.Milliseconds()
 			w.deadline = max(w.deadline, order.DeadlineMillis)
@@ -53,9 +53,10 @@
 	})
 }
 
-// holdWait is 0 while something is to be known soon.
-func (p *Pool) holdWait(w *worker) time.Duration {
-	if w.ends.pending() || len(w.members) == 0 {
+// holdWait is 0 while something is to be known soon, such as an account after which ends may be
+// acknowledged that the hold does not acknowledge itself.
+func (p *Pool) holdWait(w *worker, acknowledged int64) time.Duration {
+	if w.ends.writing > 0 || w.ends.due > acknowledged || len(w.members) == 0 {
 		return 0
 	}
 	if w.uncertain() {
