--- a/internal/pool/lives_test.go
+++ b/internal/pool/lives_test.go
@@ -259,3 +259,80 @@
 	requireKept(t, w)
 	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
 }
+
+// TestNextLifeMayBeOfAnotherKind: its capacity, labels, zone and drain are its own, and work that
+// asks for what only the former life had goes elsewhere.
+func TestNextLifeMayBeOfAnotherKind(t *testing.T) {
+	w := simulation.NewWorld(2, 1)
+	w.Unguarded = true
+	w.Catalog.Pools[0].EnforcesCapacity = false
+	w.Work = func(taskgraph.TaskName) time.Duration { return 2 * time.Second }
+	former := w.Workers[0]
+	former.Labels = []string{"special", former.Rack()}
+	w.PutWorkerRow(former)
+	w.Own()
+	w.Run(time.Second)
+	former.Draining, former.RemainingMillis = true, 8000
+	w.PutWorkerRow(former)
+	w.Run(200 * time.Millisecond)
+	former.Restart(100*time.Millisecond, farAhead)
+	w.Run(101 * time.Millisecond)
+	next := w.Workers[2]
+	require.Equal(t, former.ID, next.ID)
+	next.Capacity.GPUs = 3
+	next.Labels = []string{"a", "r-7"}
+	w.PutWorkerRow(next)
+	w.Run(5 * time.Second)
+	w.Submit(spec(1, single(11)), batch)
+	special := single(1)
+	special.RequiredLabel = "special"
+	w.Submit(spec(2, special), batch)
+	w.Run(time.Second)
+	require.Equal(t, 3, next.Runs(), "the next life does not drain and has three accelerators")
+	w.Run(20 * time.Second)
+	requireKept(t, w)
+	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
+	require.Zero(t, w.Judge.JobStarts(jobID(2)), "nobody has that label any more")
+}
+
+// TestRestartsDuringTakeovers: workers start again while no owner lives, twice in a row, while the
+// store is silent, and at each moment of a takeover.
+func TestRestartsDuringTakeovers(t *testing.T) {
+	for _, ahead := range []int64{0, farAhead} {
+		for moment := time.Duration(0); moment < 60*time.Millisecond; moment += 3 * time.Millisecond {
+			w := simulation.NewWorld(1, 2)
+			w.Work = func(taskgraph.TaskName) time.Duration { return 2 * time.Second }
+			owner := w.Own()
+			w.Submit(spec(1, single(6), gang(2)), batch)
+			w.Run(time.Second + moment)
+			owner.Process.Kill()
+			w.Workers[0].Restart(20*time.Millisecond, ahead)
+			w.Run(30 * time.Millisecond)
+			w.Workers[2].Restart(20*time.Millisecond, 0)
+			w.Own()
+			w.Run(moment)
+			w.Workers[1].RestartUnseen(15*time.Millisecond, ahead)
+			w.Run(moment)
+			w.Store.AwayAll = true
+			w.Run(200 * time.Millisecond)
+			w.Store.AwayAll = false
+			w.Run(40 * time.Second)
+			requireKept(t, w)
+			require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)), "%v", moment)
+		}
+	}
+}
+
+// TestTwoLivesLostAreTwoLosses: a task that crashes its worker, which comes back under its
+// identifier, is found out as if each life had a name of its own.
+func TestTwoLivesLostAreTwoLosses(t *testing.T) {
+	w := simulation.NewWorld(1, 1)
+	w.RestartsInPlace = true
+	guilty := taskOf(1, 0, 0)
+	w.Crashing[guilty] = crashAtOnce
+	w.Own()
+	w.Run(time.Second)
+	w.Submit(spec(1, single(1)), urgent)
+	w.Run(30 * time.Second)
+	requireGivenUp(t, w, guilty, 2)
+}
