A life is known by what it answers when, too; leases, leaving, claims and former runs in files of their own

A worker whose clock is set back between two lives has a birth before the former one's: its rows and accounts counted as out of date for ever, and the worker was lost to its pool.

Change: an account that was asked for after the known life's last one is of a life that follows it, whatever its birth; a row of an earlier birth is a claim while the known life is silent. TestClockSetBackBetweenLives fails without it.

Moved without change: leases.go, leaving.go, claims.go, formerruns.go out of files that had grown. New tests: a machine's record outlasts a life; damaged rows of progress.

--- a/internal/pool/fuzz_test.go
+++ b/internal/pool/fuzz_test.go
@@ -31,6 +31,12 @@
 func FuzzProgressRow(f *testing.F) {
 	f.Add([]byte(`{"token":3,"serial":4,"state":"running","steps":[{"s":0,"e":"AQ==","u":[{"i":1,"r":2,"f":1,"w":["w-0-0"],"b":[5],"n":"AQ==","a":{"w-0-0":"w-0-0"},"l":[{"l":[{"w":"x","r":3}]}]}]}]}`))
 	f.Add([]byte(`{"state":"failed","ended_ms":5,"steps":[{"s":1,"u":[{"i":0,"r":1,"w":["w-0-1","gone"],"a":{"gone":"z"}}]}]}`))
+	for _, damaged := range []string{
+		`{"state":"running","steps":[{"s":-1}]}`, `{"state":"running","steps":[{"s":9}]}`, `{"state":"running","steps":[{"k":-1}]}`, `{"state":"running","steps":[{"k":2000000000}]}`, `{"state":"running","steps":[{"s":0,"u":[{"i":-1,"r":1}]}]}`,
+		`{"state":"running","steps":[{"s":0,"u":[{"i":0,"r":-1,"w":["a","b","c","d"]}]}]}`,
+	} {
+		f.Add([]byte(damaged))
+	}
 	f.Fuzz(func(_ *testing.T, value []byte) {
 		key := rows.Key{Table: pool.ProgressTable, Part: pool.ProgressParts(simulation.PoolName)[0], Name: jobID(1)}
 		takeOverWithRow(key, value)
--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -6,13 +6,12 @@
 	"github.com/wheatroad/wheatroad/internal/fleet"
 )
 
-// clockNow estimates the worker's clock, from below: leases that are given by it end no later
-// than meant. A worker that was idle for minutes may refuse a start as late by it, and tells
-// its clock with that.
-func (w *worker) clockNow(now time.Time) int64 {
-	elapsed := float64(now.Sub(w.clockAt).Milliseconds())
-	return w.clock + int64(elapsed*(1-clockDrift))
-}
+const (
+	// holdPeriod is how long a hold waits for an end.
+	holdPeriod = 2 * time.Second
+	// holdRetry is the pause after a hold without an answer.
+	holdRetry = 300 * time.Millisecond
+)
 
 // hold asks a worker what it runs and extends its lease, unless a hold is under
 // way already.
--- a/internal/pool/lives.go
+++ b/internal/pool/lives.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"slices"
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/fleet"
@@ -49,63 +48,17 @@
 	return earlierLife
 }
 
-// claimNextLife takes in a row that names a later life of a worker. With something running
-// there the later life is asked first.
-func (p *Pool) claimNextLife(w *worker, described *fleet.Worker) {
-	if len(w.members) == 0 && len(w.strangers) == 0 {
-		p.noteRestart(w, described.Life, lifeByRow, 0)
-		p.describe(p.replaceLife(w, *described), described)
-		return
-	}
-	w.claimed = described
-	p.askClaimed(w)
-}
-
-// askClaimed asks the life that a row named for its account.
-func (p *Pool) askClaimed(w *worker) {
-	if w.asking || w.claimed == nil {
-		return
-	}
-	w.asking = true
-	claimed, sentAt := w.claimed, p.loop.Now()
-	p.record.Count("worker_orders", "ask_life")
-	p.ports.Hold(claimed, fleet.Hold{Token: p.token}, func(reply fleet.Reply, err error) {
-		if p.gone || p.workers[w.ID] != w {
-			return
-		}
-		w.asking = false
-		if w.claimed == nil {
-			return
-		}
-		if err == nil && p.orderOf(w, reply.Born) == laterLife {
-			p.restarted(w, reply, lifeByClaim, sentAt)
-			return
-		}
-		p.claimNotProved(w, err)
-	})
-}
-
-// claimNotProved goes on with the known life. A claim without an answer may still be true.
-func (p *Pool) claimNotProved(w *worker, err error) {
-	switch fleet.ReasonOf(err) {
-	case fleet.Fenced:
-		p.Abandon("fenced by worker " + w.ID)
-	case fleet.NoAnswer, fleet.Unreachable, fleet.Unhealthy:
-		if err != nil {
-			p.loop.After(holdRetry, func() {
-				if !p.gone && p.workers[w.ID] == w {
-					p.askClaimed(w)
-				}
-			})
-			return
-		}
-		fallthrough
-	default:
-		// The known life answers there, or another worker does: the row is untrue.
-		p.record.Count("refusals", "worker_row_refuted")
-		w.claimed = nil
-		p.unlistNow(w)
+// follows reports whether the life that answered a question of askedAt has followed the known one.
+// Births are times of day, which may be set back between two lives: an answer to a question that was
+// asked after the known life's last account is of a life that follows it, whatever its birth.
+func (p *Pool) follows(w *worker, born int64, askedAt time.Time) bool {
+	switch p.orderOf(w, born) {
+	case laterLife:
+		return true
+	case earlierLife:
+		return w.greeted && askedAt.After(w.ends.accountAt)
 	}
+	return false
 }
 
 // restarted takes in the account of a life that has followed the known one, asked for at sentAt.
@@ -139,70 +92,6 @@
 	p.record.Decided("worker restarted", "worker", w.ID, "born", next.Born, "former", w.Born, "known_by", string(by), "runs", runs)
 }
 
-// loseFormerRuns settles the members that were confirmed in the former life before the next one
-// was asked, and are not in its account.
-func (p *Pool) loseFormerRuns(w *worker, reply fleet.Reply, sentAt time.Time) {
-	there := map[runName]bool{}
-	for i := range reply.Running {
-		there[runName{task: reply.Running[i].Task, run: reply.Running[i].Run}] = true
-	}
-	for i := range reply.Ended {
-		there[runName{task: reply.Ended[i].Task, run: reply.Ended[i].Run}] = true
-	}
-	all := w.members
-	w.members = nil
-	var kept []*member
-	for _, m := range all {
-		if m.overWithLife(sentAt, p.options.Without) && !there[runName{task: m.name(), run: m.unit.run}] {
-			w.members = append(w.members, m)
-		} else {
-			kept = append(kept, m)
-		}
-	}
-	p.loseRuns(w, lostWithLife)
-	w.members = append(w.members, kept...)
-}
-
-// overWithLife reports whether the member's run surely is over if it is in no account that the
-// next life of its worker gave on a question of sentAt. A start of this owner without an answer, or
-// a copy of one, may come to the next life; one of an earlier owner is fenced there by the question.
-// A run that is being stopped is in no account, but if it was confirmed in the former life.
-func (m *member) overWithLife(sentAt time.Time, without Without) bool {
-	switch m.state {
-	case memberNone:
-		return true
-	case memberUncertain:
-		return m.confirmedBefore
-	case memberRunning:
-		open := m.doubtful || m.startTries != nil && m.startTries.open > 0
-		return (!open || without.OpenStarts) && !m.stopTried && m.sentAt.Before(sentAt)
-	}
-	return false
-}
-
-// loseFormerMembers settles the members that an earlier owner had confirmed in a former life of the
-// worker, by the first account of the present one.
-func (p *Pool) loseFormerMembers(w *worker, listed map[*member]bool) {
-	var ended []*worker
-	for _, m := range slices.Clone(w.members) {
-		if m.formerLife.ID == "" || m.state != memberUncertain || !m.sentAt.IsZero() || listed[m] {
-			continue
-		}
-		place := slices.IndexFunc(ended, func(known *worker) bool { return known.Life == m.formerLife })
-		if place < 0 {
-			place = len(ended)
-			ended = append(ended, &worker{Worker: fleet.Worker{Life: m.formerLife, Address: w.Address}})
-		}
-		former := ended[place]
-		w.members = slices.DeleteFunc(w.members, func(other *member) bool { return other == m })
-		former.members = append(former.members, m)
-		m.worker, m.confirmedBefore = former, true
-	}
-	for _, former := range ended {
-		p.loseRuns(former, lostWithLife)
-	}
-}
-
 // replaceLife makes the next life of a worker the known one, with the members that are left and
 // the machine's record. Its row has yet to come.
 func (p *Pool) replaceLife(w *worker, next fleet.Worker) *worker {
@@ -252,11 +141,11 @@
 	if w.Born == 0 {
 		w.Born = reply.Born
 	}
-	switch p.orderOf(w, reply.Born) {
-	case laterLife:
+	switch {
+	case p.follows(w, reply.Born, sentAt):
 		p.restarted(w, reply, lifeByAnswer, sentAt)
 		return true
-	case earlierLife:
+	case p.orderOf(w, reply.Born) == earlierLife:
 		if w.greeted {
 			// Answers on different connections may pass each other.
 			p.record.Count("refusals", "worker_answer_stale")
--- a/internal/pool/lives_test.go
+++ b/internal/pool/lives_test.go
@@ -336,3 +336,62 @@
 	w.Run(30 * time.Second)
 	requireGivenUp(t, w, guilty, 2)
 }
+
+// TestRecordOfAMachineGoesOn: a worker that fails whatever it starts, and starts again, is still left
+// alone.
+func TestRecordOfAMachineGoesOn(t *testing.T) {
+	w := simulation.NewWorld(1, 2)
+	w.Own()
+	w.Run(100 * time.Millisecond)
+	bad := w.Workers[0]
+	bad.Failing = true
+	w.Workers[1].Unwell = true
+	many := batch
+	many.MaxAttempts = 50
+	for n := 1; w.Judge.Decisions["worker judged bad"] == 0; n++ {
+		w.Submit(spec(n, single(1)), many)
+		w.Run(200 * time.Millisecond)
+	}
+	bad.Restart(50*time.Millisecond, farAhead)
+	w.Run(60 * time.Millisecond)
+	next := w.Workers[2]
+	w.Submit(spec(90, single(1)), many)
+	w.Run(time.Second)
+	require.Zero(t, next.Runs(), "the penalty outlasts the restart")
+	w.Workers[1].Unwell = false
+	w.Run(60 * time.Second)
+	requireKept(t, w)
+	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
+}
+
+// TestClockSetBackBetweenLives: the next life's birth is before the former one's. Both its row and its
+// accounts seem to be out of date; it runs what is placed there all the same.
+func TestClockSetBackBetweenLives(t *testing.T) {
+	for name, busy := range map[string]bool{"idle": false, "busy": true} {
+		t.Run(name, func(t *testing.T) {
+			w, _ := oneWorker(pool.Without{})
+			if busy {
+				w.Submit(spec(1, single(2)), batch)
+			}
+			w.Run(time.Second)
+			former := w.Workers[0]
+			former.Restart(50*time.Millisecond, 0)
+			w.Run(51 * time.Millisecond)
+			next := w.Workers[1]
+			next.Born = former.Born - 60_000
+			w.PutWorkerRow(next)
+			w.Run(time.Second)
+			w.Submit(spec(2, single(2)), batch)
+			for range 14 {
+				// A heartbeat.
+				w.PutWorkerRow(next)
+				w.Run(1500 * time.Millisecond)
+			}
+			requireKept(t, w)
+			require.Equal(t, taskgraph.Completed, w.StoredState(jobID(2)))
+			if busy {
+				require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
+			}
+		})
+	}
+}
--- a/internal/pool/presence.go
+++ b/internal/pool/presence.go
@@ -1,10 +1,6 @@
 package pool
 
-import (
-	"time"
-
-	"github.com/wheatroad/wheatroad/internal/fleet"
-)
+import "time"
 
 // presence says whether a run can have been on a worker when that was lost.
 type presence int
@@ -46,26 +42,6 @@
 // noteConfirmedStart lets the row tell that the unit's worker has confirmed a start.
 func (p *Pool) noteConfirmedStart(u *unit) { p.writer.add(u.job, confirmationDelay) }
 
-// leaveLife notes that the member's run was last known in a life that has ended. It is looked for
-// in the next one, where nothing has confirmed it.
-func (m *member) leaveLife(life fleet.Life) {
-	if m.wasConfirmed() {
-		m.formerLife = life
-	}
-	m.confirmedBefore = false
-}
-
-// endedWithFormerLife counts the loss of a worker's former life under a run that is not in the next
-// one. When it ended is not known, so that it is no evidence.
-func (m *member) endedWithFormerLife() {
-	if m.formerLife.ID == "" {
-		return
-	}
-	if history := m.lossHistory(); history != nil {
-		history.AddUnexplained(m.formerLife.String())
-	}
-}
-
 // unknownAge is taken for the age of runs that an earlier owner started: between those that
 // crash their worker at once and the usual length of a run, some seconds.
 const unknownAge = 2 * time.Second
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -8,21 +8,6 @@
 	"github.com/wheatroad/wheatroad/internal/rows"
 )
 
-// What the owner makes of workers that do not answer or that fail.
-const (
-	// holdPeriod is how long a hold waits for an end.
-	holdPeriod = 2 * time.Second
-	// holdRetry is the pause after a hold without an answer.
-	holdRetry = 300 * time.Millisecond
-	// leaseExtension is how far each hold extends what runs, unless the platform's
-	// bound is lower. A shorter one frees what a dead worker held sooner.
-	leaseExtension = 6 * time.Second
-	// clockDrift is how much slower than ours a worker's clock may run.
-	clockDrift = 0.02
-	// lapseMargin is added to the end of a lease before its runs count as gone.
-	lapseMargin = 300 * time.Millisecond
-)
-
 // readWorkers reads the workers' rows, then follows them.
 func (p *Pool) readWorkers() {
 	table := p.ports.WorkerTable()
@@ -67,11 +52,12 @@
 	if w == nil {
 		w = p.unlistedWorker(described.Life)
 	}
-	switch p.orderOf(w, described.Born) {
-	case earlierLife:
-		p.record.Count("refusals", "worker_row_stale")
-	case laterLife:
+	switch order := p.orderOf(w, described.Born); {
+	case order == laterLife, order == earlierLife && w.unanswered > 0:
+		// With the known life silent, an earlier birth may be that of a clock that was set back.
 		p.claimNextLife(w, described)
+	case order == earlierLife:
+		p.record.Count("refusals", "worker_row_stale")
 	default:
 		p.describe(w, described)
 	}
@@ -192,39 +178,6 @@
 	p.forgetIfIdle(w)
 }
 
-// lapsed reports whether all leases of the worker have surely run out.
-func (p *Pool) lapsed(w *worker) bool {
-	deadline := w.deadline
-	if p.options.Without.LeaseWait {
-		return true
-	}
-	if deadline == 0 {
-		// No lease was given by this owner. The one before may have given some until this one
-		// had claimed the progress.
-		since := w.clockAt
-		if p.claimedAt.After(since) && !p.options.Without.ClaimWait {
-			since = p.claimedAt
-		}
-		return p.loop.Now().Sub(since) > time.Duration(float64(p.options.Bounds.MaxHold)*(1+clockDrift))+lapseMargin
-	}
-	return w.clockNow(p.loop.Now()) > deadline+lapseMargin.Milliseconds()
-}
-
-// checkLeaving goes on emptying workers that leave.
-func (p *Pool) checkLeaving() {
-	for _, w := range p.sortedWorkers() {
-		if !w.Draining {
-			continue
-		}
-		for _, m := range w.members {
-			if m.unit.spec().LongRunning {
-				p.emptyLeaving(w)
-				break
-			}
-		}
-	}
-}
-
 // checkStops looks at workers whose stops should be over.
 func (p *Pool) checkStops() {
 	now := p.loop.Now()
@@ -240,58 +193,3 @@
 
 // stopMargin is added to the time that a stop may take.
 const stopMargin = 50 * time.Millisecond
-
-// checkWorkers ends what ran on workers that stayed silent past their lease.
-func (p *Pool) checkWorkers() {
-	for _, w := range p.sortedWorkers() {
-		silent := w.unanswered > 0 || (!w.greeted && p.loaded)
-		if silent && len(w.members) > 0 && p.lapsed(w) {
-			p.record.Decided("lease ran out", "worker", w.ID, "runs", len(w.members))
-			p.loseRuns(w, lostWithLease)
-			p.forgetIfIdle(w)
-		} else if silent && !w.listed && p.lapsed(w) {
-			p.forgetIfIdle(w)
-		}
-	}
-}
-
-// emptyLeaving stops what will not end before the worker leaves. Tasks that last move
-// a few at a time, so that no more of their step are away than allowed.
-func (p *Pool) emptyLeaving(w *worker) {
-	now := p.loop.Now()
-	left := time.Duration(w.RemainingMillis) * time.Millisecond
-	for _, m := range w.members {
-		u := m.unit
-		if u.state != unitActive {
-			continue
-		}
-		if u.spec().LongRunning {
-			if u.step.awayCount() < u.spec().AllowedMisses {
-				p.stopUnit(u, "worker leaves")
-			}
-			continue
-		}
-		if p.remaining(u, now) > left-leaveMargin {
-			p.stopUnit(u, "worker leaves")
-		}
-	}
-}
-
-// awayCount counts the lasting tasks of a step that are not at work.
-func (s *step) awayCount() int {
-	count := 0
-	for _, u := range s.units {
-		for _, m := range u.members {
-			if u.state != unitActive || m.state != memberRunning || m.percent < atWork {
-				count++
-			}
-		}
-	}
-	return count
-}
-
-// atWork is the percent from which a lasting task is at work.
-const atWork = 100
-
-// leaveMargin is kept between a run's expected end and the worker's.
-const leaveMargin = 500 * time.Millisecond
