--- a/scripts/play-days.sh
+++ b/scripts/play-days.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plays every day under hunts/days on the given sites and lists broken rules.
+# Plays every day under hunts/days and deploy/days on the given sites and lists broken rules.
 # usage: scripts/play-days.sh BENCH SEED SITE...
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -7,7 +7,7 @@
 shift 2
 output=$(mktemp -d)
 for site in "$@"; do
-  for day in hunts/days/*.toml; do echo "$site $day"; done
+  for day in hunts/days/*.toml deploy/days/*.toml; do echo "$site $day"; done
 done | xargs -P "${JOBS:-5}" -L 1 sh -c \
   '"$0" run "$3" "$4" --seed "$1" --why "own days" >"$2/$(basename "$3" .toml)--$(basename "$4" .toml).txt" 2>&1 || true' \
   "$bench" "$seed" "$output"
