Two losses of workers have to agree in age to give a task up

Cause: a sound task was given up after two workers had started again under it, at 2.2 s and 0.4 s of its runs: with no other loss around them the odds were 576. A task that crashes its workers does so at about the same age of each run, chance does not, and the odds took no note of it. Change: the ages of losses are kept with them. Two losses at ages more than a factor of three apart make a task a suspect that runs alone; from the third loss on the odds decide as before. Ages of runs that an earlier owner started are guesses and agree with any.

--- a/internal/poison/history.go
+++ b/internal/poison/history.go
@@ -1,6 +1,9 @@
 package poison
 
-import "strings"
+import (
+	"strings"
+	"time"
+)
 
 // History is what lost workers say of one task.
 type History struct {
@@ -17,6 +20,8 @@
 // taskLoss is one worker that was lost under a task.
 type taskLoss struct {
 	worker string
+	// age is that of the task's run when the worker was lost, or unknownAge.
+	age time.Duration
 	// ratio is how much more likely the loss is if the task is poison.
 	ratio float64
 	// unexplained losses only count; they are no evidence.
@@ -29,6 +34,8 @@
 type Record struct {
 	Worker string  `json:"w"`
 	Ratio  float64 `json:"r"`
+	// AgeMillis is the age of the run in whole milliseconds, rounded up; 0 if it is not known.
+	AgeMillis int64 `json:"a,omitempty"`
 	// Unexplained losses only count.
 	Unexplained bool `json:"u,omitempty"`
 }
@@ -40,7 +47,7 @@
 func (g *Group) NewHistory(records []Record) *History {
 	h := &History{group: g}
 	for _, record := range records {
-		h.losses = append(h.losses, taskLoss{worker: record.Worker, ratio: record.Ratio, unexplained: record.Unexplained})
+		h.losses = append(h.losses, taskLoss{worker: record.Worker, age: record.age(), ratio: record.Ratio, unexplained: record.Unexplained})
 	}
 	return h
 }
@@ -49,7 +56,7 @@
 // been lost for a reason of its own, or before the task began there.
 func (h *History) AddUnexplained(worker string) {
 	if !h.has(worker) {
-		h.losses = append(h.losses, taskLoss{worker: worker, ratio: 1, unexplained: true})
+		h.losses = append(h.losses, taskLoss{worker: worker, age: unknownAge, ratio: 1, unexplained: true})
 	}
 }
 
@@ -72,7 +79,7 @@
 	records := make([]Record, 0, len(h.losses))
 	for i := range h.losses {
 		kept := &h.losses[i]
-		records = append(records, Record{Worker: kept.worker, Ratio: kept.ratio, Unexplained: kept.unexplained})
+		records = append(records, Record{Worker: kept.worker, Ratio: kept.ratio, AgeMillis: ageMillis(kept.age), Unexplained: kept.unexplained})
 	}
 	return records
 }
@@ -122,6 +129,16 @@
 // Poison reports whether a task is not to run again.
 func (v Verdict) Poison() bool { return v == PoisonByOdds || v == PoisonByLimit }
 
+// proved reports whether the evidence is enough to give the task up. Two losses have to agree, from
+// the third on the odds alone decide.
+func (h *History) proved() bool {
+	evidence := h.evidence()
+	if evidence == lossesLeast && !h.agesAgree() {
+		return false
+	}
+	return evidence >= lossesLeast && h.Odds() >= poisonOdds
+}
+
 // Verdict returns what is made of the task.
 func (h *History) Verdict() Verdict {
 	count := h.Count()
@@ -132,7 +149,7 @@
 	switch {
 	case count >= lossesLimit, count == lossesLimit-1 && evidence >= lossesLeast && odds >= lateOdds:
 		return PoisonByLimit
-	case evidence >= lossesLeast && odds >= poisonOdds:
+	case h.proved():
 		return PoisonByOdds
 	case evidence >= lossesLeast || odds >= suspectOdds:
 		return Suspected
--- a/internal/poison/ledger.go
+++ b/internal/poison/ledger.go
@@ -58,6 +58,16 @@
 	History *History
 	// Age of the run when the worker was last known to live.
 	Age time.Duration
+	// AgeAssumed is true if an earlier owner started the run, so that Age is a guess.
+	AgeAssumed bool
+}
+
+// knownAge is the age of the run, or unknownAge if it is a guess.
+func (s *Suspect) knownAge() time.Duration {
+	if s.AgeAssumed {
+		return unknownAge
+	}
+	return max(0, s.Age)
 }
 
 // Loss describes a lost worker.
@@ -86,7 +96,7 @@
 	for _, suspect := range lost.Suspects {
 		if suspect.Age < ageHorizon && !suspect.History.has(lost.Worker) {
 			loss.suspects = append(loss.suspects, suspect)
-			suspect.History.losses = append(suspect.History.losses, taskLoss{worker: lost.Worker, ratio: 1, loss: loss})
+			suspect.History.losses = append(suspect.History.losses, taskLoss{worker: lost.Worker, age: suspect.knownAge(), ratio: 1, loss: loss})
 			suspect.History.group.add(loss)
 		}
 	}
--- a/internal/poison/ledger_test.go
+++ b/internal/poison/ledger_test.go
@@ -296,3 +296,33 @@
 	}
 	require.False(t, struck.Verdict().Poison(), "odds %g", struck.Odds())
 }
+
+// TestTwoLossesAtDifferentAgesAreNotEnough: two workers were lost by chance under a sound task, at 2.2 s
+// and at 0.4 s of its runs. A third one has to tell.
+func TestTwoLossesAtDifferentAgesAreNotEnough(t *testing.T) {
+	l, task := newLedger(12), alone()
+	lose(l, 0, 2200*time.Millisecond, task)
+	lose(l, 3, 370*time.Millisecond, task)
+	require.Greater(t, task.Odds(), float64(poisonOdds))
+	require.Equal(t, Suspected, task.Verdict())
+	lose(l, 6, 370*time.Millisecond, task)
+	require.Equal(t, PoisonByOdds, task.Verdict())
+}
+
+// TestAgesOfLossesAreKept: the next owner compares the ages that it reads.
+func TestAgesOfLossesAreKept(t *testing.T) {
+	l, task := newLedger(12), alone()
+	lose(l, 0, 2200*time.Millisecond, task)
+	next, restored := newLedger(12), NewGroup().NewHistory(task.Records())
+	next.Restore(restored)
+	lose(next, 3, 370*time.Millisecond, restored)
+	require.Equal(t, Suspected, restored.Verdict())
+}
+
+// TestAssumedAgesAgreeWithAny: the age of a run that an earlier owner started is a guess.
+func TestAssumedAgesAgreeWithAny(t *testing.T) {
+	l, task := newLedger(12), alone()
+	loseSuspects(l, 0, []Suspect{{History: task, Age: 2 * time.Second, AgeAssumed: true}})
+	lose(l, 4, atOnce, task)
+	require.Equal(t, PoisonByOdds, task.Verdict())
+}
--- a/internal/pool/lostruns.go
+++ b/internal/pool/lostruns.go
@@ -99,7 +99,7 @@
 	case was == perhapsThere:
 		history.AddUnexplained(loss.Worker)
 	default:
-		loss.Suspects = append(loss.Suspects, poison.Suspect{History: history, Age: m.unit.ageAt(loss.At)})
+		loss.Suspects = append(loss.Suspects, poison.Suspect{History: history, Age: m.unit.ageAt(loss.At), AgeAssumed: !m.unit.startedHere})
 	}
 }
 
--- a/internal/pool/twolosses_test.go
+++ b/internal/pool/twolosses_test.go
@@ -15,8 +15,8 @@
 // beside another task, and of 0.4 s alone. No other worker was lost around them, so that two losses
 // stood out from the rate of chance losses, which leaves out those of the task itself.
 
-// TestTwoLossesByChanceGiveNoJobUp fails: a task that crashes its workers looks the same, and is given
-// up after two of them.
+// TestTwoLossesByChanceGiveNoJobUp: two losses at ages so far apart don't tell a task that crashes its
+// workers from a sound one, and a third run does.
 func TestTwoLossesByChanceGiveNoJobUp(t *testing.T) {
 	w := simulation.NewWorld(3, 4)
 	w.Work = func(taskgraph.TaskName) time.Duration { return 4 * time.Second }
