Speeds of workers are learned from all work, as it runs, and decide where urgent units go

Speeds were learned from gangs that had ended only; gangs were compared with their fastest members (2.7 times as fast as the slow ones) and moved over and over; urgent gangs were placed on workers of which nothing was known, since the emptiest racks are left to them. Change: internal/speeds estimates each worker's speed from gangs as they run, from single tasks against the others of their step, and from what was expected of the work, with an error and with little trust in outliers. A gang is judged by what is known of its workers. Urgent units go to workers known not to be slow, stop patient ones there rather than be late on slow ones, and patient tasks explore idle workers while a tenth of the known ones are too slow for the least patient queue. Durations are learned at the median worker's speed. Lines 'placed' and 'run ended' tell the slowness.

--- a/internal/loadplay/load.go
+++ b/internal/loadplay/load.go
@@ -25,6 +25,8 @@
 	// Work is the mean time of a task, WorkSpread its spread in logarithms.
 	Work       time.Duration
 	WorkSpread float64
+	// Tail is the share of jobs whose tasks take TailTimes as long as others.
+	Tail, TailTimes float64
 	// EstimateError is the spread of estimates in logarithms.
 	EstimateError float64
 	// GPUs are drawn from for each task, all tasks of a job alike.
@@ -52,6 +54,8 @@
 	Length  time.Duration
 	Classes []Class
 	Bursts  []Burst
+	// Speeds of workers are drawn from these; all are 1 if there are none.
+	Speeds []float64
 }
 
 // arrival is one job of a load.
@@ -93,6 +97,9 @@
 func (l *Load) drawJob(random *rand.Rand, class int, at time.Duration, number int) arrival {
 	c := &l.Classes[class]
 	work := time.Duration(float64(c.Work) * spread(random, c.WorkSpread))
+	if c.Tail > 0 && random.Float64() < c.Tail {
+		work = time.Duration(c.TailTimes * float64(work))
+	}
 	step := taskgraph.Step{
 		Count:          min(c.MaxWidth, max(1, int(math.Round(c.Width*spread(random, c.WidthSpread))))),
 		Amount:         c.Room,
@@ -108,6 +115,19 @@
 	}}
 }
 
+// drawSlowness returns how many times longer work takes on each worker.
+func (l *Load) drawSlowness(seed uint64) []float64 {
+	random := rand.New(rand.NewPCG(seed, 13))
+	slowness := make([]float64, l.Racks*l.PerRack)
+	for i := range slowness {
+		slowness[i] = 1
+		if len(l.Speeds) > 0 {
+			slowness[i] = 1 / l.Speeds[random.IntN(len(l.Speeds))]
+		}
+	}
+	return slowness
+}
+
 // scaled returns the load for a share of the racks, with as much less to do.
 func (l *Load) scaled(share float64) *Load {
 	small := *l
--- a/internal/loadplay/loadplay_test.go
+++ b/internal/loadplay/loadplay_test.go
@@ -25,7 +25,7 @@
 // before late ones, and work waits for a place near its data or rack. Without the first wide steps
 // lose most, without the second nearly everything.
 func TestWhatGainsAtWorstLoad(t *testing.T) {
-	load := threeBursts(t).scaled(0.4)
+	load := loadNamed(t, "three-bursts").scaled(0.4)
 	load.Length = 24 * time.Second
 	ways := []Way{
 		{Name: "all"},
@@ -43,10 +43,10 @@
 	}
 }
 
-func threeBursts(t *testing.T) *Load {
+func loadNamed(t *testing.T, name string) *Load {
 	loads := Loads()
 	for i := range loads {
-		if loads[i].Name == "three-bursts" {
+		if loads[i].Name == name {
 			return &loads[i]
 		}
 	}
@@ -58,3 +58,20 @@
 	require.Equal(t, Estimate{Mean: 2, Error: confidence / math.Sqrt(3)}, estimate([]float64{1, 2, 3}))
 	require.True(t, math.IsInf(estimate([]float64{1}).Error, 1))
 }
+
+// TestSpeedsOfWorkersAreWorthKnowing replays jobs of which three in a hundred take seven times as long, on
+// workers whose speeds differ by a factor of 2.7. While gangs were compared with their fastest members and
+// speeds learned from gangs that had ended only, the urgent class earned 0.73 of its worth.
+func TestSpeedsOfWorkersAreWorthKnowing(t *testing.T) {
+	load := loadNamed(t, "mixed-speeds").scaled(0.5)
+	load.Length = 24 * time.Second
+	ways := []Way{{Name: "all"}, {Name: "speeds not learned", Off: mechanism.Off{mechanism.LearnedSpeeds: true}}}
+	compared := Compare(load, ways, 1, 4, 4)
+	require.Less(t, compared[1].Gain.Mean, -0.1)
+	require.Greater(t, compared[0].Classes[0].Mean, compared[1].Classes[0].Mean+0.1, "urgent jobs")
+	for _, way := range compared {
+		for _, result := range way.Results {
+			require.Empty(t, result.Broken)
+		}
+	}
+}
--- a/internal/loadplay/loads.go
+++ b/internal/loadplay/loads.go
@@ -58,5 +58,17 @@
 	full := base
 	full.Name = "full"
 	full.Bursts = []Burst{{From: 0, Until: base.Length, Times: 2}}
-	return []Load{calm, urgent, three, full}
+	mixed := base
+	mixed.Name = "mixed-speeds"
+	mixed.Speeds = []float64{0.6, 1, 1.6}
+	mixed.Classes = withTail(classes(), 0.03, 7)
+	return []Load{calm, urgent, three, full, mixed}
+}
+
+// withTail returns classes in which a share of jobs takes several times as long.
+func withTail(all []Class, share, times float64) []Class {
+	for i := range all {
+		all[i].Tail, all[i].TailTimes = share, times
+	}
+	return all
 }
--- a/internal/loadplay/play.go
+++ b/internal/loadplay/play.go
@@ -58,8 +58,15 @@
 	w := simulation.NewWorld(l.Racks, l.PerRack)
 	w.Off, w.StopTime, w.Judge.Quiet = off, stopTime, true
 	w.Bounds.StopTimeout, w.Bounds.CheckpointInterval, w.Bounds.Reclaim = stopTime, checkpointInterval, reclaimTime
-	for _, worker := range w.Workers {
+	slowness := l.drawSlowness(seed)
+	for i, worker := range w.Workers {
 		worker.SetCapacity(workerCapacity, 0)
+		worker.Slowness = slowness[i]
+	}
+	for i := range l.Classes {
+		queue := l.Classes[i].Queue
+		queue.Pool = simulation.PoolName
+		w.Catalog.Queues = append(w.Catalog.Queues, queue)
 	}
 	works := map[string]time.Duration{}
 	for i := range arrivals {
--- a/internal/pool/account.go
+++ b/internal/pool/account.go
@@ -67,7 +67,7 @@
 	if entry.Percent > 0 && m.unit.startedHere && !m.unit.resumed {
 		m.worker.reliability.noteSound(m.unit.startedAt)
 	}
-	m.noteRate(entry.Percent, now)
+	p.noteRate(m, entry.Percent, now)
 	if entry.Percent != m.percent || m.percentAt.IsZero() {
 		m.percent, m.percentAt = entry.Percent, now
 	}
@@ -150,7 +150,7 @@
 	p.record.Count("attempts", string(end.How))
 	now := p.loop.Now()
 	p.record.Decided("run ended", "job", u.job.id, "task", end.Task.String(), "run", end.Run, "worker", w.ID, "born", w.Born, "how", string(end.How),
-		"reason", u.stopReason, "ran_ms", u.ranMillis(now), "unsaved_core_s", p.unsavedWork(u, end.How, now.Sub(u.startedAt)))
+		"reason", u.stopReason, "ran_ms", u.ranMillis(now), "slowness", u.slowness, "unsaved_core_s", p.unsavedWork(u, end.How, now.Sub(u.startedAt)))
 	switch end.How {
 	case fleet.Done:
 		if u.startedHere {
--- a/internal/pool/cycle.go
+++ b/internal/pool/cycle.go
@@ -145,6 +145,9 @@
 func (p *Pool) place(s *snapshot, u *unit) bool {
 	request := s.request(u)
 	if places := p.findPlace(s, u, request); places != nil {
+		if p.lateAt(s, u, places) && p.preemptForSpeed(s, u, request) {
+			return false
+		}
 		p.beginAt(s, u, request, places)
 		return true
 	}
--- a/internal/pool/durations.go
+++ b/internal/pool/durations.go
@@ -20,6 +20,10 @@
 	// squared logarithms: that of some eight jobs whose estimates vary by half.
 	priorJobs   = 3.0
 	priorSpread = 2.0
+	// priorSquares is the variance of what predictions are off by, as long as nothing is known, with the
+	// weight of priorJobs; mostSquare bounds what one job adds, which may be one of a long tail.
+	priorSquares = 0.25
+	mostSquare   = 1.0
 )
 
 // durationModel is what is known of one queue's durations: weighted sums over the
@@ -31,6 +35,8 @@
 	Y      float64 `json:"y"`
 	XX     float64 `json:"xx"`
 	XY     float64 `json:"xy"`
+	// Squares adds up the squares of what predictions were off by.
+	Squares float64 `json:"rr,omitempty"`
 }
 
 // learn takes in a run's estimate and duration with a weight of up to one job.
@@ -40,9 +46,11 @@
 	}
 	if total := d.Weight + weight; total > durationMemory {
 		keep := durationMemory / total
-		d.Weight, d.X, d.Y, d.XX, d.XY = d.Weight*keep, d.X*keep, d.Y*keep, d.XX*keep, d.XY*keep
+		d.Weight, d.X, d.Y, d.XX, d.XY, d.Squares = d.Weight*keep, d.X*keep, d.Y*keep, d.XX*keep, d.XY*keep, d.Squares*keep
 	}
 	x, y := math.Log(estimate.Seconds()), math.Log(took.Seconds())
+	off := y - math.Log(d.predict(estimate).Seconds())
+	d.Squares += weight * min(mostSquare, off*off)
 	d.Weight += weight
 	d.X += weight * x
 	d.Y += weight * y
@@ -64,6 +72,11 @@
 	return time.Duration(math.Exp(predicted) * float64(time.Second))
 }
 
+// variance is that of the logarithm of what predictions are off by.
+func (d *durationModel) variance() float64 {
+	return (d.Squares + priorSquares*priorJobs) / (d.Weight + priorJobs)
+}
+
 // learnDuration takes in a unit that has ended well.
 func (p *Pool) learnDuration(u *unit) {
 	if !u.startedHere || u.resumed || u.spec().LongRunning || p.options.Off[mechanism.LearnedDurations] {
@@ -74,7 +87,9 @@
 		model = &durationModel{}
 		p.durations[u.job.Queue.Name] = model
 	}
-	model.learn(u.spec().Estimate(), p.loop.Now().Sub(u.startedAt), 1/float64(len(u.step.units)))
+	// On slow workers it took longer than the work does.
+	took := time.Duration(float64(p.loop.Now().Sub(u.startedAt)) / u.slowness)
+	model.learn(u.spec().Estimate(), took, 1/float64(len(u.step.units)))
 }
 
 // takeDurations goes on from what an earlier owner had learned. Of the head rows of
--- a/internal/pool/findplace.go
+++ b/internal/pool/findplace.go
@@ -20,6 +20,9 @@
 		if p.underPressure(s, u) {
 			return nil
 		}
+		if places := p.findUnexplored(s, u, &visible); places != nil {
+			return places
+		}
 		if !p.options.Off[mechanism.Headroom] {
 			visible.Allowed = s.outsideHeadroom(request.Allowed, u.job.Queue.Priority)
 		}
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -5,6 +5,7 @@
 
 	"github.com/wheatroad/wheatroad/internal/fleet"
 	"github.com/wheatroad/wheatroad/internal/poison"
+	"github.com/wheatroad/wheatroad/internal/speeds"
 	"github.com/wheatroad/wheatroad/internal/taskgraph"
 )
 
@@ -84,6 +85,8 @@
 	// at waitSeenAt.
 	waitsFor   waitReason
 	waitSeenAt time.Time
+	// cohort compares the times of the step's tasks.
+	cohort speeds.Cohort
 }
 
 // unit is what is placed at once: one task, or all tasks of a gang.
@@ -115,6 +118,11 @@
 	stopReason string
 	// avoid has the workers on which the unit failed.
 	avoid map[string]bool
+	// slowness is how many times longer the unit's work took, on the slowest of its workers, than it
+	// takes on the median one, as far as speeds are known.
+	slowness float64
+	// comparedRun is the latest run of which the members' speeds were compared.
+	comparedRun int
 	// lossGroup joins what lost workers say of the members; nil if none was lost.
 	lossGroup *poison.Group
 }
@@ -150,9 +158,12 @@
 	listedAt  time.Time
 	// losses is what workers that were lost under the member say of it; nil if none was.
 	losses *poison.History
-	// logTime is the logarithm of the time per work of a run that is timed.
-	logTime float64
-	timed   bool
+	// logTime is the logarithm of the seconds that the run takes as a whole, told at timedPercent of
+	// its progress; 0 if it is not told yet.
+	logTime      float64
+	timedPercent int
+	// inCohort is what the task says beside the others of its step.
+	inCohort speeds.Member
 }
 
 func (m *member) name() taskgraph.TaskName {
--- a/internal/pool/laggards.go
+++ b/internal/pool/laggards.go
@@ -10,10 +10,12 @@
 // What is made of members of a gang that come on much more slowly than the others, which
 // wait for them.
 const (
-	// laggardRatio is a member's time against that of the sound ones from which its worker
-	// counts as slow. The work of a gang's members is alike; sound workers' speeds differ
-	// by half at most on the platform's sites.
+	// laggardRatio is a run's time, against what the speed known of its worker explains, from which
+	// the worker counts as disturbed.
 	laggardRatio = 2.5
+	// fastestLead is by how much a pool's median worker is slower at most than its fast ones, as long
+	// as nothing is known of them.
+	fastestLead = 2
 	// moveOverhead is what a move takes beside the work done anew: the stop, up to 0.9 s on
 	// the platform's sites, and the start.
 	moveOverhead = 1200 * time.Millisecond
@@ -25,20 +27,26 @@
 	leastProgressShare = 0.005
 )
 
-// checkLaggards moves a gang whose slowest member would keep the others for longer than to
-// begin anew takes, and keeps new work off that member's worker.
+// checkLaggards compares the members of a gang. It moves one whose slowest member would keep the others
+// for longer than to begin anew takes, and keeps new work off that member's worker.
 func (p *Pool) checkLaggards(u *unit, now time.Time) {
-	if p.options.Off[mechanism.Laggards] || len(u.members) < 2 || !u.startedHere || u.resumed || u.runningSince.IsZero() {
+	if len(u.members) < 2 || !u.startedHere || u.resumed || u.runningSince.IsZero() {
 		return
 	}
-	sound, known := u.soundTime()
+	// What this run tells of its workers must not explain it away.
+	defer p.learnFromGang(u)
+	if p.options.Off[mechanism.Laggards] {
+		return
+	}
+	sound, known := p.soundTime(u, now)
 	if !known {
 		return
 	}
 	slowest := time.Duration(0)
 	for _, m := range u.members {
 		projected, ok := m.projectedTime()
-		if !ok || float64(projected) < laggardRatio*float64(sound) {
+		explained := float64(sound) * max(1, p.slowness(m.worker, now))
+		if !ok || float64(projected) < laggardRatio*explained {
 			continue
 		}
 		if !m.worker.cold(now) {
@@ -57,21 +65,32 @@
 // its siblings: twice the penalty, so that single tasks come there first.
 const slowPeriod = 2 * penalty
 
-// soundTime returns how long the work of a member on a sound worker takes as a whole, and
-// false while less than half of the members have told their progress. It is the lower
-// quartile, so that it holds with more than half of the members on slow workers.
-func (u *unit) soundTime() (time.Duration, bool) {
-	var times []time.Duration
+// soundTime returns how long the work of a member takes as a whole on the median worker, and false while
+// less than half of the members have told their progress. It goes by the members on workers of known
+// speed, whose lower quartile holds with more than half of them disturbed; where most are not known, by
+// the median of all, since a pool's fastest workers say little of its others but that they are not
+// slower by more than fastestLead.
+func (p *Pool) soundTime(u *unit, now time.Time) (time.Duration, bool) {
+	var told, corrected []time.Duration
 	for _, m := range u.members {
-		if projected, ok := m.projectedTime(); ok {
-			times = append(times, projected)
+		projected, ok := m.projectedTime()
+		if !ok {
+			continue
+		}
+		told = append(told, projected)
+		if p.speedKnown(m.worker) {
+			corrected = append(corrected, time.Duration(float64(projected)/p.slowness(m.worker, now)))
 		}
 	}
-	if len(times) < 2 || 2*len(times) < len(u.members) {
+	if len(told) < 2 || 2*len(told) < len(u.members) {
 		return 0, false
 	}
-	slices.Sort(times)
-	return times[(len(times)-1)/4], true
+	if 2*len(corrected) >= len(told) {
+		slices.Sort(corrected)
+		return corrected[(len(corrected)-1)/4], true
+	}
+	slices.Sort(told)
+	return min(told[(len(told)-1)/2], fastestLead*told[(len(told)-1)/4]), true
 }
 
 // projectedTime returns how long a member's work takes as a whole at the pace so far, and
--- a/internal/pool/orders.go
+++ b/internal/pool/orders.go
@@ -18,7 +18,8 @@
 	m.confirmedBefore, m.formerLife = false, fleet.Life{}
 	m.percent, m.percentAt, m.listedAt = 0, time.Time{}, time.Time{}
 	m.sentAt = time.Time{}
-	m.timed = false
+	m.timedPercent = 0
+	m.unit.step.cohort.Forget(&m.inCohort)
 	w.members = append(w.members, m)
 }
 
@@ -49,6 +50,7 @@
 	for i, m := range u.members {
 		p.assign(m, places[i])
 	}
+	u.slowness = p.slowestOf(u)
 	run := u.run
 	if !u.job.begun {
 		u.job.begun = true
@@ -56,7 +58,8 @@
 	}
 	p.record.Decided("placed", "job", u.job.id, "step", u.step.index, "unit", u.index, "run", run, "tasks", len(u.members),
 		"waited_ms", p.loop.Now().Sub(u.readyAt).Milliseconds(), "waited_for", string(u.waitedFor()), "estimate_ms", u.spec().EstimateMillis,
-		"cores", u.spec().Amount.Cores()*float64(len(u.members)), "slack_ms", u.slack(p.loop.Now()).Milliseconds(), "workers", workerIDs(places))
+		"cores", u.spec().Amount.Cores()*float64(len(u.members)), "slack_ms", u.slack(p.loop.Now()).Milliseconds(), "slowness", u.slowness,
+		"workers", workerIDs(places))
 	p.persist(u.job)
 	p.afterWrite(0, func() {
 		switch {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -10,6 +10,7 @@
 	"github.com/wheatroad/wheatroad/internal/loop"
 	"github.com/wheatroad/wheatroad/internal/poison"
 	"github.com/wheatroad/wheatroad/internal/rows"
+	"github.com/wheatroad/wheatroad/internal/speeds"
 	"github.com/wheatroad/wheatroad/internal/taskgraph"
 )
 
@@ -61,8 +62,13 @@
 	// pressureUntil is how long patient units below pressurePriority wait.
 	pressureUntil    time.Time
 	pressurePriority int
-	// medianLogTime is the median of the workers' logTime.
+	// medianLogTime is the median of the workers' times per work, as it was at medianAt.
 	medianLogTime float64
+	medianAt      time.Time
+	// tooSlowShare is the share of the known workers that are too slow for urgent units.
+	tooSlowShare float64
+	// taskSpread is how much the tasks of a step differ.
+	taskSpread speeds.Spread
 	// dropping is true while the rows of an old job are removed.
 	dropping bool
 	// durations is what was learned of each queue's durations; estimatedAt is when it was
--- a/internal/pool/preempt.go
+++ b/internal/pool/preempt.go
@@ -44,6 +44,12 @@
 	if loss > preemptionGain(u, s.now) && !p.mustBegin(s, u) {
 		return false
 	}
+	p.preempt(s, u, request, places, victims)
+	return true
+}
+
+// preempt stops victims and keeps the places where a unit will start.
+func (p *Pool) preempt(s *snapshot, u *unit, request *placement.Request, places, victims []int) {
 	s.promise(victims, places, request.Room)
 	if len(victims) > 0 {
 		p.pressurePriority = u.job.Queue.Priority
@@ -52,7 +58,6 @@
 	for _, number := range victims {
 		p.stopUnit(s.running[number], "preempted")
 	}
-	return true
 }
 
 // choosePreemption finds the cheapest stops among the workers that the unit tries first,
@@ -153,3 +158,29 @@
 	}
 	return used.GPUs <= p.options.Catalog().Guarantee(j.Tenant).GPUs
 }
+
+// lateAt reports whether an urgent unit that could end in time would end late at places that it can have
+// now, for the speed of their workers.
+func (p *Pool) lateAt(s *snapshot, u *unit, places []int) bool {
+	if u.job.Queue.Priority > 0 || u.likelyPoison() || u.runsAlone() {
+		return false
+	}
+	slack, slowest := u.slack(s.now), 1.0
+	for _, i := range places {
+		slowest = max(slowest, p.slowness(s.owners[i], s.now))
+	}
+	return slack > 0 && time.Duration((slowest-1)*float64(u.estimate())) > slack
+}
+
+// preemptForSpeed stops others on workers that are not slow, for a unit that would be late on those that
+// are free, if it then ends in time and is worth it.
+func (p *Pool) preemptForSpeed(s *snapshot, u *unit, request *placement.Request) bool {
+	fast := narrowed(request, func(i int) bool { return !s.workers[i].Slow && !s.owners[i].reliability.suspect() })
+	places, victims, loss := bestPreemption(s, s.scopes(u), fast)
+	if places == nil || loss > timelyGain(u) || loss > 0 && u.slack(s.now) < p.options.Bounds.StopTimeout {
+		return false
+	}
+	p.record.Count("preemptions", "speed")
+	p.preempt(s, u, request, places, victims)
+	return true
+}
--- a/internal/pool/reliability.go
+++ b/internal/pool/reliability.go
@@ -104,11 +104,14 @@
 		return p.options.Off[mechanism.TrustedWorkers] || !s.owners[i].reliability.suspect()
 	}
 	fast := func(i int) bool { return trusted(i) && !s.workers[i].Slow }
+	knownFast := func(i int) bool { return fast(i) && p.speedKnown(s.owners[i]) }
 	proven := func(i int) bool { return s.owners[i].reliability.proven(s.now) }
 	gang := u.spec().Gang && len(u.members) > 1
 	switch {
 	case u.lastAttempt() && !p.options.Off[mechanism.TrustedWorkers]:
 		return []func(int) bool{proven, trusted}
+	case p.hurried(s, u) && p.exploring(s.now):
+		return []func(int) bool{knownFast, fast, trusted}
 	case gang:
 		return []func(int) bool{fast, trusted}
 	case u.failures > 0:
@@ -117,6 +120,11 @@
 	return nil
 }
 
+// hurried reports whether a unit ends late on a slow worker.
+func (p *Pool) hurried(s *snapshot, u *unit) bool {
+	return u.job.Queue.Priority == 0 || u.slack(s.now) < u.estimate()
+}
+
 // lastAttempt reports whether one more failure ends the unit's job.
 func (u *unit) lastAttempt() bool {
 	return u.failures > 0 && u.failures >= u.job.Queue.MaxAttempts-1 && !u.spec().LongRunning
--- a/internal/pool/unit.go
+++ b/internal/pool/unit.go
@@ -43,7 +43,8 @@
 		return
 	}
 	u.state = unitEnded
-	p.learnSpeeds(u)
+	p.learnFromGang(u)
+	p.noteTaskDone(u)
 	p.learnDuration(u)
 	s := u.step
 	s.ended++
--- a/internal/pool/worker.go
+++ b/internal/pool/worker.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/fleet"
+	"github.com/wheatroad/wheatroad/internal/speeds"
 )
 
 // machineRecord is what is known of the machine below a worker, whichever life runs on it: a
@@ -12,7 +13,7 @@
 	// penaltyUntil keeps new work away, and slowUntil keeps gangs away.
 	penaltyUntil time.Time
 	slowUntil    time.Time
-	speed        speed
+	speed        speeds.Estimate
 	reliability  reliability
 	// restarts is how often its worker started again under its identifier since the owner met it.
 	restarts int
--- a/internal/simulation/checkpoint.go
+++ b/internal/simulation/checkpoint.go
@@ -20,7 +20,7 @@
 func (w *Worker) worked(r *run) time.Duration {
 	done := saved(r.checkpoint)
 	if r.working && !w.Standing {
-		done += time.Duration(float64(w.clock.Now().Sub(r.workingSince)) / max(1, w.Slowness))
+		done += time.Duration(float64(w.clock.Now().Sub(r.workingSince)) / w.slowness())
 	}
 	return min(done, w.world.Work(r.name))
 }
--- a/internal/simulation/worker.go
+++ b/internal/simulation/worker.go
@@ -47,7 +47,7 @@
 	// and nothing finishes.
 	Failing  bool
 	Standing bool
-	// Slowness is how many times longer work takes; 0 means 1.
+	// Slowness is how many times longer work takes, less than 1 on fast workers; 0 means 1.
 	Slowness float64
 	// capacities has the worker's capacity from a time on, in the order of the changes.
 	capacities []capacitySince
@@ -161,12 +161,18 @@
 	r.workingSince = w.clock.Now()
 	w.crashUnder(r, AtWork)
 	duration := time.Duration(float64(w.world.Work(r.name)-saved(r.checkpoint)) * w.world.distance(r))
-	if w.Slowness > 1 {
-		duration = time.Duration(float64(duration) * w.Slowness)
-	}
+	duration = time.Duration(float64(duration) * w.slowness())
 	w.clock.After(duration, func() { w.finish(r) })
 }
 
+// slowness is how many times longer work takes than on an ordinary worker.
+func (w *Worker) slowness() float64 {
+	if w.Slowness == 0 {
+		return 1
+	}
+	return w.Slowness
+}
+
 // standingPause is the pause between two tries of a run to finish on a standing worker.
 const standingPause = 100 * time.Millisecond
 
@@ -265,7 +271,7 @@
 
 func (w *Worker) percent(r *run) int {
 	if r.working && !w.Standing {
-		done := float64(saved(r.checkpoint)) + float64(w.clock.Now().Sub(r.begunAt))/max(1, w.Slowness)
+		done := float64(saved(r.checkpoint)) + float64(w.clock.Now().Sub(r.begunAt))/w.slowness()
 		share := done / float64(w.world.Work(r.name))
 		r.percent = min(99, int(100*share))
 	}
