losses: work counts as on ordinary workers, and jobs with lines left out go by the owner's objective

Change: 'run ended' tells the slowness; a cause 'ran on slow workers'; without lines about runs the owner's own objective counts. Urgent jobs that the callers count as late are still told too few: an owner knows speeds against its other workers only.

--- a/internal/losses/job.go
+++ b/internal/losses/job.go
@@ -31,6 +31,7 @@
 	CauseWait      Cause = "waited: "
 	CauseWrite     Cause = "placement written late"
 	CauseRerun     Cause = "run again after: "
+	CauseSlow      Cause = "ran on slow workers"
 	CauseUnknown   Cause = "not told by the lines"
 )
 
@@ -49,7 +50,8 @@
 func (j *job) total() time.Duration { return j.ended.At.Sub(j.firstAt) }
 
 // objective is the time in which the job should have ended, by how long its work, and
-// the runs that failed, really took. The owner had only estimates to go by.
+// the runs that failed, take on ordinary workers. The owner had only estimates to go by; its own
+// objective counts where lines about the job's runs were left out.
 func (j *job) objective() time.Duration {
 	var work time.Duration
 	for step := range j.stepCount() {
@@ -60,10 +62,13 @@
 				continue
 			}
 			if end := j.endOf(p); end != nil && (end.How == "done" || end.How == "failed") {
-				work += ranFor(p, end)
+				work += workOf(p, end)
 			}
 		}
 	}
+	if work == 0 {
+		return milliseconds(j.ended.Objective)
+	}
 	return time.Duration(j.ended.Stretch*float64(work)) + milliseconds(j.ended.Target)
 }
 
@@ -141,6 +146,7 @@
 	causes[CauseStoreAway] += away
 	causes[CauseWrite] += max(0, started.Sub(p.At)-away)
 	if end.How == "done" {
+		causes[CauseSlow] += max(0, ran-workOf(p, end))
 		return
 	}
 	causes[CauseRerun+Cause(end.endCause())] += ran
@@ -155,6 +161,15 @@
 	return end.At.Sub(p.At)
 }
 
+// workOf returns how long a run takes on ordinary workers.
+func workOf(p, end *record) time.Duration {
+	ran := ranFor(p, end)
+	if end.Slowness <= 0 {
+		return ran
+	}
+	return time.Duration(float64(ran) / end.Slowness)
+}
+
 // lastUnit returns the unit of a step whose last run ended last.
 func (j *job) lastUnit(step int) int {
 	gang := slices.ContainsFunc(j.placed, func(p record) bool { return p.Step == step && p.Tasks > 1 })
--- a/internal/losses/losses_test.go
+++ b/internal/losses/losses_test.go
@@ -27,6 +27,11 @@
 	return line("a", at, "run ended", fmt.Sprintf(`"job":"%s","task":"%s.0.0.0","run":%d,"ran_ms":%d,"how":"%s","reason":"%s","unsaved_core_s":5`, job, job, run, ran, how, reason))
 }
 
+// runEndedOn is the line of a run that ended well on workers that take slowness times as long.
+func runEndedOn(slowness float64, at int, job string, ran int) string {
+	return line("a", at, "run ended", fmt.Sprintf(`"job":"%s","task":"%s.0.0.0","run":1,"ran_ms":%d,"how":"done","slowness":%g`, job, job, ran, slowness))
+}
+
 func jobEnded(at int, job, state string) string {
 	return line("a", at, "job ended", fmt.Sprintf(`"job":"%s","queue":"urgent","state":"%s","stretch":1.5,"target_ms":200`, job, state))
 }
@@ -65,6 +70,8 @@
 		"takeover": {[]string{accepted(0, "x"), line("b", 10, "owner does not answer", ""), line("a", 2900, "pool acquired", ""), line("a", 3000, "rows read", ""),
 			placed(3000, "x", 1, 3000, ""), runEnded(4000, "x", 1, 1000, "done", ""), jobEnded(4000, "x", "completed")},
 			CauseTakeover},
+		"slow workers": {[]string{accepted(0, "x"), placed(0, "x", 1, 0, ""), runEndedOn(2.5, 2000, "x", 2000), jobEnded(2000, "x", "completed")},
+			CauseSlow},
 		"never taken": {[]string{refused(0, "x", "store_unavailable"), refused(1000, "x", "store_unavailable")}, "not taken: store_unavailable"},
 	}
 	for name, c := range cases {
@@ -88,6 +95,18 @@
 	require.Equal(t, map[string]float64{"failed": 5}, s.thrown)
 }
 
+// TestJobsOfWhichLinesWereLeftOutGoByTheOwnersObjective: a busy node leaves lines out, and work of which
+// nothing was told made every such job late.
+func TestJobsOfWhichLinesWereLeftOutGoByTheOwnersObjective(t *testing.T) {
+	ended := func(at int, objective int) string {
+		return line("a", at, "job ended", fmt.Sprintf(`"job":"x","queue":"urgent","state":"completed","stretch":1.5,"target_ms":200,"objective_ms":%d`, objective))
+	}
+	s := summarize(t, accepted(0, "x"), ended(9000, 12000))
+	require.Equal(t, &queueCounts{jobs: 1, inTime: 1}, s.queues["urgent"])
+	s = summarize(t, accepted(0, "x"), ended(9000, 7000))
+	require.Equal(t, &queueCounts{jobs: 1, late: 1}, s.queues["urgent"])
+}
+
 func TestLinesOfSeveralNodesAreReadInTheOrderOfTheirTime(t *testing.T) {
 	s := summarize(t, jobEnded(1000, "x", "completed"), runEnded(1000, "x", 1, 1000, "done", ""), placed(0, "x", 1, 0, ""), accepted(0, "x"))
 	require.Equal(t, 1, s.queues["urgent"].inTime)
--- a/internal/losses/read.go
+++ b/internal/losses/read.go
@@ -36,6 +36,10 @@
 	Age       int64     `json:"age_ms"`
 	Stretch   float64   `json:"stretch"`
 	Target    int64     `json:"target_ms"`
+	Objective int64     `json:"objective_ms"`
+	// Slowness is how many times longer a run took on its workers than on ordinary ones; 0 in lines
+	// of versions that did not tell it.
+	Slowness float64 `json:"slowness"`
 }
 
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
