Nodes that start together join and take pools one after another; long feeds wait 15 s

Cause: at the start of the fleet 583 nodes wrote their rows at once, of which one part of the store carries out 200 a second: 2,263 writes for 583 nodes; and 497 tried to take the pool at once. Idle nodes asked for the configuration each 5 s though the owner tells of it with each ping. Change: refused joins back off, spread; a node reads its sample first; a lease is read before a node that does not follow it tries to take it, and nodes that know nobody spread that; long feeds wait 15 s, within the platform's 30 s.

--- a/internal/node/feeds.go
+++ b/internal/node/feeds.go
@@ -21,7 +21,7 @@
 	ownerFeedWait = 300 * time.Millisecond
 	// aloneFeedWait is for nodes that no owner tells.
 	aloneFeedWait = 500 * time.Millisecond
-	longFeedWait  = 5 * time.Second
+	longFeedWait  = 15 * time.Second
 	// confirmWait is for a feed that is to be answered at once.
 	confirmWait = 20 * time.Millisecond
 	// staleConfirmation is the age of the configuration's confirmation from which a node
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -31,8 +32,14 @@
 	// neighbourCount is how many nodes are known that follow this one. With them a node that lost the
 	// store finds one that has it.
 	neighbourCount = 12
-	// olderCount is how many nodes are looked for that run a version which does not write memberTable.
+	// olderCount is how many nodes are looked for, once, that run a version which does not write
+	// memberTable.
 	olderCount = 4
+	// joinPause is the pause after a refused write of a node's rows, give or take a half; it doubles
+	// with each one up to joinPauseMost. All rows are of one part of the store, which carries out some
+	// 200 writes a second, and hundreds of nodes may start at once.
+	joinPause     = 500 * time.Millisecond
+	joinPauseMost = 16 * time.Second
 	// memberRefresh is how often the sample is read again, and settlePeriod how long after a start,
 	// when others start as well; both give or take a half. Earlier than refreshPause after one it is
 	// not read again for any reason.
@@ -79,8 +86,16 @@
 	return []rows.Key{{Table: memberTable, Name: memberName(n.self())}, {Table: pool.NodeTable, Name: n.options.Name}}
 }
 
-// join writes this node's rows until they are there, then reads who else is.
+// join writes this node's rows until they are there.
 func (n *Node) join() {
+	if !n.joining {
+		n.joining = true
+		n.joinAfter(joinPause)
+	}
+}
+
+// joinAfter is join with the pause after a failure.
+func (n *Node) joinAfter(pause time.Duration) {
 	if n.stopping.Load() {
 		return
 	}
@@ -91,11 +106,11 @@
 	}
 	n.ports.Commit(transaction, func(_ rows.Result, err error) {
 		if err != nil {
-			n.storeRetries.After(retryPause, n.join)
+			n.storeRetries.After(spread(pause), func() { n.joinAfter(min(2*pause, joinPauseMost)) })
 			return
 		}
+		n.joining = false
 		n.edges.Record.Decided("joined", "node", self.Name, "address", self.Address)
-		n.readMembers()
 	})
 }
 
@@ -132,7 +147,9 @@
 	pages := []samplePage{
 		{memberTable, "", candidateCount},
 		{memberTable, memberName(n.self()), neighbourCount + 1},
-		{pool.NodeTable, n.options.Name, olderCount + 1},
+	}
+	if n.sample.readAt.IsZero() {
+		pages = append(pages, samplePage{pool.NodeTable, n.options.Name, olderCount + 1})
 	}
 	listings := make([]rows.Listing, len(pages))
 	left, failed := len(pages), false
@@ -166,6 +183,10 @@
 			taken.add(&listing.Rows[i])
 		}
 	}
+	if len(taken.members) <= 1 {
+		// There may be nodes of older versions only.
+		maps.Copy(taken.members, n.sample.members)
+	}
 	known, listed := taken.members[n.options.Name]
 	missing := !listed || known.Incarnation != n.options.Incarnation
 	n.sample = taken
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -81,7 +81,9 @@
 	probing bool
 
 	sample sample
-	leases map[string]leaseView
+	// joining is true while this node\'s rows are being written.
+	joining bool
+	leases  map[string]leaseView
 	// followingLeases is true while this node follows the table of leases.
 	followingLeases bool
 	// hearing is what this node knows, as an owner, of the others; pruning is true while it removes
@@ -117,6 +119,7 @@
 func (n *Node) Start() {
 	n.join()
 	n.readConfiguration()
+	n.readMembers()
 	n.keepMembers()
 	n.edges.Loop.After(spread(settlePeriod), n.refreshMembers)
 	n.pingOwners()
--- a/internal/node/ownership.go
+++ b/internal/node/ownership.go
@@ -81,6 +81,10 @@
 // among the first do not all try at once, and light ones last.
 func (n *Node) takeDelay(name string) time.Duration {
 	delay := time.Duration(n.rank(name)) * rankDelay
+	if len(n.otherMembers("")) == 0 {
+		// All may have just started, and know nobody yet.
+		return delay + rand.N(startSpread)
+	}
 	if n.sample.mayTake(n.options.Name) {
 		return delay
 	}
@@ -92,6 +96,9 @@
 	return delay + rand.N(lightDelay)
 }
 
+// startSpread is over how long nodes that know no other try to take a pool.
+const startSpread = 500 * time.Millisecond
+
 // lightDelay is how much later nodes try to take a pool that are not among its first candidates and
 // are lighter than these.
 const lightDelay = time.Second
@@ -116,11 +123,19 @@
 	}
 	w.scheduled = true
 	version := n.leases[w.pool].version
-	n.edges.Loop.After(n.takeDelay(w.pool), func() {
+	acquire := func() {
 		w.scheduled = false
 		if n.leases[w.pool].version == version && still(w) {
 			n.acquire(w, reason)
 		}
+	}
+	n.edges.Loop.After(n.takeDelay(w.pool), func() {
+		if n.followingLeases {
+			acquire()
+			return
+		}
+		// Another may have taken it meanwhile. To look costs the store less than a write that fails.
+		n.readLease(w.pool, func(int64) { acquire() })
 	})
 }
 
