--- a/internal/node/leases.go
+++ b/internal/node/leases.go
@@ -55,19 +55,27 @@
 	}, version)
 }
 
-// readLease reads a pool's lease until the store answers, then calls done with the version as of which
-// it is known.
+// readLease reads a pool's lease for the first time, or anew, then calls done with the version as of
+// which it is known.
 func (n *Node) readLease(name string, done func(version int64)) {
+	n.lookAtLease(name, func(version int64) {
+		n.watches[name].read = true
+		n.leaseChanged(name)
+		done(version)
+	})
+}
+
+// lookAtLease reads a pool's lease until the store answers. What is suspected of an owner stands if the
+// lease is as it was.
+func (n *Node) lookAtLease(name string, done func(version int64)) {
 	n.ports.Scan(pool.NodeTable, name, "", func(listing rows.Listing, err error) {
 		if err != nil {
-			n.storeRetries.After(retryPause, func() { n.readLease(name, done) })
+			n.storeRetries.After(retryPause, func() { n.lookAtLease(name, done) })
 			return
 		}
-		n.watches[name].read = true
 		for i := range listing.Rows {
 			n.applyNodeRow(listing.Rows[i])
 		}
-		n.leaseChanged(name)
 		done(listing.Version)
 	})
 }
--- a/internal/node/membership_test.go
+++ b/internal/node/membership_test.go
@@ -306,3 +306,22 @@
 	n.leaseOf("node-7", 3)
 	require.Equal(t, []string{"node-7"}, n.store.relays())
 }
+
+// TestLightNodeTakesAPoolOnceAllCandidatesAreGone: it does not follow the leases, and looks at this one
+// before it takes the pool. That the lease is as it was must not clear the suspicion.
+func TestLightNodeTakesAPoolOnceAllCandidatesAreGone(t *testing.T) {
+	store := &countingStore{fakeStore: newFakeStore()}
+	lease := pool.Lease{Owner: "candidate-00", Address: "127.0.0.1:9", Weight: 1}
+	_, err := store.Commit(context.Background(), rows.Transaction{Puts: []rows.Put{{Key: pool.LeaseKey(poolName), Value: pool.Encode(lease)}}})
+	require.NoError(t, err)
+	for i := range 2 * candidateCount {
+		store.writeMember(member{Name: fmt.Sprintf("candidate-%02d", i), Address: "127.0.0.1:9", Weight: 1})
+	}
+	n := runningNode(t, store, peer.NewClient(nil))
+	onLoop(t, n, func() {
+		n.adopt(pool.Encode(catalog.Catalog{Version: 1, Pools: []catalog.Pool{{Name: poolName}}}), "test")
+		n.readMembers()
+		n.pingOwners()
+	})
+	require.Eventually(t, func() bool { return n.view.Load().leases[poolName].Owner == "node-1" }, time.Minute, 5*time.Millisecond)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -81,7 +81,7 @@
 	probing bool
 
 	sample sample
-	// joining is true while this node\'s rows are being written.
+	// joining is true while this node's rows are being written.
 	joining bool
 	leases  map[string]leaseView
 	// followingLeases is true while this node follows the table of leases.
--- a/internal/node/ownership.go
+++ b/internal/node/ownership.go
@@ -135,7 +135,7 @@
 			return
 		}
 		// Another may have taken it meanwhile. To look costs the store less than a write that fails.
-		n.readLease(w.pool, func(int64) { acquire() })
+		n.lookAtLease(w.pool, func(int64) { acquire() })
 	})
 }
 
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -46,6 +46,7 @@
 		"foreign_rows":      {"wheatroad.worker.rows.foreign", "Rows of workers that name no worker to use, each time one is read, by fault.", "fault"},
 		"worker_restarts":   {"wheatroad.worker.restarts", "Workers that started again under their identifier, by how that was known.", "known_by"},
 		"start_failures":    {"wheatroad.worker.start.failures", "Starts that did not succeed, by reason.", "reason"},
+		"preemptions":       {"wheatroad.unit.preemptions", "Units that had others stopped though there was room, by reason.", "reason"},
 		"stops":             {"wheatroad.unit.stops", "Units stopped, by reason.", "reason"},
 		"forwards":          {"wheatroad.forwards", "Requests forwarded to another node, by result.", "result"},
 	}
