Orders and reads are spread over a machine's link

An owner sent 200 starts and a hold after each within 0.3 s; answers took 340 ms, its guards' pings (400 ms) waited behind them, and each next owner's reading and greeting did the same: 25 takeovers in a minute. Change: the setting link_mbps, filled by the platform; orders, scans and commits wait for their turn at 0.8 of the link, 0.1 s of it at once. Pings and callers do not wait.

--- a/cmd/wheatroadd/serve.go
+++ b/cmd/wheatroadd/serve.go
@@ -124,6 +124,7 @@
 	return node.Options{
 		Off:  off,
 		Name: s.Name, Incarnation: newIncarnation(), PeerAddress: s.Peers, Weight: s.CPUShare,
+		LinkBytesPerSecond: s.LinkMbps * bytesPerMbit,
 		Bounds: pool.Bounds{
 			MaxHold: settings.Millis(b.MaxHoldMillis), StopTimeout: settings.Millis(b.StopTimeoutMillis),
 			GangTimeout: settings.Millis(b.GangTimeoutMillis), Reclaim: settings.Millis(b.ReclaimMillis),
@@ -135,6 +136,9 @@
 	}
 }
 
+// bytesPerMbit is how many bytes a second a megabit a second is.
+const bytesPerMbit = 1_000_000 / 8
+
 func newIncarnation() string {
 	random := make([]byte, incarnationBytes)
 	// Reading from the system's random source does not fail.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,6 +10,7 @@
 	"github.com/wheatroad/wheatroad/internal/catalog"
 	"github.com/wheatroad/wheatroad/internal/evacuation"
 	"github.com/wheatroad/wheatroad/internal/loop"
+	"github.com/wheatroad/wheatroad/internal/pacing"
 	"github.com/wheatroad/wheatroad/internal/pool"
 	"github.com/wheatroad/wheatroad/internal/rows"
 	"github.com/wheatroad/wheatroad/internal/uptime"
@@ -108,7 +109,7 @@
 		watches: map[string]*watch{}, owned: map[string]*pool.Pool{},
 		waiting: map[string]waitingCounts{},
 	}
-	n.ports = &ports{ctx: ctx, node: n}
+	n.ports = &ports{ctx: ctx, node: n, pacer: pacing.New(linkShare*options.LinkBytesPerSecond, linkBurst, uptime.Now)}
 	n.storeRetries = loop.NewRetries(edges.Loop)
 	n.store = &relayedStore{node: n, direct: &observedStore{Store: edges.Store, node: n}}
 	n.view.Store(&view{})
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -36,7 +36,9 @@
 	PeerAddress string
 	// Weight is the node's processor share: heavier nodes take pools first.
 	Weight float64
-	Bounds pool.Bounds
+	// LinkBytesPerSecond is the rate of the machine's link; 0 if it need not be spared.
+	LinkBytesPerSecond float64
+	Bounds             pool.Bounds
 	// ConfigurationAge is how old the configuration's confirmation may be before
 	// callers are turned away.
 	ConfigurationAge time.Duration
--- a/internal/node/ports.go
+++ b/internal/node/ports.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/fleet"
+	"github.com/wheatroad/wheatroad/internal/pacing"
 	"github.com/wheatroad/wheatroad/internal/progress"
 	"github.com/wheatroad/wheatroad/internal/rows"
 )
@@ -14,6 +15,35 @@
 type ports struct {
 	ctx  context.Context
 	node *Node
+	// pacer spreads orders and reads over the machine's link.
+	pacer *pacing.Pacer
+}
+
+// What an owner orders and reads comes in bursts: a start and a hold for each task of a wide step, all rows
+// of a pool at a takeover. On a small link the pings of its guards waited behind them for longer than they
+// are given, the pool was taken over, and the next owner's reading did the same.
+const (
+	// linkShare of the link is for orders and reads, of which linkBurst may pass at once.
+	linkShare = 0.8
+	linkBurst = 100 * time.Millisecond
+	// orderBytes is what an order takes on the link beside its payload, with headers; its answer takes
+	// about as much the other way.
+	orderBytes = 450
+	// scanBytes is taken for a scan whose size is not known before.
+	scanBytes = 4 << 10
+)
+
+// paced waits for the link, then calls work within bounds of its own, and posts what it returns.
+func paced[T any](p *ports, bytes int, bounds progress.Patience, work func(context.Context) (T, error), done func(T, error)) {
+	go func() {
+		if err := p.pacer.Wait(p.ctx, bytes); err != nil {
+			return
+		}
+		ctx, cancel := progress.WithPatience(p.ctx, bounds)
+		defer cancel()
+		result, err := work(ctx)
+		p.node.edges.Loop.Post(func() { done(result, err) })
+	}()
 }
 
 // patience lets an answer that begins within limit arrive however slow the link is.
@@ -40,7 +70,7 @@
 // Commit implements pool.Ports.
 func (p *ports) Commit(transaction rows.Transaction, done func(rows.Result, error)) {
 	limit := storeTimeout + relayHops*rows.SendTime(transaction)
-	run(p, patience(limit), func(ctx context.Context) (rows.Result, error) {
+	paced(p, transaction.Bytes(), patience(limit), func(ctx context.Context) (rows.Result, error) {
 		return p.commit(ctx, transaction)
 	}, done)
 }
@@ -52,8 +82,10 @@
 // Scan implements pool.Ports.
 func (p *ports) Scan(table, part, prefix string, done func(rows.Listing, error)) {
 	// Each way of a scan has bounds of its own.
-	run(p, exactly(answerLimit), func(ctx context.Context) (rows.Listing, error) {
-		return p.scan(ctx, table, part, prefix)
+	paced(p, scanBytes, exactly(answerLimit), func(ctx context.Context) (rows.Listing, error) {
+		listing, err := p.scan(ctx, table, part, prefix)
+		p.pacer.Charge(max(0, listing.Bytes()-scanBytes))
+		return listing, err
 	}, done)
 }
 
@@ -101,7 +133,7 @@
 // Start implements pool.Ports.
 func (p *ports) Start(to *fleet.Worker, order fleet.Start, done func(fleet.Reply, error)) {
 	target := *to
-	run(p, exactly(orderTimeout+p.node.lateness.allowance()), func(ctx context.Context) (fleet.Reply, error) {
+	paced(p, orderBytes+len(order.Payload), exactly(orderTimeout+p.node.lateness.allowance()), func(ctx context.Context) (fleet.Reply, error) {
 		return p.node.edges.Orders.Start(ctx, &target, order)
 	}, done)
 }
@@ -109,7 +141,7 @@
 // Stop implements pool.Ports.
 func (p *ports) Stop(to *fleet.Worker, order fleet.Stop, done func(fleet.Reply, error)) {
 	target := *to
-	run(p, exactly(orderTimeout+p.node.lateness.allowance()), func(ctx context.Context) (fleet.Reply, error) {
+	paced(p, orderBytes, exactly(orderTimeout+p.node.lateness.allowance()), func(ctx context.Context) (fleet.Reply, error) {
 		return p.node.edges.Orders.Stop(ctx, &target, order)
 	}, done)
 }
@@ -117,7 +149,7 @@
 // Hold implements pool.Ports.
 func (p *ports) Hold(to *fleet.Worker, order fleet.Hold, done func(fleet.Reply, error)) {
 	target := *to
-	run(p, patience(order.Wait+holdSlack+p.node.lateness.allowance()), func(ctx context.Context) (fleet.Reply, error) {
+	paced(p, orderBytes, patience(order.Wait+holdSlack+p.node.lateness.allowance()), func(ctx context.Context) (fleet.Reply, error) {
 		return p.node.edges.Orders.Hold(ctx, &target, order)
 	}, done)
 }
--- a/internal/rows/send_time.go
+++ b/internal/rows/send_time.go
@@ -13,9 +13,23 @@
 // top of a call's limits: a call that ends while it is being sent is sent again from its
 // start.
 func SendTime(transaction Transaction) time.Duration {
+	return time.Duration(transaction.Bytes()) * time.Second / smallLink
+}
+
+// Bytes is what the transaction's rows take on the link.
+func (t *Transaction) Bytes() int {
+	bytes := 0
+	for i := range t.Puts {
+		bytes += base64.StdEncoding.EncodedLen(len(t.Puts[i].Value))
+	}
+	return bytes
+}
+
+// Bytes is what the listing's rows take on the link.
+func (l *Listing) Bytes() int {
 	bytes := 0
-	for i := range transaction.Puts {
-		bytes += base64.StdEncoding.EncodedLen(len(transaction.Puts[i].Value))
+	for i := range l.Rows {
+		bytes += base64.StdEncoding.EncodedLen(len(l.Rows[i].Value))
 	}
-	return time.Duration(bytes) * time.Second / smallLink
+	return bytes
 }
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -27,6 +27,8 @@
 	// Store is the address of the platform's store.
 	Store    string `toml:"store"`
 	MemoryMB int    `toml:"memory_mb"`
+	// LinkMbps is the rate of the machine's link; 0 if it need not be spared.
+	LinkMbps float64 `toml:"link_mbps"`
 	// CPUShare is the machine's share of a core: larger nodes take pools first.
 	CPUShare  float64    `toml:"cpu_share"`
 	Bounds    NodeBounds `toml:"bounds"`
@@ -119,6 +121,7 @@
 		c.address("metrics", s.Metrics)
 	}
 	c.require(s.MemoryMB >= 32, "memory_mb", "must be at least 32")
+	c.require(s.LinkMbps >= 0, "link_mbps", "must not be negative")
 	c.require(s.CPUShare > 0, "cpu_share", "must be positive")
 	if _, err := mechanism.ParseOff(s.Without); err != nil {
 		c.require(false, "without", "%v", err)
