--- a/cmd/wheatroad-bench/storm.go
+++ b/cmd/wheatroad-bench/storm.go
@@ -1,16 +1,11 @@
 package main
 
 import (
-	"bytes"
-	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"os/exec"
-	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -19,11 +14,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/wheatroad/wheatroad/internal/api"
-	"github.com/wheatroad/wheatroad/internal/auth"
 	"github.com/wheatroad/wheatroad/internal/bench"
-	"github.com/wheatroad/wheatroad/internal/fault"
-	"github.com/wheatroad/wheatroad/internal/job"
-	"github.com/wheatroad/wheatroad/internal/planning"
 	"github.com/wheatroad/wheatroad/internal/standin"
 )
 
@@ -150,148 +141,6 @@
 	_ = os.RemoveAll(s.folder)
 }
 
-func (s *storm) spawn(name string, args ...string) error {
-	process := exec.Command(filepath.Join(s.binaries, args[0]), args[1:]...)
-	if err := process.Start(); err != nil {
-		return err
-	}
-	s.processes[name] = process
-	return nil
-}
-
-// awaitFile waits for a file with content.
-func awaitFile(path string) (string, error) {
-	for range 400 {
-		if content, err := os.ReadFile(path); err == nil && len(content) > 0 {
-			return string(content), nil
-		}
-		time.Sleep(25 * time.Millisecond)
-	}
-	return "", errors.Newf("nothing wrote %s", path)
-}
-
-const stormCluster = `[[pool]]
-region = "r"
-zone = "%s"
-racks = %d
-workers_per_rack = 8
-accelerators = 8
-cpus = 64
-memory_gb = 256
-`
-
-func (s *storm) start() error {
-	cluster := fmt.Sprintf(stormCluster, "z1", 3) + fmt.Sprintf(stormCluster, "z2", 2) + fmt.Sprintf(stormCluster, "z3", 2)
-	clusterPath := filepath.Join(s.folder, "cluster.toml")
-	if err := os.WriteFile(clusterPath, []byte(cluster), 0o600); err != nil {
-		return err
-	}
-	address := filepath.Join(s.folder, "platform")
-	if err := s.spawn("platform", "wheatroad-platform", "--cluster", clusterPath, "--address-file", address); err != nil {
-		return err
-	}
-	platformAddress, err := awaitFile(address)
-	if err != nil {
-		return err
-	}
-	s.platform = "http://" + platformAddress
-	for n := range stormNodes {
-		if err := s.startNode(n); err != nil {
-			return err
-		}
-	}
-	for n := range stormNodes {
-		address, err := awaitFile(filepath.Join(s.folder, fmt.Sprintf("node%d", n)))
-		if err != nil {
-			return err
-		}
-		s.addresses = append(s.addresses, "http://"+address)
-	}
-	return s.declare()
-}
-
-func (s *storm) startNode(n int) error {
-	text := fmt.Sprintf(`node = "node%d"
-zone = "r/z%d"
-[http]
-address_file = %q
-[platform]
-url = %q
-connections_per_address = 128
-[access]
-operator_key_hashes = [%q]
-`, n, 1+n%3, filepath.Join(s.folder, fmt.Sprintf("node%d", n)), s.platform, auth.Hash(stormOperatorKey))
-	path := filepath.Join(s.folder, fmt.Sprintf("node%d.toml", n))
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-		return err
-	}
-	return s.spawn(fmt.Sprintf("node%d", n), "wheatroadd", "run", path)
-}
-
-func (s *storm) declare() error {
-	declared := map[string]any{"tenant": []map[string]any{
-		{"name": "large", "key_hashes": []string{auth.Hash("large")}, "quota": map[string]int{"queued_jobs": queueLimit}},
-		{"name": "small", "key_hashes": []string{auth.Hash("small")}, "quota": map[string]int{"queued_jobs": queueLimit}},
-	}}
-	var err error
-	for range 200 {
-		var plan planning.Plan
-		if err = s.call(s.addresses[0], stormOperatorKey, "POST", "/v1/plans", declared, &plan); err == nil && len(plan.Impact) == 0 {
-			if err = s.call(s.addresses[0], stormOperatorKey, "POST", "/v1/plans/"+plan.Digest+"/confirm", api.Confirmation{Base: plan.Base}, nil); err != nil {
-				return err
-			}
-			return s.call(s.addresses[0], stormOperatorKey, "GET", "/v1/configuration?version=1&wait=15s", nil, nil)
-		}
-		time.Sleep(100 * time.Millisecond)
-	}
-	return errors.Wrap(err, "the domains have no owners")
-}
-
-// refusal is an answer that is not a success.
-type refusal struct{ answer api.ErrorAnswer }
-
-// Error names the refusal's kind.
-func (r *refusal) Error() string { return string(r.answer.Error) }
-
-func (s *storm) call(address, key, method, path string, in, out any) error {
-	document, err := json.Marshal(in)
-	if err != nil {
-		return err
-	}
-	request, err := http.NewRequestWithContext(context.Background(), method, address+path, bytes.NewReader(document))
-	if err != nil {
-		return err
-	}
-	request.Header.Set("Authorization", "Bearer "+key)
-	response, err := s.client.Do(request)
-	if err != nil {
-		return err
-	}
-	defer response.Body.Close()
-	content, err := io.ReadAll(response.Body)
-	if err != nil {
-		return err
-	}
-	if response.StatusCode >= http.StatusBadRequest {
-		failure := &refusal{}
-		_ = json.Unmarshal(content, &failure.answer)
-		return failure
-	}
-	if out == nil {
-		return nil
-	}
-	return json.Unmarshal(content, out)
-}
-
-// tally collects what callers were told.
-type tally struct {
-	mutex    sync.Mutex
-	phase    *StormPhase
-	accepted map[string]bool
-	notRun   map[string]bool
-	sends    int
-}
-
 func (s *storm) run(load, seconds float64) (*StormPhase, error) {
 	t := &tally{phase: &StormPhase{Load: load, Seconds: seconds, Answers: map[string]int{}}, accepted: map[string]bool{}, notRun: map[string]bool{}}
 	s.slowWorkers()
@@ -355,108 +204,3 @@
 		}
 	}
 }
-
-// submitters sends jobs at a rate until a time and waits for all answers.
-func (s *storm) submitters(t *tally, tenant string, perSecond float64, until time.Time) {
-	var group sync.WaitGroup
-	gap := time.Duration(float64(time.Second) / perSecond)
-	for number := 0; time.Now().Before(until); number++ {
-		group.Go(func() { s.submit(t, tenant, fmt.Sprintf("%s-%d", tenant, number), number) })
-		time.Sleep(gap)
-	}
-	group.Wait()
-}
-
-// submit sends one job through the next daemon that can be connected to, as a plain
-// balancer would. Only a refused connection is tried elsewhere.
-func (s *storm) submit(t *tally, tenant, id string, number int) {
-	body := map[string]any{
-		"id": id, "members": 1, "accelerators": 4, "cpus": 1, "memory_gb": 1, "duration": stormRunSeconds,
-		"repeatable": false, "payload": fmt.Sprintf(`{"run_seconds":%g,"output_bytes":64}`, stormRunSeconds),
-	}
-	var record job.Record
-	var err error
-	sends := 0
-	for offset := range stormNodes {
-		sends++
-		err = s.call(s.addresses[(number+offset)%stormNodes], tenant, "POST", "/v1/jobs", body, &record)
-		if err == nil || !errors.Is(err, syscall.ECONNREFUSED) {
-			break
-		}
-	}
-	t.note(tenant, id, sends, err)
-}
-
-func (t *tally) note(tenant, id string, sends int, err error) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	t.phase.Submitted++
-	t.sends += sends
-	var failure *refusal
-	switch {
-	case err == nil:
-		t.accepted[id] = true
-		t.phase.Answers["accepted"]++
-	case errors.As(err, &failure):
-		t.phase.Answers[string(failure.answer.Error)]++
-		if failure.answer.Outcome == "not_run" {
-			t.notRun[id] = true
-		}
-		shed := failure.answer.Error == fault.TenantLimit || failure.answer.Error == fault.Overloaded
-		if tenant == "small" && shed {
-			t.phase.SmallTenantShed++
-		}
-	default:
-		t.phase.Answers["no_answer"]++
-	}
-}
-
-// count reads from the platform what ran, and from the daemons what was repeated.
-func (s *storm) count(t *tally, began, until time.Time) error {
-	var history []standin.Execution
-	if err := s.call(s.platform, "", "GET", "/history", nil, &history); err != nil {
-		return err
-	}
-	runs := map[string]int{}
-	for i := range history {
-		e := &history[i]
-		switch {
-		case e.Began:
-			runs[e.Job]++
-		case e.State == "finished" && e.At.Before(until):
-			t.phase.Finished++
-		}
-	}
-	for id, count := range runs {
-		if count > 1 {
-			t.phase.RanTwice++
-		}
-		if t.notRun[id] {
-			t.phase.NotRunRan++
-		}
-	}
-	t.phase.Goodput = float64(t.phase.Finished) / until.Sub(began).Seconds()
-	t.phase.AttemptsPerRequest = float64(t.sends+s.repeated()) / float64(max(1, t.phase.Submitted))
-	return nil
-}
-
-// repeated adds up how often daemons tried a submission again.
-func (s *storm) repeated() int {
-	total := 0
-	for _, address := range s.addresses {
-		response, err := s.client.Get(address + "/metrics")
-		if err != nil {
-			continue
-		}
-		content, _ := io.ReadAll(response.Body)
-		response.Body.Close()
-		for _, line := range strings.Split(string(content), "\n") {
-			if strings.HasPrefix(line, `wheatroad_retries_total{reason="no_owner"`) || strings.HasPrefix(line, `wheatroad_retries_total{reason="other_domain"`) {
-				var count int
-				_, _ = fmt.Sscanf(line[strings.LastIndex(line, " ")+1:], "%d", &count)
-				total += count
-			}
-		}
-	}
-	return total
-}
--- /dev/null
+++ b/cmd/wheatroad-bench/storm_processes.go
@@ -0,0 +1,153 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wheatroad/wheatroad/internal/api"
+	"github.com/wheatroad/wheatroad/internal/auth"
+	"github.com/wheatroad/wheatroad/internal/planning"
+)
+
+func (s *storm) spawn(name string, args ...string) error {
+	process := exec.Command(filepath.Join(s.binaries, args[0]), args[1:]...)
+	if err := process.Start(); err != nil {
+		return err
+	}
+	s.processes[name] = process
+	return nil
+}
+
+// awaitFile waits for a file with content.
+func awaitFile(path string) (string, error) {
+	for range 400 {
+		if content, err := os.ReadFile(path); err == nil && len(content) > 0 {
+			return string(content), nil
+		}
+		time.Sleep(25 * time.Millisecond)
+	}
+	return "", errors.Newf("nothing wrote %s", path)
+}
+
+const stormCluster = `[[pool]]
+region = "r"
+zone = "%s"
+racks = %d
+workers_per_rack = 8
+accelerators = 8
+cpus = 64
+memory_gb = 256
+`
+
+func (s *storm) start() error {
+	cluster := fmt.Sprintf(stormCluster, "z1", 3) + fmt.Sprintf(stormCluster, "z2", 2) + fmt.Sprintf(stormCluster, "z3", 2)
+	clusterPath := filepath.Join(s.folder, "cluster.toml")
+	if err := os.WriteFile(clusterPath, []byte(cluster), 0o600); err != nil {
+		return err
+	}
+	address := filepath.Join(s.folder, "platform")
+	if err := s.spawn("platform", "wheatroad-platform", "--cluster", clusterPath, "--address-file", address); err != nil {
+		return err
+	}
+	platformAddress, err := awaitFile(address)
+	if err != nil {
+		return err
+	}
+	s.platform = "http://" + platformAddress
+	for n := range stormNodes {
+		if err := s.startNode(n); err != nil {
+			return err
+		}
+	}
+	for n := range stormNodes {
+		address, err := awaitFile(filepath.Join(s.folder, fmt.Sprintf("node%d", n)))
+		if err != nil {
+			return err
+		}
+		s.addresses = append(s.addresses, "http://"+address)
+	}
+	return s.declare()
+}
+
+func (s *storm) startNode(n int) error {
+	text := fmt.Sprintf(`node = "node%d"
+zone = "r/z%d"
+[http]
+address_file = %q
+[platform]
+url = %q
+connections_per_address = 128
+[access]
+operator_key_hashes = [%q]
+`, n, 1+n%3, filepath.Join(s.folder, fmt.Sprintf("node%d", n)), s.platform, auth.Hash(stormOperatorKey))
+	path := filepath.Join(s.folder, fmt.Sprintf("node%d.toml", n))
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		return err
+	}
+	return s.spawn(fmt.Sprintf("node%d", n), "wheatroadd", "run", path)
+}
+
+func (s *storm) declare() error {
+	declared := map[string]any{"tenant": []map[string]any{
+		{"name": "large", "key_hashes": []string{auth.Hash("large")}, "quota": map[string]int{"queued_jobs": queueLimit}},
+		{"name": "small", "key_hashes": []string{auth.Hash("small")}, "quota": map[string]int{"queued_jobs": queueLimit}},
+	}}
+	var err error
+	for range 200 {
+		var plan planning.Plan
+		if err = s.call(s.addresses[0], stormOperatorKey, "POST", "/v1/plans", declared, &plan); err == nil && len(plan.Impact) == 0 {
+			if err = s.call(s.addresses[0], stormOperatorKey, "POST", "/v1/plans/"+plan.Digest+"/confirm", api.Confirmation{Base: plan.Base}, nil); err != nil {
+				return err
+			}
+			return s.call(s.addresses[0], stormOperatorKey, "GET", "/v1/configuration?version=1&wait=15s", nil, nil)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return errors.Wrap(err, "the domains have no owners")
+}
+
+// refusal is an answer that is not a success.
+type refusal struct{ answer api.ErrorAnswer }
+
+// Error names the refusal's kind.
+func (r *refusal) Error() string { return string(r.answer.Error) }
+
+func (s *storm) call(address, key, method, path string, in, out any) error {
+	document, err := json.Marshal(in)
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequestWithContext(context.Background(), method, address+path, bytes.NewReader(document))
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Authorization", "Bearer "+key)
+	response, err := s.client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err
+	}
+	if response.StatusCode >= http.StatusBadRequest {
+		failure := &refusal{}
+		_ = json.Unmarshal(content, &failure.answer)
+		return failure
+	}
+	if out == nil {
+		return nil
+	}
+	return json.Unmarshal(content, out)
+}
--- /dev/null
+++ b/cmd/wheatroad-bench/storm_tally.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wheatroad/wheatroad/internal/fault"
+	"github.com/wheatroad/wheatroad/internal/job"
+	"github.com/wheatroad/wheatroad/internal/standin"
+)
+
+// tally collects what callers were told.
+type tally struct {
+	mutex    sync.Mutex
+	phase    *StormPhase
+	accepted map[string]bool
+	notRun   map[string]bool
+	sends    int
+}
+
+// submitters sends jobs at a rate until a time and waits for all answers.
+func (s *storm) submitters(t *tally, tenant string, perSecond float64, until time.Time) {
+	var group sync.WaitGroup
+	gap := time.Duration(float64(time.Second) / perSecond)
+	for number := 0; time.Now().Before(until); number++ {
+		group.Go(func() { s.submit(t, tenant, fmt.Sprintf("%s-%d", tenant, number), number) })
+		time.Sleep(gap)
+	}
+	group.Wait()
+}
+
+// submit sends one job through the next daemon that can be connected to, as a plain
+// balancer would. Only a refused connection is tried elsewhere.
+func (s *storm) submit(t *tally, tenant, id string, number int) {
+	body := map[string]any{
+		"id": id, "members": 1, "accelerators": 4, "cpus": 1, "memory_gb": 1, "duration": stormRunSeconds,
+		"repeatable": false, "payload": fmt.Sprintf(`{"run_seconds":%g,"output_bytes":64}`, stormRunSeconds),
+	}
+	var record job.Record
+	var err error
+	sends := 0
+	for offset := range stormNodes {
+		sends++
+		err = s.call(s.addresses[(number+offset)%stormNodes], tenant, "POST", "/v1/jobs", body, &record)
+		if err == nil || !errors.Is(err, syscall.ECONNREFUSED) {
+			break
+		}
+	}
+	t.note(tenant, id, sends, err)
+}
+
+func (t *tally) note(tenant, id string, sends int, err error) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.phase.Submitted++
+	t.sends += sends
+	var failure *refusal
+	switch {
+	case err == nil:
+		t.accepted[id] = true
+		t.phase.Answers["accepted"]++
+	case errors.As(err, &failure):
+		t.phase.Answers[string(failure.answer.Error)]++
+		if failure.answer.Outcome == "not_run" {
+			t.notRun[id] = true
+		}
+		shed := failure.answer.Error == fault.TenantLimit || failure.answer.Error == fault.Overloaded
+		if tenant == "small" && shed {
+			t.phase.SmallTenantShed++
+		}
+	default:
+		t.phase.Answers["no_answer"]++
+	}
+}
+
+// count reads from the platform what ran, and from the daemons what was repeated.
+func (s *storm) count(t *tally, began, until time.Time) error {
+	var history []standin.Execution
+	if err := s.call(s.platform, "", "GET", "/history", nil, &history); err != nil {
+		return err
+	}
+	runs := map[string]int{}
+	for i := range history {
+		e := &history[i]
+		switch {
+		case e.Began:
+			runs[e.Job]++
+		case e.State == "finished" && e.At.Before(until):
+			t.phase.Finished++
+		}
+	}
+	for id, count := range runs {
+		if count > 1 {
+			t.phase.RanTwice++
+		}
+		if t.notRun[id] {
+			t.phase.NotRunRan++
+		}
+	}
+	t.phase.Goodput = float64(t.phase.Finished) / until.Sub(began).Seconds()
+	t.phase.AttemptsPerRequest = float64(t.sends+s.repeated()) / float64(max(1, t.phase.Submitted))
+	return nil
+}
+
+// repeated adds up how often daemons tried a submission again.
+func (s *storm) repeated() int {
+	total := 0
+	for _, address := range s.addresses {
+		response, err := s.client.Get(address + "/metrics")
+		if err != nil {
+			continue
+		}
+		content, _ := io.ReadAll(response.Body)
+		response.Body.Close()
+		for _, line := range strings.Split(string(content), "\n") {
+			if strings.HasPrefix(line, `wheatroad_retries_total{reason="no_owner"`) || strings.HasPrefix(line, `wheatroad_retries_total{reason="other_domain"`) {
+				var count int
+				_, _ = fmt.Sscanf(line[strings.LastIndex(line, " ")+1:], "%d", &count)
+				total += count
+			}
+		}
+	}
+	return total
+}
