--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -184,7 +184,7 @@
 		}
 	}
 	if len(taken.members) <= 1 {
-		// There may be nodes of older versions only.
+		// All others run an older version; those that the first sample found are kept.
 		maps.Copy(taken.members, n.sample.members)
 	}
 	known, listed := taken.members[n.options.Name]
--- a/internal/node/ports.go
+++ b/internal/node/ports.go
@@ -33,19 +33,23 @@
 	scanBytes = 4 << 10
 )
 
-// paced waits for the link, then calls work within bounds of its own, and posts what it returns.
+// paced is run once it is the turn of some bytes on the link. The bounds count from then.
 func paced[T any](p *ports, bytes int, bounds progress.Patience, work func(context.Context) (T, error), done func(T, error)) {
 	go func() {
-		if err := p.pacer.Wait(p.ctx, bytes); err != nil {
-			return
+		if err := p.pacer.Wait(p.ctx, bytes); err == nil {
+			perform(p, bounds, work, done)
 		}
-		ctx, cancel := progress.WithPatience(p.ctx, bounds)
-		defer cancel()
-		result, err := work(ctx)
-		p.node.edges.Loop.Post(func() { done(result, err) })
 	}()
 }
 
+// perform calls work within bounds and posts what it returns.
+func perform[T any](p *ports, bounds progress.Patience, work func(context.Context) (T, error), done func(T, error)) {
+	ctx, cancel := progress.WithPatience(p.ctx, bounds)
+	defer cancel()
+	result, err := work(ctx)
+	p.node.edges.Loop.Post(func() { done(result, err) })
+}
+
 // patience lets an answer that begins within limit arrive however slow the link is.
 // Answers that were given up midway and asked for again filled small links for good.
 func patience(limit time.Duration) progress.Patience {
@@ -59,12 +63,7 @@
 
 // run calls work and posts what it returns.
 func run[T any](p *ports, bounds progress.Patience, work func(context.Context) (T, error), done func(T, error)) {
-	go func() {
-		ctx, cancel := progress.WithPatience(p.ctx, bounds)
-		defer cancel()
-		result, err := work(ctx)
-		p.node.edges.Loop.Post(func() { done(result, err) })
-	}()
+	go perform(p, bounds, work, done)
 }
 
 // Commit implements pool.Ports.
--- a/internal/pool/reliability.go
+++ b/internal/pool/reliability.go
@@ -120,7 +120,7 @@
 	return nil
 }
 
-// hurried reports whether a unit ends late on a slow worker.
+// hurried reports whether a unit would probably be late on a slow worker.
 func (p *Pool) hurried(s *snapshot, u *unit) bool {
 	return u.job.Queue.Priority == 0 || u.slack(s.now) < u.estimate()
 }
--- a/internal/pool/speed.go
+++ b/internal/pool/speed.go
@@ -9,8 +9,8 @@
 	"github.com/wheatroad/wheatroad/internal/speeds"
 )
 
-// What is learned of workers' speeds, from all work that tells it: the members of a gang are equal
-// tasks that began together, and so are, but for how long they are, the tasks of a step.
+// What is learned of workers' speeds, from all work that tells it. The members of a gang are equal
+// tasks that began together; the tasks of a step that run by themselves are alike, though not equal.
 const (
 	// leastPercent is the progress from which a run tells its time.
 	leastPercent = 3
