Nodes of a small fleet learn of each other at once; leases are followed again after a lost history

Found by reading beside it: once the store had forgotten its history, guards no longer followed the leases until their next sample.

--- a/internal/node/leases.go
+++ b/internal/node/leases.go
@@ -34,7 +34,7 @@
 	}
 	n.followingLeases = true
 	names := sortedKeys(n.watches)
-	left, version := len(names), int64(0)
+	left, version := len(names), n.freshSampleVersion()
 	for _, name := range names {
 		n.readLease(name, func(asOf int64) {
 			if version == 0 || asOf < version {
@@ -51,10 +51,23 @@
 	n.follow(subscription{
 		table: pool.NodeTable, feed: n.ports.feedFor, wait: n.leasesWait, apply: n.applyNodeRow,
 		wanted: n.needsLeases,
-		ended:  func() { n.followingLeases = false },
+		ended: func() {
+			// The history may be gone from where the sample was read.
+			n.followingLeases, n.sample.version = false, 0
+			n.followLeases()
+		},
 	}, version)
 }
 
+// freshSampleVersion is the version from which the rows of nodes are to be followed so that none is
+// missed; 0 if the sample was not read just now.
+func (n *Node) freshSampleVersion() int64 {
+	if n.now().Sub(n.sample.readAt) > refreshPause {
+		return 0
+	}
+	return n.sample.version
+}
+
 // readLease reads a pool's lease for the first time, or anew, then calls done with the version as of
 // which it is known.
 func (n *Node) readLease(name string, done func(version int64)) {
@@ -95,13 +108,18 @@
 	})
 }
 
-// applyNodeRow takes in a row of the table of leases. Rows of nodes, of the empty part, are read as
-// members.
+// applyNodeRow takes in a row of the table of leases, which also has a row for each node. Where there are
+// few nodes all of them follow it, and learn of each other at once.
 func (n *Node) applyNodeRow(row rows.Row) {
-	if row.Part != "" && row.Name == pool.LeaseRow {
+	switch {
+	case row.Part == "" && !n.sample.partial:
+		n.sample.apply(&row)
+	case row.Part != "" && row.Name == pool.LeaseRow:
 		n.applyLease(row)
-		n.publish()
+	default:
+		return
 	}
+	n.publish()
 }
 
 func (n *Node) applyLease(row rows.Row) {
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -63,6 +63,8 @@
 	// candidates are those that would take a pool first, and partial is true if there are more nodes.
 	candidates map[string]bool
 	partial    bool
+	// version is that of the store as of which they are known.
+	version int64
 	// reading is true while it is read, readAt is when it last was.
 	reading bool
 	readAt  time.Time
@@ -171,7 +173,7 @@
 
 // takeMembers takes in a sample.
 func (n *Node) takeMembers(candidates rows.Listing, others ...rows.Listing) {
-	taken := sample{members: map[string]member{}, candidates: map[string]bool{}, readAt: n.now()}
+	taken := sample{members: map[string]member{}, candidates: map[string]bool{}, readAt: n.now(), version: candidates.Version}
 	taken.partial = len(candidates.Rows) >= candidateCount
 	for i := range candidates.Rows {
 		if m, ok := taken.add(&candidates.Rows[i]); ok {
@@ -179,6 +181,7 @@
 		}
 	}
 	for _, listing := range others {
+		taken.version = min(taken.version, listing.Version)
 		for i := range listing.Rows {
 			taken.add(&listing.Rows[i])
 		}
@@ -208,6 +211,15 @@
 	return m, true
 }
 
+// apply takes in a change of a node's row.
+func (s *sample) apply(row *rows.Row) {
+	if row.Gone {
+		delete(s.members, row.Name)
+		return
+	}
+	s.add(row)
+}
+
 // mayTake reports whether a node is known to be among the first that would take a pool.
 func (s *sample) mayTake(name string) bool { return !s.partial || s.candidates[name] }
 
--- a/internal/node/membership_test.go
+++ b/internal/node/membership_test.go
@@ -325,3 +325,64 @@
 	})
 	require.Eventually(t, func() bool { return n.view.Load().leases[poolName].Owner == "node-1" }, time.Minute, 5*time.Millisecond)
 }
+
+// TestNodesOfASmallFleetLearnOfEachOtherAtOnce: a node that started before the others knew of none of them
+// until it read its sample again.
+func TestNodesOfASmallFleetLearnOfEachOtherAtOnce(t *testing.T) {
+	row := func(name string, gone bool) rows.Row {
+		return rows.Row{Key: rows.Key{Table: pool.NodeTable, Name: name}, Value: pool.Encode(member{Name: name, Weight: 1}), Gone: gone}
+	}
+	n := newWatchingNode(t, 1, nil)
+	n.applyNodeRow(row("node-2", false))
+	n.applyNodeRow(row("node-3", false))
+	n.applyNodeRow(row("node-3", true))
+	others := n.otherMembers("")
+	require.Len(t, others, 1)
+	require.Equal(t, "node-2", others[0].Name)
+
+	n.sample.partial = true
+	n.applyNodeRow(row("node-4", false))
+	require.Len(t, n.otherMembers(""), 1, "the nodes of a large fleet are not all known")
+}
+
+// goneStore has no history before a version.
+type goneStore struct {
+	countingStore
+	horizon int64
+	feeds   int
+}
+
+func (s *goneStore) Feed(ctx context.Context, table string, after int64, wait time.Duration) (rows.Listing, error) {
+	s.mutex.Lock()
+	s.feeds++
+	gone := after < s.horizon
+	s.mutex.Unlock()
+	if gone {
+		return rows.Listing{}, rows.ErrHistoryGone
+	}
+	return s.countingStore.Feed(ctx, table, after, wait)
+}
+
+// TestLeasesAreFollowedAgainOnceTheHistoryIsGone, from where they are read anew.
+func TestLeasesAreFollowedAgainOnceTheHistoryIsGone(t *testing.T) {
+	store := &goneStore{countingStore: countingStore{fakeStore: newFakeStore()}}
+	store.writeMember(member{Name: "node-2", Weight: 1})
+	lease := func(owner string) {
+		_, err := store.Commit(context.Background(), rows.Transaction{Puts: []rows.Put{{Key: pool.LeaseKey(poolName), Value: pool.Encode(pool.Lease{Owner: owner, Address: "127.0.0.1:9"})}}})
+		require.NoError(t, err)
+	}
+	lease("node-2")
+	store.horizon = store.version
+	n := runningNode(t, store, peer.NewClient(nil))
+	onLoop(t, n, func() {
+		n.sample.version, n.sample.readAt = 1, n.now()
+		n.watches[poolName] = &watch{pool: poolName}
+		n.followLeases()
+	})
+	require.Eventually(t, func() bool { return n.view.Load().leases[poolName].Owner == "node-2" }, time.Minute, time.Millisecond)
+	lease("node-3")
+	require.Eventually(t, func() bool { return n.view.Load().leases[poolName].Owner == "node-3" }, time.Minute, time.Millisecond)
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	require.Less(t, store.feeds, 20)
+}
