pool: a start without an answer is barred after its run is over

What callers saw: a task ran again after it had ended.

Cause: an order that got no answer was forgotten with its run, and may be carried out seconds later. In the incarnation that it was sent to, its deadline, the run's end, a stop or the fence bar it. The next incarnation under the same identifier knows none of these, and its clock starts anew.

Fix: for 5 s after such a start was sent, the owner polls the worker also with nothing placed there, sends the next incarnation a stop of the run at once, and does not acknowledge that the run is done or failed. Rows name confirmed runs with such a start; other runs of an earlier owner count as having one from the first contact on.

--- a/internal/pool/acknowledgements.go
+++ b/internal/pool/acknowledgements.go
@@ -21,6 +21,8 @@
 	acknowledged int64
 	// reportAt is when the last report of this incarnation was received.
 	reportAt time.Time
+	// heldUntil is until when nothing may be acknowledged.
+	heldUntil time.Time
 }
 
 // pending reports whether ended runs are still to be written or acknowledged.
@@ -42,12 +44,15 @@
 // acknowledgeable returns the number that a poll may acknowledge at the given time; 0 acknowledges
 // nothing.
 func (e *endAcknowledgements) acknowledgeable(now time.Time, disabled DisabledSafeguards) int64 {
-	if now.Sub(e.reportAt) > maxReportAge && !disabled.FreshReport {
+	if e.held(now) || now.Sub(e.reportAt) > maxReportAge && !disabled.FreshReport {
 		return 0
 	}
 	return e.due
 }
 
+// held reports whether nothing may be acknowledged at the given time.
+func (e *endAcknowledgements) held(now time.Time) bool { return now.Before(e.heldUntil) }
+
 // acknowledge records the reply to a poll that acknowledged a number.
 func (e *endAcknowledgements) acknowledge(number int64) {
 	e.acknowledged = max(e.acknowledged, number)
--- a/internal/pool/assignment.go
+++ b/internal/pool/assignment.go
@@ -14,7 +14,7 @@
 	m.worker = w
 	m.state = memberWithoutRun
 	m.stopAttempted, m.stopSent, m.stopAnswered, m.startUnanswered = false, false, false, false
-	m.startCall = nil
+	m.startCall, m.startSentAt, m.earlierStartPending = nil, time.Time{}, false
 	m.confirmedToEarlierOwner, m.formerIncarnation = false, fleet.Incarnation{}
 	m.percent, m.percentChangedAt, m.reportedAt = 0, time.Time{}, time.Time{}
 	m.sentAt = time.Time{}
@@ -32,6 +32,7 @@
 		m.stopTimer = nil
 	}
 	if m.worker != nil {
+		p.rememberLateStart(m)
 		m.worker.members = slices.DeleteFunc(slices.Clone(m.worker.members), func(other *member) bool { return other == m })
 	}
 	m.worker = nil
--- a/internal/pool/incarnations.go
+++ b/internal/pool/incarnations.go
@@ -112,6 +112,7 @@
 	for _, m := range moved {
 		p.moveToIncarnation(m, replacement)
 	}
+	p.blockLateStarts(replacement)
 	p.scheduleCycle()
 	return replacement
 }
@@ -122,6 +123,8 @@
 // ignored from now on.
 func (p *Pool) moveToIncarnation(m *member, replacement *worker) {
 	m.leaveIncarnation(m.worker.Incarnation)
+	// The results of copies that are pending now are ignored.
+	m.startUnanswered = m.startUnanswered || m.startCall != nil && m.startCall.pending > 0
 	m.worker = replacement
 	replacement.members = append(replacement.members, m)
 	m.stopSent, m.stopAnswered = false, false
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -141,6 +141,9 @@
 	// startUnanswered is true once a start of the present run got no response. The worker may still
 	// carry out this start, whatever the response to a later attempt.
 	startUnanswered bool
+	// earlierStartPending is true if an earlier owner may have sent a start of the present run that
+	// got no response.
+	earlierStartPending bool
 	// incarnationUnknown is true if an unknown incarnation of the worker may have answered the
 	// start. The next report shows which incarnation has the run.
 	incarnationUnknown bool
@@ -152,6 +155,8 @@
 	// startCall is the state of the present run's latest start; nil before the first.
 	startCall *hedgedCall
 	sentAt    time.Time
+	// startSentAt is when the latest copy of the present run's start was sent.
+	startSentAt time.Time
 	// startDeadline is the deadline of the present run's start, in milliseconds of the worker's
 	// clock; 0 before the start is sent.
 	startDeadline int64
--- a/internal/pool/poll.go
+++ b/internal/pool/poll.go
@@ -55,13 +55,14 @@
 // report soon. For example, an acknowledgement that this poll does not carry can only be sent after
 // another report.
 func (p *Pool) pollWaitFor(w *worker, acknowledged int64) time.Duration {
-	if w.endAcks.writing > 0 || w.endAcks.due > acknowledged || len(w.members) == 0 {
+	if w.endAcks.writing > 0 || w.endAcks.due > acknowledged {
 		return 0
 	}
-	if w.hasUnconfirmedStart() {
+	now := p.loop.Now()
+	if w.hasUnconfirmedStart() || len(w.members) == 0 && !w.expectsLateStarts(now) {
 		return 0
 	}
-	if p.loop.Now().Before(w.lossyUntil) {
+	if now.Before(w.lossyUntil) {
 		return lossyPollWait
 	}
 	return pollWait
@@ -199,23 +200,25 @@
 // schedulePoll schedules the next poll while anything runs on the worker or ended runs are to be
 // acknowledged.
 func (p *Pool) schedulePoll(w *worker) {
-	if w.endAcks.due > 0 {
+	now := p.loop.Now()
+	if w.endAcks.due > 0 && !w.endAcks.held(now) {
 		p.poll(w)
 		return
 	}
 	if w.endAcks.pending() {
-		// The poll after the write acknowledges; until then the lease must be renewed.
+		// A later poll acknowledges; until then the lease must be renewed.
 		p.pollAfter(w, pollRetryDelay)
 		return
 	}
-	if len(w.members) == 0 && len(w.unexpected) == 0 {
+	watched := w.expectsLateStarts(now)
+	if len(w.members) == 0 && len(w.unexpected) == 0 && !watched {
 		return
 	}
 	if w.hasUnconfirmedStart() {
 		p.pollAfter(w, quickPollDelay)
 		return
 	}
-	if len(w.members) == 0 {
+	if len(w.members) == 0 && !watched {
 		p.pollAfter(w, pollRetryDelay)
 		return
 	}
--- a/internal/pool/progress.go
+++ b/internal/pool/progress.go
@@ -69,6 +69,9 @@
 			if m.wasConfirmed() {
 				record.setConfirmed(i)
 			}
+			if m.wasConfirmed() && m.startPending() {
+				record.setStartPending(i)
+			}
 			if !m.worker.hasRow {
 				record.setAddress(&m.worker.Worker)
 			}
@@ -84,6 +87,13 @@
 	bitset(r.Confirmed).set(member)
 }
 
+func (r *unitProgress) setStartPending(member int) {
+	if r.StartPending == nil {
+		r.StartPending = newBitset(len(r.Workers))
+	}
+	bitset(r.StartPending).set(member)
+}
+
 // setIncarnation records the worker incarnation on which a member may run.
 func (r *unitProgress) setIncarnation(member int, incarnation fleet.Incarnation) {
 	r.Workers[member] = incarnation.ID
--- a/internal/pool/progress_restore.go
+++ b/internal/pool/progress_restore.go
@@ -77,6 +77,7 @@
 		p.assign(m, p.workerFromProgress(incarnation, saved.Addresses[id]))
 		m.state = memberUnconfirmed
 		m.confirmedToEarlierOwner = bitset(saved.Confirmed).has(i)
+		m.earlierStartPending = !m.confirmedToEarlierOwner || bitset(saved.StartPending).has(i)
 		if p.compareIncarnation(m.worker, incarnation.StartMillis) == earlierIncarnation {
 			m.leaveIncarnation(incarnation)
 		}
--- a/internal/pool/records.go
+++ b/internal/pool/records.go
@@ -138,6 +138,8 @@
 	// Confirmed is a bit set of the members whose run was confirmed by the worker. It is written
 	// with a delay, so the bit of a confirmed run may be missing.
 	Confirmed []byte `json:"n,omitempty"`
+	// StartPending is a bit set of the confirmed members of whose starts a copy has no response.
+	StartPending []byte `json:"d,omitempty"`
 	// Addresses holds the addresses of workers whose own rows are gone. These workers may still
 	// have runs, and the next owner needs the address to contact them.
 	Addresses map[string]string `json:"a,omitempty"`
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -15,6 +15,10 @@
 		return
 	}
 	p.applyEnds(w, reply.Ended)
+	if reply.MoreEnded {
+		// The worker lists further ends only after an acknowledgement.
+		w.endAcks.heldUntil = time.Time{}
+	}
 	p.reconcile(w, reply, sentAt)
 }
 
@@ -127,7 +131,9 @@
 	for i := range ends {
 		end := &ends[i]
 		highest = max(highest, end.Number)
-		if m := p.memberOnWorker(w, end.Task, end.Run); m != nil {
+		m := p.memberOnWorker(w, end.Task, end.Run)
+		p.holdAcknowledgement(w, m, end)
+		if m != nil {
 			p.applyEnd(w, m, end)
 		}
 	}
--- a/internal/pool/starts.go
+++ b/internal/pool/starts.go
@@ -52,8 +52,11 @@
 		name:        "start",
 		isCurrent:   func() bool { return !p.closed && m.worker == w && u.run == run },
 		shouldRetry: func() bool { return m.state == memberStarting && !m.stopSent && p.mayStartOn(w, p.loop.Now()) },
-		send:        func(done func(fleet.Reply, error)) { p.ports.Start(&w.Worker, order, done) },
-		onResult:    func(sent *hedgedCall, reply fleet.Reply, err error) { p.handleStartReply(m, sent, reply, err) },
+		send: func(done func(fleet.Reply, error)) {
+			m.startSentAt = p.loop.Now()
+			p.ports.Start(&w.Worker, order, done)
+		},
+		onResult: func(sent *hedgedCall, reply fleet.Reply, err error) { p.handleStartReply(m, sent, reply, err) },
 	})
 }
 
@@ -72,6 +75,9 @@
 	case sent.answered:
 		// The result of the other copy is known, but the worker may still carry out this copy.
 		m.startUnanswered = m.startUnanswered || lost
+		if !m.startPending() && m.wasConfirmed() {
+			p.scheduleConfirmationWrite(m.unit)
+		}
 	case err == nil:
 		sent.answered = true
 		p.handleStartConfirmed(m, reply)
--- a/internal/pool/worker.go
+++ b/internal/pool/worker.go
@@ -19,6 +19,8 @@
 	// restarts counts the restarts of the worker under its identifier since this owner's first
 	// contact.
 	restarts int
+	// lateStarts are the starts without a response whose runs are over.
+	lateStarts []lateStart
 }
 
 // worker is one incarnation of a worker, with its state as known to this owner.
--- a/internal/pool/worker_fault_injection_test.go
+++ b/internal/pool/worker_fault_injection_test.go
@@ -73,6 +73,24 @@
 	require.Zero(t, lost[6], "a task may crash at most five workers")
 }
 
+// keptWorkerSeeds are seeds of the random worker faults that have violated an invariant.
+var keptWorkerSeeds = []uint64{
+	95308, // A start was answered by an unknown incarnation.
+	95457, // A late start was carried out by the next incarnation, after the acknowledged end of its run.
+}
+
+// TestRandomFaultsOfWorkersWithKeptSeeds plays the seeds that have violated an invariant.
+func TestRandomFaultsOfWorkersWithKeptSeeds(t *testing.T) {
+	for _, seed := range keptWorkerSeeds {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			f := runWorkerFaults(seed, pool.DisabledSafeguards{}, false)
+			requireInvariants(t, f.Cluster)
+			f.countRegularJobs(t)
+		})
+	}
+}
+
 // TestCheckerDetectsDisabledWorkerSafeguards disables one safeguard at a time. At least one seed
 // that passes with all safeguards must then violate an invariant.
 func TestCheckerDetectsDisabledWorkerSafeguards(t *testing.T) {
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -145,7 +145,7 @@
 		p.verifyNextIncarnation(w, w.claimedIncarnation)
 		return
 	}
-	if !w.hasRow && len(w.members) == 0 {
+	if !w.hasRow && len(w.members) == 0 && !w.expectsLateStarts(p.loop.Now()) {
 		if w.cancelPollTimer != nil {
 			w.cancelPollTimer()
 		}
@@ -176,6 +176,8 @@
 func (p *Pool) handleWorkerReplaced(w *worker, reason string) {
 	p.record.LogEvent("worker instance replaced", "worker", w.ID, "reason", reason, "runs", len(w.members))
 	p.markRunsLost(w, lostInstanceReplaced)
+	// The other instance refuses starts that are not meant for it.
+	w.lateStarts = nil
 	w.hasRow = false
 	p.removeIfIdle(w)
 }
