node: functions posted to the tests' loop run on the test's goroutine

Cause: manualLoop.Post ran a function on the goroutine that posted it. Calls to the store post their results from goroutines of their own, so the node's state was read and written beside the test. The daemon's loop runs all functions on one goroutine; the fault was the test's, not the product's.

Fix: posted functions are queued and run on the test's goroutine when it advances the time or waits for a call that posts. This holds for every test on that loop. What the tests assert is unchanged; the two that rely on a posted function (a ping, a recovery of the store) run it before they assert.

--- a/internal/node/ownership_confirmation_test.go
+++ b/internal/node/ownership_confirmation_test.go
@@ -40,7 +40,9 @@
 	}
 	for name, c := range cases {
 		n := owningNode(t, nil)
-		reply, err := n.servePing(context.Background(), c.request)
+		var reply pingReply
+		var err error
+		n.loop.wait(func() { reply, err = n.servePing(context.Background(), c.request) })
 		require.NoError(t, err, name)
 		require.Equal(t, c.owner, reply.Owner, name)
 		if c.request.Token == 6 {
--- a/internal/node/ownership_test.go
+++ b/internal/node/ownership_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -13,11 +14,20 @@
 	"github.com/wheatroad/wheatroad/internal/rows"
 )
 
-// manualLoop is an event loop that runs posted functions at once, and timers when the test advances
-// the time.
+// manualLoop is an event loop that runs all functions on the test's goroutine, as the daemon's loop
+// runs them on one goroutine. Functions may be posted by the goroutines of store calls. The loop runs
+// them, and the timers that are due, when the test advances the time or waits for a call.
 type manualLoop struct {
 	now    time.Time
 	timers []manualTimer
+	// mutex guards posted. wake has an element if posted may be non-empty.
+	mutex  sync.Mutex
+	posted []func()
+	wake   chan struct{}
+}
+
+func newManualLoop() *manualLoop {
+	return &manualLoop{now: time.Now(), wake: make(chan struct{}, 1)}
 }
 
 type manualTimer struct {
@@ -27,14 +37,60 @@
 
 func (l *manualLoop) Now() time.Time       { return l.now }
 func (l *manualLoop) TimeOfDay() time.Time { return l.now }
-func (l *manualLoop) Post(fn func())       { fn() }
+
+// Post implements loop.Loop.
+func (l *manualLoop) Post(fn func()) {
+	l.mutex.Lock()
+	l.posted = append(l.posted, fn)
+	l.mutex.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// runPosted runs the posted functions, and those that they post.
+func (l *manualLoop) runPosted() {
+	for {
+		l.mutex.Lock()
+		batch := l.posted
+		l.posted = nil
+		l.mutex.Unlock()
+		if len(batch) == 0 {
+			return
+		}
+		for _, fn := range batch {
+			fn()
+		}
+	}
+}
+
+// wait runs call on another goroutine, and the posted functions until it returns.
+func (l *manualLoop) wait(call func()) {
+	returned := make(chan struct{})
+	go func() {
+		defer close(returned)
+		call()
+	}()
+	for {
+		select {
+		case <-returned:
+			l.runPosted()
+			return
+		case <-l.wake:
+			l.runPosted()
+		}
+	}
+}
+
 func (l *manualLoop) After(d time.Duration, fn func()) func() {
 	l.timers = append(l.timers, manualTimer{at: l.now.Add(d), run: fn})
 	return func() {}
 }
 
-// advance moves the time forward and runs the timers that are due.
+// advance moves the time forward and runs the posted functions and the timers that are due.
 func (l *manualLoop) advance(d time.Duration) {
+	l.runPosted()
 	l.now = l.now.Add(d)
 	due := l.timers
 	l.timers = nil
@@ -45,6 +101,7 @@
 		}
 		timer.run()
 	}
+	l.runPosted()
 }
 
 // testNode is a node that watches the pool poolName on a manualLoop.
@@ -59,7 +116,7 @@
 func newTestNode(t *testing.T, weight float64, others map[string]float64) *testNode {
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	l := &manualLoop{now: time.Now()}
+	l := newManualLoop()
 	n := New(ctx, Options{Name: "node-1", Weight: weight}, Dependencies{Store: newFakeStore(), Loop: l, Recorder: discardRecorder{}})
 	n.memberSample.members["node-1"] = member{Name: "node-1", Weight: weight}
 	for name, other := range others {
@@ -67,6 +124,7 @@
 	}
 	n.watchers[poolName] = &poolWatcher{pool: poolName, leaseRead: true}
 	n.recordStoreResult(nil)
+	l.runPosted()
 	return &testNode{Node: n, loop: l, watcher: n.watchers[poolName]}
 }
 
@@ -180,8 +238,10 @@
 	retried := 0
 	n.storeRetries.After(time.Hour, func() { retried++ })
 	n.recordStoreFailure(rows.ErrNoEffect)
+	n.loop.runPosted()
 	require.Zero(t, retried)
 	n.recordStoreResult(nil)
+	n.loop.runPosted()
 	require.Equal(t, 1, retried)
 	n.storeRetries.RunPending()
 	require.Equal(t, 1, retried, "once")
