pool: new workers are used at once when no run of a former owner can be left

Cause: where workers do not guard their capacity, an owner leaves each worker idle for as long as a stop may take (1 s by default) after its first contact, since a former owner may have been stopping runs that no report lists. It did so for workers, too, that appeared long after the last former owner could have had anything there. With tasks that crash workers every instance lives for a second or two, so that this is a third more downtime.

Fix: a worker first contacted after former owners' own leases and the longest lease from them have run out needs no wait. TestStoppingRunsUseResourcesAfterTakeover, which the wait is for, holds unchanged.

--- a/internal/pool/capacity_test.go
+++ b/internal/pool/capacity_test.go
@@ -123,6 +123,26 @@
 	requireInvariants(t, takeOverWhileStopping(pool.DisabledSafeguards{}))
 }
 
+// TestNewWorkersAreUsedAtOnce guards against new workers that stay idle for as long as a stop may
+// take, although no run of a former owner can be left. With many workers that crash and come back,
+// this idle time makes callers wait.
+func TestNewWorkersAreUsedAtOnce(t *testing.T) {
+	w := newUnenforcedCluster(1)
+	w.Work = func(taskgraph.TaskName) time.Duration { return time.Second }
+	w.AcquirePool()
+	w.Run(3 * w.Bounds.MaxLease)
+	w.Workers[0].CrashAndRestart()
+	w.Submit(spec(1, singleTaskStep(8)), batch)
+	for len(w.Workers) < 2 {
+		w.Run(time.Millisecond)
+	}
+	w.Run(w.Bounds.StopTimeout / 2)
+	require.Equal(t, 8, w.Workers[1].Runs())
+	w.Run(10 * time.Second)
+	requireInvariants(t, w)
+	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
+}
+
 // TestUnexpectedRunsUseResourcesUntilStopped guards against counting the resources of unexpected
 // runs as free before they have ended. The new owner stops them because no row lists them.
 func TestUnexpectedRunsUseResourcesUntilStopped(t *testing.T) {
--- a/internal/pool/unexpected_runs.go
+++ b/internal/pool/unexpected_runs.go
@@ -79,10 +79,18 @@
 
 // usageKnown reports whether everything that occupies capacity on a worker is known, for workers
 // that do not enforce their capacity. Reports omit the runs that the former owner was stopping at
-// the first contact. These runs end within the time that a stop may take.
+// the first contact. These runs end within the time that a stop may take. Workers that appear when
+// no such run can be left need no wait.
 func (p *Pool) usageKnown(w *worker, now time.Time) bool {
 	if p.options.DisabledSafeguards.CapacityAge || p.workersEnforceCapacity() {
 		return true
 	}
-	return now.Sub(w.contactedAt) > p.options.Bounds.StopTimeout+stopMargin
+	return w.contactedAt.After(p.formerRunsEndedBy()) || now.Sub(w.contactedAt) > p.options.Bounds.StopTimeout+stopMargin
+}
+
+// formerRunsEndedBy returns when all runs of former owners that this owner does not know have
+// ended. A former owner may grant leases until its own lease has expired.
+func (p *Pool) formerRunsEndedBy() time.Time {
+	longestLease := time.Duration(float64(p.options.Bounds.MaxLease) * (1 + clockDrift))
+	return p.acquiredAt.Add(p.options.Bounds.MaxLease + longestLease + leaseExpiryMargin)
 }
