poison: the rate of chance losses counts the time on both sides of a loss

Cause: the losses within 10 s before and after a loss were counted, and divided by 10 s. So the rate of losses by chance came out up to twice too high, the odds of a task after three crashes up to eight times too low, and most crashing tasks took a fourth worker.

Why it is right: the window after the newest loss has not passed, so the span is 10 s there and up to 20 s for older ones. The rate within a burst is counted over one side as before: a burst is shorter than that (TestLossBurstsDoNotProvePoison holds unchanged, and failed on a copy that doubles this one too).

TestRateOfSteadyLosses and TestMostCrashingTasksCostThreeWorkers fail before (twice the rate; 30 of 40 tasks).

--- a/internal/poison/loss_tracker.go
+++ b/internal/poison/loss_tracker.go
@@ -49,6 +49,8 @@
 	// chanceRate is the rate of chance losses at the time of this loss. suspectRate is the rate of
 	// losses that the suspects would cause. Both are per worker and second.
 	chanceRate, suspectRate float64
+	// followedFor is the time from this loss to the latest one.
+	followedFor time.Duration
 	// nearbyChance holds the sums of chanceProbability over the losses around this one.
 	nearbyChance chanceSums
 }
@@ -225,7 +227,7 @@
 	}
 	for i, suspect := range loss.suspects {
 		group := suspect.History.group
-		otherRate := loss.baseChanceRate() + loss.nearbyChance.rate(group.groupChance(loss), workers) + suspectRate
+		otherRate := loss.baseChanceRate() + loss.nearbyChance.rate(group.groupChance(loss), workers, loss.followedFor) + suspectRate
 		for k, other := range loss.suspects {
 			if k == i || other.History.group == group {
 				otherRate -= weights[k]
--- a/internal/poison/loss_tracker_test.go
+++ b/internal/poison/loss_tracker_test.go
@@ -281,6 +281,20 @@
 	}
 }
 
+// TestRateOfSteadyLosses guards against a rate that counts the losses on both sides of a loss as if
+// they had occurred on one side. At twice the true rate, poison tasks crash a worker more before
+// they are detected.
+func TestRateOfSteadyLosses(t *testing.T) {
+	const workers, losses = 12, 30
+	tracker := newTestTracker(workers)
+	for second := range losses {
+		loseWorker(tracker, float64(second), earlyAge)
+	}
+	for _, loss := range []*workerLoss{tracker.losses[losses/2], tracker.losses[losses-1]} {
+		require.InEpsilon(t, 1.0/workers, loss.chanceRate, 0.01)
+	}
+}
+
 // TestLossBurstsDoNotProvePoison guards against rejecting a healthy task after four bursts. In each
 // burst a third of the workers restart within a second, among them the worker that runs the task.
 func TestLossBurstsDoNotProvePoison(t *testing.T) {
--- a/internal/poison/rates.go
+++ b/internal/poison/rates.go
@@ -14,16 +14,19 @@
 // chance losses, which gives the expected number of chance losses.
 type chanceSums [len(rateWindows)]float64
 
-// rate returns the rate of chance losses per worker and second, after subtracting the excluded
-// sums.
-func (s chanceSums) rate(excluded chanceSums, workers int) float64 {
+// rate returns the rate of chance losses per worker and second around a loss, after subtracting the
+// excluded sums. followedFor is the time from the loss to the latest loss.
+func (s chanceSums) rate(excluded chanceSums, workers int, followedFor time.Duration) float64 {
 	highest := 0.0
 	for i, window := range rateWindows {
 		count := s[i] - excluded[i]
+		// Losses are counted on both sides of this one. A burst is shorter than one side.
+		span := window + min(window, followedFor)
 		if window == burstWindow {
 			count -= minBurstLosses
+			span = window
 		}
-		highest = max(highest, count/(float64(max(1, workers))*window.Seconds()))
+		highest = max(highest, count/(float64(max(1, workers))*span.Seconds()))
 	}
 	return highest
 }
@@ -45,7 +48,8 @@
 		}
 	}
 	for _, loss := range l.losses {
-		loss.chanceRate = loss.baseChanceRate() + loss.nearbyChance.rate(chanceSums{}, l.workers)
+		loss.followedFor = l.losses[len(l.losses)-1].at.Sub(loss.at)
+		loss.chanceRate = loss.baseChanceRate() + loss.nearbyChance.rate(chanceSums{}, l.workers, loss.followedFor)
 	}
 }
 
--- a/internal/pool/poison_full_pool_test.go
+++ b/internal/pool/poison_full_pool_test.go
@@ -14,11 +14,11 @@
 )
 
 // runPoisonInFullPool simulates a full pool in which one of every so many jobs has a task that
-// crashes the workers that run it. It requires that these jobs fail, and returns the number of the
-// other, healthy jobs and how many of them failed.
-func runPoisonInFullPool(t *testing.T, seed uint64, jobs, every int, crash simulation.Crash) (healthy, failed int) {
+// crashes the workers that run it. It requires that these jobs fail, and returns the simulation, the
+// number of the other, healthy jobs and how many of them failed.
+func runPoisonInFullPool(t *testing.T, seed uint64, jobs, every int, crash simulation.Crash) (w *simulation.Cluster, healthy, failed int) {
 	random := rand.New(rand.NewPCG(seed, 7))
-	w := simulation.NewCluster(3, 4)
+	w = simulation.NewCluster(3, 4)
 	crashing := map[string]bool{}
 	w.Work = func(name taskgraph.TaskName) time.Duration { return w.Estimate(name) }
 	w.AcquirePool()
@@ -65,7 +65,7 @@
 		}
 		require.Equal(t, taskgraph.Completed, state, "job %d", n)
 	}
-	return healthy, failed
+	return w, healthy, failed
 }
 
 // TestHealthyJobsAmongCrashingTasksComplete guards against healthy jobs that fail because a
@@ -74,19 +74,32 @@
 	for _, seed := range []uint64{1, 2, 7} {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Parallel()
-			healthy, failed := runPoisonInFullPool(t, seed, 440, 11, simulation.Crash{From: simulation.AtWorkStart, After: 10 * time.Millisecond})
+			_, healthy, failed := runPoisonInFullPool(t, seed, 440, 11, simulation.Crash{From: simulation.AtWorkStart, After: 10 * time.Millisecond})
 			require.Zero(t, failed, "failed jobs of %d healthy ones", healthy)
 		})
 	}
 }
 
+// TestMostCrashingTasksCostThreeWorkers guards against tasks that each crash a fourth worker before
+// they are detected. The pool then loses workers faster than the callers' jobs can end.
+func TestMostCrashingTasksCostThreeWorkers(t *testing.T) {
+	w, _, _ := runPoisonInFullPool(t, 2, 440, 11, simulation.Crash{From: simulation.AtWorkStart, After: 10 * time.Millisecond})
+	overThree := 0
+	for task := range w.Crashing {
+		if w.Checker.Crashes(task) > 3 {
+			overThree++
+		}
+	}
+	require.LessOrEqual(t, 3*overThree, len(w.Crashing))
+}
+
 // TestDelayedCrashesFailJobsInFullPool guards against a pool without progress. Tasks that crash all
 // workers raise the rate of chance losses, so the odds of these tasks stay low and no job fails.
 func TestDelayedCrashesFailJobsInFullPool(t *testing.T) {
 	for _, seed := range []uint64{1, 2} {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Parallel()
-			healthy, failed := runPoisonInFullPool(t, seed, 200, 6, simulation.Crash{From: simulation.AtStart, After: 553 * time.Millisecond})
+			_, healthy, failed := runPoisonInFullPool(t, seed, 200, 6, simulation.Crash{From: simulation.AtStart, After: 553 * time.Millisecond})
 			require.LessOrEqual(t, 100*failed, healthy, "more than 1% of the healthy jobs failed")
 		})
 	}
