pool: the next owner knows the age of the runs that it sees lost

Cause: two losses prove a task guilty only if they come at about the same age of its runs. The age of a run that an earlier owner had started was not known and agreed with any, so that a takeover between two chance losses took the guard away.

Fix: rows tell how long after its job's acceptance a confirmed run was started. A loss that the new owner has not seen (the worker was gone before the first contact) stays without an age. Rows do not grow: in a unit of one task the field stands for the bit "confirmed". Earlier rows are read as before, and TestAssumedAgesAgreeWithAny holds for them. A clock that is set wrong makes the age a wrong guess, as it was one before.

Looked for elsewhere: losses of an owner's own runs and those in rows have their ages; runs that were never confirmed are no evidence.

--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -107,6 +107,11 @@
 	runningSince time.Time
 	// startedByThisOwner is true if this owner started the latest run.
 	startedByThisOwner bool
+	// startedAfterMillis is the time from the job's acceptance to the start of the latest run, in
+	// milliseconds; 0 if unknown. If an earlier owner started the run, earlierStartAt is its start on
+	// this owner's clock; zero if unknown.
+	startedAfterMillis int64
+	earlierStartAt     time.Time
 	// fromCheckpoint is true if the latest run was started from a checkpoint.
 	fromCheckpoint bool
 	// stalls counts how often the unit was restarted for lack of progress.
--- a/internal/pool/lostruns.go
+++ b/internal/pool/lostruns.go
@@ -99,7 +99,8 @@
 	case ran == possiblyStarted:
 		history.AddUnexplained(loss.Worker)
 	default:
-		loss.Suspects = append(loss.Suspects, poison.Suspect{History: history, Age: m.unit.runAgeAt(loss.At), AgeEstimated: !m.unit.startedByThisOwner})
+		age, estimated := m.unit.runAgeAt(loss)
+		loss.Suspects = append(loss.Suspects, poison.Suspect{History: history, Age: age, AgeEstimated: estimated})
 	}
 }
 
--- a/internal/pool/progress.go
+++ b/internal/pool/progress.go
@@ -67,7 +67,7 @@
 			}
 			record.setIncarnation(i, m.worker.Incarnation)
 			if m.wasConfirmed() {
-				record.setConfirmed(i)
+				record.setConfirmed(i, u.startedAfterMillis)
 			}
 			if m.wasConfirmed() && m.startPending() {
 				record.setStartPending(i)
@@ -80,7 +80,11 @@
 	return record
 }
 
-func (r *unitProgress) setConfirmed(member int) {
+func (r *unitProgress) setConfirmed(member int, startedAfterMillis int64) {
+	r.StartedAfterMillis = startedAfterMillis
+	if len(r.Workers) == 1 && startedAfterMillis > 0 {
+		return
+	}
 	if r.Confirmed == nil {
 		r.Confirmed = newBitset(len(r.Workers))
 	}
--- a/internal/pool/progress_restore.go
+++ b/internal/pool/progress_restore.go
@@ -76,7 +76,7 @@
 		m, incarnation := u.members[i], saved.incarnationOf(i)
 		p.assign(m, p.workerFromProgress(incarnation, saved.Addresses[id]))
 		m.state = memberUnconfirmed
-		m.confirmedToEarlierOwner = bitset(saved.Confirmed).has(i)
+		m.confirmedToEarlierOwner = saved.isConfirmed(i)
 		m.earlierStartPending = !m.confirmedToEarlierOwner || bitset(saved.StartPending).has(i)
 		if p.compareIncarnation(m.worker, incarnation.StartMillis) == earlierIncarnation {
 			m.leaveIncarnation(incarnation)
@@ -85,6 +85,7 @@
 	}
 	if u.state == unitActive {
 		u.startedAt = p.loop.Now()
+		p.restoreStartTime(u, saved.StartedAfterMillis)
 	}
 }
 
--- a/internal/pool/records.go
+++ b/internal/pool/records.go
@@ -136,8 +136,12 @@
 	// running; nil if none is known, as in rows of older versions.
 	WorkerStartMillis []int64 `json:"b,omitempty"`
 	// Confirmed is a bit set of the members whose run was confirmed by the worker. It is written
-	// with a delay, so the bit of a confirmed run may be missing.
+	// with a delay, so the bit of a confirmed run may be missing. isConfirmed reads it.
 	Confirmed []byte `json:"n,omitempty"`
+	// StartedAfterMillis is the time from the job's acceptance to the start of a confirmed run, in
+	// milliseconds; 0 if unknown, as in rows of older versions. In a unit of one member it stands for
+	// the bit in Confirmed, so that the row does not grow.
+	StartedAfterMillis int64 `json:"t,omitempty"`
 	// StartPending is a bit set of the confirmed members of whose starts a copy has no response.
 	StartPending []byte `json:"d,omitempty"`
 	// Addresses holds the addresses of workers whose own rows are gone. These workers may still
@@ -147,6 +151,11 @@
 	Losses []memberLosses `json:"l,omitempty"`
 }
 
+// isConfirmed reports whether the worker of a member has confirmed its run.
+func (r *unitProgress) isConfirmed(member int) bool {
+	return bitset(r.Confirmed).has(member) || len(r.Workers) == 1 && r.StartedAfterMillis > 0
+}
+
 // incarnationOf returns the worker incarnation in which a member may be running; its identifier is
 // empty if there is none.
 func (r *unitProgress) incarnationOf(member int) fleet.Incarnation {
--- a/internal/pool/run_presence.go
+++ b/internal/pool/run_presence.go
@@ -1,6 +1,10 @@
 package pool
 
-import "time"
+import (
+	"time"
+
+	"github.com/wheatroad/wheatroad/internal/poison"
+)
 
 // runPresence says whether a run may have been on its worker when the worker was lost.
 type runPresence int
@@ -45,15 +49,37 @@
 // scheduleConfirmationWrite schedules the write that records a confirmed start.
 func (p *Pool) scheduleConfirmationWrite(u *unit) { p.writer.add(u.job, confirmedStartWriteDelay) }
 
-// assumedRunAge is the least age assumed for runs that an earlier owner started. It lies between
-// the age of runs that crash their worker soon after the start and a typical duration.
+// assumedRunAge is the least age assumed for runs that an earlier owner started at an unknown time.
+// It lies between the age of runs that crash their worker soon after the start and a typical
+// duration.
 const assumedRunAge = 2 * time.Second
 
-// runAgeAt returns the age of the unit's run at a given time.
-func (u *unit) runAgeAt(at time.Time) time.Duration {
-	age := at.Sub(u.startedAt)
-	if !u.startedByThisOwner {
-		return max(assumedRunAge, age)
+// runAgeAt returns the age of the unit's run when its worker was lost, and whether the age is only
+// an estimate. The end of a run is not known if an earlier owner started the run and this owner has
+// not observed the loss.
+func (u *unit) runAgeAt(loss *poison.Loss) (age time.Duration, estimated bool) {
+	switch {
+	case u.startedByThisOwner:
+		return loss.At.Sub(u.startedAt), false
+	case u.earlierStartAt.IsZero(), loss.Unobserved, loss.At.Before(u.earlierStartAt):
+		return max(assumedRunAge, loss.At.Sub(u.startedAt)), true
+	}
+	return loss.At.Sub(u.earlierStartAt), false
+}
+
+// startedAfterMillis returns the time from the job's acceptance to the start of the unit's run, as
+// rows hold it: in milliseconds, at least 1. Wall clocks of two nodes may differ.
+func (p *Pool) startedAfterMillis(u *unit) int64 {
+	return max(1, p.loop.TimeOfDay().Sub(u.job.AcceptedAt()).Milliseconds())
+}
+
+// restoreStartTime restores the time at which an earlier owner started the unit's run. A time that
+// has not come yet by this node's wall clock is ignored.
+func (p *Pool) restoreStartTime(u *unit, startedAfterMillis int64) {
+	u.startedAfterMillis = startedAfterMillis
+	startedAt := u.job.AcceptedAt().Add(time.Duration(startedAfterMillis) * time.Millisecond)
+	age := p.loop.TimeOfDay().Sub(startedAt)
+	if startedAfterMillis > 0 && age >= 0 {
+		u.earlierStartAt = p.loop.Now().Add(-age)
 	}
-	return age
 }
--- a/internal/pool/starts.go
+++ b/internal/pool/starts.go
@@ -21,6 +21,7 @@
 	u.state = unitActive
 	u.startedAt = p.loop.Now()
 	u.startedByThisOwner = true
+	u.startedAfterMillis = p.startedAfterMillis(u)
 	u.runningSince = time.Time{}
 	u.stopReason = ""
 	u.fromCheckpoint = u.checkpoint != ""
