pool: losses that are no evidence do not keep a unit from preempting

What callers could see: a guaranteed job does not begin in time. Three workers fail before its starts arrive; then, in a full pool, it waits for a worker to become empty and stops nobody.

Cause: needsEmptyWorkers counted all losses of a unit, also those that are no evidence, whereas the search for a place isolates only units under suspicion.

Found by reading (docs/OPEN.md); TestLossesWithoutEvidenceDoNotPreventPreemption plays it and fails before: the job, within its tenant's guarantee, has not run 3 s after its third loss. Now units without a doubt against them need no empty workers.

--- a/internal/pool/isolation.go
+++ b/internal/pool/isolation.go
@@ -46,8 +46,11 @@
 
 // needsEmptyWorkers reports whether the unit's next run must show whether it crashes its workers.
 // Such a unit waits for empty workers and does not share them, since the loss of a shared worker
-// proves nothing.
+// proves nothing. Losses that are no evidence do not restrict a unit, however many there are.
 func (u *unit) needsEmptyWorkers() bool {
+	if !u.hasUnexplainedLosses() {
+		return false
+	}
 	for _, m := range u.suspects() {
 		if m.losses.LossCount() >= isolationLosses || m.losses.LossCount() > 1 && m.losses.SuspectedByOdds() {
 			return true
