httpstore: an object write without an answer has an unknown outcome

Objects.Put reported every failure as "unavailable", which store.go defines as a write without effect. An answer that is lost says nothing of the kind. Commit had the rule already; both use one function now.

What its only caller makes of it: SavePlan answers 503 store_unavailable and the operator asks for the plan again. A plan is named by its digest and has no effect before it is confirmed, so nothing was repeated or refused wrongly. TestPutErrorByFault fails before (response lost). Found by reading.

--- a/internal/store/httpstore/httpstore.go
+++ b/internal/store/httpstore/httpstore.go
@@ -29,13 +29,7 @@
 func (c *Client) Commit(ctx context.Context, transaction store.Transaction) (store.CommitResult, error) {
 	var result store.CommitResult
 	err := httpjson.Do(ctx, c.client, http.MethodPost, c.base+"/table/commit", transaction, &result)
-	if errors.Is(err, httpjson.ErrNotSent) {
-		return result, errors.Mark(err, store.ErrUnavailable)
-	}
-	if err != nil {
-		return result, errors.Mark(err, store.ErrOutcomeUnknown)
-	}
-	return result, nil
+	return result, markWriteError(err)
 }
 
 // Scan implements store.Table.
@@ -54,6 +48,19 @@
 	return row, markUnavailable(err)
 }
 
+// markWriteError marks the error of a write that certainly had no effect as store.ErrUnavailable,
+// and any other one as store.ErrOutcomeUnknown.
+func markWriteError(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, httpjson.ErrNotSent):
+		return errors.Mark(err, store.ErrUnavailable)
+	}
+	return errors.Mark(err, store.ErrOutcomeUnknown)
+}
+
+// markUnavailable marks the error of a read as store.ErrUnavailable.
 func markUnavailable(err error) error {
 	if err == nil {
 		return nil
@@ -81,7 +88,7 @@
 		return err
 	}
 	_, err = httpjson.Send(o.client, request)
-	return markUnavailable(err)
+	return markWriteError(err)
 }
 
 // Get implements store.Objects.
--- a/internal/store/httpstore/httpstore_test.go
+++ b/internal/store/httpstore/httpstore_test.go
@@ -91,6 +91,28 @@
 	}
 }
 
+// TestPutErrorByFault guards against reporting an object as not written although it was.
+func TestPutErrorByFault(t *testing.T) {
+	cases := map[string]struct {
+		fault standin.Fault
+		want  error
+	}{
+		"down":          {standin.Fault{Mode: standin.Down}, store.ErrUnavailable},
+		"response lost": {standin.Fault{Mode: standin.Lossy, Share: 1}, store.ErrOutcomeUnknown},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			server, client := newTestClient(t)
+			server.SetFault("objects", c.fault)
+			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			defer cancel()
+			err := client.Objects().Put(ctx, "x/y", []byte("content"))
+			require.True(t, errors.Is(err, c.want), "%v", err)
+			require.False(t, errors.Is(err, store.ErrUnavailable) && errors.Is(err, store.ErrOutcomeUnknown))
+		})
+	}
+}
+
 func TestRefusedConnectionIsUnavailable(t *testing.T) {
 	httpServer := httptest.NewServer(http.NotFoundHandler())
 	client := New(httpServer.URL, httpServer.Client())
