pool: units that wait for isolation say so

An operator who read `waited_for` of a task that may crash its workers was told "no near place" for a task that asks for none: findWaitReason named locality for whatever had room but was not placed. The reason is "isolation" now, for suspected units only. Found by reading; TestSuspectsWaitForIsolation fails before.

--- a/internal/pool/poison_full_pool_test.go
+++ b/internal/pool/poison_full_pool_test.go
@@ -97,6 +97,22 @@
 	require.LessOrEqual(t, 3*overThree, len(w.Crashing))
 }
 
+// TestSuspectsWaitForIsolation guards against a wait reason that names locality although the job asks
+// for none. An operator would look for a rack in place of a task that crashes workers.
+func TestSuspectsWaitForIsolation(t *testing.T) {
+	w, _, _ := runPoisonInFullPool(t, 1, 220, 11, simulation.Crash{From: simulation.AtWorkStart, After: 10 * time.Millisecond})
+	reasons := map[string]int{}
+	for _, line := range w.Checker.DecisionLog {
+		for _, reason := range []string{"waited_for isolation", "waited_for no near place"} {
+			if strings.Contains(line, reason) {
+				reasons[reason]++
+			}
+		}
+	}
+	require.Positive(t, reasons["waited_for isolation"])
+	require.Zero(t, reasons["waited_for no near place"])
+}
+
 // TestDelayedCrashesFailJobsInFullPool guards against a pool without progress. Tasks that crash all
 // workers raise the rate of chance losses, so the odds of these tasks stay low and no job fails.
 func TestDelayedCrashesFailJobsInFullPool(t *testing.T) {
--- a/internal/pool/wait_reasons.go
+++ b/internal/pool/wait_reasons.go
@@ -26,6 +26,9 @@
 	waitReserved waitReason = "reserved"
 	// waitHeadroom: the free resources are on racks that are kept for more urgent jobs.
 	waitHeadroom waitReason = "headroom"
+	// waitIsolation: the unit is suspected of crashing workers, and the workers with enough free
+	// resources are not isolated enough for it.
+	waitIsolation waitReason = "isolation"
 	// waitLocality: free resources don't satisfy the unit's locality.
 	waitLocality waitReason = "no near place"
 )
@@ -55,6 +58,9 @@
 	if placement.Fit(s.workers, s.racks.All, &visible) == nil {
 		return waitReserved
 	}
+	if u.suspectedOfCrashes() {
+		return waitIsolation
+	}
 	if !p.deferrable(s, u) {
 		return waitLocality
 	}
