pool: replies of workers, rows of progress and partitions have files of their own

Moved without a change: poll.go keeps the polls, worker_replies.go has what a reply tells; records.go keeps leases and accepted jobs, progress_record.go the rows of progress with their setters, partitions.go the names of partitions and keys. Doc comments for the setters.

--- /dev/null
+++ b/internal/pool/partitions.go
@@ -0,0 +1,79 @@
+package pool
+
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wheatroad/wheatroad/internal/rows"
+)
+
+// jobPartitions is the number of partitions for a pool's accepted jobs. A partition serializes its
+// transactions, so the number of partitions limits the jobs per second that a slow store accepts. A
+// takeover reads every partition.
+const jobPartitions = 32
+
+// partitionSeparator separates the pool's name from the partition number.
+const partitionSeparator = "/"
+
+// jobPartitionChoices is the number of partitions that may hold a job's accepted row. If a
+// partition is unavailable, the row is written to the next one. Rows of one job in several
+// partitions are identical.
+const jobPartitionChoices = 3
+
+// JobPartitions returns the partitions that may hold a job's accepted row, in order of preference.
+func JobPartitions(pool, id string) []string {
+	first := int(xxhash.Sum64String(id) % jobPartitions)
+	parts := make([]string, jobPartitionChoices)
+	for i := range parts {
+		parts[i] = jobPartition(pool, (first+i)%jobPartitions)
+	}
+	return parts
+}
+
+// progressPartitions is the number of progress partitions. If one is unavailable, the owner writes
+// to the next.
+const progressPartitions = 3
+
+func progressPartition(pool string, number int) string {
+	if number == 0 {
+		return pool
+	}
+	return pool + partitionSeparator + "p" + strconv.Itoa(number)
+}
+
+func jobPartition(pool string, number int) string {
+	return pool + partitionSeparator + strconv.Itoa(number)
+}
+
+// AcceptedKey returns the key of an accepted job's row in a partition.
+func AcceptedKey(part, id string) rows.Key {
+	return rows.Key{Table: JobTable, Part: part, Name: id + acceptedSuffix}
+}
+
+// CancelledKey returns the key of a job's cancellation in a partition.
+func CancelledKey(part, id string) rows.Key {
+	return rows.Key{Table: JobTable, Part: part, Name: id + cancelledSuffix}
+}
+
+// ProgressPartitions returns the partitions that may hold the progress of a pool's jobs.
+func ProgressPartitions(pool string) []string {
+	parts := make([]string, progressPartitions)
+	for i := range parts {
+		parts[i] = progressPartition(pool, i)
+	}
+	return parts
+}
+
+func progressKey(part, id string) rows.Key {
+	return rows.Key{Table: ProgressTable, Part: part, Name: id}
+}
+
+// LeaseKey returns the key of a pool's lease row.
+func LeaseKey(pool string) rows.Key {
+	return rows.Key{Table: NodeTable, Part: pool, Name: LeaseRow}
+}
+
+func headKey(part string) rows.Key {
+	return rows.Key{Table: ProgressTable, Part: part, Name: headRow}
+}
--- a/internal/pool/progress.go
+++ b/internal/pool/progress.go
@@ -1,9 +1,5 @@
 package pool
 
-import (
-	"github.com/wheatroad/wheatroad/internal/fleet"
-)
-
 // progress returns the contents of the job's progress row.
 func (j *job) progress() Progress {
 	record := Progress{State: j.pendingState}
@@ -79,40 +75,3 @@
 	}
 	return record
 }
-
-func (r *unitProgress) setConfirmed(member int, startedAfterMillis int64) {
-	r.StartedAfterMillis = startedAfterMillis
-	if len(r.Workers) == 1 && startedAfterMillis > 0 {
-		return
-	}
-	if r.Confirmed == nil {
-		r.Confirmed = newBitset(len(r.Workers))
-	}
-	bitset(r.Confirmed).set(member)
-}
-
-func (r *unitProgress) setStartPending(member int) {
-	if r.StartPending == nil {
-		r.StartPending = newBitset(len(r.Workers))
-	}
-	bitset(r.StartPending).set(member)
-}
-
-// setIncarnation records the worker incarnation on which a member may run.
-func (r *unitProgress) setIncarnation(member int, incarnation fleet.Incarnation) {
-	r.Workers[member] = incarnation.ID
-	if incarnation.StartMillis == 0 {
-		return
-	}
-	if r.WorkerStartMillis == nil {
-		r.WorkerStartMillis = make([]int64, len(r.Workers))
-	}
-	r.WorkerStartMillis[member] = incarnation.StartMillis
-}
-
-func (r *unitProgress) setAddress(w *fleet.Worker) {
-	if r.Addresses == nil {
-		r.Addresses = map[string]string{}
-	}
-	r.Addresses[w.ID] = w.Address
-}
--- /dev/null
+++ b/internal/pool/progress_record.go
@@ -0,0 +1,159 @@
+package pool
+
+import (
+	"github.com/wheatroad/wheatroad/internal/fleet"
+	"github.com/wheatroad/wheatroad/internal/poison"
+	"github.com/wheatroad/wheatroad/internal/taskgraph"
+)
+
+// Progress is the progress row of a job. If several partitions have one, the newest is valid.
+type Progress struct {
+	// Token is the owner's fencing token, and Serial the number of the owner's batch.
+	Token  int64           `json:"token"`
+	Serial int             `json:"serial"`
+	State  taskgraph.State `json:"state"`
+	// EndedMillis is the Unix time in milliseconds at which the job ended.
+	EndedMillis int64          `json:"ended_ms,omitempty"`
+	Steps       []stepProgress `json:"steps,omitempty"`
+}
+
+// NewerThan reports whether the row was written after another.
+func (p *Progress) NewerThan(other *Progress) bool {
+	if p.Token != other.Token {
+		return p.Token > other.Token
+	}
+	return p.Serial > other.Serial
+}
+
+// maxRunNumber is the largest run number or failure count of a valid row.
+const maxRunNumber = 1 << 30
+
+// validFor reports whether the row is consistent with the job's spec. Otherwise the row is corrupt
+// or was not written by an owner.
+func (p *Progress) validFor(spec *taskgraph.Spec) bool {
+	for i := range p.Steps {
+		saved := &p.Steps[i]
+		if saved.Repetition < 0 || saved.Repetition >= spec.RepetitionCount() || saved.Step < 0 || saved.Step >= len(spec.Steps) {
+			return false
+		}
+		for k := range saved.Units {
+			if !saved.Units[k].validFor(&spec.Steps[saved.Step]) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (r *unitProgress) validFor(step *taskgraph.Step) bool {
+	numbered := r.Index >= 0 && r.Index < step.Count && r.Run >= 0 && r.Run <= maxRunNumber
+	return numbered && r.Failures >= 0 && r.Failures <= maxRunNumber && len(r.Workers) <= step.Count
+}
+
+// stepProgress is the progress of one step of a repetition.
+type stepProgress struct {
+	Repetition int  `json:"k,omitempty"`
+	Step       int  `json:"s"`
+	Complete   bool `json:"c,omitempty"`
+	// Ended is a bit set of the units that have finished.
+	Ended []byte         `json:"e,omitempty"`
+	Units []unitProgress `json:"u,omitempty"`
+}
+
+// unitProgress is the progress of a unit that was started at least once.
+type unitProgress struct {
+	Index      int    `json:"i"`
+	Run        int    `json:"r"`
+	Failures   int    `json:"f,omitempty"`
+	Checkpoint string `json:"p,omitempty"`
+	// Workers holds the worker of each member that may be running, and otherwise "".
+	Workers []string `json:"w,omitempty"`
+	// WorkerStartMillis holds the start time of the worker incarnation in which each member may be
+	// running; nil if none is known, as in rows of older versions.
+	WorkerStartMillis []int64 `json:"b,omitempty"`
+	// Confirmed is a bit set of the members whose run was confirmed by the worker. It is written
+	// with a delay, so the bit of a confirmed run may be missing. isConfirmed reads it.
+	Confirmed []byte `json:"n,omitempty"`
+	// StartedAfterMillis is the time from the job's acceptance to the start of a confirmed run, in
+	// milliseconds; 0 if unknown, as in rows of older versions. In a unit of one member it stands for
+	// the bit in Confirmed, so that the row does not grow.
+	StartedAfterMillis int64 `json:"t,omitempty"`
+	// StartPending is a bit set of the confirmed members of whose starts a copy has no response.
+	StartPending []byte `json:"d,omitempty"`
+	// Addresses holds the addresses of workers whose own rows are gone. These workers may still
+	// have runs, and the next owner needs the address to contact them.
+	Addresses map[string]string `json:"a,omitempty"`
+	// Losses holds the crash records of members whose workers were lost.
+	Losses []memberLosses `json:"l,omitempty"`
+}
+
+// isConfirmed reports whether the worker of a member has confirmed its run.
+func (r *unitProgress) isConfirmed(member int) bool {
+	return bitset(r.Confirmed).has(member) || len(r.Workers) == 1 && r.StartedAfterMillis > 0
+}
+
+// setConfirmed records that the worker of a member has confirmed its run, and when the run was started
+// after its job's acceptance; 0 if unknown.
+func (r *unitProgress) setConfirmed(member int, startedAfterMillis int64) {
+	r.StartedAfterMillis = startedAfterMillis
+	if len(r.Workers) == 1 && startedAfterMillis > 0 {
+		return
+	}
+	if r.Confirmed == nil {
+		r.Confirmed = newBitset(len(r.Workers))
+	}
+	bitset(r.Confirmed).set(member)
+}
+
+// setStartPending records that a copy of a member's start has no response.
+func (r *unitProgress) setStartPending(member int) {
+	if r.StartPending == nil {
+		r.StartPending = newBitset(len(r.Workers))
+	}
+	bitset(r.StartPending).set(member)
+}
+
+// setIncarnation records the worker incarnation on which a member may run.
+func (r *unitProgress) setIncarnation(member int, incarnation fleet.Incarnation) {
+	r.Workers[member] = incarnation.ID
+	if incarnation.StartMillis == 0 {
+		return
+	}
+	if r.WorkerStartMillis == nil {
+		r.WorkerStartMillis = make([]int64, len(r.Workers))
+	}
+	r.WorkerStartMillis[member] = incarnation.StartMillis
+}
+
+// setAddress records the address of a worker without a row.
+func (r *unitProgress) setAddress(w *fleet.Worker) {
+	if r.Addresses == nil {
+		r.Addresses = map[string]string{}
+	}
+	r.Addresses[w.ID] = w.Address
+}
+
+// incarnationOf returns the worker incarnation in which a member may be running; its identifier is
+// empty if there is none.
+func (r *unitProgress) incarnationOf(member int) fleet.Incarnation {
+	incarnation := fleet.Incarnation{ID: r.Workers[member]}
+	if member < len(r.WorkerStartMillis) {
+		incarnation.StartMillis = r.WorkerStartMillis[member]
+	}
+	return incarnation
+}
+
+// memberLosses holds the records of workers that were lost while they ran one member of a unit.
+type memberLosses struct {
+	Member  int             `json:"m,omitempty"`
+	Records []poison.Record `json:"l"`
+}
+
+// bitset is a set of small numbers, in the form in which rows hold it.
+type bitset []byte
+
+func newBitset(size int) bitset { return make(bitset, (size+7)/8) }
+
+func (b bitset) set(i int) { b[i/8] |= 1 << (i % 8) }
+
+func (b bitset) has(i int) bool { return i/8 < len(b) && b[i/8]&(1<<(i%8)) != 0 }
--- /dev/null
+++ b/internal/pool/worker_replies.go
@@ -0,0 +1,94 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/wheatroad/wheatroad/internal/fleet"
+)
+
+// recordReply records a reply of a worker. It returns true if the worker's clock deviates from its
+// estimate, in which case another incarnation may have answered.
+func (p *Pool) recordReply(w *worker, clock int64) (jumped bool) {
+	now := p.loop.Now()
+	jumped = p.checkClockJump(w, clock, now)
+	w.clock, w.clockAt = clock, now
+	if jumped {
+		// Earlier deadlines were on another clock, and another incarnation may have replied. A poll
+		// identifies the incarnation; the reply to a start does not.
+		w.deadline = clock + p.options.Bounds.MaxLease.Milliseconds()
+		p.pollNow(w)
+	}
+	if w.unansweredCalls > 0 {
+		p.record.LogEvent("worker responsive again", "worker", w.ID, "unanswered", w.unansweredCalls)
+	}
+	w.unansweredCalls = 0
+	w.respondedWithoutRow = w.respondedWithoutRow || (!w.hasRow && !w.rowMissing)
+	return jumped
+}
+
+// handleReport handles a report of the known incarnation that was requested at sentAt.
+func (p *Pool) handleReport(w *worker, reply fleet.Reply, sentAt time.Time) {
+	p.recordReply(w, reply.ClockMillis)
+	w.endAcks.reportAt = p.loop.Now()
+	if p.lossTracker.WithdrawLoss(w.Incarnation.String()) {
+		p.record.LogEvent("lost worker responded", "worker", w.ID)
+	}
+	p.applyReport(w, reply, sentAt)
+}
+
+// clockJumpThreshold is the deviation of a worker's clock from its estimate, beyond drift, that
+// counts as a jump. It far exceeds the delay and reordering of replies.
+const clockJumpThreshold = 10 * time.Second
+
+// checkClockJump reports and logs whether a worker's clock deviates from its estimate by more than
+// clockJumpThreshold.
+func (p *Pool) checkClockJump(w *worker, clock int64, now time.Time) bool {
+	if w.clock == 0 {
+		return false
+	}
+	expected := w.estimatedClock(now)
+	allowed := clockJumpThreshold + time.Duration(2*clockDrift*float64(now.Sub(w.clockAt)))
+	difference := time.Duration(clock-expected) * time.Millisecond
+	if difference.Abs() <= allowed {
+		return false
+	}
+	p.record.LogEvent("worker clock jumped", "worker", w.ID, "by_ms", difference.Milliseconds(), "runs", len(w.members))
+	return true
+}
+
+// recordNoReply records a call without a reply.
+func (p *Pool) recordNoReply(w *worker) {
+	first := w.unansweredCalls == 0
+	w.unansweredCalls++
+	if first {
+		w.unresponsiveSince = p.loop.Now()
+		p.record.LogEvent("worker unresponsive", "worker", w.ID, "runs", len(w.members))
+		p.pollIdleWorkers()
+	}
+	w.lossyUntil = p.loop.Now().Add(lossyDuration)
+	// Once the runs of the worker are lost, only this poll contacts the worker again. Without the
+	// poll the worker would stay unused.
+	p.pollAfter(w, quickPollDelay)
+}
+
+// handlePollReply handles the reply to a poll that was sent at sentAt.
+func (p *Pool) handlePollReply(w *worker, reply fleet.Reply, sentAt time.Time) {
+	first := !w.contacted
+	if first {
+		w.contacted, w.contactedAt = true, p.loop.Now()
+	}
+	p.handleReport(w, reply, sentAt)
+	if first {
+		p.renewLeaseNow(w)
+		p.scheduleCycle()
+	}
+	p.schedulePoll(w)
+	p.removeIfIdle(w)
+}
+
+// renewLeaseNow renews the lease of runs on a worker after the first contact.
+func (p *Pool) renewLeaseNow(w *worker) {
+	if len(w.members) > 0 {
+		p.poll(w)
+	}
+}
