--- a/cmd/wheatroadd/serve.go
+++ b/cmd/wheatroadd/serve.go
@@ -121,8 +121,8 @@
 	// ParseDisabled cannot fail: the settings were validated when read.
 	disabled, _ := mechanism.ParseDisabled(s.DisabledMechanisms)
 	return node.Options{
-		DisabledMechanisms: disabled,
-		Name:               s.Name, Incarnation: newIncarnation(), PeerAddress: s.PeerAddress, Weight: s.CPUShare,
+		DisabledMechanisms: disabled, Features: s.Policies.Features(),
+		Name: s.Name, Incarnation: newIncarnation(), PeerAddress: s.PeerAddress, Weight: s.CPUShare,
 		LinkBytesPerSecond: s.LinkMbps * bytesPerMbit,
 		PoolBounds: pool.Bounds{
 			MaxLease: settings.Millis(b.MaxHoldMillis), StopTimeout: settings.Millis(b.StopTimeoutMillis),
--- a/internal/loadsim/compare.go
+++ b/internal/loadsim/compare.go
@@ -4,12 +4,14 @@
 	"math"
 	"sync"
 
+	"github.com/wheatroad/wheatroad/internal/features"
 	"github.com/wheatroad/wheatroad/internal/mechanism"
 )
 
-// Variant is a scheduler with some mechanisms disabled.
+// Variant is a scheduler with some mechanisms disabled and some policies enabled.
 type Variant struct {
 	Name               string
+	Features           features.Settings
 	DisabledMechanisms mechanism.Disabled
 }
 
@@ -46,7 +48,7 @@
 			slots <- struct{}{}
 			group.Go(func() {
 				defer func() { <-slots }()
-				compared[k].Results[n] = load.Simulate(firstSeed+uint64(n), variants[k].DisabledMechanisms)
+				compared[k].Results[n] = load.Simulate(firstSeed+uint64(n), variants[k])
 			})
 		}
 	}
--- a/internal/loadsim/loadsim_test.go
+++ b/internal/loadsim/loadsim_test.go
@@ -15,11 +15,11 @@
 func TestSimulationIsDeterministicPerSeed(t *testing.T) {
 	load := Loads()[0]
 	load.Length /= 6
-	first, second := load.Simulate(3, nil), load.Simulate(3, nil)
+	first, second := load.Simulate(3, Variant{}), load.Simulate(3, Variant{})
 	require.Equal(t, first, second)
 	require.Empty(t, first.Violations)
 	require.Greater(t, first.ValueShare, 0.5)
-	require.NotEqual(t, first, load.Simulate(4, nil))
+	require.NotEqual(t, first, load.Simulate(4, Variant{}))
 }
 
 // TestOnTimeFirstAndLocalityWaitGainUnderOverload guards, under overlapping bursts, against placing
--- a/internal/loadsim/simulate.go
+++ b/internal/loadsim/simulate.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/wheatroad/wheatroad/internal/mechanism"
 	"github.com/wheatroad/wheatroad/internal/simulation"
 	"github.com/wheatroad/wheatroad/internal/taskgraph"
 )
@@ -52,11 +51,12 @@
 	reclaimTime        = 2700 * time.Millisecond
 )
 
-// Simulate runs a load with some mechanisms disabled.
-func (l *Load) Simulate(seed uint64, disabled mechanism.Disabled) Result {
+// Simulate runs a load under one variant of the scheduler.
+func (l *Load) Simulate(seed uint64, variant Variant) Result {
 	arrivals := l.generateArrivals(seed)
 	cluster := simulation.NewCluster(l.Racks, l.PerRack)
-	cluster.DisabledMechanisms, cluster.StopTime, cluster.Checker.Quiet = disabled, stopTime, true
+	cluster.Features, cluster.DisabledMechanisms = variant.Features, variant.DisabledMechanisms
+	cluster.StopTime, cluster.Checker.Quiet = stopTime, true
 	cluster.Bounds.StopTimeout, cluster.Bounds.CheckpointInterval, cluster.Bounds.GuaranteedStartTimeout = stopTime, checkpointInterval, reclaimTime
 	slowdowns := l.randomSlowdowns(seed)
 	for i, worker := range cluster.Workers {
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/catalog"
+	"github.com/wheatroad/wheatroad/internal/features"
 	"github.com/wheatroad/wheatroad/internal/fleet"
 	"github.com/wheatroad/wheatroad/internal/loop"
 	"github.com/wheatroad/wheatroad/internal/mechanism"
@@ -44,6 +45,8 @@
 	// MaxConfigurationAge is the maximum age of the configuration's confirmation. The node refuses
 	// requests while the confirmation is older.
 	MaxConfigurationAge time.Duration
+	// Features selects the optional scheduling policies of pools.
+	Features features.Settings
 	// DisabledMechanisms are the mechanisms to disable for measurements.
 	DisabledMechanisms mechanism.Disabled
 }
--- a/internal/pool/options.go
+++ b/internal/pool/options.go
@@ -5,6 +5,7 @@
 
 	"github.com/wheatroad/wheatroad/internal/catalog"
 	"github.com/wheatroad/wheatroad/internal/evacuation"
+	"github.com/wheatroad/wheatroad/internal/features"
 	"github.com/wheatroad/wheatroad/internal/fleet"
 	"github.com/wheatroad/wheatroad/internal/mechanism"
 	"github.com/wheatroad/wheatroad/internal/rows"
@@ -45,6 +46,8 @@
 	Catalog func() *catalog.Catalog
 	// EvacuatedZones returns the evacuated zones known to the node; nil if it tracks none.
 	EvacuatedZones func() evacuation.Set
+	// Features selects the optional scheduling policies.
+	Features features.Settings
 	// DisabledMechanisms disables parts of the scheduling policy, for measurements.
 	DisabledMechanisms mechanism.Disabled
 	// DisabledSafeguards disables safeguards, for tests that show what they prevent.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/evacuation"
+	"github.com/wheatroad/wheatroad/internal/features"
 	"github.com/wheatroad/wheatroad/internal/fleet"
 	"github.com/wheatroad/wheatroad/internal/loop"
 	"github.com/wheatroad/wheatroad/internal/poison"
@@ -135,6 +136,11 @@
 	p.tick()
 }
 
+// features returns the optional policies that are in use under the current configuration.
+func (p *Pool) features() features.Set {
+	return features.Resolve(p.options.Features, p.options.Catalog())
+}
+
 // Token returns the owner's fencing token.
 func (p *Pool) Token() int64 { return p.token }
 
--- a/internal/pool/summary.go
+++ b/internal/pool/summary.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"github.com/wheatroad/wheatroad/internal/features"
 	"github.com/wheatroad/wheatroad/internal/taskgraph"
 )
 
@@ -24,6 +25,8 @@
 type Summary struct {
 	// Loaded is true once the pool's rows are read.
 	Loaded bool `json:"loaded"`
+	// Policies are the optional scheduling policies in use.
+	Policies features.Set `json:"policies"`
 	// Jobs counts jobs by state.
 	Jobs map[taskgraph.State]int `json:"jobs"`
 	// WaitingUnits counts tasks and gangs that wait for placement.
@@ -59,7 +62,7 @@
 
 // Summary returns the pool's current status.
 func (p *Pool) Summary() Summary {
-	summary := Summary{Loaded: p.loaded, Jobs: map[taskgraph.State]int{}, WaitingUnits: len(p.waitingUnits()), Workers: len(p.workers)}
+	summary := Summary{Loaded: p.loaded, Policies: p.features(), Jobs: map[taskgraph.State]int{}, WaitingUnits: len(p.waitingUnits()), Workers: len(p.workers)}
 	for _, j := range p.jobs {
 		summary.Jobs[j.pendingState]++
 	}
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -6,6 +6,7 @@
 
 	"github.com/BurntSushi/toml"
 
+	"github.com/wheatroad/wheatroad/internal/features"
 	"github.com/wheatroad/wheatroad/internal/job"
 	"github.com/wheatroad/wheatroad/internal/mechanism"
 )
@@ -34,6 +35,7 @@
 	CPUShare float64         `toml:"cpu_share"`
 	Periods  PlatformPeriods `toml:"bounds"`
 	Shutdown Shutdown        `toml:"stop"`
+	Policies Policies        `toml:"policies"`
 	// DisabledMechanisms names mechanisms to disable, for measurements only.
 	DisabledMechanisms []string `toml:"without"`
 }
@@ -66,6 +68,35 @@
 	ServeSeconds float64 `toml:"serve_s"`
 }
 
+// Policies holds the modes of the optional scheduling policies: "auto", "on" or "off". An empty
+// mode means "auto".
+type Policies struct {
+	TenantSharing     string `toml:"tenant_sharing"`
+	BoundedPreemption string `toml:"bounded_preemption"`
+	AdmissionForecast string `toml:"admission_forecast"`
+}
+
+// Features returns the modes of the policies. The settings must have been validated.
+func (p *Policies) Features() features.Settings {
+	parse := func(name string) features.Mode {
+		mode, _ := features.ParseMode(name)
+		return mode
+	}
+	return features.Settings{
+		TenantSharing: parse(p.TenantSharing), BoundedPreemption: parse(p.BoundedPreemption), AdmissionForecast: parse(p.AdmissionForecast),
+	}
+}
+
+func (p *Policies) check(c *checker) {
+	mode := func(key, name string) {
+		_, err := features.ParseMode(name)
+		c.require(err == nil, key, "%v", err)
+	}
+	mode("policies.tenant_sharing", p.TenantSharing)
+	mode("policies.bounded_preemption", p.BoundedPreemption)
+	mode("policies.admission_forecast", p.AdmissionForecast)
+}
+
 // Millis returns a number of milliseconds as a duration.
 func Millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
@@ -128,6 +159,7 @@
 	if _, err := mechanism.ParseDisabled(s.DisabledMechanisms); err != nil {
 		c.require(false, "without", "%v", err)
 	}
+	s.Policies.check(c)
 	periods := &s.Periods
 	positive := map[string]int64{
 		"bounds.max_hold_ms": periods.MaxHoldMillis, "bounds.stop_timeout_ms": periods.StopTimeoutMillis,
--- a/internal/simulation/cluster.go
+++ b/internal/simulation/cluster.go
@@ -8,6 +8,7 @@
 
 	"github.com/wheatroad/wheatroad/internal/catalog"
 	"github.com/wheatroad/wheatroad/internal/emulator"
+	"github.com/wheatroad/wheatroad/internal/features"
 	"github.com/wheatroad/wheatroad/internal/fleet"
 	"github.com/wheatroad/wheatroad/internal/mechanism"
 	"github.com/wheatroad/wheatroad/internal/pool"
@@ -45,6 +46,8 @@
 	LateOrdersReachRestartedWorkers bool
 	// StopTime is how long a run takes to stop.
 	StopTime time.Duration
+	// Features is passed to every owner.
+	Features features.Settings
 	// DisabledMechanisms is passed to every owner.
 	DisabledMechanisms mechanism.Disabled
 	// WorkerTable is the table of the worker rows. EncodeWorker encodes a worker row.
--- a/internal/simulation/owner.go
+++ b/internal/simulation/owner.go
@@ -30,7 +30,7 @@
 	owner := &Owner{cluster: c, Process: emulator.NewProcess(c.Clock), PartitionedFrom: map[string]bool{}}
 	owner.Process.SteadyTime = c.SuspendedClock
 	options := pool.Options{
-		Pool: PoolName, Node: name, Incarnation: name, Address: name, Bounds: c.Bounds, DisabledSafeguards: c.DisabledSafeguards, DisabledMechanisms: c.DisabledMechanisms,
+		Pool: PoolName, Node: name, Incarnation: name, Address: name, Bounds: c.Bounds, Features: c.Features, DisabledSafeguards: c.DisabledSafeguards, DisabledMechanisms: c.DisabledMechanisms,
 		Catalog:          func() *catalog.Catalog { return c.Catalog },
 		OnOwnershipEnded: func(reason string) { owner.Ended = reason },
 	}
