--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Targets for people: build, run, test. See README.md.
 VERSION ?= $(shell git describe --tags --always --dirty 2>/dev/null || echo dev)
-LDFLAGS := -X github.com/wheatroad/wheatroad/internal/buildinfo.Version=$(VERSION)
+LDFLAGS := -X github.com/wheatroad/wheatroad/internal/buildinfo.release=$(VERSION)
 
 # Tests that are known to fail, by the first word of each line of KNOWN-RED.txt.
 KNOWN_RED := $(shell [ ! -f KNOWN-RED.txt ] || cut -d: -f1 KNOWN-RED.txt | paste -sd'|')
--- a/cmd/wheatroad-bench/main.go
+++ b/cmd/wheatroad-bench/main.go
@@ -19,7 +19,7 @@
 )
 
 func main() {
-	root := bench.NewCommand(buildinfo.Version)
+	root := bench.NewCommand(buildinfo.Version())
 	root.AddCommand(newOverloadCommand(), newFaultsCommand(), newLoadCommand())
 	err := root.Execute()
 	if err == nil {
--- a/cmd/wheatroad-platform/main.go
+++ b/cmd/wheatroad-platform/main.go
@@ -34,7 +34,7 @@
 		Use:          "wheatroad-platform --cluster C.toml",
 		Short:        "Fake platform with configurable faults",
 		Example:      "  wheatroad-platform --cluster examples/replay/sahil.toml --listen 127.0.0.1:7000",
-		Version:      buildinfo.Version,
+		Version:      buildinfo.Version(),
 		Args:         cobra.NoArgs,
 		SilenceUsage: true,
 		RunE:         func(*cobra.Command, []string) error { return serve(o) },
--- a/cmd/wheatroadctl/main.go
+++ b/cmd/wheatroadctl/main.go
@@ -10,7 +10,7 @@
 )
 
 func main() {
-	err := cli.New(buildinfo.Version).Execute()
+	err := cli.New(buildinfo.Version()).Execute()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "wheatroadctl:", err)
 	}
--- a/cmd/wheatroadd/main.go
+++ b/cmd/wheatroadd/main.go
@@ -22,7 +22,7 @@
 )
 
 func main() {
-	root := &cobra.Command{Use: "wheatroadd", Short: "The wheatroad scheduling daemon", Version: buildinfo.Version, SilenceUsage: true, SilenceErrors: true}
+	root := &cobra.Command{Use: "wheatroadd", Short: "The wheatroad scheduling daemon", Version: buildinfo.Version(), SilenceUsage: true, SilenceErrors: true}
 	root.AddCommand(newRunCommand(), newServeCommand(), newCheckCommand())
 	err := root.Execute()
 	if err == nil {
--- a/cmd/wheatroadd/serve.go
+++ b/cmd/wheatroadd/serve.go
@@ -93,7 +93,7 @@
 	}
 	go d.loop.Run(ctx)
 	d.loop.Post(d.node.Start)
-	tele.LogEvent("started", "node", s.Name, "zone", s.Zone, "version", buildinfo.Version)
+	tele.LogEvent("started", "node", s.Name, "zone", s.Zone, "version", buildinfo.Version())
 	err = d.wait(path)
 	tele.LogEvent("stopped", "node", s.Name)
 	log.Close()
