--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 # Tests that are known to fail, by the first word of each line of KNOWN-RED.txt.
 KNOWN_RED := $(shell [ ! -f KNOWN-RED.txt ] || cut -d: -f1 KNOWN-RED.txt | paste -sd'|')
 
-.PHONY: build run test lint generate
+.PHONY: build run test lint upgrade-soak generate
 
 build:
 	go build -ldflags '$(LDFLAGS)' -o bin/ ./cmd/...
@@ -22,6 +22,10 @@
 test: lint
 	go test -race -timeout 20m $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./...
 
+# Plays the production version beside this one; says so if the history lacks it.
+upgrade-soak:
+	scripts/upgrade-soak.sh
+
 # Needs protoc and protoc-gen-go; the generated code is committed.
 generate:
 	cd internal/peer/peerpb && protoc --go_out=. --go_opt=paths=source_relative peer.proto
--- a/cmd/wheatroad-bench/faults_command.go
+++ b/cmd/wheatroad-bench/faults_command.go
@@ -17,6 +17,7 @@
 
 type faultsFlags struct {
 	binaries       string
+	otherDaemon    string
 	logs           string
 	seed           uint64
 	seeds          int
@@ -49,6 +50,7 @@
 		},
 	}
 	command.Flags().StringVar(&flags.binaries, "bin", "bin", "directory with the binaries")
+	command.Flags().StringVar(&flags.otherDaemon, "other-daemon", "", "wheatroadd binary of another version; each start of a daemon draws one of the two")
 	command.Flags().StringVar(&flags.logs, "logs", filepath.Join(os.TempDir(), "wheatroad-faults"), "directory for settings and logs")
 	command.Flags().Uint64Var(&flags.seed, "seed", 1, "first seed")
 	command.Flags().IntVar(&flags.seeds, "seeds", 1, "number of seeds to run in sequence")
@@ -87,7 +89,7 @@
 		return nil, err
 	}
 	report, err := soak.Run(soak.Options{
-		DaemonPath: filepath.Join(flags.binaries, "wheatroadd"), Seed: seed, Directory: folder,
+		DaemonPath: filepath.Join(flags.binaries, "wheatroadd"), OtherDaemonPath: flags.otherDaemon, Seed: seed, Directory: folder,
 		FaultDuration: time.Duration(flags.seconds * float64(time.Second)), Daemons: flags.processes, Callers: flags.callers, InstanceFaults: flags.workerRestarts,
 	})
 	if err == nil && len(report.Violations) == 0 {
--- a/cmd/wheatroadd/serve.go
+++ b/cmd/wheatroadd/serve.go
@@ -122,7 +122,7 @@
 	disabled, _ := mechanism.ParseDisabled(s.DisabledMechanisms)
 	return node.Options{
 		DisabledMechanisms: disabled, Features: s.Policies.Features(),
-		Name: s.Name, Incarnation: newIncarnation(), PeerAddress: s.PeerAddress, Weight: s.CPUShare,
+		Name: s.Name, Version: buildinfo.Version(), Incarnation: newIncarnation(), PeerAddress: s.PeerAddress, Weight: s.CPUShare,
 		LinkBytesPerSecond: s.LinkMbps * bytesPerMbit,
 		PoolBounds: pool.Bounds{
 			MaxLease: settings.Millis(b.MaxHoldMillis), StopTimeout: settings.Millis(b.StopTimeoutMillis),
--- a/internal/cli/node_status.go
+++ b/internal/cli/node_status.go
@@ -68,9 +68,10 @@
 		return json.NewEncoder(out).Encode(status)
 	}
 	var text strings.Builder
-	fmt.Fprintf(&text, "%s: ready %v, configuration %d (confirmed current %d ms ago), last store response %d ms ago, store lost %v, %d members, evacuated zones %v\n",
-		status.Name, status.Ready, status.ConfigurationVersion, status.ConfigurationAgeMillis, status.StoreAgeMillis, status.StoreLost, len(status.Members),
+	fmt.Fprintf(&text, "%s: version %s, ready %v, configuration %d (confirmed current %d ms ago), last store response %d ms ago, store lost %v, %d members, evacuated zones %v\n",
+		status.Name, status.Version, status.Ready, status.ConfigurationVersion, status.ConfigurationAgeMillis, status.StoreAgeMillis, status.StoreLost, len(status.Members),
 		status.EvacuatedZones)
+	fmt.Fprintf(&text, "  known members by version: %v\n", status.MemberVersions)
 	for i := range status.Pools {
 		p := &status.Pools[i]
 		fmt.Fprintf(&text, "  pool %s: owner %s, token %d, unanswered pings %d\n", p.Pool, p.Owner, p.Token, p.OwnerFailures)
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/wheatroad/wheatroad/internal/compatibility"
 	"github.com/wheatroad/wheatroad/internal/pool"
 	"github.com/wheatroad/wheatroad/internal/rows"
 )
@@ -55,6 +56,10 @@
 	Incarnation string  `json:"incarnation"`
 	Address     string  `json:"address"`
 	Weight      float64 `json:"weight"`
+	// Format is the newest format of rows that the node reads, and Version the version of its build;
+	// both are absent in rows of older versions.
+	Format  compatibility.Format `json:"format,omitempty"`
+	Version string               `json:"version,omitempty"`
 }
 
 // memberSample is what a node has read of the member rows.
@@ -84,7 +89,7 @@
 
 // self returns this node's member record.
 func (n *Node) self() member {
-	return member{Name: n.options.Name, Incarnation: n.options.Incarnation, Address: n.options.PeerAddress, Weight: n.options.Weight}
+	return member{Name: n.options.Name, Incarnation: n.options.Incarnation, Address: n.options.PeerAddress, Weight: n.options.Weight, Format: compatibility.Newest, Version: n.options.Version}
 }
 
 // memberRowKeys returns the keys of this node's two member rows. Nodes of versions without
@@ -228,6 +233,15 @@
 	s.add(row)
 }
 
+// versions counts the known members by the version of their build.
+func (s *memberSample) versions() map[string]int {
+	counts := map[string]int{}
+	for _, m := range s.members {
+		counts[m.Version]++
+	}
+	return counts
+}
+
 // isCandidate reports whether a node is among the candidates. In a cluster that the sample covers
 // completely, all nodes are.
 func (s *memberSample) isCandidate(name string) bool { return !s.partial || s.candidates[name] }
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -34,6 +34,8 @@
 type Options struct {
 	Name        string
 	Incarnation string
+	// Version is the version of the build.
+	Version string
 	// PeerAddress is the address at which other nodes reach this node.
 	PeerAddress string
 	// Weight is the processor time available to the node, in processors. Nodes with more weight
--- a/internal/node/ownership.go
+++ b/internal/node/ownership.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/wheatroad/wheatroad/internal/catalog"
+	"github.com/wheatroad/wheatroad/internal/compatibility"
 	"github.com/wheatroad/wheatroad/internal/evacuation"
 	"github.com/wheatroad/wheatroad/internal/mechanism"
 	"github.com/wheatroad/wheatroad/internal/pool"
@@ -148,7 +149,7 @@
 // acquire writes a lease that names this node the owner, on condition that the stored lease has not
 // changed since it was last read.
 func (n *Node) acquire(w *poolWatcher, reason string) {
-	if w.acquiring || n.owned[w.pool] != nil || n.stopping.Load() {
+	if w.acquiring || n.owned[w.pool] != nil || n.stopping.Load() || !n.canReadPool(w.pool) {
 		return
 	}
 	w.acquiring = true
@@ -173,6 +174,27 @@
 	})
 }
 
+// canReadPool reports whether this build can read the rows of a pool. It logs and counts the refusal
+// otherwise.
+func (n *Node) canReadPool(name string) bool {
+	format := n.leases[name].Format
+	if compatibility.Readable(format) {
+		return true
+	}
+	n.dependencies.Recorder.Count("takeovers", "newer_format")
+	n.dependencies.Recorder.LogEvent("pool not acquired", "pool", name, "reason", "rows have a newer format", "format", int(format), "newest_readable", int(compatibility.Newest))
+	return false
+}
+
+// poolFormat returns the format in which this node would write a pool's rows.
+func (n *Node) poolFormat(name string) compatibility.Format {
+	var members []compatibility.Format
+	for _, other := range n.otherMembersExcept("") {
+		members = append(members, other.Format)
+	}
+	return compatibility.PoolFormat(n.leases[name].Format, compatibility.Newest, members)
+}
+
 // acquireAfterFailure retries a failed acquisition if the pool has no owner or this node is the
 // owner. Otherwise it does not retry, as the owner's failures are counted again from zero.
 func (n *Node) acquireAfterFailure(w *poolWatcher, reason string) {
@@ -200,7 +222,7 @@
 func (n *Node) poolOptions(name string) pool.Options {
 	return pool.Options{
 		Pool: name, Node: n.options.Name, Incarnation: n.options.Incarnation,
-		Address: n.options.PeerAddress, Weight: n.options.Weight, Bounds: n.options.PoolBounds, Features: n.options.Features, DisabledMechanisms: n.options.DisabledMechanisms,
+		Address: n.options.PeerAddress, Weight: n.options.Weight, RowFormat: n.poolFormat(name), Bounds: n.options.PoolBounds, Features: n.options.Features, DisabledMechanisms: n.options.DisabledMechanisms,
 		Catalog:          func() *catalog.Catalog { return n.catalog.Load() },
 		EvacuatedZones:   func() evacuation.Set { return n.evacuated },
 		SchedulingDelay:  n.schedulingDelay.timeoutExtension,
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -23,8 +23,12 @@
 	// EvacuatedZones receive no new work.
 	EvacuatedZones []string `json:"evacuated_zones"`
 	// Members are the nodes that this node knows. In large clusters this is a sample.
-	Members []string     `json:"members"`
-	Pools   []PoolStatus `json:"pools"`
+	Members []string `json:"members"`
+	// Version is the version of this node's build. MemberVersions counts the known members by the
+	// version of their build; the version is empty for builds that state none.
+	Version        string         `json:"version"`
+	MemberVersions map[string]int `json:"member_versions"`
+	Pools          []PoolStatus   `json:"pools"`
 }
 
 // PoolStatus is what a node knows of one pool.
@@ -43,7 +47,7 @@
 func (n *Node) Status(ctx context.Context) (Status, error) {
 	gateway := Gateway{node: n}
 	status := Status{
-		Name: n.options.Name, Ready: gateway.Ready(), Stopping: gateway.Stopping(),
+		Name: n.options.Name, Version: n.options.Version, Ready: gateway.Ready(), Stopping: gateway.Stopping(),
 		ConfigurationAgeMillis: age(n.confirmedAt.Load()).Milliseconds(),
 		StoreAgeMillis:         n.storeAge().Milliseconds(), StoreLost: n.storeLost(),
 	}
@@ -52,6 +56,7 @@
 	}
 	err := loop.Call(ctx, n.dependencies.Loop, func() {
 		status.Members = sortedKeys(n.memberSample.members)
+		status.MemberVersions = n.memberSample.versions()
 		status.EvacuatedZones = n.evacuated.Zones()
 		for _, name := range sortedKeys(n.watchers) {
 			status.Pools = append(status.Pools, n.poolStatus(name))
--- a/internal/pool/options.go
+++ b/internal/pool/options.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/catalog"
+	"github.com/wheatroad/wheatroad/internal/compatibility"
 	"github.com/wheatroad/wheatroad/internal/evacuation"
 	"github.com/wheatroad/wheatroad/internal/features"
 	"github.com/wheatroad/wheatroad/internal/fleet"
@@ -41,7 +42,9 @@
 	Address     string
 	// Weight is the CPU share of the owner's node.
 	Weight float64
-	Bounds Bounds
+	// RowFormat is the format of the rows that the owner writes.
+	RowFormat compatibility.Format
+	Bounds    Bounds
 	// Catalog returns the current configuration.
 	Catalog func() *catalog.Catalog
 	// EvacuatedZones returns the evacuated zones known to the node; nil if it tracks none.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -118,7 +118,7 @@
 // Acquire returns the transaction that acquires a pool whose lease row has the given
 // version; rows.Absent if there is no such row.
 func Acquire(options Options, version int64, nonce string) rows.Transaction {
-	lease := Lease{Owner: options.Node, Incarnation: options.Incarnation, Address: options.Address, Nonce: nonce, Weight: options.Weight}
+	lease := Lease{Owner: options.Node, Incarnation: options.Incarnation, Address: options.Address, Nonce: nonce, Weight: options.Weight, Format: options.RowFormat}
 	return rows.Transaction{
 		Conditions: []rows.Condition{{Key: LeaseKey(options.Pool), Version: version}},
 		Puts:       []rows.Put{{Key: LeaseKey(options.Pool), Value: mustEncode(lease)}},
@@ -260,7 +260,7 @@
 	}
 	p.ports.Commit(rows.Transaction{
 		Conditions: []rows.Condition{{Key: LeaseKey(p.options.Pool), Version: p.token}},
-		Puts:       []rows.Put{{Key: LeaseKey(p.options.Pool), Value: mustEncode(Lease{})}},
+		Puts:       []rows.Put{{Key: LeaseKey(p.options.Pool), Value: mustEncode(Lease{Format: p.options.RowFormat})}},
 	}, func(_ rows.Result, err error) {
 		if p.closed {
 			return
--- a/internal/pool/records.go
+++ b/internal/pool/records.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/catalog"
+	"github.com/wheatroad/wheatroad/internal/compatibility"
 	"github.com/wheatroad/wheatroad/internal/taskgraph"
 )
 
@@ -40,6 +41,8 @@
 	Nonce string `json:"nonce"`
 	// Weight is the CPU share of the owner's node; 0 in leases of older versions.
 	Weight float64 `json:"weight,omitempty"`
+	// Format is the format of the pool's rows; 0 in leases of older versions.
+	Format compatibility.Format `json:"format,omitempty"`
 }
 
 // Accepted is the row of an accepted job. It is immutable.
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -18,7 +18,7 @@
 // daemon is a wheatroadd process and the faults injected into it.
 type daemon struct {
 	number           int
-	program          string
+	programs         programs
 	directory        string
 	settings         string
 	callerAddress    string
@@ -43,12 +43,12 @@
 // stopGracePeriod is the time between SIGTERM and SIGKILL, as on the platform.
 const stopGracePeriod = 6 * time.Second
 
-func newDaemon(number int, program, folder, platform string) (*daemon, error) {
+func newDaemon(number int, programs programs, folder, platform string) (*daemon, error) {
 	proxy, err := faultproxy.New(platform)
 	if err != nil {
 		return nil, err
 	}
-	d := &daemon{number: number, program: program, directory: folder, proxy: proxy}
+	d := &daemon{number: number, programs: programs, directory: folder, proxy: proxy}
 	var peers string
 	for _, address := range []*string{&d.callerAddress, &d.readinessAddress, &peers} {
 		if *address, err = freeAddress(); err != nil {
@@ -100,7 +100,7 @@
 	if d.command != nil {
 		return nil
 	}
-	command := exec.Command(d.program, "serve", d.settings)
+	command := exec.Command(d.programs.next(), "serve", d.settings)
 	command.Stdout, command.Stderr = d.log, d.log
 	// Kills the daemon if this process exits for any reason.
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -20,7 +20,10 @@
 type Options struct {
 	// DaemonPath is the path of the wheatroadd binary.
 	DaemonPath string
-	Seed       uint64
+	// OtherDaemonPath is the wheatroadd binary of another version that runs beside the first; empty
+	// for none.
+	OtherDaemonPath string
+	Seed            uint64
 	// FaultDuration is how long faults are injected.
 	FaultDuration time.Duration
 	Daemons       int
@@ -112,7 +115,7 @@
 
 func (r *run) start() error {
 	for number := range r.options.Daemons {
-		d, err := newDaemon(number, r.options.DaemonPath, r.options.Directory, r.platform.Address())
+		d, err := newDaemon(number, r.options.programsFor(number), r.options.Directory, r.platform.Address())
 		if err != nil {
 			return err
 		}
--- a/internal/soak/slow_links_test.go
+++ b/internal/soak/slow_links_test.go
@@ -101,7 +101,7 @@
 	}
 	r.putInitialConfiguration()
 	t.Cleanup(r.closeDaemons)
-	d, err := newDaemon(0, r.options.DaemonPath, r.options.Directory, platform.Address())
+	d, err := newDaemon(0, r.options.programsFor(0), r.options.Directory, platform.Address())
 	require.NoError(t, err)
 	r.daemons = []*daemon{d}
 	d.proxy.SetRate(slowLink)
--- /dev/null
+++ b/scripts/upgrade-soak.sh
@@ -0,0 +1,24 @@
+#!/usr/bin/env bash
+# upgrade-soak.sh [FLAGS]: the fault soak with the production version beside this one. Each start of a daemon draws one of the
+# two. The production version is the commit that deploy/system.toml names; where the history lacks it, nothing runs and the
+# script says so. FLAGS go to `wheatroad-bench faults`; without any, two seeds of 12 s are played.
+set -eu
+cd "$(dirname "$0")/.."
+commit=$(sed -n 's/^production = "\(.*\)"$/\1/p' deploy/system.toml)
+if [ -z "$commit" ]; then
+  echo "upgrade soak: not run, deploy/system.toml names no production version"
+  exit 0
+fi
+if ! git cat-file -e "$commit^{commit}" 2>/dev/null; then
+  echo "upgrade soak: not run, the history has no commit $commit"
+  exit 0
+fi
+folder=$(mktemp -d)
+trap 'rm -rf "$folder"' EXIT
+mkdir "$folder/source"
+git archive "$commit" cmd internal platform go.mod go.sum | tar -x -C "$folder/source"
+(cd "$folder/source" && go build -o "$folder/wheatroadd-production" ./cmd/wheatroadd)
+go build -o "$folder/" ./cmd/wheatroadd ./cmd/wheatroad-bench ./cmd/wheatroad-platform
+[ $# -gt 0 ] || set -- --seed 1 --seeds 2 --seconds 12 --processes 5
+echo "upgrade soak: production $commit beside this version"
+"$folder/wheatroad-bench" faults --bin "$folder" --other-daemon "$folder/wheatroadd-production" "$@"
