--- a/cmd/wheatroadd/serve.go
+++ b/cmd/wheatroadd/serve.go
@@ -123,6 +123,7 @@
 	return node.Options{
 		DisabledMechanisms: disabled, Features: s.Policies.Features(),
 		Name: s.Name, Version: buildinfo.Version(), Incarnation: newIncarnation(), PeerAddress: s.PeerAddress, Weight: s.CPUShare,
+		Region: s.Region, SeveralRegions: s.SeveralRegions(),
 		LinkBytesPerSecond: s.LinkMbps * bytesPerMbit,
 		PoolBounds: pool.Bounds{
 			MaxLease: settings.Millis(b.MaxHoldMillis), StopTimeout: settings.Millis(b.StopTimeoutMillis),
--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -16,7 +16,7 @@
 	requestedAt := n.now()
 	n.ports.scanDirect(key.Table, key.Part, func(listing rows.Listing, err error) {
 		if err != nil {
-			n.storeRetries.After(retryPause, n.readConfiguration)
+			n.storeRetries.After(retryPause, n.endConfigurationFeed)
 			return
 		}
 		for i := range listing.Rows {
@@ -26,7 +26,8 @@
 		n.applyEvacuations(evacuation.NewSet(n.evacuationChanges(listing.Rows), listing.Version, requestedAt))
 		n.follow(subscription{
 			table: key.Table, feed: n.ports.feedDirect, wait: n.configurationFeedWait, apply: n.applyConfiguration,
-			onResponse: n.handleOperatorFeed, onEnd: n.readConfiguration,
+			onResponse: n.handleOperatorFeed, onEnd: n.endConfigurationFeed,
+			needed: func() bool { return !n.isConfigurationFollower() },
 		}, listing.Version)
 	})
 }
--- a/internal/node/configuration_status.go
+++ b/internal/node/configuration_status.go
@@ -21,7 +21,7 @@
 func (n *Node) handleConfigurationStatus(address string, status configurationStatus, requestedAt time.Time) {
 	current := n.catalog.Load()
 	if current == nil || current.Version < status.Version {
-		n.downloadConfiguration(address, status.Version)
+		n.downloadConfiguration(n.downloadAddress(address), status.Version)
 		return
 	}
 	at := requestedAt.Add(-time.Duration(status.AgeMillis) * time.Millisecond)
@@ -51,15 +51,14 @@
 // confirm this node's configuration.
 func (n *Node) pollConfiguration() {
 	limit := configurationPollAge
-	if n.storeLost() {
-		// The store will not respond, so there is nothing to wait for.
+	if n.storeLost() || n.isConfigurationFollower() {
+		// The store will not respond or is not asked, so there is nothing to wait for.
 		limit = staleConfirmationAge
 	}
 	confirmedAge := age(n.confirmedAt.Load())
 	if confirmedAge > limit {
-		others := n.otherMembersExcept("")
 		requestedAt := uptime.Now()
-		for _, other := range others[:min(2, len(others))] {
+		for _, other := range n.configurationPollTargets() {
 			n.callPeer(other.Address, methodConfigurationStatus, struct{}{}, func(document []byte, err error) {
 				var status configurationStatus
 				if err == nil && json.Unmarshal(document, &status) == nil {
--- a/internal/node/feeds.go
+++ b/internal/node/feeds.go
@@ -128,6 +128,7 @@
 // checkConfirmation cancels long feeds once the configuration's confirmation is stale, so that the
 // store is queried at once.
 func (n *Node) checkConfirmation() {
+	n.updateConfigurationFeed()
 	confirmedAge := age(n.confirmedAt.Load())
 	if confirmedAge > staleConfirmationAge && !n.storeLost() {
 		n.feeds.cancelIdle(longFeedWait)
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -56,6 +56,8 @@
 	Incarnation string  `json:"incarnation"`
 	Address     string  `json:"address"`
 	Weight      float64 `json:"weight"`
+	// Region is absent in rows of older versions.
+	Region string `json:"region,omitempty"`
 	// Format is the newest format of rows that the node reads, and Version the version of its build;
 	// both are absent in rows of older versions.
 	Format  compatibility.Format `json:"format,omitempty"`
@@ -89,7 +91,7 @@
 
 // self returns this node's member record.
 func (n *Node) self() member {
-	return member{Name: n.options.Name, Incarnation: n.options.Incarnation, Address: n.options.PeerAddress, Weight: n.options.Weight, Format: compatibility.Newest, Version: n.options.Version}
+	return member{Name: n.options.Name, Incarnation: n.options.Incarnation, Address: n.options.PeerAddress, Weight: n.options.Weight, Region: n.options.Region, Format: compatibility.Newest, Version: n.options.Version}
 }
 
 // memberRowKeys returns the keys of this node's two member rows. Nodes of versions without
@@ -207,6 +209,7 @@
 	n.memberSample = next
 	n.publishSnapshot()
 	n.followLeases()
+	n.updateConfigurationFeed()
 	if missing {
 		// This node's row is missing or describes an earlier process. A pool owner removes a node's
 		// row if it receives no pings from the node for memberExpiry.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -82,6 +82,13 @@
 	// recoveryProbing is true while the node probes a lost store until the store recovers.
 	recoveryProbing bool
 
+	// startedAt is when Start was called. readingConfiguration is true while this node reads or
+	// follows the operators' table. A configuration follower reads it once its confirmation is older
+	// than fallbackAge.
+	startedAt            time.Time
+	readingConfiguration bool
+	fallbackAge          time.Duration
+
 	memberSample memberSample
 	// joining is true while the node writes its member rows.
 	joining bool
@@ -108,7 +115,7 @@
 		options: options, dependencies: dependencies,
 		memberSample: memberSample{members: map[string]member{}}, leases: map[string]versionedLease{},
 		watchers: map[string]*poolWatcher{}, owned: map[string]*pool.Pool{},
-		waiting: map[string]waitingCounts{},
+		waiting: map[string]waitingCounts{}, fallbackAge: newFallbackAge(options.MaxConfigurationAge),
 	}
 	n.ports = &ports{ctx: ctx, node: n, linkLimiter: ratelimit.New(linkFraction*options.LinkBytesPerSecond, linkBurst, uptime.Now)}
 	n.storeRetries = loop.NewRetries(dependencies.Loop)
@@ -120,8 +127,9 @@
 // Start joins the cluster and begins to follow the configuration and to ping the owners of pools.
 func (n *Node) Start() {
 	n.join()
-	n.readConfiguration()
+	n.startedAt = n.now()
 	n.readMembers()
+	n.updateConfigurationFeed()
 	n.refreshMembersPeriodically()
 	n.dependencies.Loop.After(jitter(startupRefreshDelay), n.refreshMembers)
 	n.pingOwners()
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -36,6 +36,9 @@
 	Incarnation string
 	// Version is the version of the build.
 	Version string
+	// Region is the node's region. SeveralRegions is true if the cluster has nodes in more than one.
+	Region         string
+	SeveralRegions bool
 	// PeerAddress is the address at which other nodes reach this node.
 	PeerAddress string
 	// Weight is the processor time available to the node, in processors. Nodes with more weight
--- a/internal/node/ownership.go
+++ b/internal/node/ownership.go
@@ -241,6 +241,7 @@
 	n.publishSnapshot()
 	n.startDelaySampling()
 	n.followLeases()
+	n.updateConfigurationFeed()
 	if !n.pruning {
 		n.pruning = true
 		n.pruneMembers("")
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -18,6 +18,10 @@
 	Name string `toml:"name"`
 	// Zone is the node's zone, for logging.
 	Zone string `toml:"zone"`
+	// Region is the node's region, and Zones holds the region of each zone of the cluster. Both may be
+	// empty if all zones are in one region.
+	Region string            `toml:"region"`
+	Zones  map[string]string `toml:"zones"`
 	// CallerAddress and ReadinessAddress are the addresses to listen on for requests and readiness
 	// probes.
 	CallerAddress    string `toml:"callers"`
@@ -97,6 +101,15 @@
 	mode("policies.admission_forecast", p.AdmissionForecast)
 }
 
+// SeveralRegions reports whether the zones are in more than one region.
+func (s *Node) SeveralRegions() bool {
+	regions := map[string]bool{}
+	for _, region := range s.Zones {
+		regions[region] = true
+	}
+	return len(regions) > 1
+}
+
 // Millis returns a number of milliseconds as a duration.
 func Millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
@@ -159,6 +172,7 @@
 	if _, err := mechanism.ParseDisabled(s.DisabledMechanisms); err != nil {
 		c.require(false, "without", "%v", err)
 	}
+	c.require(!s.SeveralRegions() || s.Region != "", "region", "must be set if zones are in several regions")
 	s.Policies.check(c)
 	periods := &s.Periods
 	positive := map[string]int64{
