--- a/internal/node/configuration_source.go
+++ b/internal/node/configuration_source.go
@@ -30,7 +30,7 @@
 // updateConfigurationFeed starts to read the configuration from the store unless this node is a
 // follower. It must be called when the answer of isConfigurationFollower may have changed.
 func (n *Node) updateConfigurationFeed() {
-	if n.readingConfiguration || n.isConfigurationFollower() {
+	if n.startedAt.IsZero() || n.readingConfiguration || n.isConfigurationFollower() {
 		return
 	}
 	n.readingConfiguration = true
--- a/internal/settings/node_test.go
+++ b/internal/settings/node_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/wheatroad/wheatroad/internal/features"
 )
 
 const validNode = `
@@ -41,3 +43,33 @@
 		require.True(t, keys[key], key)
 	}
 }
+
+func TestNodeRegions(t *testing.T) {
+	cases := map[string]struct {
+		text    string
+		several bool
+		invalid bool
+	}{
+		"no zones":                  {"", false, false},
+		"one region":                {"[zones]\na = \"near\"\nb = \"near\"", false, false},
+		"two regions":               {"region = \"near\"\n[zones]\na = \"near\"\nb = \"far\"", true, false},
+		"two regions, own one lost": {"[zones]\na = \"near\"\nb = \"far\"", true, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s, err := ParseNode(validNode + c.text)
+			require.Equal(t, c.invalid, err != nil)
+			if err == nil {
+				require.Equal(t, c.several, s.SeveralRegions())
+			}
+		})
+	}
+}
+
+func TestNodePolicies(t *testing.T) {
+	s, err := ParseNode(validNode + "[policies]\ntenant_sharing = \"off\"\nbounded_preemption = \"\"")
+	require.NoError(t, err)
+	require.Equal(t, features.Settings{TenantSharing: features.Off, BoundedPreemption: features.Auto, AdmissionForecast: features.Auto}, s.Policies.Features())
+	_, err = ParseNode(validNode + "[policies]\nadmission_forecast = \"maybe\"")
+	require.ErrorContains(t, err, "policies.admission_forecast")
+}
