Slow store: urgent placements do not wait for other batches

Cause: an owner's writer sent one batch at a time, in the order of arrival. While a transaction takes 0.3 to 0.4 s an urgent placement waited for a batch of ends and notes, and its start for every row that was changed before it.

Change: internal/writequeue orders rows by what waits for them, allows up to three batches in flight while the store is measured slow, and keeps a row in at most one of them. A start waits for its own job's row; an acknowledgement for the rows of the ends that it covers. Notes and removals are put off within bounds; copies wait for twice the measured answer.

A removal is no longer put into the same transaction as a write of its row.

--- a/internal/pool/acknowledgements.go
+++ b/internal/pool/acknowledgements.go
@@ -1,6 +1,9 @@
 package pool
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // maxReportAge is the maximum age of the last report of a worker's incarnation for acknowledging
 // its ended runs. A worker needs longer than maxReportAge to crash, restart, and start and end a
@@ -15,6 +18,8 @@
 type endAcknowledgements struct {
 	// writing is the highest number among the ended runs being written; 0 if there are none.
 	writing int64
+	// unwritten holds the jobs of the ended runs being written; their rows precede an acknowledgement.
+	unwritten []*job
 	// due is the number to be acknowledged next; 0 if there is none.
 	due int64
 	// acknowledged is the highest number that an answered poll has acknowledged.
@@ -33,10 +38,20 @@
 	return number <= e.writing || number <= e.due || number <= e.acknowledged
 }
 
+// addUnwritten adds jobs of ended runs that are being written.
+func (e *endAcknowledgements) addUnwritten(jobs []*job) {
+	for _, j := range jobs {
+		if !slices.Contains(e.unwritten, j) {
+			e.unwritten = append(e.unwritten, j)
+		}
+	}
+}
+
 // markWritten records that all ended runs up to a number are stored.
 func (e *endAcknowledgements) markWritten(number int64) {
 	if number >= e.writing {
 		e.writing = 0
+		e.unwritten = nil
 	}
 	e.due = max(e.due, number)
 }
--- a/internal/pool/assignment.go
+++ b/internal/pool/assignment.go
@@ -63,7 +63,7 @@
 		"waited_ms", p.loop.Now().Sub(u.readyAt).Milliseconds(), "waited_for", string(u.lastWaitReason()), "estimate_ms", u.spec().EstimateMillis,
 		"cores", u.spec().Resources.Cores()*float64(len(u.members)), "slack_ms", u.slack(p.loop.Now()).Milliseconds(), "slowness", u.slowness,
 		"workers", workerIDs(places))
-	p.persist(u.job)
+	p.persistPlacement(u.job)
 	p.afterPersist(0, func() {
 		switch {
 		case u.state != unitCommitting || u.run != run:
@@ -78,7 +78,7 @@
 		default:
 			p.startUnit(u)
 		}
-	})
+	}, u.job)
 }
 
 // placementValid reports whether a unit may still be started on the workers of its stored
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -61,7 +61,6 @@
 	placed bool
 	// startSent is true once a start was sent; it is assumed to be true for restored jobs.
 	startSent bool
-	dirty     bool
 }
 
 // repetition is one repetition of a job.
--- a/internal/pool/lifecycle.go
+++ b/internal/pool/lifecycle.go
@@ -91,6 +91,10 @@
 	limit := p.loop.TimeOfDay().Add(-p.options.Bounds.StatusRetention - retentionMargin)
 	for id, j := range p.jobs {
 		if j.state.Final() && j.endedAt.Before(limit) {
+			if p.writer.putsOffCleaning() {
+				p.record.Count("writes_put_off", "expired_job")
+				return
+			}
 			p.removeJobRows(id)
 			return
 		}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -111,7 +111,7 @@
 		durations: map[string]*durationModel{}, storeRetries: loop.NewRetries(l), lossTracker: poison.NewLossTracker(),
 		invalidRows: invalidWorkerRows{faults: map[string]fleet.RowFault{}},
 	}
-	p.writer = writer{pool: p}
+	p.writer = newWriter(p)
 	return p
 }
 
--- a/internal/pool/progress_batch.go
+++ b/internal/pool/progress_batch.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/wheatroad/wheatroad/internal/rows"
+	"github.com/wheatroad/wheatroad/internal/writequeue"
 )
 
 // Limits of one batch, below the store's limits for a transaction.
@@ -16,15 +17,13 @@
 	maxBatchBytes = 700 << 10
 )
 
-// batch is a set of rows that is written in one transaction, with the callbacks that wait
-// for the write.
+// batch is a set of rows that is written in one transaction.
 type batch struct {
-	serial    int
-	jobs      []*job
-	progress  []Progress
-	values    [][]byte
-	removals  []string
-	callbacks []func()
+	serial   int
+	rows     []*writequeue.Row[*job]
+	progress []Progress
+	values   [][]byte
+	removals []string
 	// hasRemainder is true if dirty rows did not fit. These rows are overdue, so the next batch is
 	// sent without a delay.
 	hasRemainder   bool
@@ -36,32 +35,31 @@
 	written bool
 }
 
+// nextBatch takes as many rows from the queue as fit into a batch.
 func (w *writer) nextBatch() *batch {
 	w.serial++
 	b := &batch{serial: w.serial, sentAt: w.pool.loop.Now()}
+	candidates := w.queue.Candidates(w.conditions())
 	bytes := 0
-	for len(w.dirty) > 0 && len(b.jobs) < maxBatchRows {
-		j := w.dirty[0]
-		progress := j.progress()
+	for _, row := range candidates[:min(len(candidates), maxBatchRows)] {
+		progress := row.Value.progress()
 		progress.Token, progress.Serial = w.pool.token, b.serial
 		value := mustEncode(progress)
 		bytes += len(value)
-		if bytes > maxBatchBytes && len(b.jobs) > 0 {
+		if bytes > maxBatchBytes && len(b.rows) > 0 {
 			break
 		}
-		w.dirty = w.dirty[1:]
-		w.batched++
-		j.dirty = false
-		b.jobs = append(b.jobs, j)
+		b.rows = append(b.rows, row)
 		b.progress = append(b.progress, progress)
 		b.values = append(b.values, value)
 	}
-	b.hasRemainder = len(w.dirty) > 0
-	b.callbacks = w.readyCallbacks()
+	b.hasRemainder = len(b.rows) < len(candidates)
+	spareRows := 0
 	if !b.hasRemainder {
-		count := min(len(w.removals), maxBatchRows-len(b.jobs))
-		b.removals, w.removals = w.removals[:count], w.removals[count:]
+		spareRows = maxBatchRows - len(b.rows)
 	}
+	b.removals = w.queue.Send(b.rows, spareRows)
+	w.pool.record.Set("write_batches", int64(w.queue.Batches()))
 	return b
 }
 
@@ -75,8 +73,8 @@
 	if w.pool.options.DisabledSafeguards.HeadCondition {
 		transaction.Conditions = nil
 	}
-	for i, j := range b.jobs {
-		transaction.Puts = append(transaction.Puts, rows.Put{Key: progressKey(partition, j.id), Value: b.values[i]})
+	for i, row := range b.rows {
+		transaction.Puts = append(transaction.Puts, rows.Put{Key: progressKey(partition, row.ID), Value: b.values[i]})
 	}
 	for _, id := range b.removals {
 		transaction.Removes = append(transaction.Removes, progressKey(partition, id))
@@ -89,39 +87,86 @@
 }
 
 // partitionTimeout is how long the owner waits for a response before it also sends a batch to the
-// next partition. The time that sending takes is added.
+// next partition, while the store is fast. The time that sending takes is added.
 const partitionTimeout = 600 * time.Millisecond
 
-func (w *writer) send(b *batch) {
-	part := w.partition
-	answered := false
+// send sends a batch to a partition.
+func (w *writer) send(b *batch, part int) {
+	a := &attempt{batch: b, part: part, sentAt: w.pool.loop.Now()}
 	b.inFlight++
+	w.attempts[part]++
 	transaction := w.transaction(b, part)
-	sentAt := w.pool.loop.Now()
+	monitor := w.monitorAnswer(transaction)
 	w.pool.ports.Commit(transaction, func(result rows.Result, err error) {
-		answered = true
+		a.answered = true
 		b.inFlight--
-		switch {
-		case w.pool.closed:
-		case err != nil:
-			w.retry(b, err)
-		case result.Committed:
-			w.headVersions[part] = max(w.headVersions[part], result.Version)
-			w.pool.ConfirmOwnership(sentAt)
-			w.finish(b)
-		default:
-			w.conditionFailed(b, part, result)
+		w.attempts[part]--
+		if w.pool.closed {
+			return
+		}
+		monitor.answered(err)
+		w.handleResult(a, result, err)
+		w.updateStoreState()
+		if w.storeSlow {
+			w.scheduleFlush()
 		}
 	})
-	w.pool.loop.After(partitionTimeout+rows.SendTime(transaction), func() {
-		if !w.pool.closed && !answered && !b.written && b.inFlight < progressPartitions {
-			w.pool.record.Count("retries", "commit_slow")
-			w.partition = (part + 1) % progressPartitions
-			w.send(b)
+	w.copyAfter(a, partitionTimeout, rows.SendTime(transaction))
+}
+
+// attempt is one transaction that writes a batch to a partition.
+type attempt struct {
+	batch    *batch
+	part     int
+	sentAt   time.Time
+	answered bool
+}
+
+func (w *writer) handleResult(a *attempt, result rows.Result, err error) {
+	w.failedAt[a.part] = time.Time{}
+	switch {
+	case err != nil:
+		w.failedAt[a.part] = w.pool.loop.Now()
+		w.retry(a.batch, err)
+	case result.Committed:
+		w.headVersions[a.part] = max(w.headVersions[a.part], result.Version)
+		w.pool.ConfirmOwnership(a.sentAt)
+		w.finish(a.batch)
+	default:
+		w.conditionFailed(a, result)
+	}
+}
+
+// copyAfter sends a batch to another partition as well if an attempt gets no response in time. The
+// time is measured again at its end, as the store may have become slow meanwhile.
+func (w *writer) copyAfter(a *attempt, timeout, sendTime time.Duration) {
+	remaining := a.sentAt.Add(timeout + sendTime).Sub(w.pool.loop.Now())
+	w.pool.loop.After(remaining, func() {
+		if w.pool.closed || a.answered || a.batch.written || a.batch.inFlight >= progressPartitions {
+			return
+		}
+		if longer := w.latency.CopyTimeout(w.pool.loop.Now(), partitionTimeout); longer > timeout {
+			w.copyAfter(a, longer, sendTime)
+			return
 		}
+		w.pool.record.Count("retries", "commit_slow")
+		w.partition = w.partitionAfter(a.part)
+		w.send(a.batch, w.partition)
 	})
 }
 
+// partitionAfter returns the partition for the next attempt after one at the given partition: the
+// next idle one, or else the next one. Two batches in one partition do no
+// harm, but one of them has to be sent again.
+func (w *writer) partitionAfter(part int) int {
+	for i := 1; i < progressPartitions; i++ {
+		if next := (part + i) % progressPartitions; w.idle(next) {
+			return next
+		}
+	}
+	return (part + 1) % progressPartitions
+}
+
 // retry sends a failed batch to the next partition, with backoff once all partitions have failed.
 // All attempts write the same rows, so any number of attempts may take effect.
 func (w *writer) retry(b *batch, err error) {
@@ -130,9 +175,9 @@
 	if b.written || b.inFlight > 0 {
 		return
 	}
-	w.partition = (w.partition + 1) % progressPartitions
+	w.partition = w.partitionAfter(w.partition)
 	if b.failedAttempts%progressPartitions != 0 {
-		w.send(b)
+		w.send(b, w.partition)
 		return
 	}
 	pause := retryDelay
@@ -141,7 +186,7 @@
 	}
 	w.pool.storeRetries.After(pause, func() {
 		if !w.pool.closed {
-			w.send(b)
+			w.send(b, w.partition)
 		}
 	})
 }
@@ -159,7 +204,7 @@
 // conditionFailed handles a failed condition on the head row. If an earlier attempt wrote the row
 // and its response was lost, the batch is written. If another batch of this owner wrote the row,
 // the batch is sent again. Otherwise this owner was replaced.
-func (w *writer) conditionFailed(b *batch, part int, result rows.Result) {
+func (w *writer) conditionFailed(a *attempt, result rows.Result) {
 	w.pool.recordStoreAnswer()
 	for i := range result.Current {
 		row := &result.Current[i]
@@ -167,13 +212,13 @@
 		if row.Name != headRow || json.Unmarshal(row.Value, &current) != nil || current.Token != w.pool.token {
 			continue
 		}
-		w.headVersions[part] = max(w.headVersions[part], row.Version)
-		if current.Nonce == w.pool.options.Incarnation+"."+strconv.Itoa(b.serial) {
-			w.finish(b)
+		w.headVersions[a.part] = max(w.headVersions[a.part], row.Version)
+		if current.Nonce == w.pool.options.Incarnation+"."+strconv.Itoa(a.batch.serial) {
+			w.finish(a.batch)
 			return
 		}
-		if !b.written {
-			w.send(b)
+		if !a.batch.written {
+			w.send(a.batch, a.part)
 		}
 		return
 	}
@@ -186,17 +231,21 @@
 	}
 	b.written = true
 	w.pool.recordStoreAnswer()
-	w.pool.record.Observe("store_commit", w.pool.lastStoreAnswerAt.Sub(b.sentAt))
-	w.sending = false
-	for i, j := range b.jobs {
-		j.state = b.progress[i].State
+	now := w.pool.loop.Now()
+	w.pool.record.Observe("store_commit", now.Sub(b.sentAt))
+	w.queue.Finish(b.rows, b.removals)
+	w.pool.record.Set("write_batches", int64(w.queue.Batches()))
+	for i, row := range b.rows {
+		row.Value.state = b.progress[i].State
+		w.pool.record.Observe(writtenHistogram(row.Purpose), now.Sub(row.ChangedAt))
 	}
-	w.runCallbacks(b.callbacks)
-	waiting := len(w.dirty) > 0 || len(w.removals) > 0 || len(w.callbacks) > 0
-	if b.hasRemainder || waiting && w.dueAt.IsZero() {
-		w.dueAt = w.pool.loop.Now()
-	}
-	if !w.dueAt.IsZero() {
-		w.scheduleFlush()
+	w.runCallbacks()
+	waiting := w.queue.Waiting() || len(w.callbacks) > 0
+	if b.hasRemainder || waiting && !w.queue.Requested() {
+		w.queue.Request(now)
 	}
+	w.scheduleFlush()
 }
+
+// writtenHistogram returns the histogram of the time from a change to its write.
+func writtenHistogram(purpose writequeue.Purpose) string { return "written_" + purpose.String() }
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -141,6 +141,7 @@
 		return
 	}
 	w.endAcks.writing = highest
+	w.endAcks.addUnwritten(p.jobsOfEnds(ends))
 	if p.options.DisabledSafeguards.PersistEndsBeforeAcknowledging {
 		w.endAcks.markWritten(highest)
 	}
@@ -149,7 +150,18 @@
 		p.record.Observe("end_noted", p.loop.Now().Sub(receivedAt))
 		w.endAcks.markWritten(highest)
 		p.poll(w)
-	})
+	}, w.endAcks.unwritten...)
+}
+
+// jobsOfEnds returns the known jobs of ended runs.
+func (p *Pool) jobsOfEnds(ends []fleet.EndedRun) []*job {
+	var jobs []*job
+	for i := range ends {
+		if j := p.jobs[ends[i].Task.Job]; j != nil {
+			jobs = append(jobs, j)
+		}
+	}
+	return jobs
 }
 
 func (p *Pool) applyEnd(w *worker, m *member, end *fleet.EndedRun) {
--- a/internal/pool/run_presence.go
+++ b/internal/pool/run_presence.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/poison"
+	"github.com/wheatroad/wheatroad/internal/writequeue"
 )
 
 // runPresence says whether a run may have been on its worker when the worker was lost.
@@ -47,7 +48,9 @@
 const confirmedStartWriteDelay = 500 * time.Millisecond
 
 // scheduleConfirmationWrite schedules the write that records a confirmed start.
-func (p *Pool) scheduleConfirmationWrite(u *unit) { p.writer.add(u.job, confirmedStartWriteDelay) }
+func (p *Pool) scheduleConfirmationWrite(u *unit) {
+	p.writer.add(u.job, writequeue.Note, confirmedStartWriteDelay)
+}
 
 // assumedRunAge is the least age assumed for runs that an earlier owner started at an unknown time.
 // It lies between the age of runs that crash their worker soon after the start and a typical
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -35,19 +35,20 @@
 		"ownership_changes": {"wheatroad.domain.ownership.changes", "Scheduling domains gained and lost, by reason.", "reason"},
 		"table_operations":  {"wheatroad.table.failures", "Periodic table operations that failed, by operation.", "operation"},
 		"worker_orders":     {"wheatroad.worker.orders", "Orders sent to workers, by action.", "action"},
-		"given_up":          {"wheatroad.job.given_up", "Jobs given up because one of their tasks crashes workers, by what settled it.", "reason"},
+		"given_up":          {"wheatroad.job.given_up", "Jobs given up for crashing workers, by evidence.", "reason"},
 		"attempts":          {"wheatroad.job.attempts", "What became of attempts, by event.", "event"},
 		"requests":          {"wheatroad.requests", "Requests answered, by endpoint.", "endpoint"},
 		"takeovers":         {"wheatroad.pool.ownership.changes", "Pools acquired, lost or left to their owner, by event.", "event"},
 		"feed_gaps":         {"wheatroad.feed.gaps", "Feeds read anew because their history was gone, by table.", "table"},
-		"answers_given_up":  {"wheatroad.store.answers.given.up", "Answers of the store of which only a part arrived in time, by table.", "table"},
+		"answers_given_up":  {"wheatroad.store.answers.given.up", "Answers of the store given up in part, by table.", "table"},
 		"announcements":     {"wheatroad.job.announcements", "Accepted jobs told to their pool's owner, by result.", "result"},
 		"store_relays":      {"wheatroad.store.relays", "Calls to the store through another node, by result.", "result"},
-		"foreign_rows":      {"wheatroad.worker.rows.foreign", "Rows of workers that name no worker to use, each time one is read, by fault.", "fault"},
+		"foreign_rows":      {"wheatroad.worker.rows.foreign", "Rows read that name no worker to use, by fault.", "fault"},
 		"worker_restarts":   {"wheatroad.worker.restarts", "Workers that started again under their identifier, by how that was known.", "known_by"},
 		"start_failures":    {"wheatroad.worker.start.failures", "Starts that did not succeed, by reason.", "reason"},
 		"preemptions":       {"wheatroad.unit.preemptions", "Units that had others stopped though there was room, by reason.", "reason"},
 		"stops":             {"wheatroad.unit.stops", "Units stopped, by reason.", "reason"},
+		"writes_put_off":    {"wheatroad.writes.put.off", "Writes put off while the store is slow, by kind.", "kind"},
 		"forwards":          {"wheatroad.forwards", "Requests forwarded to another node, by result.", "result"},
 	}
 }
@@ -61,13 +62,17 @@
 // Histograms returns all latency histograms, by the short name used in the code.
 func Histograms() map[string]HistogramDefinition {
 	return map[string]HistogramDefinition{
-		"acceptance":             {"wheatroad.job.acceptance", "From a submission's arrival to its answer."},
-		"start_after_acceptance": {"wheatroad.job.start", "From a job's acceptance to its first start order."},
-		"takeover":               {"wheatroad.pool.takeover", "From a pool's acquisition until its rows are read."},
-		"cycle":                  {"wheatroad.pool.cycle", "How long a scheduling cycle of a pool's owner took."},
-		"store_commit":           {"wheatroad.store.commit", "From a batch of the owner's rows to its commit, retries included."},
-		"start_order":            {"wheatroad.worker.start", "From a start order to its answer."},
-		"end_noted":              {"wheatroad.run.end.noted", "From an end taken in until it is written and may be acknowledged."},
+		"acceptance":               {"wheatroad.job.acceptance", "From a submission's arrival to its answer."},
+		"start_after_acceptance":   {"wheatroad.job.start", "From a job's acceptance to its first start order."},
+		"takeover":                 {"wheatroad.pool.takeover", "From a pool's acquisition until its rows are read."},
+		"cycle":                    {"wheatroad.pool.cycle", "How long a scheduling cycle of a pool's owner took."},
+		"store_commit":             {"wheatroad.store.commit", "From a batch of the owner's rows to its commit, retries included."},
+		"written_urgent_placement": {"wheatroad.written.urgent.placement", "From a placement of the highest priority until its row is written."},
+		"written_placement":        {"wheatroad.written.placement", "From another placement until its row is written."},
+		"written_end":              {"wheatroad.written.end", "From a run's result or another change until its row is written."},
+		"written_note":             {"wheatroad.written.note", "From a confirmed start until its row is written."},
+		"start_order":              {"wheatroad.worker.start", "From a start order to its answer."},
+		"end_noted":                {"wheatroad.run.end.noted", "From an end taken in until it is written and may be acknowledged."},
 	}
 }
 
@@ -75,6 +80,7 @@
 func Gauges() map[string]Definition {
 	return map[string]Definition{
 		"foreign_rows":    {Name: "wheatroad.pool.foreign.rows", Description: "Rows of workers that name no worker to use, as another writer left them."},
+		"write_batches":   {Name: "wheatroad.pool.write.batches", Description: "Batches of the owner's rows in flight."},
 		"evacuated_zones": {Name: "wheatroad.pool.evacuated.zones", Description: "Zones in which the pools of this node start nothing, since operators have evacuated them."},
 	}
 }
--- /dev/null
+++ b/internal/writequeue/queue_test.go
@@ -0,0 +1,192 @@
+package writequeue
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var start = time.Unix(1000, 0)
+
+const partitions = 3
+
+type change struct {
+	id       string
+	purpose  Purpose
+	priority int
+	// age is how long ago the row changed.
+	age time.Duration
+}
+
+// queueOf returns a queue with the given rows, all of them due.
+func queueOf(changes ...change) *Queue[int] {
+	q := New[int](partitions)
+	for _, c := range changes {
+		q.Add(Row[int]{ID: c.id, Purpose: c.purpose, ChangedAt: start.Add(-c.age)}, c.priority, 0)
+	}
+	return q
+}
+
+func slowStore() Conditions { return Conditions{Now: start, StoreSlow: true} }
+
+func ids(rows []*Row[int]) []string {
+	var names []string
+	for _, row := range rows {
+		names = append(names, row.ID)
+	}
+	return names
+}
+
+// sendFirst sends a batch of the first candidate and returns it.
+func sendFirst(q *Queue[int], c Conditions) []*Row[int] {
+	sent := append([]*Row[int](nil), q.Candidates(c)[:1]...)
+	q.Send(sent, 0)
+	return sent
+}
+
+func TestOrderOfRows(t *testing.T) {
+	mixed := []change{{id: "note", purpose: Note}, {id: "end", purpose: End}, {id: "low", purpose: Placement, priority: 2},
+		{id: "old", purpose: End, age: maxOrderedWait}, {id: "middle", purpose: Placement, priority: 1}, {id: "urgent", purpose: UrgentPlacement}}
+	raised := []change{{id: "a", purpose: End}, {id: "b", purpose: Note}, {id: "b", purpose: UrgentPlacement}, {id: "a", purpose: Note}}
+	cases := map[string]struct {
+		changes []change
+		slow    bool
+		want    []string
+	}{
+		"fast store: order of arrival":          {mixed, false, []string{"note", "end", "low", "old", "middle", "urgent"}},
+		"slow store: what waits for them":       {mixed, true, []string{"urgent", "old", "middle", "low", "end", "note"}},
+		"two purposes: the more urgent one":     {raised, true, []string{"b", "a"}},
+		"two purposes, fast store: first place": {raised, false, []string{"a", "b"}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, c.want, ids(queueOf(c.changes...).Candidates(Conditions{Now: start, StoreSlow: c.slow})))
+		})
+	}
+}
+
+func TestBatchesInFlight(t *testing.T) {
+	cases := map[string]struct {
+		change    change
+		releasing bool
+		want      int
+	}{
+		"urgent placement":  {change{purpose: UrgentPlacement}, false, 3},
+		"other placement":   {change{purpose: Placement}, false, 2},
+		"end":               {change{purpose: End}, false, 1},
+		"end that is late":  {change{purpose: End, age: maxOrderedWait}, false, 2},
+		"end at a release":  {change{purpose: End}, true, 3},
+		"note at a release": {change{purpose: Note}, true, 3},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			q := New[int](partitions)
+			conditions := slowStore()
+			conditions.Releasing = c.releasing
+			sent := 0
+			for ; sent < 2*partitions; sent++ {
+				q.Add(Row[int]{ID: string(rune('a' + sent)), Purpose: c.change.purpose, ChangedAt: start.Add(-c.change.age)}, 0, 0)
+				if due, found := q.NextSend(conditions); !found || due.After(start) {
+					break
+				}
+				sendFirst(q, conditions)
+			}
+			require.Equal(t, c.want, sent)
+		})
+	}
+}
+
+func TestFastStoreGetsOneBatchAtATime(t *testing.T) {
+	q := queueOf(change{id: "a", purpose: UrgentPlacement})
+	fast := Conditions{Now: start}
+	q.Request(start)
+	_, found := q.NextSend(fast)
+	require.True(t, found)
+	sent := sendFirst(q, fast)
+	q.Add(Row[int]{ID: "b", Purpose: UrgentPlacement, ChangedAt: start}, 0, 0)
+	q.Request(start)
+	_, found = q.NextSend(fast)
+	require.False(t, found)
+	q.Finish(sent, nil)
+	_, found = q.NextSend(fast)
+	require.True(t, found)
+}
+
+// TestRowIsInOneBatch: batches may be written in any order, so that a retry of an older value could
+// replace a newer one.
+func TestRowIsInOneBatch(t *testing.T) {
+	q := queueOf(change{id: "a", purpose: UrgentPlacement})
+	sent := sendFirst(q, slowStore())
+	q.Add(Row[int]{ID: "a", Purpose: UrgentPlacement, ChangedAt: start}, 0, 0)
+	q.Remove("a", start.Add(-MaxRemovalDelay))
+	require.Empty(t, q.Candidates(slowStore()))
+	_, found := q.NextSend(slowStore())
+	require.False(t, found)
+	q.Finish(sent, nil)
+	require.Equal(t, []string{"a"}, ids(q.Candidates(slowStore())))
+	require.Empty(t, q.Send(nil, 1), "the removal follows the write")
+	q.Finish(nil, nil)
+	q.Finish(sendFirst(q, slowStore()), nil)
+	require.Equal(t, []string{"a"}, q.Send(nil, 1))
+	q.Add(Row[int]{ID: "a", Purpose: UrgentPlacement, ChangedAt: start}, 0, 0)
+	require.Empty(t, q.Candidates(slowStore()), "a write follows the removal")
+}
+
+func TestWrittenRows(t *testing.T) {
+	q := queueOf(change{id: "a", purpose: End}, change{id: "b", purpose: UrgentPlacement})
+	mark := q.Mark()
+	q.Add(Row[int]{ID: "c", Purpose: End, ChangedAt: start}, 0, 0)
+	sent := sendFirst(q, slowStore())
+	require.False(t, q.Written("b", mark), "in flight")
+	q.Add(Row[int]{ID: "b", Purpose: End, ChangedAt: start}, 0, 0)
+	q.Finish(sent, nil)
+	require.True(t, q.Written("b", mark), "only the later change is waiting")
+	require.False(t, q.Written("b", q.Mark()))
+	require.False(t, q.Written("a", mark))
+	require.True(t, q.Written("c", mark), "added after the mark")
+	require.False(t, q.AllWritten(mark))
+	q.Finish(sendFirst(q, slowStore()), nil)
+	require.True(t, q.AllWritten(mark))
+}
+
+func TestWritesArePutOffWithinBounds(t *testing.T) {
+	cases := map[string]struct {
+		add  func(q *Queue[int])
+		want time.Duration
+	}{
+		"placement": {func(q *Queue[int]) { q.Add(Row[int]{ID: "a", Purpose: Placement, ChangedAt: start}, 1, 0) }, 0},
+		"end":       {func(q *Queue[int]) { q.Add(Row[int]{ID: "a", Purpose: End, ChangedAt: start}, 1, time.Millisecond) }, time.Millisecond},
+		"note":      {func(q *Queue[int]) { q.Add(Row[int]{ID: "a", Purpose: Note, ChangedAt: start}, 1, time.Millisecond) }, MaxNoteDelay},
+		"removal":   {func(q *Queue[int]) { q.Remove("a", start) }, MaxRemovalDelay},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			q := New[int](partitions)
+			c.add(q)
+			due, found := q.NextSend(slowStore())
+			require.True(t, found)
+			require.Equal(t, c.want, due.Sub(start))
+		})
+	}
+}
+
+func TestStoreLatency(t *testing.T) {
+	const fast, answer = 600 * time.Millisecond, 400 * time.Millisecond
+	l := &Latency{}
+	l.Answered(start, SlowAnswer)
+	require.False(t, l.Slow(start))
+	l.Overdue(start)
+	require.True(t, l.Slow(start))
+	require.Equal(t, fast, l.CopyTimeout(start, fast), "no slow answer has been measured yet")
+	l.OverdueEnded(start)
+	l.Answered(start, answer)
+	require.Equal(t, copyTimeoutAnswers*answer, l.CopyTimeout(start, fast))
+	l.Answered(start, 20*answer)
+	require.Equal(t, maxCopyTimeout, l.CopyTimeout(start, fast))
+	calm := start.Add(calmPeriod)
+	require.False(t, l.Slow(calm))
+	require.Equal(t, fast, l.CopyTimeout(calm, fast))
+	l.Overdue(calm)
+	require.Zero(t, l.Typical(), "the next slow phase is measured anew")
+}
