--- a/internal/loadsim/simulate.go
+++ b/internal/loadsim/simulate.go
@@ -53,6 +53,11 @@
 
 // Simulate runs a load under one variant of the scheduler.
 func (l *Load) Simulate(seed uint64, variant Variant) Result {
+	return l.simulateWith(seed, variant, func(*simulation.Cluster) {})
+}
+
+// simulateWith runs a load as Simulate does, on a cluster that prepare may change.
+func (l *Load) simulateWith(seed uint64, variant Variant, prepare func(*simulation.Cluster)) Result {
 	arrivals := l.generateArrivals(seed)
 	cluster := simulation.NewCluster(l.Racks, l.PerRack)
 	cluster.Features, cluster.DisabledMechanisms = variant.Features, variant.DisabledMechanisms
@@ -73,6 +78,7 @@
 		works[arrivals[i].spec.ID] = arrivals[i].work
 	}
 	cluster.Work = func(name taskgraph.TaskName) time.Duration { return works[name.Job] }
+	prepare(cluster)
 	cluster.AcquirePool()
 	cluster.Run(time.Second)
 	ends := l.runArrivals(cluster, arrivals)
--- a/internal/simulation/store.go
+++ b/internal/simulation/store.go
@@ -31,6 +31,11 @@
 	ScansUnresponsive bool
 	// Latency is the round-trip time of a call.
 	Latency time.Duration
+	// TransactionTime is how long a partition takes for a transaction. A partition carries out its
+	// transactions one after another. The time is part of Latency for the first of them.
+	TransactionTime time.Duration
+	// freeAt is when a partition will have carried out the transactions that it has received.
+	freeAt map[string]time.Time
 	// waiters are called once at the next change.
 	waiters []func()
 	// Feeds counts the feed calls by table.
@@ -62,14 +67,14 @@
 
 // NewStore returns an empty store.
 func NewStore(clock *emulator.Clock) *Store {
-	return &Store{clock: clock, rows: map[rows.Key]rows.Row{}, UnavailablePartitions: map[string]bool{}, UnresponsivePartitions: map[string]bool{}, Feeds: map[string]int{}, Latency: 5 * time.Millisecond}
+	return &Store{clock: clock, rows: map[rows.Key]rows.Row{}, UnavailablePartitions: map[string]bool{}, UnresponsivePartitions: map[string]bool{}, Feeds: map[string]int{}, freeAt: map[string]time.Time{}, Latency: 5 * time.Millisecond}
 }
 
 func (s *Store) unavailable(part string) bool { return s.Unavailable || s.UnavailablePartitions[part] }
 
 // Commit applies a transaction and passes the result to done.
 func (s *Store) Commit(transaction rows.Transaction, done func(rows.Result, error)) {
-	s.clock.After(s.Latency/2, func() {
+	s.clock.After(s.queueTime(partitionOf(transaction))+s.Latency/2, func() {
 		if s.unavailable(partitionOf(transaction)) {
 			s.lastFaultAt = s.clock.Now()
 			s.clock.After(s.Latency/2, func() { done(rows.Result{}, rows.ErrNoEffect) })
@@ -99,6 +104,17 @@
 	})
 }
 
+// queueTime returns how long a transaction that is sent now waits for earlier ones in its partition.
+func (s *Store) queueTime(part string) time.Duration {
+	now := s.clock.Now()
+	startAt := now
+	if freeAt := s.freeAt[part]; freeAt.After(now) {
+		startAt = freeAt
+	}
+	s.freeAt[part] = startAt.Add(s.TransactionTime)
+	return startAt.Sub(now)
+}
+
 func partitionOf(transaction rows.Transaction) string {
 	switch {
 	case len(transaction.Conditions) > 0:
