Slow store: orders of writes explored, with lost and delayed answers

Cause: with several batches in flight, what a start or an acknowledgement relies on depends on the order in which a store carries the batches out.

The random faults of the simulation are played with slow phases as well. Batches that are sent again when the store is back go to different partitions.

TestCheckerDetectsDisabledSafeguards has three more cases; its others are unchanged.

--- a/internal/pool/fault_injection_test.go
+++ b/internal/pool/fault_injection_test.go
@@ -19,7 +19,21 @@
 	for seed := range uint64(faultSeeds) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Parallel()
-			w, jobs := randomFaults(seed, pool.DisabledSafeguards{})
+			w, jobs := randomFaults(seed, pool.DisabledSafeguards{}, fastStore)
+			requireInvariants(t, w)
+			for n := range jobs {
+				require.Equal(t, taskgraph.Completed, w.StoredState(jobID(n)), "job %d", n)
+			}
+		})
+	}
+}
+
+// TestRandomFaultsOfASlowStore adds slow phases to the faults, in which several batches are in flight.
+func TestRandomFaultsOfASlowStore(t *testing.T) {
+	for seed := range uint64(faultSeeds) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			w, jobs := randomFaults(seed, pool.DisabledSafeguards{}, slowStore)
 			requireInvariants(t, w)
 			for n := range jobs {
 				require.Equal(t, taskgraph.Completed, w.StoredState(jobID(n)), "job %d", n)
@@ -31,16 +45,22 @@
 // TestCheckerDetectsDisabledSafeguards disables one safeguard at a time. At least one seed that
 // passes with all safeguards must then violate an invariant.
 func TestCheckerDetectsDisabledSafeguards(t *testing.T) {
-	cases := map[string]pool.DisabledSafeguards{
-		"lease wait":     {LeaseExpiryWait: true},
-		"end rows":       {PersistEndsBeforeAcknowledging: true},
-		"head condition": {HeadCondition: true},
+	cases := map[string]struct {
+		disabled pool.DisabledSafeguards
+		store    storeSpeed
+	}{
+		"lease wait":           {pool.DisabledSafeguards{LeaseExpiryWait: true}, fastStore},
+		"end rows":             {pool.DisabledSafeguards{PersistEndsBeforeAcknowledging: true}, fastStore},
+		"head condition":       {pool.DisabledSafeguards{HeadCondition: true}, fastStore},
+		"end rows, slow":       {pool.DisabledSafeguards{PersistEndsBeforeAcknowledging: true}, slowStore},
+		"head condition, slow": {pool.DisabledSafeguards{HeadCondition: true}, slowStore},
+		"rows before starts":   {pool.DisabledSafeguards{RowsBeforeCallbacks: true}, slowStore},
 	}
-	for name, without := range cases {
+	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			for seed := range uint64(faultSeeds) {
-				if w, _ := randomFaults(seed, without); len(w.Checker.Violations) > 0 {
+				if w, _ := randomFaults(seed, c.disabled, c.store); len(w.Checker.Violations) > 0 {
 					t.Logf("seed %d: %s", seed, w.Checker.Violations[0])
 					return
 				}
@@ -92,9 +112,31 @@
 // faultSeeds is the number of seeds for the random fault tests.
 const faultSeeds = 100
 
+// storeSpeed says whether the store has slow phases among the random faults.
+type storeSpeed bool
+
+const (
+	fastStore storeSpeed = false
+	slowStore storeSpeed = true
+)
+
+// changeStoreSpeed makes the store slow or fast at random.
+func changeStoreSpeed(w *simulation.Cluster, random *rand.Rand) {
+	switch random.IntN(4) {
+	case 0:
+		w.Store.Latency = time.Duration(150+random.IntN(300)) * time.Millisecond
+		w.Store.TransactionTime = w.Store.Latency
+	case 1:
+		w.Store.Latency, w.Store.TransactionTime = usualLatency, 0
+	}
+}
+
+// usualLatency is the latency of the simulated store outside of slow phases.
+const usualLatency = 5 * time.Millisecond
+
 // randomFaults simulates random faults drawn from the seed, clears them and lets the jobs finish.
 // It returns the simulation and its number of jobs.
-func randomFaults(seed uint64, disabled pool.DisabledSafeguards) (*simulation.Cluster, int) {
+func randomFaults(seed uint64, disabled pool.DisabledSafeguards, store storeSpeed) (*simulation.Cluster, int) {
 	random := rand.New(rand.NewPCG(seed, 1))
 	w := simulation.NewCluster(2, 5)
 	w.DisabledSafeguards = disabled
@@ -111,10 +153,11 @@
 	for _, worker := range w.Workers {
 		worker.OrderOutcome = outcomeWith(0.05)
 	}
-	// Worker speeds and evacuations have their own random generators, so that they do not change
+	// Worker speeds, evacuations and the store's speed have their own random generators, so that they do not change
 	// the other faults of a seed.
 	speedRandom := rand.New(rand.NewPCG(seed, 2))
 	evacuationRandom := rand.New(rand.NewPCG(seed, 8))
+	storeRandom := rand.New(rand.NewPCG(seed, 12))
 	owner := w.AcquirePool()
 	jobs := 0
 	for range 40 {
@@ -154,12 +197,16 @@
 		}
 		changeWorkerSpeed(w, speedRandom)
 		changeEvacuationsAtRandom(w, evacuationRandom)
+		if store == slowStore {
+			changeStoreSpeed(w, storeRandom)
+		}
 		if owner.Ended != "" {
 			owner = w.AcquirePool()
 		}
 		w.Run(time.Duration(random.IntN(1200)) * time.Millisecond)
 	}
 	w.Store.Unavailable = false
+	w.Store.Latency, w.Store.TransactionTime = usualLatency, 0
 	clear(w.Store.UnavailablePartitions)
 	clear(w.Store.UnresponsivePartitions)
 	endAllEvacuations(w)
--- a/internal/pool/options.go
+++ b/internal/pool/options.go
@@ -70,6 +70,10 @@
 	PersistEndsBeforeAcknowledging bool
 	// HeadCondition: writes are not conditional on this owner's head row.
 	HeadCondition bool
+	// RowInOneBatch: a job's row may be in several batches in flight.
+	RowInOneBatch bool
+	// RowsBeforeCallbacks: while the store is slow, starts and acknowledgements do not wait for rows.
+	RowsBeforeCallbacks bool
 	// Confirmation: leases are extended even if the owner may have been replaced.
 	Confirmation bool
 	// FormerOwnerLeaseWait: the wait for former owners' leases begins when the workers are read,
--- a/internal/pool/progress_batch.go
+++ b/internal/pool/progress_batch.go
@@ -186,11 +186,23 @@
 	}
 	w.pool.storeRetries.After(pause, func() {
 		if !w.pool.closed {
-			w.send(b, w.partition)
+			w.send(b, w.leastUsedPartition())
 		}
 	})
 }
 
+// leastUsedPartition returns the partition with the fewest unanswered attempts. The current one is
+// preferred, and then the next one.
+func (w *writer) leastUsedPartition() int {
+	least := w.partition
+	for i := range progressPartitions {
+		if part := (w.partition + i) % progressPartitions; w.attempts[part] < w.attempts[least] {
+			least = part
+		}
+	}
+	return least
+}
+
 // maxBackoffDoublings limits the exponential backoff between attempts.
 const maxBackoffDoublings = 4
 
--- a/internal/pool/writer.go
+++ b/internal/pool/writer.go
@@ -35,7 +35,9 @@
 }
 
 func newWriter(p *Pool) writer {
-	return writer{pool: p, queue: writequeue.New[*job](progressPartitions)}
+	queue := writequeue.New[*job](progressPartitions)
+	queue.RowsInSeveralBatches = p.options.DisabledSafeguards.RowInOneBatch
+	return writer{pool: p, queue: queue}
 }
 
 // endDelay is how long the result of a run may wait to share a transaction with other results.
@@ -218,6 +220,9 @@
 
 // written reports whether the rows that a callback waits for are written.
 func (w *writer) written(callback *pendingCallback) bool {
+	if w.storeSlow && w.pool.options.DisabledSafeguards.RowsBeforeCallbacks {
+		return true
+	}
 	if !w.storeSlow || len(callback.jobs) == 0 {
 		return w.queue.AllWritten(callback.mark)
 	}
--- a/internal/pool/writer_test.go
+++ b/internal/pool/writer_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/wheatroad/wheatroad/internal/rows"
 	"github.com/wheatroad/wheatroad/internal/taskgraph"
+	"github.com/wheatroad/wheatroad/internal/telemetry"
+	"github.com/wheatroad/wheatroad/internal/writequeue"
 )
 
 // steppedLoop is a loop.Loop that runs posted functions immediately, and timers when the test
@@ -150,3 +152,107 @@
 	l.advance(rows.SendTime(ports.inFlight[0].transaction))
 	require.Len(t, ports.inFlight, 2)
 }
+
+// slowAnswers makes the store slow for a writer: a write of a job's end stays without an answer. It
+// returns the job.
+func slowAnswers(p *Pool, l *steppedLoop) *job {
+	j := jobOfBytes(0, 1)
+	p.persist(j)
+	l.advance(2 * writequeue.SlowAnswer)
+	return j
+}
+
+// TestUrgentPlacementPassesBatchInFlight: while the store is slow, the start of an urgent placement
+// waits neither for a batch in flight nor for rows that are less urgent.
+func TestUrgentPlacementPassesBatchInFlight(t *testing.T) {
+	p, l, ports := newWriterPool()
+	slowAnswers(p, l)
+	for number := range 2 * maxBatchRows {
+		p.persist(jobOfBytes(number+10, 1))
+	}
+	require.Len(t, ports.inFlight, 1, "ends use one partition")
+	urgent, started := jobOfBytes(1, 1), false
+	p.persistPlacement(urgent)
+	p.afterPersist(0, func() { started = true }, urgent)
+	require.Len(t, ports.inFlight, 2)
+	second := ports.inFlight[1].transaction
+	require.Equal(t, progressPartition("p", 1), second.Conditions[0].Part)
+	require.Equal(t, urgent.id, second.Puts[1].Name)
+	require.Len(t, second.Puts, 1+maxBatchRows, "other rows fill the batch")
+	ports.inFlight[1].done(rows.Result{Committed: true, Version: 1}, nil)
+	require.True(t, started)
+}
+
+// TestAcknowledgementWaitsForAllItsRows: a callback on several jobs waits for the last of their rows.
+func TestAcknowledgementWaitsForAllItsRows(t *testing.T) {
+	p, l, ports := newWriterPool()
+	first, second, other := slowAnswers(p, l), jobOfBytes(1, 1), jobOfBytes(2, 1)
+	p.persistPlacement(second)
+	p.persistEnd(other)
+	acknowledged := false
+	p.afterPersist(0, func() { acknowledged = true }, first, second)
+	require.Len(t, ports.inFlight, 2)
+	ports.inFlight[1].done(rows.Result{Committed: true, Version: 1}, nil)
+	require.False(t, acknowledged, "the first row is still in flight")
+	ports.inFlight[0].done(rows.Result{Committed: true, Version: 1}, nil)
+	require.True(t, acknowledged)
+}
+
+// TestRefusingPartitionGetsNoBatchBesideOthers: a partition that has refused a batch must not delay the
+// batches that are sent beside it.
+func TestRefusingPartitionGetsNoBatchBesideOthers(t *testing.T) {
+	p, l, ports := newWriterPool()
+	slowAnswers(p, l)
+	ports.inFlight[0].done(rows.Result{}, rows.ErrNoEffect)
+	require.Len(t, ports.inFlight, 2)
+	require.Equal(t, progressPartition("p", 1), ports.inFlight[1].transaction.Conditions[0].Part)
+	for number := range 3 {
+		p.persistPlacement(jobOfBytes(number+1, 1))
+	}
+	require.Len(t, ports.inFlight, 3, "the refusing partition gets nothing")
+	require.Equal(t, progressPartition("p", 2), ports.inFlight[2].transaction.Conditions[0].Part)
+	l.advance(failedPartitionPause)
+	p.persistPlacement(jobOfBytes(9, 1))
+	require.Equal(t, progressPartition("p", 0), ports.inFlight[len(ports.inFlight)-1].transaction.Conditions[0].Part)
+}
+
+// TestRecoveredStoreGetsOneBatchPerPartition: batches that are sent again when the store is back must
+// not meet in one partition, as only one of them could be written there.
+func TestRecoveredStoreGetsOneBatchPerPartition(t *testing.T) {
+	p, l, ports := newWriterPool()
+	slowAnswers(p, l)
+	p.persistPlacement(jobOfBytes(1, 1))
+	p.persistPlacement(jobOfBytes(2, 1))
+	for range progressPartitions * progressPartitions {
+		ports.inFlight[0].done(rows.Result{}, rows.ErrNoEffect)
+		ports.inFlight = ports.inFlight[1:]
+	}
+	require.Empty(t, ports.inFlight, "all partitions have refused all batches")
+	p.StoreRecovered()
+	used := map[string]bool{}
+	for _, call := range ports.inFlight {
+		used[call.transaction.Conditions[0].Part] = true
+	}
+	require.Len(t, used, progressPartitions)
+}
+
+// TestWrittenHistogramsAreDefined: undefined histograms are ignored when a node records them.
+func TestWrittenHistogramsAreDefined(t *testing.T) {
+	for _, purpose := range writequeue.Purposes() {
+		require.Contains(t, telemetry.Histograms(), writtenHistogram(purpose))
+	}
+}
+
+// TestSlowStoreGetsCopiesLate: copies double the load of a slow store, so that they wait for longer than
+// its answers take.
+func TestSlowStoreGetsCopiesLate(t *testing.T) {
+	p, l, ports := newWriterPool()
+	slowAnswers(p, l)
+	l.advance(2 * writequeue.SlowAnswer)
+	ports.answer()
+	p.persist(jobOfBytes(1, 1))
+	l.advance(partitionTimeout + time.Millisecond)
+	require.Len(t, ports.inFlight, 1)
+	l.advance(2 * writequeue.SlowAnswer)
+	require.Len(t, ports.inFlight, 2)
+}
--- a/internal/writequeue/queue.go
+++ b/internal/writequeue/queue.go
@@ -41,6 +41,9 @@
 type Queue[T any] struct {
 	// partitions is the number of partitions, which is the maximum number of batches in flight.
 	partitions int
+	// RowsInSeveralBatches lets a row be in several batches in flight. It is for tests that show what
+	// this breaks.
+	RowsInSeveralBatches bool
 	// rows are the changed rows in the order in which they were added, and byID the same by
 	// identifier.
 	rows     []*Row[T]
@@ -138,7 +141,7 @@
 // sendable reports whether a row may be put into a batch now.
 func (q *Queue[T]) sendable(row *Row[T]) bool {
 	_, sent := q.inFlight[row.ID]
-	return !sent && !q.removing[row.ID]
+	return !sent && !q.removing[row.ID] || q.RowsInSeveralBatches
 }
 
 // removable reports whether a row may be deleted now. A deletion follows all writes of the row.
