Slow store: the end of a slow phase is noticed without a write

Cause: the state of the store was looked at only with a write, so that an owner that was idle for an hour reported a slow phase of an hour.

Test that failed first: TestSlowPhaseEndsWithoutAWrite.

--- a/internal/pool/slow_store.go
+++ b/internal/pool/slow_store.go
@@ -47,6 +47,25 @@
 	if err == nil {
 		m.writer.latency.Answered(now, now.Sub(m.sentAt)-m.sendTime)
 	}
+	m.writer.scheduleCalmCheck()
+}
+
+// scheduleCalmCheck schedules a check for the time at which the store counts as fast again, so that
+// the end of a slow phase is noticed without a write.
+func (w *writer) scheduleCalmCheck() {
+	if w.cancelCalmCheck != nil {
+		w.cancelCalmCheck()
+		w.cancelCalmCheck = nil
+	}
+	now := w.pool.loop.Now()
+	fastAt, known := w.latency.FastAt(now)
+	if !known {
+		return
+	}
+	w.cancelCalmCheck = w.pool.loop.After(fastAt.Sub(now), func() {
+		w.cancelCalmCheck = nil
+		w.updateStoreState()
+	})
 }
 
 // updateStoreState notices that the store has become slow or fast.
--- a/internal/pool/writer.go
+++ b/internal/pool/writer.go
@@ -22,6 +22,8 @@
 	// storeSlow is true while the store is slow, since slowSince.
 	storeSlow bool
 	slowSince time.Time
+	// cancelCalmCheck cancels the scheduled check whether the store is fast again; nil if none is.
+	cancelCalmCheck func()
 	// attempts is the number of attempts without a response by partition.
 	attempts [progressPartitions]int
 	// failedAt is when an attempt last failed by partition; zero since the last response.
--- a/internal/pool/writer_test.go
+++ b/internal/pool/writer_test.go
@@ -237,6 +237,37 @@
 	require.Equal(t, LeaseKey("p"), ports.inFlight[0].transaction.Conditions[0].Key)
 }
 
+// eventRecord records the events that are logged.
+type eventRecord struct {
+	noRecord
+	events []string
+	fields map[string][]any
+}
+
+func (r *eventRecord) LogEvent(event string, fields ...any) {
+	r.events = append(r.events, event)
+	r.fields[event] = fields
+}
+
+// TestSlowPhaseEndsWithoutAWrite: an idle owner notices that the store is fast again.
+func TestSlowPhaseEndsWithoutAWrite(t *testing.T) {
+	l, ports, record := &steppedLoop{now: time.Unix(1000, 0)}, &commitPorts{}, &eventRecord{fields: map[string][]any{}}
+	p := New(Options{Pool: "p"}, l, ports, record, 1)
+	slowAnswers(p, l)
+	slowSince := l.now
+	ports.answer()
+	answeredAt := l.now
+	l.advance(999 * time.Millisecond)
+	require.Equal(t, []string{"store slow"}, record.events)
+	l.advance(time.Millisecond)
+	require.Equal(t, []string{"store slow", "store fast again"}, record.events)
+	lasted := answeredAt.Add(time.Second).Sub(slowSince)
+	require.Equal(t, []any{"slow_ms", lasted.Milliseconds()}, record.fields["store fast again"][2:4])
+	l.advance(time.Hour)
+	p.persist(jobOfBytes(1, 1))
+	require.Len(t, record.events, 2)
+}
+
 // TestExpiredJobsAreKeptWhileTheStoreIsSlow: their removal is put off, but not without end.
 func TestExpiredJobsAreKeptWhileTheStoreIsSlow(t *testing.T) {
 	p, l, ports := newWriterPool()
--- a/internal/writequeue/latency.go
+++ b/internal/writequeue/latency.go
@@ -61,6 +61,12 @@
 	return l.overdue > 0 || !l.lastSlowAt.IsZero() && now.Sub(l.lastSlowAt) < calmPeriod
 }
 
+// FastAt returns when the store counts as fast again if no other slow answer arrives; false if the
+// store is fast, or if a write is overdue.
+func (l *Latency) FastAt(now time.Time) (time.Time, bool) {
+	return l.lastSlowAt.Add(calmPeriod), l.overdue == 0 && l.Slow(now)
+}
+
 // Typical returns the typical answer time of a slow store; 0 if it is unknown.
 func (l *Latency) Typical() time.Duration { return l.typical }
 
