Slow store: a removal that is put off leaves a newer row of the same job alone

Cause: a removal waits for up to ten seconds while the store is slow. A job that was submitted again meanwhile had its placement written and its start sent, and then the removal deleted the row. A waiting row kept its older value, though another job object may have taken the identifier. Two removals of one row could go with one batch, as the same key twice.

Change: adding a row drops its waiting removal, and a waiting row takes the new value. A removal is queued once, and waits while an earlier one of the row is in flight.

--- a/internal/writequeue/queue.go
+++ b/internal/writequeue/queue.go
@@ -46,9 +46,11 @@
 	RowsInSeveralBatches bool
 	// rows are the changed rows in the order in which they were added, and byID the same by
 	// identifier.
-	rows     []*Row[T]
-	byID     map[string]*Row[T]
-	removals []removal
+	rows []*Row[T]
+	byID map[string]*Row[T]
+	// removals are the waiting removals, and removalWaits holds their identifiers.
+	removals     []removal
+	removalWaits map[string]bool
 	// inFlight holds the sequence numbers of the rows in flight by identifier, and removing the
 	// identifiers of the removals in flight.
 	inFlight map[string]int64
@@ -61,12 +63,20 @@
 
 // New returns an empty queue for the given number of partitions.
 func New[T any](partitions int) *Queue[T] {
-	return &Queue[T]{partitions: partitions, byID: map[string]*Row[T]{}, inFlight: map[string]int64{}, removing: map[string]bool{}}
+	return &Queue[T]{
+		partitions:   partitions,
+		byID:         map[string]*Row[T]{},
+		removalWaits: map[string]bool{},
+		inFlight:     map[string]int64{},
+		removing:     map[string]bool{},
+	}
 }
 
 // Add adds a changed row, to be sent within delay. A row that is waiting already keeps its place and
-// gets the more urgent purpose.
+// gets the new value and the more urgent purpose. A waiting removal of the row is dropped, since it
+// would delete the new row. The older row that it leaves has a lower serial and is ignored at load.
 func (q *Queue[T]) Add(row Row[T], priority int, delay time.Duration) {
+	q.dropRemoval(row.ID)
 	row.priority = priority
 	row.due = row.ChangedAt.Add(delay)
 	waiting := q.byID[row.ID]
@@ -77,6 +87,7 @@
 		q.rows = append(q.rows, &row)
 		return
 	}
+	waiting.Value = row.Value
 	if row.due.Before(waiting.due) {
 		waiting.due = row.due
 	}
@@ -85,11 +96,24 @@
 	}
 }
 
-// Remove adds the deletion of a row.
+// Remove adds the deletion of a row, unless it is waiting already.
 func (q *Queue[T]) Remove(id string, now time.Time) {
+	if q.removalWaits[id] {
+		return
+	}
+	q.removalWaits[id] = true
 	q.removals = append(q.removals, removal{id: id, since: now})
 }
 
+// dropRemoval withdraws the waiting deletion of a row.
+func (q *Queue[T]) dropRemoval(id string) {
+	if !q.removalWaits[id] {
+		return
+	}
+	delete(q.removalWaits, id)
+	q.removals = slices.DeleteFunc(q.removals, func(r removal) bool { return r.id == id })
+}
+
 // Request asks for a batch at the given time at the latest. It reports whether the time of the next
 // batch has changed.
 func (q *Queue[T]) Request(due time.Time) bool {
@@ -144,10 +168,11 @@
 	return !sent && !q.removing[row.ID] || q.RowsInSeveralBatches
 }
 
-// removable reports whether a row may be deleted now. A deletion follows all writes of the row.
+// removable reports whether a row may be deleted now. A deletion follows all writes and earlier
+// deletions of the row.
 func (q *Queue[T]) removable(r removal) bool {
 	_, sent := q.inFlight[r.id]
-	return !sent && q.byID[r.id] == nil
+	return !sent && !q.removing[r.id] && q.byID[r.id] == nil
 }
 
 // dueWhenSlow returns when a row is to be sent at the latest while the store is slow.
@@ -252,6 +277,7 @@
 		}
 		removals = append(removals, r.id)
 		q.removing[r.id] = true
+		delete(q.removalWaits, r.id)
 	}
 	q.removals = remaining
 	return removals
--- a/internal/writequeue/queue_test.go
+++ b/internal/writequeue/queue_test.go
@@ -133,6 +133,39 @@
 	require.Empty(t, q.Candidates(slowStore()), "a write follows the removal")
 }
 
+// TestRemovalOfNewerRow: a row that is added again after its removal was put off must stay.
+func TestRemovalOfNewerRow(t *testing.T) {
+	q := New[int](partitions)
+	q.Remove("a", start.Add(-MaxRemovalDelay))
+	q.Remove("b", start.Add(-MaxRemovalDelay))
+	q.Add(Row[int]{ID: "a", Purpose: UrgentPlacement, ChangedAt: start}, 0, 0)
+	q.Finish(sendFirst(q, slowStore()), nil)
+	require.Equal(t, []string{"b"}, q.Send(nil, 2))
+}
+
+// TestRemovalsOfOneRow: a batch names a row once. A removal of a row whose removal is in flight waits.
+func TestRemovalsOfOneRow(t *testing.T) {
+	q := New[int](partitions)
+	for range 2 {
+		q.Remove("a", start)
+	}
+	sent := q.Send(nil, 2)
+	require.Equal(t, []string{"a"}, sent)
+	q.Remove("a", start)
+	require.Empty(t, q.Send(nil, 2), "the first removal is in flight")
+	q.Finish(nil, sent)
+	require.Equal(t, []string{"a"}, q.Send(nil, 2))
+}
+
+// TestWaitingRowGetsTheNewValue: a job may be replaced by another one of the same identifier.
+func TestWaitingRowGetsTheNewValue(t *testing.T) {
+	q := New[int](partitions)
+	for value := range 2 {
+		q.Add(Row[int]{ID: "a", Value: value, Purpose: End, ChangedAt: start}, 0, 0)
+	}
+	require.Equal(t, 1, q.Candidates(slowStore())[0].Value)
+}
+
 func TestWrittenRows(t *testing.T) {
 	q := queueOf(change{id: "a", purpose: End}, change{id: "b", purpose: UrgentPlacement})
 	mark := q.Mark()
