Slow store: another attempt of a batch goes to a partition that has not got it

Cause: a refused batch went to the partition after the writer's own one, which may be the partition that refused it, and moved the writer on behalf of another batch. If no partition was idle, a copy could go to one partition twice and never to the third.

Change: the next partition follows that of the failed attempt: an idle one, then one without an unanswered attempt of the batch. The writer leaves its partition only if an attempt there failed or no other batch is in flight.

Tests that failed first: TestRefusedBatchLeavesItsPartition, TestCopiesGoToAllPartitions.

--- a/internal/pool/progress_batch.go
+++ b/internal/pool/progress_batch.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strconv"
 	"time"
 
@@ -29,8 +30,9 @@
 	hasRemainder   bool
 	sentAt         time.Time
 	failedAttempts int
-	// inFlight is the number of attempts without a response.
+	// inFlight is the number of attempts without a response, and attempts the same by partition.
 	inFlight int
+	attempts [progressPartitions]int
 	// written is true once an attempt is known to be committed.
 	written bool
 }
@@ -94,12 +96,14 @@
 func (w *writer) send(b *batch, part int) {
 	a := &attempt{batch: b, part: part, sentAt: w.pool.loop.Now()}
 	b.inFlight++
+	b.attempts[part]++
 	w.attempts[part]++
 	transaction := w.transaction(b, part)
 	monitor := w.monitorAnswer(transaction)
 	w.pool.ports.Commit(transaction, func(result rows.Result, err error) {
 		a.answered = true
 		b.inFlight--
+		b.attempts[part]--
 		w.attempts[part]--
 		if w.pool.closed {
 			return
@@ -127,7 +131,7 @@
 	switch {
 	case err != nil:
 		w.failedAt[a.part] = w.pool.loop.Now()
-		w.retry(a.batch, err)
+		w.retry(a, err)
 	case result.Committed:
 		w.headVersions[a.part] = max(w.headVersions[a.part], result.Version)
 		w.pool.ConfirmOwnership(a.sentAt)
@@ -150,34 +154,47 @@
 			return
 		}
 		w.pool.record.Count("retries", "commit_slow")
-		w.partition = w.partitionAfter(a.part)
-		w.send(a.batch, w.partition)
+		w.send(a.batch, w.leavePartition(a))
 	})
 }
 
-// partitionAfter returns the partition for the next attempt after one at the given partition: the
-// next idle one, or else the next one. Two batches in one partition do no
-// harm, but one of them has to be sent again.
-func (w *writer) partitionAfter(part int) int {
+// leavePartition returns the partition for the next attempt after one that failed or got no response
+// in time. The next batch goes there as well, unless it would not have used the partition left.
+func (w *writer) leavePartition(a *attempt) int {
+	next := w.partitionAfter(a)
+	if w.partition == a.part || w.queue.Batches() == 1 {
+		w.partition = next
+	}
+	return next
+}
+
+// partitionAfter returns the partition for the next attempt after a given one: the next idle one, or
+// else the next one without an unanswered attempt of this batch, or else the next one. Two batches in
+// one partition do no harm, but one of them has to be sent again.
+func (w *writer) partitionAfter(a *attempt) int {
+	var others []int
 	for i := 1; i < progressPartitions; i++ {
-		if next := (part + i) % progressPartitions; w.idle(next) {
-			return next
-		}
+		others = append(others, (a.part+i)%progressPartitions)
+	}
+	if i := slices.IndexFunc(others, w.idle); i >= 0 {
+		return others[i]
 	}
-	return (part + 1) % progressPartitions
+	unused := func(part int) bool { return a.batch.attempts[part] == 0 }
+	return others[max(0, slices.IndexFunc(others, unused))]
 }
 
 // retry sends a failed batch to the next partition, with backoff once all partitions have failed.
 // All attempts write the same rows, so any number of attempts may take effect.
-func (w *writer) retry(b *batch, err error) {
+func (w *writer) retry(a *attempt, err error) {
+	b := a.batch
 	w.pool.record.Count("retries", commitRetryReason(err))
 	b.failedAttempts++
 	if b.written || b.inFlight > 0 {
 		return
 	}
-	w.partition = w.partitionAfter(w.partition)
+	next := w.leavePartition(a)
 	if b.failedAttempts%progressPartitions != 0 {
-		w.send(b, w.partition)
+		w.send(b, next)
 		return
 	}
 	pause := retryDelay
--- a/internal/pool/writer_test.go
+++ b/internal/pool/writer_test.go
@@ -216,6 +216,40 @@
 	require.Equal(t, progressPartition("p", 0), ports.inFlight[len(ports.inFlight)-1].transaction.Conditions[0].Part)
 }
 
+// TestRefusedBatchLeavesItsPartition: a batch that one partition refuses goes to another, whichever one
+// the other batches use, and does not move them.
+func TestRefusedBatchLeavesItsPartition(t *testing.T) {
+	p, l, ports := newWriterPool()
+	slowAnswers(p, l)
+	for number := range 2 {
+		p.persistPlacement(jobOfBytes(number+1, 1))
+	}
+	require.Len(t, ports.inFlight, progressPartitions)
+	ports.inFlight[1].done(rows.Result{}, rows.ErrNoEffect)
+	require.Len(t, ports.inFlight, progressPartitions+1)
+	again := ports.inFlight[progressPartitions].transaction
+	require.Equal(t, ports.inFlight[1].transaction.Puts[1].Name, again.Puts[1].Name)
+	require.Equal(t, progressPartition("p", 2), again.Conditions[0].Part)
+	require.Zero(t, p.writer.partition)
+}
+
+// TestCopiesGoToAllPartitions: no partition gets a batch twice while another has not got it.
+func TestCopiesGoToAllPartitions(t *testing.T) {
+	p, l, ports := newWriterPool()
+	first := slowAnswers(p, l)
+	p.persistPlacement(jobOfBytes(1, 1))
+	for range 12 {
+		l.advance(100 * time.Millisecond)
+	}
+	var parts []string
+	for _, call := range ports.inFlight {
+		if call.transaction.Puts[1].Name == first.id {
+			parts = append(parts, call.transaction.Conditions[0].Part)
+		}
+	}
+	require.Equal(t, []string{progressPartition("p", 0), progressPartition("p", 2), progressPartition("p", 1)}, parts)
+}
+
 // TestReleasePutsNothingOff: a release of the pool sends what was put off, and waits for all batches in
 // flight.
 func TestReleasePutsNothingOff(t *testing.T) {
