Slow store: the bound of a waiting row holds when it becomes more urgent or a batch is in flight

Cause: a change that made a waiting row more urgent reset its time, so that an end that had waited for 1.9 s lost its age and could wait for another 2 s behind placements. While a batch was in flight, nothing woke the writer when another row became overdue.

Change: the age counts from the oldest change that waits, without a note that became more urgent; ChangedAt, from which the histograms are made, stays the time of the change that they name. NextSend names the time at which a row becomes overdue.

Tests that failed first: TestMoreUrgentRowKeepsItsAge, TestRowThatBecomesOverdue.

--- a/internal/writequeue/queue.go
+++ b/internal/writequeue/queue.go
@@ -13,7 +13,9 @@
 	// Purpose and ChangedAt say what waits for the row, and since when.
 	Purpose   Purpose
 	ChangedAt time.Time
-	priority  int
+	// waitsSince is when the oldest change began to wait, notes left out if there are other ones.
+	waitsSince time.Time
+	priority   int
 	// due is when the row is to be sent at the latest while the store is fast.
 	due time.Time
 	// sequence numbers the changed rows in the order in which they were added.
@@ -77,7 +79,7 @@
 // would delete the new row. The older row that it leaves has a lower serial and is ignored at load.
 func (q *Queue[T]) Add(row Row[T], priority int, delay time.Duration) {
 	q.dropRemoval(row.ID)
-	row.priority = priority
+	row.priority, row.waitsSince = priority, row.ChangedAt
 	row.due = row.ChangedAt.Add(delay)
 	waiting := q.byID[row.ID]
 	if waiting == nil {
@@ -92,6 +94,9 @@
 		waiting.due = row.due
 	}
 	if row.Purpose < waiting.Purpose {
+		if waiting.Purpose == Note {
+			waiting.waitsSince = row.ChangedAt
+		}
 		waiting.Purpose, waiting.ChangedAt, waiting.priority = row.Purpose, row.ChangedAt, priority
 	}
 }
@@ -152,6 +157,7 @@
 	for _, row := range q.rows {
 		if q.sendable(row) {
 			consider(row.dueWhenSlow(c), q.batchesFor(row, c))
+			consider(row.overdueAt(), q.batchesForOverdue())
 		}
 	}
 	for _, r := range q.removals {
@@ -203,14 +209,21 @@
 	case row.Purpose == UrgentPlacement || c.Releasing:
 		return q.partitions
 	case row.Purpose == Placement || row.overdue(c):
-		return max(leastBatches, q.partitions-1)
+		return q.batchesForOverdue()
 	}
 	return leastBatches
 }
 
+// batchesForOverdue returns how many batches may be in flight when a batch is sent for a row that is
+// overdue.
+func (q *Queue[T]) batchesForOverdue() int { return max(leastBatches, q.partitions-1) }
+
+// overdueAt returns when a row begins to precede placements other than urgent ones.
+func (r *Row[T]) overdueAt() time.Time { return r.waitsSince.Add(maxOrderedWait) }
+
 // overdue reports whether a row has waited so long that it precedes placements other than urgent
 // ones.
-func (r *Row[T]) overdue(c Conditions) bool { return c.Now.Sub(r.ChangedAt) >= maxOrderedWait }
+func (r *Row[T]) overdue(c Conditions) bool { return !c.Now.Before(r.overdueAt()) }
 
 // Candidates returns the rows for the next batch in the order in which they are to be sent. The
 // caller takes as many as fit and passes them to Send.
--- a/internal/writequeue/queue_test.go
+++ b/internal/writequeue/queue_test.go
@@ -204,6 +204,44 @@
 	}
 }
 
+// TestMoreUrgentRowKeepsItsAge: a change that makes a row more urgent must not put its bound off. A note
+// has no such bound.
+func TestMoreUrgentRowKeepsItsAge(t *testing.T) {
+	cases := map[string]struct {
+		first Purpose
+		want  []string
+	}{
+		"end":  {End, []string{"raised", "other"}},
+		"note": {Note, []string{"other", "raised"}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			q := queueOf(change{id: "other", purpose: Placement, priority: 1},
+				change{id: "raised", purpose: c.first, age: maxOrderedWait})
+			q.Add(Row[int]{ID: "raised", Purpose: Placement, ChangedAt: start}, 2, 0)
+			require.Equal(t, c.want, ids(q.Candidates(slowStore())))
+			require.Equal(t, start, q.byID["raised"].ChangedAt, "histograms tell the time since the placement")
+		})
+	}
+}
+
+// TestRowThatBecomesOverdue: a row that waits for a batch in flight is sent beside it once it is overdue,
+// without another event.
+func TestRowThatBecomesOverdue(t *testing.T) {
+	for _, purpose := range []Purpose{End, Note} {
+		q := queueOf(change{id: "first", purpose: End})
+		sendFirst(q, slowStore())
+		q.Add(Row[int]{ID: "second", Purpose: purpose, ChangedAt: start}, 0, 0)
+		due, found := q.NextSend(slowStore())
+		require.True(t, found)
+		require.Equal(t, start.Add(maxOrderedWait), due)
+		sendFirst(q, slowStore())
+		q.Add(Row[int]{ID: "third", Purpose: purpose, ChangedAt: start}, 0, 0)
+		_, found = q.NextSend(slowStore())
+		require.False(t, found, "one partition is kept for urgent placements")
+	}
+}
+
 func TestStoreLatency(t *testing.T) {
 	const fast, answer = 600 * time.Millisecond, 400 * time.Millisecond
 	l := &Latency{}
