Slow store: a callback runs no other callback, and a failed partition is used when its pause ends

Cause: a change of the store's state was looked for after the result of a write and with each change of a job. A callback that changed a job could run other callbacks in its midst. A batch that found no idle partition was not tried again at the end of the pause of a partition that had failed.

Change: the state is updated before the result is handled, and by timers, answers and flushes only. The calm check repeats itself if it comes early. A flush that finds no partition is repeated at the end of the next pause.

Tests that failed first: TestCallbacksAreNotNested, TestWaitingBatchGetsAFailedPartition.

--- a/internal/pool/progress_batch.go
+++ b/internal/pool/progress_batch.go
@@ -109,8 +109,9 @@
 			return
 		}
 		monitor.answered(err)
-		w.handleResult(a, result, err)
+		// The state comes first, so that callbacks of the result don't meet a change of it.
 		w.updateStoreState()
+		w.handleResult(a, result, err)
 		if w.storeSlow {
 			w.scheduleFlush()
 		}
--- a/internal/pool/slow_store.go
+++ b/internal/pool/slow_store.go
@@ -13,7 +13,6 @@
 
 // putsOffCleaning reports whether the removal of expired jobs is put off.
 func (w *writer) putsOffCleaning() bool {
-	w.updateStoreState()
 	return w.storeSlow && w.pool.loop.Now().Sub(w.slowSince) < maxCleaningDelay
 }
 
@@ -65,10 +64,12 @@
 	w.cancelCalmCheck = w.pool.loop.After(fastAt.Sub(now), func() {
 		w.cancelCalmCheck = nil
 		w.updateStoreState()
+		w.scheduleCalmCheck()
 	})
 }
 
-// updateStoreState notices that the store has become slow or fast.
+// updateStoreState notices that the store has become slow or fast. It runs callbacks, so it is called
+// by timers, answers and flushes, and not where a job is changed.
 func (w *writer) updateStoreState() {
 	now := w.pool.loop.Now()
 	slow := w.latency.Slow(now)
--- a/internal/pool/writer.go
+++ b/internal/pool/writer.go
@@ -73,7 +73,6 @@
 }
 
 func (w *writer) add(j *job, purpose writequeue.Purpose, delay time.Duration) {
-	w.updateStoreState()
 	if w.storeSlow && purpose == writequeue.Note {
 		w.pool.record.Count("writes_put_off", purpose.String())
 	}
@@ -150,12 +149,7 @@
 		w.pool.loop.Post(w.flush)
 		return
 	}
-	w.cancelFlush = w.pool.loop.After(delay, func() {
-		w.cancelFlush = nil
-		if !w.flushPosted {
-			w.flush()
-		}
-	})
+	w.flushAfter(delay)
 }
 
 // flush sends the next batch.
@@ -174,8 +168,12 @@
 		return
 	}
 	due, allowed := w.queue.NextSend(w.conditions())
+	if !allowed {
+		return
+	}
 	part, free := w.partitionForBatch()
-	if !allowed || !free {
+	if !free {
+		w.flushAfterPause()
 		return
 	}
 	if !due.After(w.pool.loop.Now()) {
@@ -207,6 +205,31 @@
 	return w.attempts[part] == 0 && (failedAt.IsZero() || w.pool.loop.Now().Sub(failedAt) >= failedPartitionPause)
 }
 
+// flushAfterPause schedules a flush for the end of the next pause of a partition that failed. The
+// answers of the other partitions lead to a flush anyway.
+func (w *writer) flushAfterPause() {
+	remaining := failedPartitionPause
+	for part, failedAt := range w.failedAt {
+		if w.attempts[part] == 0 {
+			remaining = min(remaining, failedAt.Add(failedPartitionPause).Sub(w.pool.loop.Now()))
+		}
+	}
+	w.flushAfter(remaining)
+}
+
+// flushAfter schedules a flush in place of the one that is scheduled.
+func (w *writer) flushAfter(delay time.Duration) {
+	if w.cancelFlush != nil {
+		w.cancelFlush()
+	}
+	w.cancelFlush = w.pool.loop.After(delay, func() {
+		w.cancelFlush = nil
+		if !w.flushPosted {
+			w.flush()
+		}
+	})
+}
+
 // runCallbacks runs the callbacks whose rows are written.
 func (w *writer) runCallbacks() {
 	var ready, waiting []pendingCallback
--- a/internal/pool/writer_test.go
+++ b/internal/pool/writer_test.go
@@ -250,6 +250,47 @@
 	require.Equal(t, []string{progressPartition("p", 0), progressPartition("p", 2), progressPartition("p", 1)}, parts)
 }
 
+// TestCallbacksAreNotNested: a callback that changes a job must not run other callbacks, also if an
+// answer that arrives before its timer shows that the store is slow.
+func TestCallbacksAreNotNested(t *testing.T) {
+	p, l, ports := newWriterPool()
+	var steps []string
+	first := jobOfBytes(1, 1)
+	p.persist(jobOfBytes(0, 1))
+	p.persist(first)
+	p.afterPersist(0, func() {
+		steps = append(steps, "first begins")
+		p.persist(jobOfBytes(3, 1))
+		steps = append(steps, "first ends")
+	}, first)
+	ports.answer()
+	p.persist(jobOfBytes(2, 1))
+	p.afterPersist(0, func() { steps = append(steps, "second") }, first)
+	l.now = l.now.Add(2 * writequeue.SlowAnswer)
+	ports.answer()
+	require.Equal(t, []string{"first begins", "first ends", "second"}, steps)
+}
+
+// TestWaitingBatchGetsAFailedPartition: a partition that failed gets the next batch as soon as its
+// pause is over, though no call is answered then.
+func TestWaitingBatchGetsAFailedPartition(t *testing.T) {
+	p, l, ports := newWriterPool()
+	slowAnswers(p, l)
+	for part := range progressPartitions {
+		p.writer.failedAt[part] = l.now
+	}
+	p.persistPlacement(jobOfBytes(1, 1))
+	require.Len(t, ports.inFlight, 1)
+	l.advance(failedPartitionPause)
+	urgent := 0
+	for _, call := range ports.inFlight {
+		if call.transaction.Puts[1].Name == jobOfBytes(1, 1).id {
+			urgent++
+		}
+	}
+	require.Equal(t, 1, urgent)
+}
+
 // TestReleasePutsNothingOff: a release of the pool sends what was put off, and waits for all batches in
 // flight.
 func TestReleasePutsNothingOff(t *testing.T) {
