--- a/internal/pool/write_order_test.go
+++ b/internal/pool/write_order_test.go
@@ -81,9 +81,9 @@
 	}, waitFor...)
 }
 
-// removeOrReplace ends a random job: its row is removed, and nothing is promised about it any longer.
-// Half of the jobs come back later under the same identifier, as another job.
-func (o *writeOrder) removeOrReplace() {
+// remove ends a random job: its row is removed, and nothing is promised about it any longer.
+// Another job may come later under the same identifier.
+func (o *writeOrder) remove() {
 	i := o.random.IntN(len(o.jobs))
 	old := o.jobs[i]
 	if !o.live[old.id] {
@@ -201,7 +201,7 @@
 			o.change()
 		case 6:
 			if o.random.IntN(4) == 0 {
-				o.removeOrReplace()
+				o.remove()
 			}
 		case 2, 3:
 			o.answerAny()
