--- a/internal/pool/writer_test.go
+++ b/internal/pool/writer_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/wheatroad/wheatroad/internal/rows"
 	"github.com/wheatroad/wheatroad/internal/taskgraph"
+	"github.com/wheatroad/wheatroad/internal/telemetry"
+	"github.com/wheatroad/wheatroad/internal/writequeue"
 )
 
 // steppedLoop is a loop.Loop that runs posted functions immediately, and timers when the test
@@ -150,3 +152,250 @@
 	l.advance(rows.SendTime(ports.inFlight[0].transaction))
 	require.Len(t, ports.inFlight, 2)
 }
+
+// slowAnswers makes the store slow for a writer: a write of a job's end stays without an answer. It
+// returns the job.
+func slowAnswers(p *Pool, l *steppedLoop) *job {
+	j := jobOfBytes(0, 1)
+	p.persist(j)
+	l.advance(2 * writequeue.SlowAnswer)
+	return j
+}
+
+// TestUrgentPlacementPassesBatchInFlight: while the store is slow, the start of an urgent placement
+// waits neither for a batch in flight nor for rows that are less urgent.
+func TestUrgentPlacementPassesBatchInFlight(t *testing.T) {
+	p, l, ports := newWriterPool()
+	slowAnswers(p, l)
+	for number := range 2 * maxBatchRows {
+		p.persist(jobOfBytes(number+10, 1))
+	}
+	require.Len(t, ports.inFlight, 1, "ends use one partition")
+	urgent, started := jobOfBytes(1, 1), false
+	p.persistPlacement(urgent)
+	p.afterPersist(0, func() { started = true }, urgent)
+	require.Len(t, ports.inFlight, 2)
+	second := ports.inFlight[1].transaction
+	require.Equal(t, progressPartition("p", 1), second.Conditions[0].Part)
+	require.Equal(t, urgent.id, second.Puts[1].Name)
+	require.Len(t, second.Puts, 1+maxBatchRows, "other rows fill the batch")
+	ports.inFlight[1].done(rows.Result{Committed: true, Version: 1}, nil)
+	require.True(t, started)
+}
+
+// TestAcknowledgementWaitsForAllItsRows: a callback on several jobs waits for the last of their rows.
+func TestAcknowledgementWaitsForAllItsRows(t *testing.T) {
+	p, l, ports := newWriterPool()
+	first, second, other := slowAnswers(p, l), jobOfBytes(1, 1), jobOfBytes(2, 1)
+	p.persistPlacement(second)
+	p.persistEnd(other)
+	acknowledged := false
+	p.afterPersist(0, func() { acknowledged = true }, first, second)
+	require.Len(t, ports.inFlight, 2)
+	ports.inFlight[1].done(rows.Result{Committed: true, Version: 1}, nil)
+	require.False(t, acknowledged, "the first row is still in flight")
+	ports.inFlight[0].done(rows.Result{Committed: true, Version: 1}, nil)
+	require.True(t, acknowledged)
+}
+
+// TestRefusingPartitionGetsNoBatchBesideOthers: a partition that has refused a batch must not delay the
+// batches that are sent beside it.
+func TestRefusingPartitionGetsNoBatchBesideOthers(t *testing.T) {
+	p, l, ports := newWriterPool()
+	slowAnswers(p, l)
+	ports.inFlight[0].done(rows.Result{}, rows.ErrNoEffect)
+	require.Len(t, ports.inFlight, 2)
+	require.Equal(t, progressPartition("p", 1), ports.inFlight[1].transaction.Conditions[0].Part)
+	for number := range 3 {
+		p.persistPlacement(jobOfBytes(number+1, 1))
+	}
+	require.Len(t, ports.inFlight, 3, "the refusing partition gets nothing")
+	require.Equal(t, progressPartition("p", 2), ports.inFlight[2].transaction.Conditions[0].Part)
+	l.advance(failedPartitionPause)
+	p.persistPlacement(jobOfBytes(9, 1))
+	require.Equal(t, progressPartition("p", 0), ports.inFlight[len(ports.inFlight)-1].transaction.Conditions[0].Part)
+}
+
+// TestRefusedBatchLeavesItsPartition: a batch that one partition refuses goes to another, whichever one
+// the other batches use, and does not move them.
+func TestRefusedBatchLeavesItsPartition(t *testing.T) {
+	p, l, ports := newWriterPool()
+	slowAnswers(p, l)
+	for number := range 2 {
+		p.persistPlacement(jobOfBytes(number+1, 1))
+	}
+	require.Len(t, ports.inFlight, progressPartitions)
+	ports.inFlight[1].done(rows.Result{}, rows.ErrNoEffect)
+	require.Len(t, ports.inFlight, progressPartitions+1)
+	again := ports.inFlight[progressPartitions].transaction
+	require.Equal(t, ports.inFlight[1].transaction.Puts[1].Name, again.Puts[1].Name)
+	require.Equal(t, progressPartition("p", 2), again.Conditions[0].Part)
+	require.Zero(t, p.writer.partition)
+}
+
+// TestCopiesGoToAllPartitions: no partition gets a batch twice while another has not got it.
+func TestCopiesGoToAllPartitions(t *testing.T) {
+	p, l, ports := newWriterPool()
+	first := slowAnswers(p, l)
+	p.persistPlacement(jobOfBytes(1, 1))
+	for range 12 {
+		l.advance(100 * time.Millisecond)
+	}
+	var parts []string
+	for _, call := range ports.inFlight {
+		if call.transaction.Puts[1].Name == first.id {
+			parts = append(parts, call.transaction.Conditions[0].Part)
+		}
+	}
+	require.Equal(t, []string{progressPartition("p", 0), progressPartition("p", 2), progressPartition("p", 1)}, parts)
+}
+
+// TestCallbacksAreNotNested: a callback that changes a job must not run other callbacks, also if an
+// answer that arrives before its timer shows that the store is slow.
+func TestCallbacksAreNotNested(t *testing.T) {
+	p, l, ports := newWriterPool()
+	var steps []string
+	first := jobOfBytes(1, 1)
+	p.persist(jobOfBytes(0, 1))
+	p.persist(first)
+	p.afterPersist(0, func() {
+		steps = append(steps, "first begins")
+		p.persist(jobOfBytes(3, 1))
+		steps = append(steps, "first ends")
+	}, first)
+	ports.answer()
+	p.persist(jobOfBytes(2, 1))
+	p.afterPersist(0, func() { steps = append(steps, "second") }, first)
+	l.now = l.now.Add(2 * writequeue.SlowAnswer)
+	ports.answer()
+	require.Equal(t, []string{"first begins", "first ends", "second"}, steps)
+}
+
+// TestWaitingBatchGetsAFailedPartition: a partition that failed gets the next batch as soon as its
+// pause is over, though no call is answered then.
+func TestWaitingBatchGetsAFailedPartition(t *testing.T) {
+	p, l, ports := newWriterPool()
+	slowAnswers(p, l)
+	for part := range progressPartitions {
+		p.writer.failedAt[part] = l.now
+	}
+	p.persistPlacement(jobOfBytes(1, 1))
+	require.Len(t, ports.inFlight, 1)
+	l.advance(failedPartitionPause)
+	urgent := 0
+	for _, call := range ports.inFlight {
+		if call.transaction.Puts[1].Name == jobOfBytes(1, 1).id {
+			urgent++
+		}
+	}
+	require.Equal(t, 1, urgent)
+}
+
+// TestReleasePutsNothingOff: a release of the pool sends what was put off, and waits for all batches in
+// flight.
+func TestReleasePutsNothingOff(t *testing.T) {
+	p, l, ports := newWriterPool()
+	p.options.OnOwnershipEnded = func(string) {}
+	slowAnswers(p, l)
+	p.writer.add(jobOfBytes(1, 1), writequeue.Note, confirmedStartWriteDelay)
+	p.writer.remove(jobOfBytes(2, 1).id)
+	require.Len(t, ports.inFlight, 1)
+	p.Release()
+	require.Len(t, ports.inFlight, 2)
+	require.Len(t, ports.inFlight[1].transaction.Removes, 1)
+	ports.answer()
+	l.advance(releaseRetryInterval)
+	require.Len(t, ports.inFlight, 1, "the second batch is still in flight")
+	ports.answer()
+	l.advance(releaseRetryInterval)
+	require.Len(t, ports.inFlight, 1)
+	require.Equal(t, LeaseKey("p"), ports.inFlight[0].transaction.Conditions[0].Key)
+}
+
+// eventRecord records the events that are logged.
+type eventRecord struct {
+	noRecord
+	events []string
+	fields map[string][]any
+}
+
+func (r *eventRecord) LogEvent(event string, fields ...any) {
+	r.events = append(r.events, event)
+	r.fields[event] = fields
+}
+
+// TestSlowPhaseEndsWithoutAWrite: an idle owner notices that the store is fast again.
+func TestSlowPhaseEndsWithoutAWrite(t *testing.T) {
+	l, ports, record := &steppedLoop{now: time.Unix(1000, 0)}, &commitPorts{}, &eventRecord{fields: map[string][]any{}}
+	p := New(Options{Pool: "p"}, l, ports, record, 1)
+	slowAnswers(p, l)
+	slowSince := l.now
+	ports.answer()
+	answeredAt := l.now
+	l.advance(999 * time.Millisecond)
+	require.Equal(t, []string{"store slow"}, record.events)
+	l.advance(time.Millisecond)
+	require.Equal(t, []string{"store slow", "store fast again"}, record.events)
+	lasted := answeredAt.Add(time.Second).Sub(slowSince)
+	require.Equal(t, []any{"slow_ms", lasted.Milliseconds()}, record.fields["store fast again"][2:4])
+	l.advance(time.Hour)
+	p.persist(jobOfBytes(1, 1))
+	require.Len(t, record.events, 2)
+}
+
+// TestExpiredJobsAreKeptWhileTheStoreIsSlow: their removal is put off, but not without end.
+func TestExpiredJobsAreKeptWhileTheStoreIsSlow(t *testing.T) {
+	p, l, ports := newWriterPool()
+	slowAnswers(p, l)
+	expired := jobOfBytes(1, 1)
+	expired.state, expired.endedAt = taskgraph.Completed, l.TimeOfDay().Add(-2*retentionMargin)
+	p.jobs[expired.id] = expired
+	p.removeExpiredJobs()
+	sent := ports.sent
+	l.advance(maxCleaningDelay)
+	sentMeanwhile := ports.sent
+	p.removeExpiredJobs()
+	require.Equal(t, 1, sent)
+	require.Equal(t, sentMeanwhile+jobPartitionChoices, ports.sent)
+}
+
+// TestRecoveredStoreGetsOneBatchPerPartition: batches that are sent again when the store is back must
+// not meet in one partition, as only one of them could be written there.
+func TestRecoveredStoreGetsOneBatchPerPartition(t *testing.T) {
+	p, l, ports := newWriterPool()
+	slowAnswers(p, l)
+	p.persistPlacement(jobOfBytes(1, 1))
+	p.persistPlacement(jobOfBytes(2, 1))
+	for range progressPartitions * progressPartitions {
+		ports.inFlight[0].done(rows.Result{}, rows.ErrNoEffect)
+		ports.inFlight = ports.inFlight[1:]
+	}
+	require.Empty(t, ports.inFlight, "all partitions have refused all batches")
+	p.StoreRecovered()
+	used := map[string]bool{}
+	for _, call := range ports.inFlight {
+		used[call.transaction.Conditions[0].Part] = true
+	}
+	require.Len(t, used, progressPartitions)
+}
+
+// TestWrittenHistogramsAreDefined: undefined histograms are ignored when a node records them.
+func TestWrittenHistogramsAreDefined(t *testing.T) {
+	for _, purpose := range writequeue.Purposes() {
+		require.Contains(t, telemetry.Histograms(), writtenHistogram(purpose))
+	}
+}
+
+// TestSlowStoreGetsCopiesLate: copies double the load of a slow store, so that they wait for longer than
+// its answers take.
+func TestSlowStoreGetsCopiesLate(t *testing.T) {
+	p, l, ports := newWriterPool()
+	slowAnswers(p, l)
+	l.advance(2 * writequeue.SlowAnswer)
+	ports.answer()
+	p.persist(jobOfBytes(1, 1))
+	l.advance(partitionTimeout + time.Millisecond)
+	require.Len(t, ports.inFlight, 1)
+	l.advance(2 * writequeue.SlowAnswer)
+	require.Len(t, ports.inFlight, 2)
+}
