Attempts: nobody is stopped for attempts to spare, jobs are not misjudged, states cached per cycle

A gang that failed on two workers at the onset of a wave was taken for a job that fails everywhere, and the workers of a wide job that does so stayed excluded for 6 s.

Change: a unit with attempts to spare stops no other while there is room on workers that are only not trusted; last attempts still may. The members of a gang count in the chance of a coincidence; a blamed job stays blamed until a run of it makes progress, and its workers are admitted again at once. States of health are computed once a cycle. A task with attempts to spare starves as before.

--- a/internal/health/attempt.go
+++ b/internal/health/attempt.go
@@ -109,6 +109,8 @@
 // WorkerState is what a requirement asks of a worker.
 type WorkerState struct {
 	Proven, Suspected bool
+	// Trusted is true if the worker is proven, or no suspect and unlikely to fail its next run.
+	Trusted bool
 	// Doubtful is true for suspects, and for workers in a wave that are neither proven nor unlikely
 	// to fail.
 	Doubtful bool
@@ -134,7 +136,10 @@
 // IsTrial reports whether a run that started at startedAt still is a trial of its worker.
 func IsTrial(startedAt, now time.Time) bool { return now.Sub(startedAt) < trialPeriod }
 
-// Trusted reports whether a worker is proven or unlikely to fail its next run.
-func (r *Record) Trusted(machine Machine, now time.Time) bool {
-	return r.Proven(machine.ID, now) || !r.Suspected(machine.ID, now) && r.Chance(machine, now) < cautionChance
+// WorkerState returns what is known of a worker, without the runs on it.
+func (r *Record) WorkerState(machine Machine, now time.Time) WorkerState {
+	state := WorkerState{Proven: r.Proven(machine.ID, now), Suspected: r.Suspected(machine.ID, now)}
+	state.Trusted = state.Proven || !state.Suspected && r.Chance(machine, now) < cautionChance
+	state.Doubtful = state.Suspected || r.wave && !state.Trusted
+	return state
 }
--- a/internal/health/job.go
+++ b/internal/health/job.go
@@ -38,20 +38,20 @@
 // blameJob weighs whether a failure is the job's fault or the worker's. The job is to blame if it
 // runs nowhere, and if it is less likely that all workers on which it failed do so themselves. It
 // reports whether the job has just been found to blame; its earlier failures are then withdrawn
-// from the workers.
-func (r *Record) blameJob(j *jobRecord, machine Machine, f *Failure, now time.Time) bool {
+// from the workers, and blameJob returns those that are absolved by that.
+func (r *Record) blameJob(j *jobRecord, machine Machine, f *Failure, now time.Time) (blamed bool, absolved []string) {
 	counts, known := j.failures[machine.ID]
 	if !known {
 		others := r.tallyWorkers(f.Job, now)
-		j.coincidence *= max(minFailureChance, others.chance(r.recordWithout(machine.ID, f.Job), machine, now))
+		chance := max(minFailureChance, others.chance(r.recordWithout(machine.ID, f.Job), machine, now))
+		j.coincidence *= min(1, float64(max(1, f.Members))*chance)
 	}
 	j.failedAt = now
 	wasBlamed := j.blamed
 	unlikely := len(j.failures) > 0 && j.coincidence < jobFaultPrior
-	j.blamed = !f.JobRunsElsewhere && (wasBlamed || unlikely)
+	j.blamed = f.Elsewhere == NoneRuns && unlikely || f.Elsewhere < OneSucceeds && wasBlamed
 	if j.blamed && !wasBlamed {
-		r.withdraw(f.Job, j)
-		return true
+		return true, r.withdraw(f.Job, j)
 	}
 	if !j.blamed {
 		counts.all++
@@ -60,7 +60,7 @@
 		}
 		j.failures[machine.ID] = counts
 	}
-	return false
+	return false, nil
 }
 
 // recordWithout returns the record of a worker, or nil if it has failed only runs of the job.
@@ -72,19 +72,26 @@
 	return w
 }
 
-// withdraw removes a job's failures from the records of its workers.
-func (r *Record) withdraw(job string, j *jobRecord) {
+// withdraw removes a job's failures from the records of its workers. It returns the workers that
+// have no failures left.
+func (r *Record) withdraw(job string, j *jobRecord) (absolved []string) {
 	for id, counts := range j.failures {
-		if w := r.workers[id]; w != nil && (w.failedJob == job || w.failedJob == "") {
-			w.withdraw(counts.all, counts.early)
+		w := r.workers[id]
+		if w == nil || w.failures == 0 || w.failedJob != job && w.failedJob != "" {
+			continue
+		}
+		w.withdraw(counts.all, counts.early)
+		if w.failures == 0 {
+			absolved = append(absolved, id)
 		}
 	}
 	j.failures = map[string]jobFailures{}
 	r.counted = nil
 	for _, w := range r.workers {
 		if w.earlyFailures > 0 {
-			return
+			return absolved
 		}
 	}
 	r.onset, r.lastFailureAt = time.Time{}, time.Time{}
+	return absolved
 }
--- a/internal/health/record.go
+++ b/internal/health/record.go
@@ -34,14 +34,28 @@
 // Failure is a failed run.
 type Failure struct {
 	Job string
+	// Members is the number of tasks that started together, each of which can have failed the run.
+	Members int
 	// StartedAt is the start of the run, as far as known.
 	StartedAt time.Time
 	// Early is true if the run failed soon after its start.
 	Early bool
-	// JobRunsElsewhere is true if another run of the job has ended done or outlived this one.
-	JobRunsElsewhere bool
+	// Elsewhere is how the job's other runs fare.
+	Elsewhere OtherRuns
 }
 
+// OtherRuns says how the other runs of a failed run's job fare.
+type OtherRuns int
+
+const (
+	// NoneRuns: none has been running for as long as the failed run.
+	NoneRuns OtherRuns = iota
+	// OneRuns: one has, and may fail yet.
+	OneRuns
+	// OneSucceeds: one has made progress or ended done.
+	OneSucceeds
+)
+
 // Verdict is what a failure says about a worker and a job.
 type Verdict struct {
 	// Suspected is true if the worker has become a suspect.
@@ -49,8 +63,10 @@
 	// Excluded is true if the worker should get no work for some time. Failures counts its failures.
 	Excluded bool
 	Failures int
-	// JobBlamed is true if the job, not its workers, has turned out to be at fault.
+	// JobBlamed is true if the job, not its workers, has turned out to be at fault. Absolved are the
+	// workers that have no failures left.
 	JobBlamed bool
+	Absolved  []string
 }
 
 // Record is the record of a pool's workers. The zero value is not usable; see New.
@@ -80,6 +96,9 @@
 	return !r.lastFailureAt.IsZero() && now.Sub(r.lastFailureAt) < quietPeriod
 }
 
+// Empty reports whether nothing is known of any worker.
+func (r *Record) Empty() bool { return len(r.workers) == 0 && r.lastFailureAt.IsZero() }
+
 // RecordProgress records that a run with the given start made progress or ended done. It reports
 // whether the worker was a suspect and is none any more.
 func (r *Record) RecordProgress(machine Machine, startedAt, now time.Time) (cleared bool) {
@@ -101,8 +120,9 @@
 func (r *Record) RecordFailure(machine Machine, f *Failure, now time.Time) Verdict {
 	r.prune(now)
 	j := r.job(f.Job)
-	if blamed := r.blameJob(j, machine, f, now); j.blamed {
-		return Verdict{JobBlamed: blamed}
+	blamed, absolved := r.blameJob(j, machine, f, now)
+	if j.blamed {
+		return Verdict{JobBlamed: blamed, Absolved: absolved}
 	}
 	w := r.worker(machine)
 	suspected := w.suspected(now)
--- a/internal/health/record_test.go
+++ b/internal/health/record_test.go
@@ -18,7 +18,7 @@
 
 // fail records the early failure of a run of a job that also runs elsewhere.
 func fail(r *Record, machine Machine, startMillis int) Verdict {
-	f := &Failure{Job: fmt.Sprint("job of ", machine.ID, startMillis), StartedAt: at(startMillis), Early: true, JobRunsElsewhere: true}
+	f := &Failure{Job: fmt.Sprint("job of ", machine.ID, startMillis), StartedAt: at(startMillis), Early: true, Elsewhere: OneSucceeds}
 	return r.RecordFailure(machine, f, at(startMillis+failureTime))
 }
 
@@ -26,6 +26,10 @@
 	return Machine{ID: fmt.Sprintf("w-%d-%d", rack, number), Rack: fmt.Sprint("r-", rack)}
 }
 
+func trusted(r *Record, machine Machine, now time.Time) bool {
+	return r.WorkerState(machine, now).Trusted
+}
+
 func TestFailsEarly(t *testing.T) {
 	cases := []struct {
 		runTime, expected time.Duration
@@ -100,9 +104,9 @@
 // a worker is still excluded after several.
 func TestLateFailureIsNoEvidenceOfFailingWorkers(t *testing.T) {
 	r, a := New(), rackWorker(0, 0)
-	require.Equal(t, Verdict{Failures: 1}, r.RecordFailure(a, &Failure{Job: "a", StartedAt: at(0), JobRunsElsewhere: true}, at(4000)))
+	require.Equal(t, Verdict{Failures: 1}, r.RecordFailure(a, &Failure{Job: "a", StartedAt: at(0), Elsewhere: OneSucceeds}, at(4000)))
 	require.False(t, r.Active(at(4000)))
-	require.Equal(t, Verdict{Excluded: true, Failures: 2}, r.RecordFailure(a, &Failure{Job: "b", StartedAt: at(0), JobRunsElsewhere: true}, at(4100)))
+	require.Equal(t, Verdict{Excluded: true, Failures: 2}, r.RecordFailure(a, &Failure{Job: "b", StartedAt: at(0), Elsewhere: OneSucceeds}, at(4100)))
 	require.Zero(t, r.SuspectedWorkers(at(4100)))
 }
 
@@ -110,15 +114,19 @@
 // wherever it runs, and that they are for a job that runs on others.
 func TestJobThatFailsEverywhereIsBlamed(t *testing.T) {
 	cases := []struct {
-		name          string
-		runsElsewhere bool
+		name      string
+		elsewhere OtherRuns
 		// otherFailing is the number of workers that other jobs have failed on.
 		otherFailing int
-		wantBlamed   bool
+		// members is the number of the job's tasks that start together.
+		members    int
+		wantBlamed bool
 	}{
-		{"fails everywhere", false, 0, true},
-		{"runs elsewhere", true, 0, false},
-		{"fails everywhere during a wave", false, 8, false},
+		{"fails everywhere", NoneRuns, 0, 1, true},
+		{"runs elsewhere", OneRuns, 0, 1, false},
+		{"succeeds elsewhere", OneSucceeds, 0, 1, false},
+		{"fails everywhere during a wave", NoneRuns, 8, 1, false},
+		{"gang with many chances to fail", NoneRuns, 0, 18, false},
 	}
 	for _, c := range cases {
 		r := New()
@@ -127,7 +135,7 @@
 		}
 		blamed := false
 		for i := range 2 {
-			f := &Failure{Job: "bad", StartedAt: at(1000), Early: true, JobRunsElsewhere: c.runsElsewhere}
+			f := &Failure{Job: "bad", StartedAt: at(1000), Early: true, Members: c.members, Elsewhere: c.elsewhere}
 			blamed = r.RecordFailure(rackWorker(0, i), f, at(1050)).JobBlamed
 		}
 		require.Equal(t, c.wantBlamed, blamed, c.name)
@@ -142,10 +150,13 @@
 	bad := &Failure{Job: "bad", StartedAt: at(1000), Early: true}
 	r.RecordFailure(a, bad, at(1050))
 	fail(r, a, 1010)
-	require.True(t, r.RecordFailure(b, bad, at(1070)).JobBlamed)
+	require.Equal(t, Verdict{JobBlamed: true}, r.RecordFailure(b, bad, at(1070)), "a has another failure")
 	require.True(t, r.Suspected(a.ID, at(1100)))
 	require.False(t, r.Suspected(b.ID, at(1100)))
+	bad.Elsewhere = OneRuns
 	require.Equal(t, Verdict{}, r.RecordFailure(b, bad, at(1200)), "a blamed job's failures count no more")
+	bad.Elsewhere = OneSucceeds
+	require.True(t, r.RecordFailure(b, bad, at(1300)).Suspected, "unless a run of it succeeds")
 }
 
 // TestWaveIsSeenFromFirstFailures checks that two failing workers of many raise the caution for all
@@ -153,19 +164,19 @@
 func TestWaveIsSeenFromFirstFailures(t *testing.T) {
 	r := New()
 	unproven := rackWorker(3, 0)
-	require.True(t, r.Trusted(unproven, at(0)))
+	require.True(t, trusted(r, unproven, at(0)))
 	fail(r, rackWorker(0, 0), 1000)
 	require.False(t, r.UpdateWave(at(1050)))
 	fail(r, rackWorker(1, 0), 1001)
 	require.True(t, r.UpdateWave(at(1051)))
 	require.True(t, r.Wave())
-	require.False(t, r.Trusted(unproven, at(1051)))
+	require.False(t, trusted(r, unproven, at(1051)))
 	for i := range 100 {
 		r.RecordProgress(rackWorker(4+i, 0), at(1100), at(1200))
 	}
 	require.True(t, r.UpdateWave(at(1200)))
 	require.False(t, r.Wave())
-	require.True(t, r.Trusted(unproven, at(1200)))
+	require.True(t, trusted(r, unproven, at(1200)))
 }
 
 func TestWaveEndsWithoutFailures(t *testing.T) {
@@ -192,8 +203,8 @@
 		for i := range 80 {
 			r.RecordProgress(machine("good", i), at(1100), at(1200))
 		}
-		require.False(t, r.Trusted(machine("bad", 7), at(1200)))
-		require.True(t, r.Trusted(machine("good", 90), at(1200)))
+		require.False(t, trusted(r, machine("bad", 7), at(1200)))
+		require.True(t, trusted(r, machine("good", 90), at(1200)))
 	}
 }
 
--- a/internal/pool/cycle.go
+++ b/internal/pool/cycle.go
@@ -160,7 +160,7 @@
 		s.reserveEmptyWorkers(u, request)
 		return false
 	}
-	if !u.likelyPoison() && p.mayPreempt(s, u) && p.preemptFor(s, u, request) {
+	if !u.likelyPoison() && p.mayPreempt(s, u) && !p.waitsForHealth(s, u) && p.preemptFor(s, u, request) {
 		return false
 	}
 	if !p.options.DisabledMechanisms[mechanism.Reservations] {
@@ -177,6 +177,7 @@
 	}
 	p.countHealthDecision(s, u, places)
 	p.commitPlacement(u, workers)
+	p.updateWorkerHealth(s, places)
 	if u.suspectedOfCrashes() {
 		s.excludeWorkers(places)
 	}
--- a/internal/pool/preempt.go
+++ b/internal/pool/preempt.go
@@ -177,7 +177,7 @@
 // the free workers. It does so only if the unit can then meet its objective and the gain covers the
 // cost.
 func (p *Pool) preemptForFastWorkers(s *snapshot, u *unit, request *placement.Request) bool {
-	fast := restrict(request, func(i int) bool { return !s.workers[i].Slow && p.seemsHealthy(s.poolWorkers[i], s.now) })
+	fast := restrict(request, func(i int) bool { return !s.workers[i].Slow && !p.workerStates(s)[i].Suspected })
 	places, victims, loss := cheapestPreemption(s, s.localityGroups(u), fast)
 	if places == nil || loss > onTimeGain(u) || loss > 0 && u.slack(s.now) < p.options.Bounds.StopTimeout {
 		return false
--- a/internal/pool/reliability.go
+++ b/internal/pool/reliability.go
@@ -37,27 +37,44 @@
 	if verdict.JobBlamed {
 		p.record.Count("attempts", "job_blamed")
 		p.record.LogEvent("job fails on all workers", "job", u.job.id, "worker", w.ID)
+		p.readmit(verdict.Absolved)
 	}
 	if verdict.Suspected {
 		p.record.Count("attempts", "worker_suspected")
 		p.record.LogEvent("worker suspected", "worker", w.ID, "job", u.job.id)
 	}
 	if verdict.Excluded {
-		w.excludedUntil = now.Add(exclusionPeriod)
-		p.record.LogEvent("failing worker excluded", "worker", w.ID, "strikes", verdict.Failures)
+		p.excludeFailingWorker(w, verdict.Failures, now)
 	}
 	p.updateFailureWave()
 }
 
+// excludeFailingWorker gives a worker that failed several runs no new work for exclusionPeriod.
+func (p *Pool) excludeFailingWorker(w *worker, failures int, now time.Time) {
+	if !now.Before(w.failingUntil) {
+		p.record.LogEvent("failing worker excluded", "worker", w.ID, "strikes", failures)
+	}
+	w.failingUntil = now.Add(exclusionPeriod)
+}
+
+// readmit ends the exclusion of workers whose failures turned out not to be their own.
+func (p *Pool) readmit(ids []string) {
+	for _, id := range ids {
+		if w := p.workers[id]; w != nil {
+			w.failingUntil = time.Time{}
+		}
+	}
+}
+
 // runFailure describes the unit's run, which has just failed.
 func (p *Pool) runFailure(u *unit, now time.Time) *health.Failure {
-	failure := &health.Failure{Job: u.job.id, StartedAt: u.runStartedAt()}
+	failure := &health.Failure{Job: u.job.id, Members: len(u.members), StartedAt: u.runStartedAt()}
 	if failure.StartedAt.IsZero() {
 		return failure
 	}
 	runTime := now.Sub(failure.StartedAt)
 	failure.Early = health.FailsEarly(runTime, u.estimate(), u.fromCheckpoint)
-	failure.JobRunsElsewhere = u.outlivedByOthers(runTime, now)
+	failure.Elsewhere = u.otherRuns(runTime, now)
 	return failure
 }
 
@@ -69,21 +86,32 @@
 	return u.earlierStartAt
 }
 
-// outlivedByOthers reports whether another unit of the job has ended, or has been running for at
-// least runTime.
-func (u *unit) outlivedByOthers(runTime time.Duration, now time.Time) bool {
-	outlived := func(other *unit) bool {
-		running := other.state == unitActive && other.startedByThisOwner && !other.runningSince.IsZero()
-		return other != u && (other.state == unitEnded || running && now.Sub(other.startedAt) >= runTime)
-	}
+// otherRuns returns how the other units of a failed unit's job fare. The failed run took runTime.
+func (u *unit) otherRuns(runTime time.Duration, now time.Time) health.OtherRuns {
+	best := health.NoneRuns
 	for _, t := range u.job.repetitions {
 		for _, s := range t.steps {
-			if slices.ContainsFunc(s.units, outlived) {
-				return true
+			for _, other := range s.units {
+				if other != u {
+					best = max(best, other.fares(runTime, now))
+				}
 			}
 		}
 	}
-	return false
+	return best
+}
+
+// fares returns how the unit's present run fares, compared with one that failed after runTime.
+func (u *unit) fares(runTime time.Duration, now time.Time) health.OtherRuns {
+	progressed := func(m *member) bool { return m.percent > 0 }
+	running := u.state == unitActive && u.startedByThisOwner && !u.runningSince.IsZero()
+	switch {
+	case u.state == unitEnded, running && slices.ContainsFunc(u.members, progressed):
+		return health.OneSucceeds
+	case running && now.Sub(u.startedAt) >= runTime:
+		return health.OneRuns
+	}
+	return health.NoneRuns
 }
 
 // updateFailureWave logs when many workers begin or cease to fail at once.
--- a/internal/pool/snapshot.go
+++ b/internal/pool/snapshot.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/evacuation"
+	"github.com/wheatroad/wheatroad/internal/health"
 	"github.com/wheatroad/wheatroad/internal/placement"
 	"github.com/wheatroad/wheatroad/internal/taskgraph"
 )
@@ -19,6 +20,8 @@
 	running     []*unit
 	// utilization is the utilization of the pool's most used resource.
 	utilization float64
+	// workerHealth holds the workers' states of health; nil until they are needed.
+	workerHealth []health.WorkerState
 	// headroomWorkers holds, by priority, the workers that are kept free of deferrable units.
 	headroomWorkers [][]bool
 	// reservationsLeft is how many more units may reserve resources in this cycle.
@@ -157,7 +160,7 @@
 
 // usable reports whether a worker may take new work.
 func (p *Pool) usable(w *worker, now time.Time) bool {
-	return w.contacted && w.unansweredCalls == 0 && w.claimedIncarnation == nil && p.usageKnown(w, now) && !w.drainingOrUnlisted() && now.After(w.excludedUntil)
+	return w.contacted && w.unansweredCalls == 0 && w.claimedIncarnation == nil && p.usageKnown(w, now) && !w.drainingOrUnlisted() && now.After(w.excludedUntil) && now.After(w.failingUntil)
 }
 
 // placementUnit describes a unit that uses resources to package placement.
--- a/internal/pool/worker.go
+++ b/internal/pool/worker.go
@@ -10,9 +10,10 @@
 // machineState holds what is known of a worker's machine. It is kept when the worker restarts,
 // because a machine that fails or slows its runs keeps doing so.
 type machineState struct {
-	// excludedUntil is until when the worker gets no new work, and gangsExcludedUntil until when it
-	// gets no gangs.
+	// excludedUntil is until when the worker gets no new work, failingUntil the same because of failed
+	// runs, and gangsExcludedUntil until when it gets no gangs.
 	excludedUntil      time.Time
+	failingUntil       time.Time
 	gangsExcludedUntil time.Time
 	speed              speeds.Estimate
 	// restarts counts the restarts of the worker under its identifier since this owner's first
--- a/internal/pool/worker_health.go
+++ b/internal/pool/worker_health.go
@@ -20,11 +20,6 @@
 // cautious reports whether there is evidence of failing workers that placements consider.
 func (p *Pool) cautious(now time.Time) bool { return p.avoidsFailingWorkers() && p.health.Active(now) }
 
-// seemsHealthy reports whether a worker is no suspect, or suspects are not avoided.
-func (p *Pool) seemsHealthy(w *worker, now time.Time) bool {
-	return !p.avoidsFailingWorkers() || !p.health.Suspected(w.ID, now)
-}
-
 // healthyRequest returns the placement request of a unit, restricted to the workers that may be
 // given an attempt of the unit.
 func (p *Pool) healthyRequest(s *snapshot, u *unit) *placement.Request {
@@ -33,7 +28,8 @@
 	if requirement == health.AnyWorker {
 		return request
 	}
-	return restrict(request, func(i int) bool { return requirement.Admits(p.workerHealth(s.poolWorkers[i], s.now)) })
+	states := p.workerStates(s)
+	return restrict(request, func(i int) bool { return requirement.Admits(states[i]) })
 }
 
 // healthRequirement returns what a unit requires of its workers' health.
@@ -42,15 +38,24 @@
 	if !p.avoidsFailingWorkers() || !cautious && p.health.SuspectedWorkers(s.now) == 0 {
 		return health.AnyWorker
 	}
-	starvedFor := p.starvedFor(s, u)
 	attempt := health.Attempt{
 		Last: cautious && u.lastAttempt(), Spare: u.spareAttempt(), Members: len(u.members), FailingShare: p.health.FailingShare(s.now),
-		Slack: u.slack(s.now), Waited: s.now.Sub(u.readyAt), Starved: starvedFor > starvationTimeout, Overdue: starvedFor > overdueTimeout,
+		Slack: u.slack(s.now), Waited: s.now.Sub(u.readyAt), Starved: s.starved(u),
+	}
+	if attempt.Last && attempt.Starved {
+		starvedFor := p.starvedFor(s, u)
+		attempt.Starved, attempt.Overdue = starvedFor > starvationTimeout, starvedFor > overdueTimeout
+		attempt.ProofExpected = p.proofExpected(s)
 	}
-	attempt.ProofExpected = attempt.Last && attempt.Starved && p.proofExpected(s)
 	return attempt.Requirement()
 }
 
+// waitsForHealth reports whether a unit with attempts to spare has room on workers that are kept from
+// it only for their health. No other unit is preempted for it meanwhile.
+func (p *Pool) waitsForHealth(s *snapshot, u *unit) bool {
+	return !u.lastAttempt() && p.healthRequirement(s, u) != health.AnyWorker && placement.Fit(s.workers, s.racks.All, s.request(u)) != nil
+}
+
 // overdueTimeout is how long a last attempt may wait while much of the pool is free. It leaves half
 // a second of the three that the platform allows for the write and the start.
 const overdueTimeout = 2500 * time.Millisecond
@@ -58,7 +63,7 @@
 // starvedFor returns how long a unit has waited while much of the pool was free. It returns 0 once
 // the placements of this cycle have used the pool.
 func (p *Pool) starvedFor(s *snapshot, u *unit) time.Duration {
-	if !s.starved(u) || p.underusedSince.IsZero() || utilizationOf(s.poolWorkers, s.workers) >= idleUtilization {
+	if p.underusedSince.IsZero() || utilizationOf(s.poolWorkers, s.workers) >= idleUtilization {
 		return 0
 	}
 	return min(s.now.Sub(u.readyAt), s.now.Sub(p.underusedSince))
@@ -67,8 +72,7 @@
 // proofExpected reports whether a run has just started on a worker that is neither proven nor a
 // suspect, so that the worker may soon be proven.
 func (p *Pool) proofExpected(s *snapshot) bool {
-	return slices.ContainsFunc(s.poolWorkers, func(w *worker) bool {
-		state := p.workerHealth(w, s.now)
+	return slices.ContainsFunc(p.workerStates(s), func(state health.WorkerState) bool {
 		return state.OnTrial && !state.Proven && !state.Suspected
 	})
 }
@@ -83,10 +87,34 @@
 	}
 }
 
-// workerHealth returns the state of a worker that requirements ask for.
-func (p *Pool) workerHealth(w *worker, now time.Time) health.WorkerState {
-	state := health.WorkerState{Proven: p.health.Proven(w.ID, now), Suspected: p.health.Suspected(w.ID, now)}
-	state.Doubtful = state.Suspected || p.health.Wave() && !p.health.Trusted(w.machine(), now)
+// workerStates returns the health of the snapshot's workers. All are trusted if there is no evidence,
+// or if failing workers are not avoided.
+func (p *Pool) workerStates(s *snapshot) []health.WorkerState {
+	if s.workerHealth == nil {
+		s.workerHealth = make([]health.WorkerState, len(s.workers))
+		for i := range s.workerHealth {
+			s.workerHealth[i] = p.workerState(s.poolWorkers[i], s.now)
+		}
+	}
+	return s.workerHealth
+}
+
+// updateWorkerHealth updates the health of workers that were given new runs.
+func (p *Pool) updateWorkerHealth(s *snapshot, places []int) {
+	if s.workerHealth == nil {
+		return
+	}
+	for _, i := range places {
+		s.workerHealth[i] = p.workerState(s.poolWorkers[i], s.now)
+	}
+}
+
+// workerState returns the health of a worker.
+func (p *Pool) workerState(w *worker, now time.Time) health.WorkerState {
+	if !p.avoidsFailingWorkers() || p.health.Empty() {
+		return health.WorkerState{Trusted: true}
+	}
+	state := p.health.WorkerState(w.machine(), now)
 	for _, m := range w.members {
 		if m.unit.state == unitCommitting || m.unit.state == unitActive && health.IsTrial(m.unit.startedAt, now) {
 			state.OnTrial = true
@@ -100,11 +128,12 @@
 // as slow as its slowest member and fails if any member fails. A unit that has failed before should
 // not lose another attempt to a failing worker.
 func (p *Pool) workerPreferences(s *snapshot, u *unit) []func(i int) bool {
-	notFailing := func(i int) bool { return p.seemsHealthy(s.poolWorkers[i], s.now) }
+	states := p.workerStates(s)
+	notFailing := func(i int) bool { return !states[i].Suspected }
 	fast := func(i int) bool { return notFailing(i) && !s.workers[i].Slow }
 	measuredFast := func(i int) bool { return fast(i) && p.speedKnown(s.poolWorkers[i]) }
-	trusted := func(i int) bool { return p.health.Trusted(s.poolWorkers[i].machine(), s.now) }
-	proven := func(i int) bool { return p.health.Proven(s.poolWorkers[i].ID, s.now) }
+	trusted := func(i int) bool { return states[i].Trusted }
+	proven := func(i int) bool { return states[i].Proven }
 	trustedFast := func(i int) bool { return fast(i) && trusted(i) }
 	gang := u.spec().Gang && len(u.members) > 1
 	cautious := p.cautious(s.now)
@@ -147,12 +176,11 @@
 		p.record.Count("attempts", "held")
 	}
 	for _, place := range places {
-		w := s.poolWorkers[place]
-		switch {
-		case u.lastAttempt() && !p.health.Proven(w.ID, s.now):
+		switch state := p.workerStates(s)[place]; {
+		case u.lastAttempt() && !state.Proven:
 			p.record.Count("attempts", "last_attempt_staked")
 			return
-		case p.health.Suspected(w.ID, s.now):
+		case state.Suspected:
 			p.record.Count("attempts", "suspect_tried")
 			return
 		}
--- a/internal/pool/worker_health_test.go
+++ b/internal/pool/worker_health_test.go
@@ -45,6 +45,9 @@
 	require.Positive(t, w.Checker.Metrics["attempts/held"])
 }
 
+// platformIdleLimit is how long a task may wait at most while the pool is under half used.
+const platformIdleLimit = 3 * time.Second
+
 // TestLastAttemptsDoNotWaitForEver checks that last attempts are staked in the end if no worker is
 // healthy.
 func TestLastAttemptsDoNotWaitForEver(t *testing.T) {
@@ -54,7 +57,9 @@
 	}
 	w.AcquirePool()
 	w.Submit(spec(1, singleTaskStep(1)), twoAttempts)
-	w.Run(16 * time.Second)
+	w.Run(platformIdleLimit)
+	require.Equal(t, 2, w.Checker.Starts(taskgraph.TaskName{Job: jobID(1)}), "an idle pool must not let a task wait")
+	w.Run(time.Second)
 	requireInvariants(t, w)
 	require.Equal(t, taskgraph.Failed, w.StoredState(jobID(1)))
 	require.Positive(t, w.Checker.Metrics["attempts/last_attempt_staked"])
@@ -88,6 +93,26 @@
 	}
 }
 
+// TestWideJobThatFailsEverywhereExcludesNoWorkers checks that a job whose tasks all fail takes no
+// workers from other jobs.
+func TestWideJobThatFailsEverywhereExcludesNoWorkers(t *testing.T) {
+	w := simulation.NewCluster(1, 4)
+	for _, worker := range w.Workers {
+		worker.Failing = true
+	}
+	w.AcquirePool()
+	w.Submit(spec(1, singleTaskStep(32)), twoAttempts)
+	w.Run(500 * time.Millisecond)
+	for _, worker := range w.Workers {
+		worker.Failing = false
+	}
+	w.Submit(spec(2, singleTaskStep(32)), batch)
+	w.Run(2 * time.Second)
+	requireInvariants(t, w)
+	require.Equal(t, taskgraph.Failed, w.StoredState(jobID(1)))
+	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(2)))
+}
+
 // TestJobThatFailsEverywhereLeavesWorkersUnsuspected checks that the workers are not avoided for a
 // job whose tasks fail on each of them.
 func TestJobThatFailsEverywhereLeavesWorkersUnsuspected(t *testing.T) {
