Health: what no longer matters is forgotten, nothing is learned while no worker fails

Cause: proofs of health were refreshed long after the failures were over, so the record was never empty again, and suspects that were tried after that were not counted.

Change: the record is pruned with each tick; progress counts only while workers fail or for a worker that has failed.

--- a/internal/health/record.go
+++ b/internal/health/record.go
@@ -103,10 +103,10 @@
 // whether the worker was a suspect and is none any more.
 func (r *Record) RecordProgress(machine Machine, startedAt, now time.Time) (cleared bool) {
 	w := r.workers[machine.ID]
+	if (w == nil || w.failures == 0) && (!r.Active(now) || !startedAt.After(r.onset)) {
+		return false
+	}
 	if w == nil {
-		if !r.Active(now) || !startedAt.After(r.onset) {
-			return false
-		}
 		w = r.worker(machine)
 	}
 	suspected := w.suspected(now)
@@ -118,7 +118,7 @@
 
 // RecordFailure records a failed run.
 func (r *Record) RecordFailure(machine Machine, f *Failure, now time.Time) Verdict {
-	r.prune(now)
+	r.Prune(now)
 	j := r.job(f.Job)
 	blamed, absolved := r.blameJob(j, machine, f, now)
 	if j.blamed {
@@ -196,8 +196,14 @@
 	return r.counted
 }
 
-// prune forgets workers and jobs of which nothing is known any more.
-func (r *Record) prune(now time.Time) {
+// Prune forgets workers, jobs and failures that no longer matter.
+func (r *Record) Prune(now time.Time) {
+	if r.Empty() {
+		return
+	}
+	if !r.Active(now) {
+		r.onset, r.lastFailureAt, r.assumed = time.Time{}, time.Time{}, false
+	}
 	maps.DeleteFunc(r.workers, func(_ string, w *workerRecord) bool {
 		return now.Sub(w.failedAt) >= forgetPeriod && now.Sub(w.healthyAt) >= forgetPeriod
 	})
--- a/internal/health/record_test.go
+++ b/internal/health/record_test.go
@@ -219,3 +219,22 @@
 	require.True(t, r.Proven(a.ID, at(1200)))
 	require.False(t, r.Active(at(1000).Add(quietPeriod)))
 }
+
+// TestRecordBecomesEmpty checks that nothing is kept for ever, and nothing learned while no worker
+// fails.
+func TestRecordBecomesEmpty(t *testing.T) {
+	r, a, b := New(), rackWorker(0, 0), rackWorker(0, 1)
+	r.RecordProgress(b, at(0), at(100))
+	require.True(t, r.Empty())
+	fail(r, a, 1000)
+	r.RecordProgress(b, at(1100), at(1200))
+	over := at(1100).Add(quietPeriod)
+	r.RecordProgress(b, over, over)
+	r.Prune(over)
+	require.False(t, r.Empty())
+	require.True(t, r.Suspected(a.ID, over))
+	late := at(1100).Add(forgetPeriod)
+	r.Prune(late)
+	require.True(t, r.Empty())
+	require.Empty(t, r.jobs)
+}
--- a/internal/health/section.go
+++ b/internal/health/section.go
@@ -105,7 +105,7 @@
 			r.workers[w.ID] = w.restore(exportedAt)
 		}
 	}
-	r.prune(now)
+	r.Prune(now)
 	return nil
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -196,7 +196,7 @@
 	p.pollOverdueStops()
 	p.checkDrains()
 	p.checkUnits()
-	p.updateFailureWave()
+	p.checkHealth()
 	p.removeExpiredJobs()
 	p.refreshEstimates()
 	p.scheduleCycle()
--- a/internal/pool/reliability.go
+++ b/internal/pool/reliability.go
@@ -114,6 +114,12 @@
 	return health.NoneRuns
 }
 
+// checkHealth forgets what no longer matters of the workers' health.
+func (p *Pool) checkHealth() {
+	p.health.Prune(p.loop.Now())
+	p.updateFailureWave()
+}
+
 // updateFailureWave logs when many workers begin or cease to fail at once.
 func (p *Pool) updateFailureWave() {
 	now := p.loop.Now()
--- a/internal/pool/worker_health.go
+++ b/internal/pool/worker_health.go
@@ -169,7 +169,7 @@
 
 // countHealthDecision counts placements that the workers' health has decided.
 func (p *Pool) countHealthDecision(s *snapshot, u *unit, places []int) {
-	if !p.cautious(s.now) {
+	if !p.avoidsFailingWorkers() || p.health.Empty() {
 		return
 	}
 	if u.lastWaitReason() == waitHealth {
@@ -177,7 +177,7 @@
 	}
 	for _, place := range places {
 		switch state := p.workerStates(s)[place]; {
-		case u.lastAttempt() && !state.Proven:
+		case u.lastAttempt() && !state.Proven && p.cautious(s.now):
 			p.record.Count("attempts", "last_attempt_staked")
 			return
 		case state.Suspected:
