--- a/internal/health/attempt_test.go
+++ b/internal/health/attempt_test.go
@@ -23,6 +23,8 @@
 		{"last attempt without slack", last, func(a *Attempt) { a.Slack = 0 }, ProvenOnly},
 		{"last attempt without slack that has waited", last, func(a *Attempt) { a.Slack, a.Waited = 0, minProofWait }, Unsuspected},
 		{"starved last attempt", last, func(a *Attempt) { a.Starved = true }, Unstaked},
+		{"starved last attempt while others are on trial", last, func(a *Attempt) { a.Starved, a.ProofExpected = true, true }, ProvenOnly},
+		{"overdue last attempt", last, func(a *Attempt) { a.Starved, a.ProofExpected, a.Overdue = true, true, true }, Unstaked},
 		{"task with attempts to spare", gang, func(a *Attempt) { a.Members = 1 }, SuspectsOnTrial},
 		{"starved task with attempts to spare", gang, func(a *Attempt) { a.Members, a.Starved = 1, true }, AnyWorker},
 		{"gang in a wave", gang, func(*Attempt) {}, ProvenOnly},
