Health: preemption and guaranteed starts no longer wait for workers' health

Cause: waitsForHealth asked only whether the unrestricted request fits somewhere, so a gang that waited for one rack stopped nobody as long as there was a suspect. It also kept an only attempt from preempting, which waited up to 13 s for a worker without failures, and nothing regarded a guaranteed start that was due, nor the trials of a suspect by a guaranteed job of several tasks.

Change: waitsForHealth repeats the search for a placement, with locality, reservations and isolation, without regard to health, and applies only to units with attempts to spare. A unit whose guarantee is due takes any worker. An only attempt of priority 0 waits at most 2 s.

Failed first: TestSuspectDoesNotDelayPreemption (none of 4 tasks started), TestUrgentOnlyAttemptStartsInTime, TestGuaranteedTasksShareSuspect (3 of 8 tasks started after 3 s).

--- a/internal/health/attempt.go
+++ b/internal/health/attempt.go
@@ -15,6 +15,9 @@
 	minProofWait = time.Second
 	// maxUnsuspectedWait is how long a last attempt waits for a worker that has not failed.
 	maxUnsuspectedWait = maxProofWait + 3*time.Second
+	// maxUrgentWait is how long the only attempt of an urgent job waits for a worker that has not
+	// failed. It leaves a second of the three within which a guaranteed job starts.
+	maxUrgentWait = 2 * time.Second
 	// A gang with attempts to spare waits at most maxGangWait, a third of the time within which a
 	// guaranteed start is due, and at most gangWaitShare of its slack, so that it can be retried in
 	// time.
@@ -35,6 +38,8 @@
 	// Last is true for a retry whose failure ends the job. Spare is true if the job survives a
 	// failure. Neither is true for the only attempt.
 	Last, Spare bool
+	// Urgent is true if the job has priority 0.
+	Urgent bool
 	// Members is the number of tasks that start together, and so the highest number of workers used.
 	Members int
 	// FailingShare is the share of failing workers among those that are not proven.
@@ -81,12 +86,20 @@
 		return AnyWorker
 	case a.gangWaits():
 		return Unsuspected
-	case !a.Spare && a.Waited < maxUnsuspectedWait:
+	case !a.Spare && a.Waited < a.maxOnlyAttemptWait():
 		return Unsuspected
 	}
 	return SuspectsOnTrial
 }
 
+// maxOnlyAttemptWait returns how long an only attempt waits for a worker that has not failed.
+func (a *Attempt) maxOnlyAttemptWait() time.Duration {
+	if a.Urgent {
+		return maxUrgentWait
+	}
+	return maxUnsuspectedWait
+}
+
 // waitsForProof reports whether a last attempt still waits for a proven worker.
 func (a *Attempt) waitsForProof() bool {
 	if a.Starved {
--- a/internal/health/attempt_test.go
+++ b/internal/health/attempt_test.go
@@ -33,6 +33,8 @@
 		{"gang with few failing workers", gang, func(a *Attempt) { a.FailingShare = 0.01 }, Unsuspected},
 		{"starved gang", gang, func(a *Attempt) { a.Starved = true }, AnyWorker},
 		{"only attempt", gang, func(a *Attempt) { a.Spare, a.Members = false, 1 }, Unsuspected},
+		{"urgent only attempt", gang, func(a *Attempt) { a.Spare, a.Members, a.Urgent, a.Waited = false, 1, true, maxUrgentWait-1 }, Unsuspected},
+		{"urgent only attempt at the end of its wait", gang, func(a *Attempt) { a.Spare, a.Members, a.Urgent, a.Waited = false, 1, true, maxUrgentWait }, SuspectsOnTrial},
 		{"only attempt at the end of its wait", gang, func(a *Attempt) { a.Spare, a.Members, a.Waited = false, 1, maxUnsuspectedWait }, SuspectsOnTrial},
 	}
 	for _, c := range cases {
--- a/internal/pool/worker_health.go
+++ b/internal/pool/worker_health.go
@@ -41,19 +41,26 @@
 	attempt := health.Attempt{
 		Last: cautious && u.lastAttempt(), Spare: u.spareAttempt(), Members: len(u.members), FailingShare: p.health.FailingShare(s.now),
 		Slack: u.slack(s.now), Waited: s.now.Sub(u.readyAt), Starved: s.starved(u),
+		Urgent: u.job.Queue.Priority == 0,
 	}
 	if attempt.Last && attempt.Starved {
 		starvedFor := p.starvedFor(s, u)
 		attempt.Starved, attempt.Overdue = starvedFor > starvationTimeout, starvedFor > overdueTimeout
 		attempt.ProofExpected = p.proofExpected(s)
 	}
-	return attempt.Requirement()
+	if requirement := attempt.Requirement(); requirement == health.AnyWorker || !p.guaranteeDue(s, u) {
+		return requirement
+	}
+	return health.AnyWorker
 }
 
-// waitsForHealth reports whether a unit with attempts to spare has room on workers that are kept from
-// it only for their health. No other unit is preempted for it meanwhile.
+// waitsForHealth reports whether a unit with attempts to spare, which could not be placed, could be
+// placed at once if the health of workers were ignored. No other unit is preempted for it meanwhile.
 func (p *Pool) waitsForHealth(s *snapshot, u *unit) bool {
-	return !u.lastAttempt() && p.healthRequirement(s, u) != health.AnyWorker && placement.Fit(s.workers, s.racks.All, s.request(u)) != nil
+	if !u.spareAttempt() || p.healthRequirement(s, u) == health.AnyWorker {
+		return false
+	}
+	return p.findPlacement(s, u, s.request(u)) != nil
 }
 
 // overdueTimeout is how long a last attempt may wait while much of the pool is free. It leaves half
--- a/internal/pool/worker_health_test.go
+++ b/internal/pool/worker_health_test.go
@@ -1,6 +1,7 @@
 package pool_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -128,3 +129,108 @@
 	require.Equal(t, 1, w.Checker.Metrics["attempts/job_blamed"])
 	require.Zero(t, owner.Summary().SuspectedWorkers)
 }
+
+// oneAttempt and urgentOneAttempt are queues without retries.
+var (
+	oneAttempt       = catalog.Queue{Name: "one-attempt", Priority: 2, MaxAttempts: 1, Stretch: 3, TargetMillis: 3000}
+	urgentOneAttempt = catalog.Queue{Name: "urgent-one-attempt", Priority: 0, MaxAttempts: 1, Stretch: 1.5, TargetMillis: 250}
+)
+
+// lateProgress is the duration of a run that reports its first progress, one percent, after 6 s.
+const lateProgress = 10 * time.Minute
+
+// clusterWithSuspect returns a cluster on which full workers of each rack are taken by job 0, and on
+// which one of the other workers has failed a run of job 1 and has recovered. Runs of job 2 take lateProgress.
+func clusterWithSuspect(t *testing.T, racks, perRack, full int) *simulation.Cluster {
+	t.Helper()
+	w := simulation.NewCluster(racks, perRack)
+	w.Work = func(name taskgraph.TaskName) time.Duration {
+		if name.Job == jobID(2) {
+			return lateProgress
+		}
+		return time.Minute
+	}
+	steps := make([]taskgraph.Step, racks)
+	for rack := range steps {
+		steps[rack] = singleTaskStep(full)
+		steps[rack].GPUs = simulation.WorkerCapacity.GPUs
+		steps[rack].RequiredLabel = fmt.Sprint("r-", rack)
+	}
+	w.Submit(spec(0, steps...), batch)
+	w.AcquirePool()
+	w.Run(time.Second)
+	setFailing(w, func(worker *simulation.Worker) bool { return worker.Runs() == 0 })
+	w.Submit(spec(1, singleTaskStep(1)), oneAttempt)
+	w.Run(300 * time.Millisecond)
+	require.Equal(t, taskgraph.Failed, w.StoredState(jobID(1)))
+	require.Equal(t, 1, w.Checker.Metrics["attempts/worker_suspected"])
+	setFailing(w, func(*simulation.Worker) bool { return false })
+	return w
+}
+
+// setFailing makes workers fail their runs, and the others not.
+func setFailing(w *simulation.Cluster, failing func(*simulation.Worker) bool) {
+	for _, worker := range w.Workers {
+		worker.Failing = failing(worker)
+	}
+}
+
+// guaranteeAll guarantees the tenant of all jobs more than the pool has.
+func guaranteeAll(w *simulation.Cluster) {
+	w.Catalog.Tenants = []catalog.Tenant{{Name: "tenant", Guaranteed: taskgraph.Resources{GPUs: 1000}}}
+}
+
+// startedTasks returns how many tasks of a job's first step have been started.
+func startedTasks(w *simulation.Cluster, n, tasks int) int {
+	started := 0
+	for i := range tasks {
+		if w.Checker.Starts(taskgraph.TaskName{Job: jobID(n), Index: i}) > 0 {
+			started++
+		}
+	}
+	return started
+}
+
+// TestSuspectDoesNotDelayPreemption checks that a unit that waits for something else than healthy
+// workers preempts others as it does without suspects: a gang needs one rack, and the suspect would
+// not give it one.
+func TestSuspectDoesNotDelayPreemption(t *testing.T) {
+	w := clusterWithSuspect(t, 2, 5, 3)
+	guaranteeAll(w)
+	gang := gangStep(4)
+	gang.SameRack, gang.EstimateMillis = true, 4000
+	w.Submit(spec(2, gang), urgent)
+	w.Run(time.Second)
+	requireInvariants(t, w)
+	require.Equal(t, 4, startedTasks(w, 2, 4))
+	require.Positive(t, w.Checker.MaxPreemptions())
+}
+
+// TestUrgentOnlyAttemptStartsInTime checks that an urgent task without retries does not wait long
+// while the only free worker is a suspect.
+func TestUrgentOnlyAttemptStartsInTime(t *testing.T) {
+	for _, guaranteed := range []bool{false, true} {
+		w := clusterWithSuspect(t, 1, 4, 3)
+		if guaranteed {
+			guaranteeAll(w)
+		}
+		w.Submit(spec(2, singleTaskStep(1)), urgentOneAttempt)
+		w.Run(w.Bounds.GuaranteedStartTimeout)
+		requireInvariants(t, w)
+		require.Equal(t, 1, startedTasks(w, 2, 1), "guaranteed: %v", guaranteed)
+	}
+}
+
+// TestGuaranteedTasksShareSuspect checks that a guaranteed job of several tasks does not wait for the
+// trials of a suspect.
+func TestGuaranteedTasksShareSuspect(t *testing.T) {
+	w := clusterWithSuspect(t, 1, 4, 3)
+	guaranteeAll(w)
+	const tasks = 8
+	step := singleTaskStep(tasks)
+	step.EstimateMillis = lateProgress.Milliseconds()
+	w.Submit(spec(2, step), urgent)
+	w.Run(w.Bounds.GuaranteedStartTimeout)
+	requireInvariants(t, w)
+	require.Equal(t, tasks, startedTasks(w, 2, tasks))
+}
