Health: an overdue last attempt is placed on any worker

Cause: an overdue last attempt still required a worker without another pending last attempt, so with more last attempts than unproven workers most of them started after the 3 s that an idle pool is allowed.

Change: an overdue last attempt requires nothing. It prefers proven workers, then those without failures, and among each the ones with the fewest pending last attempts, which are now counted. "Staked" is renamed to pending, the counter last_attempt_staked to last_attempt_unproven.

--- a/internal/health/attempt.go
+++ b/internal/health/attempt.go
@@ -11,7 +11,7 @@
 	// proved itself by then is not about to.
 	maxProofWait = 10 * time.Second
 	// minProofWait is how long a last attempt waits without slack: about the start of another run
-	// and its first progress. A late job is still worth more than a failed one.
+	// and its first progress.
 	minProofWait = time.Second
 	// maxUnsuspectedWait is how long a last attempt waits for a worker that has not failed.
 	maxUnsuspectedWait = maxProofWait + 3*time.Second
@@ -29,7 +29,8 @@
 	// cautionChance is the chance of a failure from which other workers are preferred. At one in
 	// twenty, a gang on eight such workers fails one time in three.
 	cautionChance = 0.05
-	// evenChance is the chance of a failure from which an attempt fails rather than not.
+	// evenChance is the chance of a failure from which an attempt is more likely to fail than to
+	// succeed.
 	evenChance = 0.5
 )
 
@@ -63,9 +64,10 @@
 	AnyWorker Requirement = iota
 	// SuspectsOnTrial requires that a suspect has no other trial under way.
 	SuspectsOnTrial
-	// Unstaked requires a proven worker, or one on which no other last attempt has just started.
-	Unstaked
-	// Unsuspected requires Unstaked and that the worker is no suspect.
+	// NoPendingLastAttempt requires a proven worker, or one on which no other last attempt has just
+	// started.
+	NoPendingLastAttempt
+	// Unsuspected requires NoPendingLastAttempt, and a proven worker or one that is no suspect.
 	Unsuspected
 	// ProvenOnly requires a proven worker.
 	ProvenOnly
@@ -74,14 +76,16 @@
 // Requirement returns what the attempt requires now.
 func (a *Attempt) Requirement() Requirement {
 	switch {
-	case a.Last && a.Starved && a.ProofExpected && !a.Overdue:
+	case a.Last && a.Overdue:
+		return AnyWorker
+	case a.Last && a.Starved && a.ProofExpected:
 		return ProvenOnly
-	case a.Last && a.waitsForProof(), a.gangWaits() && a.failsRather():
+	case a.Last && a.waitsForProof(), a.gangWaits() && a.likelyToFail():
 		return ProvenOnly
 	case a.Last && !a.Starved && a.Waited < maxUnsuspectedWait:
 		return Unsuspected
 	case a.Last:
-		return Unstaked
+		return NoPendingLastAttempt
 	case a.Starved:
 		return AnyWorker
 	case a.gangWaits():
@@ -108,8 +112,8 @@
 	return a.Waited < minProofWait || a.Slack > 0 && a.Waited < maxProofWait
 }
 
-// failsRather reports whether an attempt on unproven workers would fail rather than not.
-func (a *Attempt) failsRather() bool {
+// likelyToFail reports whether an attempt on unproven workers is more likely to fail than to succeed.
+func (a *Attempt) likelyToFail() bool {
 	return math.Pow(1-a.FailingShare, float64(a.Members)) < 1-evenChance
 }
 
@@ -127,8 +131,10 @@
 	// Doubtful is true for suspects, and for workers in a wave that are neither proven nor unlikely
 	// to fail.
 	Doubtful bool
-	// OnTrial is true if a run has just started there, and Staked if one that is a last attempt has.
-	OnTrial, Staked bool
+	// OnTrial is true if a run has just started there.
+	OnTrial bool
+	// PendingLastAttempts counts the last attempts that have just started there.
+	PendingLastAttempts int
 }
 
 // Admits reports whether a worker meets the requirement.
@@ -136,10 +142,10 @@
 	switch r {
 	case SuspectsOnTrial:
 		return !w.Doubtful || !w.OnTrial
-	case Unstaked:
-		return w.Proven || !w.Staked
+	case NoPendingLastAttempt:
+		return w.Proven || w.PendingLastAttempts == 0
 	case Unsuspected:
-		return w.Proven || !w.Staked && !w.Suspected
+		return w.Proven || w.PendingLastAttempts == 0 && !w.Suspected
 	case ProvenOnly:
 		return w.Proven
 	}
--- a/internal/pool/worker_health.go
+++ b/internal/pool/worker_health.go
@@ -125,7 +125,9 @@
 	for _, m := range w.members {
 		if m.unit.state == unitCommitting || m.unit.state == unitActive && health.IsTrial(m.unit.startedAt, now) {
 			state.OnTrial = true
-			state.Staked = state.Staked || m.unit.lastAttempt()
+			if m.unit.lastAttempt() {
+				state.PendingLastAttempts++
+			}
 		}
 	}
 	return state
@@ -165,7 +167,7 @@
 // workers fail, the unit takes the best of them.
 func (p *Pool) findStarvedPlacement(s *snapshot, u *unit, request *placement.Request) []int {
 	if p.cautious(s.now) {
-		for _, preferred := range p.workerPreferences(s, u) {
+		for _, preferred := range p.starvedPreferences(s, u) {
 			if places := p.findAnyPlacement(s, u, restrict(request, preferred)); places != nil {
 				return places
 			}
@@ -174,6 +176,36 @@
 	return p.findAnyPlacement(s, u, request)
 }
 
+// starvedPreferences returns the preferred workers of a starved unit, the narrowest choice first. A
+// last attempt prefers proven workers, then those without failures, and among each the ones with the
+// fewest pending last attempts.
+func (p *Pool) starvedPreferences(s *snapshot, u *unit) []func(i int) bool {
+	if !u.lastAttempt() {
+		return p.workerPreferences(s, u)
+	}
+	states := p.workerStates(s)
+	proven := func(i int) bool { return states[i].Proven }
+	trusted := func(i int) bool { return states[i].Trusted }
+	notFailing := func(i int) bool { return !states[i].Suspected }
+	anyWorker := func(int) bool { return true }
+	preferences := []func(i int) bool{proven}
+	for _, preferred := range []func(i int) bool{trusted, notFailing, anyWorker} {
+		for limit := range mostPendingLastAttempts(states) + 1 {
+			preferences = append(preferences, func(i int) bool { return preferred(i) && states[i].PendingLastAttempts <= limit })
+		}
+	}
+	return preferences
+}
+
+// mostPendingLastAttempts returns the highest number of pending last attempts on one worker.
+func mostPendingLastAttempts(states []health.WorkerState) int {
+	most := 0
+	for i := range states {
+		most = max(most, states[i].PendingLastAttempts)
+	}
+	return most
+}
+
 // countHealthDecision counts placements that the workers' health has decided.
 func (p *Pool) countHealthDecision(s *snapshot, u *unit, places []int) {
 	if !p.avoidsFailingWorkers() || p.health.Empty() {
@@ -185,7 +217,7 @@
 	for _, place := range places {
 		switch state := p.workerStates(s)[place]; {
 		case u.lastAttempt() && !state.Proven && p.cautious(s.now):
-			p.record.Count("attempts", "last_attempt_staked")
+			p.record.Count("attempts", "last_attempt_unproven")
 			return
 		case state.Suspected:
 			p.record.Count("attempts", "suspect_tried")
