Health: a failed run is compared with runs of its own step only

Cause: an ended unit of any earlier step counted as a success elsewhere, so a job whose second step fails on all workers was never blamed and its workers were suspected. Cancelled units of a failed job counted as well. Each failure visited all units of the job, so that a wide job that fails everywhere cost the square of its units.

Change: the comparison is with the same step over all repetitions; a success is counted by the step's ended units. At most four runs are compared, selected anew after 25 ms. The names of health.OtherRuns and of the verdict's cleared workers are plain, and Failures has its own comment.

Failed first: TestLaterStepThatFailsEverywhereIsBlamed.

--- a/internal/health/job.go
+++ b/internal/health/job.go
@@ -38,8 +38,8 @@
 // blameJob weighs whether a failure is the job's fault or the worker's. The job is to blame if it
 // runs nowhere, and if it is less likely that all workers on which it failed do so themselves. It
 // reports whether the job has just been found to blame; its earlier failures are then withdrawn
-// from the workers, and blameJob returns those that are absolved by that.
-func (r *Record) blameJob(j *jobRecord, machine Machine, f *Failure, now time.Time) (blamed bool, absolved []string) {
+// from the workers, and blameJob returns those that have no failures left.
+func (r *Record) blameJob(j *jobRecord, machine Machine, f *Failure, now time.Time) (blamed bool, cleared []string) {
 	counts, known := j.failures[machine.ID]
 	if !known {
 		others := r.tallyWorkers(f.Job, now)
@@ -49,7 +49,7 @@
 	j.failedAt = now
 	wasBlamed := j.blamed
 	unlikely := len(j.failures) > 0 && j.coincidence < jobFaultPrior
-	j.blamed = f.Elsewhere == NoneRuns && unlikely || f.Elsewhere < OneSucceeds && wasBlamed
+	j.blamed = f.Elsewhere == NoOtherRun && unlikely || f.Elsewhere < OtherRunSucceeds && wasBlamed
 	if j.blamed && !wasBlamed {
 		return true, r.withdraw(f.Job, j)
 	}
@@ -74,7 +74,7 @@
 
 // withdraw removes a job's failures from the records of its workers. It returns the workers that
 // have no failures left.
-func (r *Record) withdraw(job string, j *jobRecord) (absolved []string) {
+func (r *Record) withdraw(job string, j *jobRecord) (cleared []string) {
 	for id, counts := range j.failures {
 		w := r.workers[id]
 		if w == nil || w.failures == 0 || w.failedJob != job && w.failedJob != "" {
@@ -82,16 +82,16 @@
 		}
 		w.withdraw(counts.all, counts.early)
 		if w.failures == 0 {
-			absolved = append(absolved, id)
+			cleared = append(cleared, id)
 		}
 	}
 	j.failures = map[string]jobFailures{}
 	r.counted = nil
 	for _, w := range r.workers {
 		if w.earlyFailures > 0 {
-			return absolved
+			return cleared
 		}
 	}
 	r.onset, r.lastFailureAt = time.Time{}, time.Time{}
-	return absolved
+	return cleared
 }
--- a/internal/health/record.go
+++ b/internal/health/record.go
@@ -40,33 +40,35 @@
 	StartedAt time.Time
 	// Early is true if the run failed soon after its start.
 	Early bool
-	// Elsewhere is how the job's other runs fare.
+	// Elsewhere is how the other runs of the step fare.
 	Elsewhere OtherRuns
 }
 
-// OtherRuns says how the other runs of a failed run's job fare.
+// OtherRuns says how the other runs of a failed run's step fare, over all repetitions of the job.
 type OtherRuns int
 
 const (
-	// NoneRuns: none has been running for as long as the failed run.
-	NoneRuns OtherRuns = iota
-	// OneRuns: one has, and may fail yet.
-	OneRuns
-	// OneSucceeds: one has made progress or ended done.
-	OneSucceeds
+	// NoOtherRun: no other run has lasted as long as the failed one.
+	NoOtherRun OtherRuns = iota
+	// OtherRunLasts: another run has lasted as long, and may fail yet.
+	OtherRunLasts
+	// OtherRunSucceeds: another run has made progress or ended done.
+	OtherRunSucceeds
 )
 
 // Verdict is what a failure says about a worker and a job.
 type Verdict struct {
 	// Suspected is true if the worker has become a suspect.
 	Suspected bool
-	// Excluded is true if the worker should get no work for some time. Failures counts its failures.
+	// Excluded is true if the worker should get no work for some time.
 	Excluded bool
+	// Failures counts the worker's failures since it was last known to be healthy. It is 0 if the
+	// failure is the job's fault.
 	Failures int
-	// JobBlamed is true if the job, not its workers, has turned out to be at fault. Absolved are the
-	// workers that have no failures left.
+	// JobBlamed is true if the job, not its workers, has turned out to be at fault.
 	JobBlamed bool
-	Absolved  []string
+	// Cleared holds the workers that have no failures left once those of the job are withdrawn.
+	Cleared []string
 }
 
 // Record is the record of a pool's workers. The zero value is not usable; see New.
@@ -120,9 +122,9 @@
 func (r *Record) RecordFailure(machine Machine, f *Failure, now time.Time) Verdict {
 	r.Prune(now)
 	j := r.job(f.Job)
-	blamed, absolved := r.blameJob(j, machine, f, now)
+	blamed, cleared := r.blameJob(j, machine, f, now)
 	if j.blamed {
-		return Verdict{JobBlamed: blamed, Absolved: absolved}
+		return Verdict{JobBlamed: blamed, Cleared: cleared}
 	}
 	w := r.worker(machine)
 	suspected := w.suspected(now)
--- a/internal/health/record_test.go
+++ b/internal/health/record_test.go
@@ -18,7 +18,7 @@
 
 // fail records the early failure of a run of a job that also runs elsewhere.
 func fail(r *Record, machine Machine, startMillis int) Verdict {
-	f := &Failure{Job: fmt.Sprint("job of ", machine.ID, startMillis), StartedAt: at(startMillis), Early: true, Elsewhere: OneSucceeds}
+	f := &Failure{Job: fmt.Sprint("job of ", machine.ID, startMillis), StartedAt: at(startMillis), Early: true, Elsewhere: OtherRunSucceeds}
 	return r.RecordFailure(machine, f, at(startMillis+failureTime))
 }
 
@@ -104,9 +104,9 @@
 // a worker is still excluded after several.
 func TestLateFailureIsNoEvidenceOfFailingWorkers(t *testing.T) {
 	r, a := New(), rackWorker(0, 0)
-	require.Equal(t, Verdict{Failures: 1}, r.RecordFailure(a, &Failure{Job: "a", StartedAt: at(0), Elsewhere: OneSucceeds}, at(4000)))
+	require.Equal(t, Verdict{Failures: 1}, r.RecordFailure(a, &Failure{Job: "a", StartedAt: at(0), Elsewhere: OtherRunSucceeds}, at(4000)))
 	require.False(t, r.Active(at(4000)))
-	require.Equal(t, Verdict{Excluded: true, Failures: 2}, r.RecordFailure(a, &Failure{Job: "b", StartedAt: at(0), Elsewhere: OneSucceeds}, at(4100)))
+	require.Equal(t, Verdict{Excluded: true, Failures: 2}, r.RecordFailure(a, &Failure{Job: "b", StartedAt: at(0), Elsewhere: OtherRunSucceeds}, at(4100)))
 	require.Zero(t, r.SuspectedWorkers(at(4100)))
 }
 
@@ -122,11 +122,11 @@
 		members    int
 		wantBlamed bool
 	}{
-		{"fails everywhere", NoneRuns, 0, 1, true},
-		{"runs elsewhere", OneRuns, 0, 1, false},
-		{"succeeds elsewhere", OneSucceeds, 0, 1, false},
-		{"fails everywhere during a wave", NoneRuns, 8, 1, false},
-		{"gang with many chances to fail", NoneRuns, 0, 18, false},
+		{"fails everywhere", NoOtherRun, 0, 1, true},
+		{"runs elsewhere", OtherRunLasts, 0, 1, false},
+		{"succeeds elsewhere", OtherRunSucceeds, 0, 1, false},
+		{"fails everywhere during a wave", NoOtherRun, 8, 1, false},
+		{"gang with many chances to fail", NoOtherRun, 0, 18, false},
 	}
 	for _, c := range cases {
 		r := New()
@@ -153,9 +153,9 @@
 	require.Equal(t, Verdict{JobBlamed: true}, r.RecordFailure(b, bad, at(1070)), "a has another failure")
 	require.True(t, r.Suspected(a.ID, at(1100)))
 	require.False(t, r.Suspected(b.ID, at(1100)))
-	bad.Elsewhere = OneRuns
+	bad.Elsewhere = OtherRunLasts
 	require.Equal(t, Verdict{}, r.RecordFailure(b, bad, at(1200)), "a blamed job's failures count no more")
-	bad.Elsewhere = OneSucceeds
+	bad.Elsewhere = OtherRunSucceeds
 	require.True(t, r.RecordFailure(b, bad, at(1300)).Suspected, "unless a run of it succeeds")
 }
 
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -84,6 +84,8 @@
 	// waitReasonAt.
 	waitReason   waitReason
 	waitReasonAt time.Time
+	// compared holds the runs that failed runs are compared with.
+	compared comparison
 	// cohort compares the durations of the step's tasks.
 	cohort speeds.Cohort
 }
--- a/internal/pool/reliability.go
+++ b/internal/pool/reliability.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -37,7 +38,7 @@
 	if verdict.JobBlamed {
 		p.record.Count("attempts", "job_blamed")
 		p.record.LogEvent("job fails on all workers", "job", u.job.id, "worker", w.ID)
-		p.readmit(verdict.Absolved)
+		p.readmit(verdict.Cleared)
 	}
 	if verdict.Suspected {
 		p.record.Count("attempts", "worker_suspected")
@@ -86,19 +87,58 @@
 	return u.earlierStartAt
 }
 
-// otherRuns returns how the other units of a failed unit's job fare. The failed run took runTime.
+const (
+	// comparisonPeriod is how long the runs that failed runs are compared with stay selected, and
+	// comparedRuns their number. They bound the cost of the failures of a wide step.
+	comparisonPeriod = 25 * time.Millisecond
+	comparedRuns     = 4
+)
+
+// comparison holds the runs of a step, over all repetitions, that failed runs are compared with.
+type comparison struct {
+	// units hold the runs that have made progress, or else started first.
+	units []*unit
+	// succeeded is true if a unit has ended done.
+	succeeded  bool
+	selectedAt time.Time
+}
+
+// otherRuns returns how the other runs of a failed unit's step fare, over all repetitions. The failed
+// run took runTime. Other steps run other work and tell nothing about this one.
 func (u *unit) otherRuns(runTime time.Duration, now time.Time) health.OtherRuns {
-	best := health.NoneRuns
+	compared := &u.step.compared
+	if compared.selectedAt.IsZero() || now.Sub(compared.selectedAt) >= comparisonPeriod {
+		*compared = u.selectComparison(now)
+	}
+	if compared.succeeded {
+		return health.OtherRunSucceeds
+	}
+	best := health.NoOtherRun
+	for _, other := range compared.units {
+		if other != u {
+			best = max(best, other.fares(runTime, now))
+		}
+	}
+	return best
+}
+
+// selectComparison selects the runs that failed runs of the unit's step are compared with.
+func (u *unit) selectComparison(now time.Time) comparison {
+	selected := comparison{selectedAt: now}
 	for _, t := range u.job.repetitions {
-		for _, s := range t.steps {
-			for _, other := range s.units {
-				if other != u {
-					best = max(best, other.fares(runTime, now))
-				}
+		s := t.steps[u.step.index]
+		selected.succeeded = selected.succeeded || s.ended > 0 || s.complete
+		for _, other := range s.units {
+			if other.fares(0, now) > health.NoOtherRun {
+				selected.units = append(selected.units, other)
 			}
 		}
 	}
-	return best
+	slices.SortFunc(selected.units, func(a, b *unit) int {
+		return cmp.Or(cmp.Compare(b.fares(0, now), a.fares(0, now)), a.startedAt.Compare(b.startedAt))
+	})
+	selected.units = slices.Clone(selected.units[:min(len(selected.units), comparedRuns)])
+	return selected
 }
 
 // fares returns how the unit's present run fares, compared with one that failed after runTime.
@@ -106,12 +146,12 @@
 	progressed := func(m *member) bool { return m.percent > 0 }
 	running := u.state == unitActive && u.startedByThisOwner && !u.runningSince.IsZero()
 	switch {
-	case u.state == unitEnded, running && slices.ContainsFunc(u.members, progressed):
-		return health.OneSucceeds
+	case running && slices.ContainsFunc(u.members, progressed):
+		return health.OtherRunSucceeds
 	case running && now.Sub(u.startedAt) >= runTime:
-		return health.OneRuns
+		return health.OtherRunLasts
 	}
-	return health.NoneRuns
+	return health.NoOtherRun
 }
 
 // checkHealth forgets what no longer matters of the workers' health.
--- a/internal/pool/worker_health_test.go
+++ b/internal/pool/worker_health_test.go
@@ -258,3 +258,20 @@
 		require.Equal(t, 2, w.Checker.Starts(taskgraph.TaskName{Job: jobID(n)}), "job %d", n)
 	}
 }
+
+// TestLaterStepThatFailsEverywhereIsBlamed checks that the success of an earlier step does not hide
+// that all runs of a later one fail.
+func TestLaterStepThatFailsEverywhereIsBlamed(t *testing.T) {
+	w := simulation.NewCluster(1, 6)
+	owner := w.AcquirePool()
+	later := singleTaskStep(1)
+	later.After = []int{0}
+	w.Submit(spec(1, singleTaskStep(1), later), batch)
+	w.Run(700 * time.Millisecond)
+	setFailing(w, func(*simulation.Worker) bool { return true })
+	w.Run(8 * time.Second)
+	requireInvariants(t, w)
+	require.Equal(t, taskgraph.Failed, w.StoredState(jobID(1)))
+	require.Equal(t, 1, w.Checker.Metrics["attempts/job_blamed"])
+	require.Zero(t, owner.Summary().SuspectedWorkers)
+}
