Health: a single job begins no wave

Cause: two early failures of one job on two workers began a wave, in which all unproven workers are trusted less, though the job itself may be at fault; a bad gang is seldom blamed within its attempts.

Change: a wave takes suspects that failed runs of different jobs.

Failed first: TestSingleJobBeginsNoWave.

--- a/internal/health/chance.go
+++ b/internal/health/chance.go
@@ -31,6 +31,20 @@
 	pool            tally
 	racks, versions map[string]tally
 	suspects        int
+	// severalJobs is true if the suspects have failed runs of different jobs, and suspectJob is the
+	// job of the suspects counted so far.
+	severalJobs bool
+	suspectJob  string
+}
+
+// addSuspect counts a suspect. The job is empty if the suspect has failed several jobs, or if they are
+// not known.
+func (t *tallies) addSuspect(job string) {
+	if job == "" || t.suspects > 0 && job != t.suspectJob {
+		t.severalJobs = true
+	}
+	t.suspects++
+	t.suspectJob = job
 }
 
 // tallyWorkers counts the known workers. Failures of exceptJob don't count, unless it is empty.
@@ -38,7 +52,7 @@
 	counted := tallies{racks: map[string]tally{}, versions: map[string]tally{}}
 	for _, w := range r.workers {
 		if w.suspected(now) {
-			counted.suspects++
+			counted.addSuspect(w.failedJob)
 		}
 		var added tally
 		switch {
--- a/internal/health/record_test.go
+++ b/internal/health/record_test.go
@@ -179,6 +179,31 @@
 	require.True(t, trusted(r, unproven, at(1200)))
 }
 
+// TestSingleJobBeginsNoWave checks that a wave takes the failures of two jobs, since a single job may
+// be at fault itself.
+func TestSingleJobBeginsNoWave(t *testing.T) {
+	r := New()
+	failJob := func(job string, worker int) {
+		f := &Failure{Job: job, Members: 18, StartedAt: at(1000), Early: true, Elsewhere: OtherRunLasts}
+		r.RecordFailure(rackWorker(0, worker), f, at(1050))
+	}
+	for worker := range 3 {
+		failJob("a", worker)
+	}
+	require.Equal(t, 3, r.SuspectedWorkers(at(1050)))
+	require.False(t, r.UpdateWave(at(1050)))
+	failJob("b", 3)
+	require.True(t, r.UpdateWave(at(1051)))
+}
+
+// TestJobsOfOneWorkerBeginNoWave checks that a wave takes several workers, too.
+func TestJobsOfOneWorkerBeginNoWave(t *testing.T) {
+	r := New()
+	fail(r, rackWorker(0, 0), 1000)
+	fail(r, rackWorker(0, 0), 1100)
+	require.False(t, r.UpdateWave(at(1200)))
+}
+
 func TestWaveEndsWithoutFailures(t *testing.T) {
 	r := New()
 	for i := range 5 {
--- a/internal/health/wave.go
+++ b/internal/health/wave.go
@@ -4,8 +4,8 @@
 
 const (
 	// waveWorkers is the number of suspects, and waveShare the share of failing workers, from which
-	// failures are a wave. Two workers that fail within evidenceHalfLife have seldom done so by
-	// chance.
+	// failures of several jobs are a wave. Two workers that fail within evidenceHalfLife have seldom
+	// done so by chance. The failures of a single job may be its own fault.
 	waveWorkers = 2
 	waveShare   = cautionChance
 	// waveOverShare is the share below which a wave is over. It is lower than waveShare, so that one
@@ -18,7 +18,7 @@
 	share := r.FailingShare(now)
 	wave := r.Active(now) && share >= waveOverShare
 	if !r.wave {
-		wave = r.Active(now) && share >= waveShare && r.SuspectedWorkers(now) >= waveWorkers
+		wave = r.Active(now) && share >= waveShare && r.SuspectedWorkers(now) >= waveWorkers && r.tallies(now).severalJobs
 	}
 	changed = wave != r.wave
 	r.wave = wave
