Health: a gang that fails everywhere is blamed within four attempts

Cause: the chance that one of a gang's members fails by its worker was taken as the sum of the members' chances. 18 members then needed five workers, while attempts are two to four.

Change: the chance that at least one of the members fails.

Failed first: TestBadGangIsBlamedWithinItsAttempts.

--- a/internal/health/job.go
+++ b/internal/health/job.go
@@ -1,6 +1,9 @@
 package health
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// jobFaultPrior is the assumed share of jobs that fail wherever they run.
@@ -44,7 +47,7 @@
 	if !known {
 		others := r.tallyWorkers(f.Job, now)
 		chance := max(minFailureChance, others.chance(r.recordWithout(machine.ID, f.Job), machine, now))
-		j.coincidence *= min(1, float64(max(1, f.Members))*chance)
+		j.coincidence *= 1 - math.Pow(1-chance, float64(max(1, f.Members)))
 	}
 	j.failedAt = now
 	wasBlamed := j.blamed
--- a/internal/health/record_test.go
+++ b/internal/health/record_test.go
@@ -144,6 +144,17 @@
 	}
 }
 
+// TestBadGangIsBlamedWithinItsAttempts checks that four failures blame a gang of 18.
+func TestBadGangIsBlamedWithinItsAttempts(t *testing.T) {
+	r := New()
+	const attempts = 4
+	for i := range attempts {
+		f := &Failure{Job: "bad", StartedAt: at(1000), Early: true, Members: 18}
+		require.Equal(t, i == attempts-1, r.RecordFailure(rackWorker(0, i), f, at(1050)).JobBlamed, "failure %d", i+1)
+	}
+	require.Zero(t, r.SuspectedWorkers(at(1050)))
+}
+
 // TestBlamedJobLeavesOtherEvidence checks that a blamed job's failures are withdrawn, and no others.
 func TestBlamedJobLeavesOtherEvidence(t *testing.T) {
 	r, a, b := New(), rackWorker(0, 0), rackWorker(1, 0)
