Health: nothing is determined without failures, units are told apart by requirement

Cause: workerPreferences determined the states of all workers also when nothing was known of them, and the wait reason took one more search over all workers. Utilization, expected proofs and guarantees were determined anew for each unit. A unit that could not be placed kept the others of its step from being tried, although requirements depend on how long each has waited.

Change: states are determined only if failures are known and avoided; the search for the wait reason only if health restricts the unit. Utilization and expected proofs are kept until the next placement, guarantees for the cycle. The requirement is part of the equivalence class.

--- a/internal/pool/cycle.go
+++ b/internal/pool/cycle.go
@@ -60,7 +60,7 @@
 		if u.state != unitWaiting || p.failPoisonJob(u) {
 			continue
 		}
-		class := classOf(u)
+		class := p.classOf(s, u)
 		if unplaceable[class] {
 			continue
 		}
@@ -171,6 +171,7 @@
 
 func (p *Pool) assignTo(s *snapshot, u *unit, request *placement.Request, places []int) {
 	placement.Reserve(s.workers, places, request.Resources)
+	s.presentUtilization = nil
 	workers := make([]*worker, len(places))
 	for i, place := range places {
 		workers[i] = s.poolWorkers[place]
--- a/internal/pool/preempt.go
+++ b/internal/pool/preempt.go
@@ -51,6 +51,7 @@
 // preempt stops the victims and reserves the workers on which the unit will start.
 func (p *Pool) preempt(s *snapshot, u *unit, request *placement.Request, places, victims []int) {
 	s.reallocate(victims, places, request.Resources)
+	s.presentUtilization = nil
 	if len(victims) > 0 {
 		p.preemptionBackoffPriority = u.job.Queue.Priority
 		p.preemptionBackoffUntil = s.now.Add(preemptionBackoff)
@@ -110,7 +111,15 @@
 // guaranteeDue reports whether the tenant's guarantee requires the unit to start now.
 func (p *Pool) guaranteeDue(s *snapshot, u *unit) bool {
 	latest := u.job.acceptedAt.Add(p.options.Bounds.GuaranteedStartTimeout - p.options.Bounds.StopTimeout - guaranteeMargin)
-	return s.now.After(latest.Add(-tickInterval)) && p.withinGuarantee(u.job)
+	if !s.now.After(latest.Add(-tickInterval)) {
+		return false
+	}
+	guaranteed, known := s.guaranteed[u.job]
+	if !known {
+		guaranteed = p.withinGuarantee(u.job)
+		s.guaranteed[u.job] = guaranteed
+	}
+	return guaranteed
 }
 
 // startGain returns the gain of starting a unit, in core-seconds.
--- a/internal/pool/snapshot.go
+++ b/internal/pool/snapshot.go
@@ -22,6 +22,12 @@
 	utilization float64
 	// workerHealth holds the workers' states of health; nil until they are needed.
 	workerHealth []health.WorkerState
+	// proofExpected is what Pool.proofExpected has found, and presentUtilization the utilization with
+	// the placements of this cycle. Both are nil until they are needed, and after a placement.
+	proofExpected      *bool
+	presentUtilization *float64
+	// guaranteed holds whether jobs are within their tenant's guarantee, for those asked about.
+	guaranteed map[*job]bool
 	// headroomWorkers holds, by priority, the workers that are kept free of deferrable units.
 	headroomWorkers [][]bool
 	// reservationsLeft is how many more units may reserve resources in this cycle.
@@ -37,15 +43,16 @@
 	unreserved taskgraph.Resources
 }
 
-// equivalenceClass identifies units with the same requirements. If a cycle cannot place one unit of
+// equivalenceClass identifies units with the same requirements, also of their workers' health. If a cycle cannot place one unit of
 // a class, it cannot place the others either.
 type equivalenceClass struct {
-	step *step
-	gang bool
+	step   *step
+	gang   bool
+	health health.Requirement
 }
 
-func classOf(u *unit) equivalenceClass {
-	return equivalenceClass{step: u.step, gang: u.spec().Gang}
+func (p *Pool) classOf(s *snapshot, u *unit) equivalenceClass {
+	return equivalenceClass{step: u.step, gang: u.spec().Gang, health: p.healthRequirement(s, u)}
 }
 
 // snapshotBuffers keeps the buffers of the last snapshot for the next one, since allocating
@@ -66,7 +73,7 @@
 	buffers := &p.snapshotBuffers
 	buffers.generation++
 	s := &snapshot{
-		now: p.loop.Now(), reservationsLeft: reservationLimit, reservations: map[int]reservation{}, headroomWorkers: make([][]bool, len(headroomShares)),
+		now: p.loop.Now(), reservationsLeft: reservationLimit, reservations: map[int]reservation{}, guaranteed: map[*job]bool{}, headroomWorkers: make([][]bool, len(headroomShares)),
 		workers: buffers.workers[:0], poolWorkers: buffers.poolWorkers[:0], units: buffers.units[:0], running: buffers.running[:0],
 	}
 	zones, fresh := p.evacuatedZones(), p.evacuationsFresh(s.now)
--- a/internal/pool/wait_reasons.go
+++ b/internal/pool/wait_reasons.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/fleet"
+	"github.com/wheatroad/wheatroad/internal/health"
 	"github.com/wheatroad/wheatroad/internal/placement"
 )
 
@@ -50,7 +51,7 @@
 
 func (p *Pool) findWaitReason(s *snapshot, u *unit, request *placement.Request) waitReason {
 	if placement.Fit(s.workers, s.racks.All, request) == nil {
-		if placement.Fit(s.workers, s.racks.All, s.request(u)) != nil {
+		if p.healthRequirement(s, u) != health.AnyWorker && placement.Fit(s.workers, s.racks.All, s.request(u)) != nil {
 			return waitHealth
 		}
 		if placement.Fit(p.workersIgnoringEvacuations(s), s.racks.All, request) != nil {
--- a/internal/pool/worker_health.go
+++ b/internal/pool/worker_health.go
@@ -17,6 +17,9 @@
 	return !p.options.DisabledMechanisms[mechanism.FailedWorkerAvoidance]
 }
 
+// knowsHealth reports whether anything is known of the workers' health that placements consider.
+func (p *Pool) knowsHealth() bool { return p.avoidsFailingWorkers() && !p.health.Empty() }
+
 // cautious reports whether there is evidence of failing workers that placements consider.
 func (p *Pool) cautious(now time.Time) bool { return p.avoidsFailingWorkers() && p.health.Active(now) }
 
@@ -70,18 +73,32 @@
 // starvedFor returns how long a unit has waited while much of the pool was free. It returns 0 once
 // the placements of this cycle have used the pool.
 func (p *Pool) starvedFor(s *snapshot, u *unit) time.Duration {
-	if p.underusedSince.IsZero() || utilizationOf(s.poolWorkers, s.workers) >= idleUtilization {
+	if p.underusedSince.IsZero() || s.utilizationNow() >= idleUtilization {
 		return 0
 	}
 	return min(s.now.Sub(u.readyAt), s.now.Sub(p.underusedSince))
 }
 
+// utilizationNow returns the utilization of the pool's most used resource with the placements of this
+// cycle.
+func (s *snapshot) utilizationNow() float64 {
+	if s.presentUtilization == nil {
+		utilization := utilizationOf(s.poolWorkers, s.workers)
+		s.presentUtilization = &utilization
+	}
+	return *s.presentUtilization
+}
+
 // proofExpected reports whether a run has just started on a worker that is neither proven nor a
 // suspect, so that the worker may soon be proven.
 func (p *Pool) proofExpected(s *snapshot) bool {
-	return slices.ContainsFunc(p.workerStates(s), func(state health.WorkerState) bool {
-		return state.OnTrial && !state.Proven && !state.Suspected
-	})
+	if s.proofExpected == nil {
+		expected := slices.ContainsFunc(p.workerStates(s), func(state health.WorkerState) bool {
+			return state.OnTrial && !state.Proven && !state.Suspected
+		})
+		s.proofExpected = &expected
+	}
+	return *s.proofExpected
 }
 
 // updateUnderusedSince updates since when much of the pool is free.
@@ -111,6 +128,7 @@
 	if s.workerHealth == nil {
 		return
 	}
+	s.proofExpected = nil
 	for _, i := range places {
 		s.workerHealth[i] = p.workerState(s.poolWorkers[i], s.now)
 	}
@@ -118,7 +136,7 @@
 
 // workerState returns the health of a worker.
 func (p *Pool) workerState(w *worker, now time.Time) health.WorkerState {
-	if !p.avoidsFailingWorkers() || p.health.Empty() {
+	if !p.knowsHealth() {
 		return health.WorkerState{Trusted: true}
 	}
 	state := p.health.WorkerState(w.machine(), now)
@@ -137,8 +155,11 @@
 // as slow as its slowest member and fails if any member fails. A unit that has failed before should
 // not lose another attempt to a failing worker.
 func (p *Pool) workerPreferences(s *snapshot, u *unit) []func(i int) bool {
-	states := p.workerStates(s)
-	notFailing := func(i int) bool { return !states[i].Suspected }
+	var states []health.WorkerState
+	if p.knowsHealth() {
+		states = p.workerStates(s)
+	}
+	notFailing := func(i int) bool { return states == nil || !states[i].Suspected }
 	fast := func(i int) bool { return notFailing(i) && !s.workers[i].Slow }
 	measuredFast := func(i int) bool { return fast(i) && p.speedKnown(s.poolWorkers[i]) }
 	trusted := func(i int) bool { return states[i].Trusted }
@@ -208,7 +229,7 @@
 
 // countHealthDecision counts placements that the workers' health has decided.
 func (p *Pool) countHealthDecision(s *snapshot, u *unit, places []int) {
-	if !p.avoidsFailingWorkers() || p.health.Empty() {
+	if !p.knowsHealth() {
 		return
 	}
 	if u.lastWaitReason() == waitHealth {
