Attempts: preferences of overdue last attempts are searched only if there is room

Cause: a starved last attempt that found no room searched all workers once for each number of pending last attempts.

Change: the search without preferences comes first, and the numbers of pending last attempts are regarded only if any worker is allowed. TestManyLastAttemptsStartInIdlePool also checks that the attempts are spread over the workers; without the preference by pending last attempts it fails (8 on one worker in place of 4).

--- a/internal/pool/worker_health.go
+++ b/internal/pool/worker_health.go
@@ -187,21 +187,23 @@
 // findStarvedPlacement returns workers for a starved unit, ignoring reservations and headroom. While
 // workers fail, the unit takes the best of them.
 func (p *Pool) findStarvedPlacement(s *snapshot, u *unit, request *placement.Request) []int {
-	if p.cautious(s.now) {
-		for _, preferred := range p.starvedPreferences(s, u) {
-			if places := p.findAnyPlacement(s, u, restrict(request, preferred)); places != nil {
-				return places
-			}
+	anyPlaces := p.findAnyPlacement(s, u, request)
+	if anyPlaces == nil || !p.cautious(s.now) {
+		return anyPlaces
+	}
+	for _, preferred := range p.starvedPreferences(s, u) {
+		if places := p.findAnyPlacement(s, u, restrict(request, preferred)); places != nil {
+			return places
 		}
 	}
-	return p.findAnyPlacement(s, u, request)
+	return anyPlaces
 }
 
 // starvedPreferences returns the preferred workers of a starved unit, the narrowest choice first. A
-// last attempt prefers proven workers, then those without failures, and among each the ones with the
+// last attempt that may use any worker prefers proven workers, then those without failures, and among each the ones with the
 // fewest pending last attempts.
 func (p *Pool) starvedPreferences(s *snapshot, u *unit) []func(i int) bool {
-	if !u.lastAttempt() {
+	if !u.lastAttempt() || p.healthRequirement(s, u) != health.AnyWorker {
 		return p.workerPreferences(s, u)
 	}
 	states := p.workerStates(s)
--- a/internal/pool/worker_health_test.go
+++ b/internal/pool/worker_health_test.go
@@ -236,7 +236,7 @@
 }
 
 // TestManyLastAttemptsStartInIdlePool checks that last attempts start in time when they outnumber the
-// workers, none of which has proved itself.
+// workers, none of which has proved itself, and that they are spread over the workers.
 func TestManyLastAttemptsStartInIdlePool(t *testing.T) {
 	w := simulation.NewCluster(1, 3)
 	w.Work = func(taskgraph.TaskName) time.Duration { return 5 * time.Second }
@@ -257,6 +257,9 @@
 	for n := 1; n <= jobs; n++ {
 		require.Equal(t, 2, w.Checker.Starts(taskgraph.TaskName{Job: jobID(n)}), "job %d", n)
 	}
+	for _, worker := range w.Workers[3:] {
+		require.Equal(t, jobs/6, worker.Runs(), worker.ID)
+	}
 }
 
 // TestLaterStepThatFailsEverywhereIsBlamed checks that the success of an earlier step does not hide
