--- a/internal/pool/reliability.go
+++ b/internal/pool/reliability.go
@@ -1,74 +1,178 @@
 package pool
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
-	"github.com/wheatroad/wheatroad/internal/mechanism"
+	"github.com/wheatroad/wheatroad/internal/health"
 	"github.com/wheatroad/wheatroad/internal/placement"
 )
 
 // Handling of failed runs. A run may fail because of its job, at any time. It may also fail because
-// its worker fails all runs, usually soon after their start. The worker is known to be healthy once
-// a run that started after the worker's last failure makes progress.
+// its worker fails all runs, usually soon after their start. Package health decides which of the
+// two it was and which workers an attempt may use; this file gathers the evidence and carries the
+// decisions out.
+
+// exclusionPeriod is how long a worker that failed or stalled gets no new work.
+const exclusionPeriod = 6 * time.Second
+
+// machine identifies the worker in the record of health.
+func (w *worker) machine() health.Machine { return health.Machine{ID: w.ID, Rack: w.rack} }
+
+// recordRunProgress records that the unit's present run made progress on a worker or ended done.
+// The start of a run is known exactly only to the owner that started it.
+func (p *Pool) recordRunProgress(w *worker, u *unit) {
+	if !u.startedByThisOwner || !p.health.RecordProgress(w.machine(), u.startedAt, p.loop.Now()) {
+		return
+	}
+	p.record.Count("attempts", "worker_cleared")
+	p.record.LogEvent("worker no longer suspected", "worker", w.ID)
+}
+
+// recordRunFailure records a failed run of a unit, and excludes the worker once it has failed often
+// enough.
+func (p *Pool) recordRunFailure(w *worker, u *unit) {
+	now := p.loop.Now()
+	verdict := p.health.RecordFailure(w.machine(), p.runFailure(u, now), now)
+	if verdict.JobBlamed {
+		p.record.Count("attempts", "job_blamed")
+		p.record.LogEvent("job fails on all workers", "job", u.job.id, "worker", w.ID)
+		p.readmit(verdict.Cleared)
+	}
+	if verdict.Suspected {
+		p.record.Count("attempts", "worker_suspected")
+		p.record.LogEvent("worker suspected", "worker", w.ID, "job", u.job.id)
+	}
+	if verdict.Excluded {
+		p.excludeFailingWorker(w, verdict.Failures, now)
+	}
+	p.updateFailureWave()
+}
+
+// excludeFailingWorker gives a worker that failed several runs no new work for exclusionPeriod.
+func (p *Pool) excludeFailingWorker(w *worker, failures int, now time.Time) {
+	if !now.Before(w.failingUntil) {
+		p.record.LogEvent("failing worker excluded", "worker", w.ID, "strikes", failures)
+	}
+	w.failingUntil = now.Add(exclusionPeriod)
+}
+
+// readmit ends the exclusion of workers whose failures turned out not to be their own.
+func (p *Pool) readmit(ids []string) {
+	for _, id := range ids {
+		if w := p.workers[id]; w != nil {
+			w.failingUntil = time.Time{}
+		}
+	}
+}
+
+// runFailure describes the unit's run, which has just failed.
+func (p *Pool) runFailure(u *unit, now time.Time) *health.Failure {
+	failure := &health.Failure{Job: u.job.id, Members: len(u.members), StartedAt: u.runStartedAt()}
+	if failure.StartedAt.IsZero() {
+		return failure
+	}
+	runTime := now.Sub(failure.StartedAt)
+	failure.Early = health.FailsEarly(runTime, u.estimate(), u.fromCheckpoint)
+	failure.Elsewhere = u.otherRuns(runTime, now)
+	return failure
+}
+
+// runStartedAt returns the start of the unit's present run; the zero time if it is unknown.
+func (u *unit) runStartedAt() time.Time {
+	if u.startedByThisOwner {
+		return u.startedAt
+	}
+	return u.earlierStartAt
+}
+
 const (
-	// failureLimit is the number of failures, since a worker was last known to be healthy, from
-	// which the worker is excluded.
-	failureLimit = 2
-	// exclusionPeriod is how long a worker that failed or stalled gets no new work.
-	exclusionPeriod = 6 * time.Second
-	// An early failure is attributed to the worker. A failure is early before earlyFailureLimit and
-	// before earlyFailureShare of the expected duration have passed. For a run resumed from a
-	// checkpoint both limits are extended by restoreAllowance, for the time of the restore.
-	earlyFailureShare = 0.1
-	earlyFailureLimit = 500 * time.Millisecond
-	restoreAllowance  = 700 * time.Millisecond
-	// healthyPeriod is how long a worker counts as recently healthy. It begins with the start of a
-	// run that made progress.
-	healthyPeriod = 3 * time.Second
+	// comparisonPeriod is how long the runs that failed runs are compared with stay selected, and
+	// comparedRuns their number. They bound the cost of the failures of a wide step.
+	comparisonPeriod = 25 * time.Millisecond
+	comparedRuns     = 4
 )
 
-// reliability is the record of a worker's failures.
-type reliability struct {
-	// failures counts the failed runs since the worker was last known to be healthy. earlyFailures
-	// counts the runs among them that failed early.
-	failures      int
-	earlyFailures int
-	failedAt      time.Time
-	// healthyAt is the latest start of a run that made progress or completed.
-	healthyAt time.Time
+// comparison holds the runs of a step, over all repetitions, that failed runs are compared with.
+type comparison struct {
+	// units hold the runs that have made progress, or else started first.
+	units []*unit
+	// succeeded is true if a unit has ended done.
+	succeeded  bool
+	selectedAt time.Time
 }
 
-// recordProgress records that a run with the given start made progress.
-func (r *reliability) recordProgress(startedAt time.Time) {
-	if startedAt.After(r.failedAt) {
-		r.failures, r.earlyFailures = 0, 0
+// otherRuns returns how the other runs of a failed unit's step fare, over all repetitions. The failed
+// run took runTime. Other steps run other work and tell nothing about this one.
+func (u *unit) otherRuns(runTime time.Duration, now time.Time) health.OtherRuns {
+	compared := &u.step.compared
+	if compared.selectedAt.IsZero() || now.Sub(compared.selectedAt) >= comparisonPeriod {
+		*compared = u.selectComparison(now)
+	}
+	if compared.succeeded {
+		return health.OtherRunSucceeds
 	}
-	if startedAt.After(r.healthyAt) {
-		r.healthyAt = startedAt
+	best := health.NoOtherRun
+	for _, other := range compared.units {
+		if other != u {
+			best = max(best, other.fares(runTime, now))
+		}
 	}
+	return best
 }
 
-// failsEarly reports whether the worker seems to fail all runs.
-func (r *reliability) failsEarly() bool { return r.earlyFailures > 0 }
+// selectComparison selects the runs that failed runs of the unit's step are compared with.
+func (u *unit) selectComparison(now time.Time) comparison {
+	selected := comparison{selectedAt: now}
+	for _, t := range u.job.repetitions {
+		s := t.steps[u.step.index]
+		selected.succeeded = selected.succeeded || s.ended > 0 || s.complete
+		for _, other := range s.units {
+			if other.fares(0, now) > health.NoOtherRun {
+				selected.units = append(selected.units, other)
+			}
+		}
+	}
+	slices.SortFunc(selected.units, func(a, b *unit) int {
+		return cmp.Or(cmp.Compare(b.fares(0, now), a.fares(0, now)), a.startedAt.Compare(b.startedAt))
+	})
+	selected.units = slices.Clone(selected.units[:min(len(selected.units), comparedRuns)])
+	return selected
+}
 
-// recentlyHealthy reports whether the worker was recently known to be healthy.
-func (r *reliability) recentlyHealthy(now time.Time) bool {
-	return r.failures == 0 && now.Sub(r.healthyAt) < healthyPeriod
+// fares returns how the unit's present run fares, compared with one that failed after runTime.
+func (u *unit) fares(runTime time.Duration, now time.Time) health.OtherRuns {
+	progressed := func(m *member) bool { return m.percent > 0 }
+	running := u.state == unitActive && u.startedByThisOwner && !u.runningSince.IsZero()
+	switch {
+	case running && slices.ContainsFunc(u.members, progressed):
+		return health.OtherRunSucceeds
+	case running && now.Sub(u.startedAt) >= runTime:
+		return health.OtherRunLasts
+	}
+	return health.NoOtherRun
 }
 
-// recordRunFailure records a failed run of a unit, and excludes the worker once it has failureLimit
-// failures.
-func (p *Pool) recordRunFailure(w *worker, u *unit) {
+// checkHealth forgets what no longer matters of the workers' health.
+func (p *Pool) checkHealth() {
+	p.health.Prune(p.loop.Now())
+	p.updateFailureWave()
+}
+
+// updateFailureWave logs when many workers begin or cease to fail at once.
+func (p *Pool) updateFailureWave() {
 	now := p.loop.Now()
-	w.reliability.failures++
-	if u.failedEarly(now) {
-		w.reliability.earlyFailures++
+	if !p.health.UpdateWave(now) {
+		return
 	}
-	w.reliability.failedAt = now
-	if w.reliability.failures >= failureLimit {
-		w.excludedUntil = now.Add(exclusionPeriod)
-		p.record.LogEvent("failing worker excluded", "worker", w.ID, "strikes", w.reliability.failures)
+	if p.health.Wave() {
+		p.record.Count("attempts", "wave_begun")
+		p.record.LogEvent("wave of failing workers", "pool", p.options.Pool, "suspects", p.health.SuspectedWorkers(now), "share", p.health.FailingShare(now))
+		return
 	}
+	p.record.Count("attempts", "wave_over")
+	p.record.LogEvent("wave of failing workers over", "pool", p.options.Pool, "suspects", p.health.SuspectedWorkers(now))
 }
 
 // cold reports whether the worker is still slow after its start. Single tasks may run on a cold
@@ -86,49 +190,11 @@
 	w.excludedUntil = now.Add(exclusionPeriod)
 }
 
-// failedEarly reports whether the unit's run, which has just failed, did so early.
-func (u *unit) failedEarly(now time.Time) bool {
-	limit := min(earlyFailureLimit, time.Duration(earlyFailureShare*float64(u.estimate())))
-	if u.fromCheckpoint {
-		limit += restoreAllowance
-	}
-	return u.startedByThisOwner && now.Sub(u.startedAt) < limit
-}
-
-// workerPreferences returns the preferred workers of a unit, the narrowest choice first. A gang is
-// as slow as its slowest member and fails if any member fails. A unit that has failed before should
-// not lose another attempt to a failing worker.
-func (p *Pool) workerPreferences(s *snapshot, u *unit) []func(i int) bool {
-	notFailing := func(i int) bool {
-		return p.options.DisabledMechanisms[mechanism.FailedWorkerAvoidance] || !s.poolWorkers[i].reliability.failsEarly()
-	}
-	fast := func(i int) bool { return notFailing(i) && !s.workers[i].Slow }
-	measuredFast := func(i int) bool { return fast(i) && p.speedKnown(s.poolWorkers[i]) }
-	healthy := func(i int) bool { return s.poolWorkers[i].reliability.recentlyHealthy(s.now) }
-	gang := u.spec().Gang && len(u.members) > 1
-	switch {
-	case u.lastAttempt() && !p.options.DisabledMechanisms[mechanism.FailedWorkerAvoidance]:
-		return []func(int) bool{healthy, notFailing}
-	case p.riskyOnSlowWorkers(s, u) && p.shouldExplore(s.now):
-		return []func(int) bool{measuredFast, fast, notFailing}
-	case gang:
-		return []func(int) bool{fast, notFailing}
-	case u.failures > 0:
-		return []func(int) bool{notFailing}
-	}
-	return nil
-}
-
 // riskyOnSlowWorkers reports whether a unit would probably miss its objective on a slow worker.
 func (p *Pool) riskyOnSlowWorkers(s *snapshot, u *unit) bool {
 	return u.job.Queue.Priority == 0 || u.slack(s.now) < u.estimate()
 }
 
-// lastAttempt reports whether one more failure ends the unit's job.
-func (u *unit) lastAttempt() bool {
-	return u.failures > 0 && u.failures >= u.job.Queue.MaxAttempts-1 && !u.spec().LongRunning
-}
-
 // restrict returns a request that is restricted to allowed workers.
 func restrict(request *placement.Request, allowed func(i int) bool) *placement.Request {
 	restricted := *request
