--- a/cmd/wheatroadd/serve.go
+++ b/cmd/wheatroadd/serve.go
@@ -109,7 +109,7 @@
 		Peers:    peer.NewClient(nil),
 		Codec:    platform.Codec{},
 		Loop:     d.loop,
-		Recorder: tele,
+		Recorder: tele, RecordReceived: tele.RecordReceived,
 	}
 	d.node = node.New(ctx, nodeOptions(s), dependencies)
 	d.peerServer = peer.NewServer(d.node.ServePeer)
--- a/internal/node/observed_store.go
+++ b/internal/node/observed_store.go
@@ -73,6 +73,13 @@
 	firstByteAt atomic.Pointer[time.Time]
 }
 
+// recordReceived counts the bytes of a response by purpose.
+func (n *Node) recordReceived(purpose string, bytes int64) {
+	if record := n.dependencies.RecordReceived; record != nil && bytes > 0 {
+		record(purpose, bytes)
+	}
+}
+
 func (r *observedResponse) recordBytes(bytes int) {
 	r.bytes.Add(int64(bytes))
 	now := uptime.Now()
@@ -88,6 +95,7 @@
 	if firstByteAt != nil {
 		listing.AsOf = *firstByteAt
 	}
+	r.node.recordReceived("store "+r.table, r.bytes.Load())
 	if err != nil && firstByteAt != nil {
 		r.node.dependencies.Recorder.Count("answers_given_up", r.table)
 		r.node.dependencies.Recorder.LogEvent("store response abandoned", "table", r.table, "bytes", r.bytes.Load(),
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -64,6 +64,9 @@
 	Codec    Codec
 	Loop     loop.Loop
 	Recorder Recorder
+	// RecordReceived adds the bytes of a response to the counter of its purpose; nil records nothing.
+	// It may be called from any goroutine.
+	RecordReceived func(purpose string, bytes int64)
 }
 
 // Periods and timeouts of the node.
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -46,7 +46,9 @@
 		return nil, fault.New(fault.Internal, "%s: %v", method, err)
 	}
 	request := &peerpb.Request{Body: &peerpb.Request_PoolCall{PoolCall: &peerpb.PoolCall{Method: method, Document: document}}}
-	return n.dependencies.Peers.Call(ctx, address, request)
+	reply, err := n.dependencies.Peers.Call(ctx, address, request)
+	n.recordReceived("peer "+method, int64(len(reply)))
+	return reply, err
 }
 
 // callPeer sends a request to another node without blocking the loop. It runs done on the loop with
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -96,7 +96,9 @@
 	counters   map[string]metric.Int64Counter
 	gauges     map[string]metric.Int64Gauge
 	labels     map[string]string
-	handler    http.Handler
+	// received counts received bytes.
+	received metric.Int64Counter
+	handler  http.Handler
 }
 
 // New returns telemetry that logs to the given logger.
@@ -140,7 +142,18 @@
 		}
 		t.histograms[short] = histogram
 	}
-	return t, nil
+	t.received, err = histogramMeter.Int64Counter(receivedBytes.Name, metric.WithDescription(receivedBytes.Description))
+	return t, err
+}
+
+// receivedBytes is the counter of received bytes. It is exported after the other counters.
+var receivedBytes = Definition{
+	Name: "wheatroad.received.bytes", Description: "Bytes of responses received, by the store's table or the method of the call to another node.", Label: "purpose",
+}
+
+// RecordReceived adds received bytes to the counter of their purpose.
+func (t *Telemetry) RecordReceived(purpose string, bytes int64) {
+	t.received.Add(context.Background(), bytes, metric.WithAttributes(attribute.String(receivedBytes.Label, purpose)))
 }
 
 // newMeter returns a meter that exports its instruments to a registry.
