--- a/internal/node/configuration_source.go
+++ b/internal/node/configuration_source.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"github.com/wheatroad/wheatroad/internal/rows"
 )
 
 // Regions share links of limited bandwidth, and the store is in one region. In a cluster of several
@@ -30,11 +32,14 @@
 // updateConfigurationFeed starts to read the configuration from the store unless this node is a
 // follower. It must be called when the answer of isConfigurationFollower may have changed.
 func (n *Node) updateConfigurationFeed() {
-	if n.startedAt.IsZero() || n.readingConfiguration || n.isConfigurationFollower() {
-		return
+	switch {
+	case n.startedAt.IsZero():
+	case n.isConfigurationFollower():
+		n.watchStore()
+	case !n.readingConfiguration:
+		n.readingConfiguration = true
+		n.readConfiguration()
 	}
-	n.readingConfiguration = true
-	n.readConfiguration()
 }
 
 // endConfigurationFeed is called when the feed of the operators' table has ended.
@@ -43,6 +48,39 @@
 	n.updateConfigurationFeed()
 }
 
+// reachabilityTable is an empty table. A follower keeps a feed of it open, which shows at once when
+// the store fails for this node, as the feed of the operators' table does on other nodes.
+const reachabilityTable = "reachability"
+
+// watchStore keeps a feed of reachabilityTable open while this node is a follower.
+func (n *Node) watchStore() {
+	if n.watchingStore {
+		return
+	}
+	n.watchingStore = true
+	n.ports.scanDirect(reachabilityTable, "", func(listing rows.Listing, err error) {
+		if err != nil {
+			n.storeRetries.After(retryPause, n.endStoreWatch)
+			return
+		}
+		n.follow(subscription{
+			table: reachabilityTable, feed: n.ports.feedDirect, wait: n.reachabilityFeedWait, apply: func(rows.Row) {},
+			needed: n.isConfigurationFollower, onEnd: n.endStoreWatch,
+		}, listing.Version)
+	})
+}
+
+// endStoreWatch is called when the feed of reachabilityTable has ended.
+func (n *Node) endStoreWatch() {
+	n.watchingStore = false
+	n.updateConfigurationFeed()
+}
+
+// reachabilityFeedWait returns the wait of the next feed of reachabilityTable.
+func (n *Node) reachabilityFeedWait() time.Duration {
+	return max(defaultFeedWait, n.configurationFeedWait())
+}
+
 // isConfigurationFollower reports whether this node gets the configuration from other nodes of its
 // region instead of the store.
 func (n *Node) isConfigurationFollower() bool {
--- a/internal/node/configuration_source_test.go
+++ b/internal/node/configuration_source_test.go
@@ -100,6 +100,7 @@
 	n := newRegionalNode(t, 2)
 	n.updateConfigurationFeed()
 	require.False(t, n.readingConfiguration)
+	require.True(t, n.watchingStore, "a follower notices when the store fails for it")
 	n.owned[poolName] = &pool.Pool{}
 	n.readingConfiguration = true
 	n.updateConfigurationFeed()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -87,7 +87,9 @@
 	// than fallbackAge.
 	startedAt            time.Time
 	readingConfiguration bool
-	fallbackAge          time.Duration
+	// watchingStore is true while a follower keeps a feed of reachabilityTable open.
+	watchingStore bool
+	fallbackAge   time.Duration
 
 	memberSample memberSample
 	// joining is true while the node writes its member rows.
