poison: recent losses can be kept for the next owner

An owner took it that no worker had been lost before it took over, and weighed losses in its first seconds by the least rate: two chance losses of like age around a takeover proved a sound task guilty (TestIgnoranceIsNotCalm shows it). The tracker exports and imports the losses of the last 30 s with their probability of chance, the share of poison tasks and how long it has watched; while the losses before a takeover are not known, losses weigh as those that the owner did not watch. Not used by the pool yet.

--- a/internal/poison/loss_tracker.go
+++ b/internal/poison/loss_tracker.go
@@ -27,6 +27,13 @@
 	prior   prior
 	// workers is the number of workers in the pool.
 	workers int
+	// watchedFrom is the time from which all losses are known; zero if there were none before.
+	// watching is true once WatchFrom was called.
+	watchedFrom time.Time
+	watching    bool
+	// importedWatchFrom is the time from which an earlier owner knew all losses; zero if none of its
+	// losses were imported.
+	importedWatchFrom time.Time
 }
 
 // settledLoss is the loss of a worker whose evidence in one task's history is final.
@@ -45,6 +52,10 @@
 	replaced        bool
 	unobserved      bool
 	suspects        []Suspect
+	// kept is set if an earlier owner recorded the loss; nil otherwise.
+	kept *keptEvidence
+	// surroundingsUnknown is true if the losses before this one were not watched.
+	surroundingsUnknown bool
 	// chanceProbability is the probability that none of the tasks caused the loss.
 	chanceProbability float64
 	// chanceRate is the rate of chance losses at the time of this loss. suspectRate is the rate of
@@ -104,11 +115,17 @@
 			suspect.History.group.prior = &l.prior
 		}
 	}
+	l.removeKept(lost.Worker)
 	l.prune(lost.At)
+	l.insert(loss)
+	l.updateEvidence()
+}
+
+// insert adds a loss in the order of time.
+func (l *LossTracker) insert(loss *workerLoss) {
 	position, _ := slices.BinarySearchFunc(l.losses, loss, func(a, b *workerLoss) int { return a.at.Compare(b.at) })
 	l.losses = slices.Insert(l.losses, position, loss)
-	l.tracked[lost.Worker] = true
-	l.updateEvidence()
+	l.tracked[loss.worker] = true
 }
 
 func (h *History) has(worker string) bool {
@@ -121,12 +138,19 @@
 	}
 }
 
+func (g *Group) remove(loss *workerLoss) {
+	g.losses = slices.DeleteFunc(g.losses, func(other *workerLoss) bool { return other == loss })
+}
+
 // Restore registers a history that was read from the store, so that WithdrawLoss finds its losses.
 func (l *LossTracker) Restore(h *History) {
 	h.group.prior = &l.prior
 	for i := range h.losses {
 		l.settle(h, h.losses[i].worker)
 	}
+	for _, loss := range l.losses {
+		loss.attributeTo(h)
+	}
 }
 
 func (l *LossTracker) settle(h *History, worker string) {
@@ -153,8 +177,12 @@
 func (l *LossTracker) removeLoss(loss *workerLoss, settle func(*History, *workerLoss)) {
 	for _, suspect := range loss.suspects {
 		settle(suspect.History, loss)
-		group := suspect.History.group
-		group.losses = slices.DeleteFunc(group.losses, func(other *workerLoss) bool { return other == loss })
+		suspect.History.group.remove(loss)
+	}
+	if loss.kept != nil {
+		for _, group := range loss.kept.groups {
+			group.remove(loss)
+		}
 	}
 }
 
@@ -175,6 +203,7 @@
 		return false
 	}
 	delete(l.tracked, worker)
+	withdrawn := l.removeKept(worker)
 	for i, loss := range l.losses {
 		if loss.worker == worker {
 			l.removeLoss(loss, func(h *History, loss *workerLoss) { h.removeWorker(loss.worker) })
@@ -183,7 +212,7 @@
 			return true
 		}
 	}
-	return l.withdrawSettled(worker)
+	return l.withdrawSettled(worker) || withdrawn
 }
 
 func (l *LossTracker) withdrawSettled(worker string) bool {
@@ -203,7 +232,7 @@
 // workers are lost more often than the rate of chance losses explains.
 func (l *LossTracker) updateEvidence() {
 	for _, loss := range l.losses {
-		loss.chanceProbability = 1
+		loss.chanceProbability = loss.initialChance()
 		for _, suspect := range loss.suspects {
 			suspect.History.setRatio(loss, 1)
 		}
@@ -214,7 +243,9 @@
 			loss.updateRatios(l.workers)
 		}
 		for _, loss := range l.losses {
-			loss.chanceProbability = loss.chanceRate / (loss.chanceRate + loss.suspectRate)
+			if loss.kept == nil {
+				loss.chanceProbability = loss.chanceRate / (loss.chanceRate + loss.suspectRate)
+			}
 		}
 	}
 }
--- a/internal/poison/model.go
+++ b/internal/poison/model.go
@@ -16,9 +16,9 @@
 	// unreachableLossRate applies to workers that only stopped responding. Network partitions and
 	// stalls have the same symptom.
 	unreachableLossRate = 1e-3
-	// unobservedLossRate applies to workers that were lost before the owner heard from them. The
-	// owner has not seen the losses around them. A failure of the previous owner's machine often
-	// affects workers too.
+	// unobservedLossRate applies to workers that were lost before the owner heard from them, and to
+	// those lost soon after a takeover if the losses before it are unknown. The owner has not seen
+	// the losses around them. A failure of the previous owner's machine often affects workers too.
 	unobservedLossRate = 3e-3
 	// A task is poison if its odds reach poisonOdds and at least minEvidence losses are evidence.
 	// A task with maxLosses losses is rejected whatever its odds. For a task with one loss less the
--- a/internal/poison/rates.go
+++ b/internal/poison/rates.go
@@ -48,6 +48,7 @@
 		}
 	}
 	for _, loss := range l.losses {
+		loss.surroundingsUnknown = loss.at.Sub(l.watchedFrom) < rateWindow
 		loss.followedFor = l.losses[len(l.losses)-1].at.Sub(loss.at)
 		loss.chanceRate = loss.baseChanceRate() + loss.nearbyChance.rate(chanceSums{}, l.workers, loss.followedFor)
 	}
@@ -56,7 +57,7 @@
 // baseChanceRate returns the rate of chance losses that applies if no other worker was lost.
 func (loss *workerLoss) baseChanceRate() float64 {
 	switch {
-	case loss.unobserved:
+	case loss.unobserved, loss.surroundingsUnknown:
 		return unobservedLossRate
 	case loss.replaced:
 		return replacedLossRate
