pool: an owner keeps what it has learned for the next one

An owner forgot the speeds of workers and the recent losses with its end. The next one put gangs on slow workers, and weighed a loss as if none had been before it: soak gave a sound job up for two chance losses around a takeover.

The owner writes one row a pool (table knowledge) of named sections, on change, at most once in 2 s and not while the store is away or slow; the next owner reads it beside the other rows and waits for nothing. Sections: speeds of machines, losses of incarnations with the share of poison tasks. Where the last owner's row can't be read, losses of the first 10 s weigh as those that it did not watch. docs/design/kept-knowledge.md tells what happens when writes or links fail halfway.

Descriptions of five counters are shorter, as a scraper keeps 4,000 bytes only.

--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -49,6 +49,8 @@
 	LongFeedPolls Name = "long-feeds"
 	// HeartbeatBatching reads heartbeats of workers in batches.
 	HeartbeatBatching Name = "paced-feeds"
+	// KeptKnowledge keeps what a pool's owner has learned for the next owner.
+	KeptKnowledge Name = "kept-knowledge"
 	// Announcements notify a pool's owner of accepted jobs before the owner's feed delivers the
 	// jobs.
 	Announcements Name = "announcements"
@@ -62,7 +64,7 @@
 func All() []Name {
 	return []Name{
 		LearnedDurations, LearnedSpeeds, FailedWorkerAvoidance, AdaptiveStallTimeout, Stragglers, LocalityWait, Headroom, PreemptionBackoff, Reservations,
-		GangPreemption, OnTimeFirst, CompletionBatching, StoreRelay, LongFeedPolls, HeartbeatBatching, Announcements, Standbys, WeakOwnerTakeover,
+		GangPreemption, OnTimeFirst, CompletionBatching, KeptKnowledge, StoreRelay, LongFeedPolls, HeartbeatBatching, Announcements, Standbys, WeakOwnerTakeover,
 	}
 }
 
--- a/internal/poison/history.go
+++ b/internal/poison/history.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"slices"
 	"strings"
 	"time"
 )
@@ -63,6 +64,11 @@
 	}
 }
 
+// hasEvidence reports whether the loss of a worker is evidence about the task.
+func (h *History) hasEvidence(worker string) bool {
+	return slices.ContainsFunc(h.losses, func(loss taskLoss) bool { return loss.worker == worker && !loss.unexplained })
+}
+
 // evidenceCount returns the number of losses that are evidence.
 func (h *History) evidenceCount() int {
 	count := 0
--- a/internal/poison/kept_losses.go
+++ b/internal/poison/kept_losses.go
@@ -17,8 +17,8 @@
 type keptEvidence struct {
 	// chance is the probability that no task caused the loss.
 	chance float64
-	// groups are the groups of the tasks to which the loss is attributed.
-	groups []*Group
+	// suspects are the histories that contain the loss.
+	suspects []*History
 }
 
 // keptDocument is the stored form of a tracker.
@@ -100,15 +100,25 @@
 	}
 }
 
-// attributeTo attributes a kept loss to a task in whose history it is. The loss then does not count
-// as a chance loss in the evidence about the task.
+// attributeTo attributes a kept loss to a task in whose history it is evidence. The loss then does
+// not count as a chance loss in the evidence about the task.
 func (loss *workerLoss) attributeTo(h *History) {
-	if loss.kept != nil && h.has(loss.worker) {
+	if loss.kept != nil && h.hasEvidence(loss.worker) {
 		h.group.add(loss)
-		loss.kept.groups = append(loss.kept.groups, h.group)
+		loss.kept.suspects = append(loss.kept.suspects, h)
 	}
 }
 
+// chanceNow returns the probability that no task caused the loss. Its suspects may have become more
+// likely causes since the earlier owner recorded it.
+func (k *keptEvidence) chanceNow() float64 {
+	chance := 1.0
+	for _, suspect := range k.suspects {
+		chance *= 1 - probability(suspect.Odds())
+	}
+	return min(k.chance, chance)
+}
+
 // initialChance returns the probability of being a chance loss from which estimates begin.
 func (loss *workerLoss) initialChance() float64 {
 	if loss.kept != nil {
--- a/internal/poison/loss_tracker.go
+++ b/internal/poison/loss_tracker.go
@@ -180,8 +180,8 @@
 		suspect.History.group.remove(loss)
 	}
 	if loss.kept != nil {
-		for _, group := range loss.kept.groups {
-			group.remove(loss)
+		for _, suspect := range loss.kept.suspects {
+			suspect.group.remove(loss)
 		}
 	}
 }
@@ -243,13 +243,19 @@
 			loss.updateRatios(l.workers)
 		}
 		for _, loss := range l.losses {
-			if loss.kept == nil {
-				loss.chanceProbability = loss.chanceRate / (loss.chanceRate + loss.suspectRate)
-			}
+			loss.updateChanceProbability()
 		}
 	}
 }
 
+func (loss *workerLoss) updateChanceProbability() {
+	if loss.kept != nil {
+		loss.chanceProbability = loss.kept.chanceNow()
+		return
+	}
+	loss.chanceProbability = loss.chanceRate / (loss.chanceRate + loss.suspectRate)
+}
+
 // updateRatios recomputes the likelihood ratio of this loss for each suspect. The computation uses
 // the odds that the suspects have without this loss.
 func (loss *workerLoss) updateRatios(workers int) {
--- /dev/null
+++ b/internal/pool/kept_knowledge.go
@@ -0,0 +1,227 @@
+package pool
+
+import (
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wheatroad/wheatroad/internal/knowledge"
+	"github.com/wheatroad/wheatroad/internal/mechanism"
+	"github.com/wheatroad/wheatroad/internal/rows"
+)
+
+// keptKnowledge reads the row in which an earlier owner has kept what it had learned, and writes
+// the row for the next owner. Nothing waits for either. See docs/design/kept-knowledge.md.
+type keptKnowledge struct {
+	pool     *Pool
+	composer *knowledge.Composer
+	// earlierOwner is the fencing token of the last owner before this one; 0 if there was none.
+	// rowWriter is the token of the row that was read; 0 if no row could be read.
+	earlierOwner, rowWriter int64
+	// read is true once the present row is known. version is its version, and written is true if
+	// this owner has written it.
+	read    bool
+	version int64
+	written bool
+	// newerOwner is true once a row with a higher token was seen.
+	newerOwner bool
+	// serial is the serial of the last write. unanswered is the content of the last write whose
+	// outcome is not known, and unansweredSerial its serial.
+	serial, unansweredSerial int
+	unanswered               knowledge.Snapshot
+	inFlight                 bool
+	// attemptedAt is when the last write began, and lastWriteTook how long it took.
+	attemptedAt   time.Time
+	lastWriteTook time.Duration
+	// checkedAt is when a write was last considered; zero if it is to be considered next.
+	checkedAt time.Time
+}
+
+// knowledgeCheckInterval is the interval at which the owner considers writing the row. All sections
+// are exported each time.
+const knowledgeCheckInterval = time.Second
+
+// newKeptKnowledge returns the kept knowledge of a pool with the given sections, most important
+// first.
+func newKeptKnowledge(p *Pool, sections ...knowledge.Section) *keptKnowledge {
+	return &keptKnowledge{pool: p, composer: knowledge.NewComposer(sections...)}
+}
+
+func (k *keptKnowledge) disabled() bool {
+	return k.pool.options.DisabledMechanisms[mechanism.KeptKnowledge]
+}
+
+// start reads the row. If the store is away, the row is merged when it comes.
+func (k *keptKnowledge) start() {
+	p := k.pool
+	p.lossTracker.WatchFrom(p.acquiredAt)
+	if k.disabled() {
+		return
+	}
+	key := KnowledgeKey(p.options.Pool)
+	p.scanPrefix(key.Table, key.Part, key.Name, func(listing rows.Listing) {
+		k.read = true
+		for i := range listing.Rows {
+			if listing.Rows[i].Name == key.Name {
+				k.handleRow(&listing.Rows[i])
+				return
+			}
+		}
+		k.logRead("absent", &knowledge.Row{}, 0, knowledge.Imported{})
+	})
+}
+
+// handleRow merges the row that was read at the takeover.
+func (k *keptKnowledge) handleRow(stored *rows.Row) {
+	k.version = stored.Version
+	row, err := knowledge.Decode(stored.Value)
+	k.newerOwner = row.Token > k.pool.token
+	switch {
+	case k.newerOwner:
+		k.logRead("newer_token", &row, len(stored.Value), knowledge.Imported{})
+	case err != nil:
+		k.logRead(refusalReason(err), &row, len(stored.Value), knowledge.Imported{})
+	default:
+		imported := k.composer.Import(&row, k.pool.loop.Now(), k.pool.loop.TimeOfDay())
+		k.rowWriter = row.Token
+		k.logRead("read", &row, len(stored.Value), imported)
+		k.continueWatch()
+		k.pool.scheduleCycle()
+	}
+}
+
+func refusalReason(err error) string {
+	switch {
+	case errors.Is(err, knowledge.ErrNewerFormat):
+		return "newer_format"
+	case errors.Is(err, knowledge.ErrTooLarge):
+		return "too_large"
+	}
+	return "unreadable"
+}
+
+// logRead counts and logs what was read at the takeover.
+func (k *keptKnowledge) logRead(result string, row *knowledge.Row, bytes int, imported knowledge.Imported) {
+	record := k.pool.record
+	record.Count("knowledge", result)
+	for range imported.Refused {
+		record.Count("knowledge", "section_refused")
+	}
+	record.LogEvent("kept knowledge read", "pool", k.pool.options.Pool, "result", result, "token", row.Token, "bytes", bytes,
+		"sections", strings.Join(imported.Known, " "), "refused", strings.Join(imported.Refused, " "), "age_ms", imported.Age.Milliseconds())
+}
+
+// recordEarlierOwner records the token of an owner that a head row names.
+func (k *keptKnowledge) recordEarlierOwner(token int64) {
+	if token < k.pool.token {
+		k.earlierOwner = max(k.earlierOwner, token)
+	}
+}
+
+// continueWatch tells the loss tracker which losses before this owner are known, once the head rows
+// name the last owner. A row of an owner before that one tells nothing of the losses since.
+func (k *keptKnowledge) continueWatch() {
+	switch {
+	case k.pool.progressFencedAt.IsZero():
+	case k.earlierOwner == 0:
+		k.pool.lossTracker.AssumeCalmBefore()
+	case k.rowWriter == k.earlierOwner:
+		k.pool.lossTracker.ContinueWatch()
+	}
+}
+
+// checkSoon lets the next tick consider a write.
+func (k *keptKnowledge) checkSoon() { k.checkedAt = time.Time{} }
+
+// writeIfDue writes the row if the next owner would decide differently by it.
+func (k *keptKnowledge) writeIfDue() {
+	now := k.pool.loop.Now()
+	if k.disabled() || !k.pool.loaded || !k.pool.releasing && now.Sub(k.checkedAt) < knowledgeCheckInterval {
+		return
+	}
+	k.checkedAt = now
+	state := k.writeState(now)
+	// Exporting all sections takes time, so the other reasons not to write are checked first.
+	state.Changed = true
+	if knowledge.WriteDue(&state) != knowledge.Write {
+		return
+	}
+	snapshot := k.composer.Snapshot(now)
+	state.Changed = k.composer.Changed(snapshot)
+	if knowledge.WriteDue(&state) == knowledge.Write {
+		k.write(snapshot, now)
+	}
+}
+
+func (k *keptKnowledge) writeState(now time.Time) knowledge.WriteState {
+	p := k.pool
+	return knowledge.WriteState{
+		Read: k.read, NewerOwner: k.newerOwner, InFlight: k.inFlight, Written: k.written, Releasing: p.releasing,
+		SinceTakeover: now.Sub(p.acquiredAt), SinceAnswer: now.Sub(p.lastStoreAnswerAt), SinceConfirmation: now.Sub(p.ownershipConfirmedAt),
+		Attempted: k.serial > 0, SinceAttempt: now.Sub(k.attemptedAt), LastWriteTook: k.lastWriteTook,
+	}
+}
+
+// write replaces the row on condition that it is still the one last seen.
+func (k *keptKnowledge) write(snapshot knowledge.Snapshot, now time.Time) {
+	p := k.pool
+	k.serial++
+	k.attemptedAt = now
+	for range snapshot.Omitted {
+		p.record.Count("knowledge", "section_omitted")
+	}
+	row := snapshot.Row(p.token, k.serial, now, p.loop.TimeOfDay())
+	value, err := row.Encode()
+	if err != nil || len(value) > knowledge.MaxRowBytes {
+		p.record.Count("knowledge", "write_too_large")
+		return
+	}
+	k.inFlight = true
+	key := KnowledgeKey(p.options.Pool)
+	p.ports.Commit(rows.Transaction{
+		Conditions: []rows.Condition{{Key: key, Version: k.version}},
+		Puts:       []rows.Put{{Key: key, Value: value}},
+	}, func(result rows.Result, err error) {
+		if p.closed {
+			return
+		}
+		k.inFlight = false
+		k.lastWriteTook = p.loop.Now().Sub(now)
+		switch {
+		case err != nil:
+			p.record.Count("knowledge", "write_failed")
+			k.unanswered, k.unansweredSerial = snapshot, row.Serial
+		case result.Committed:
+			k.version = result.Version
+			k.markWritten(snapshot, len(value))
+		default:
+			k.handleReplacedRow(result)
+		}
+	})
+}
+
+func (k *keptKnowledge) markWritten(snapshot knowledge.Snapshot, bytes int) {
+	k.written = true
+	k.composer.MarkWritten(snapshot)
+	k.pool.record.Count("knowledge", "written")
+	k.pool.record.Set("knowledge_bytes", int64(bytes))
+}
+
+// handleReplacedRow handles a failed condition. The row was written by an earlier write of this
+// owner whose response was lost, by a write of a former owner that came late, or by a newer owner.
+// Only the last one's row stays; the others are replaced by the next write.
+func (k *keptKnowledge) handleReplacedRow(result rows.Result) {
+	k.pool.record.Count("knowledge", "write_superseded")
+	k.version, k.written = rows.Absent, false
+	if len(result.Current) == 0 {
+		return
+	}
+	current := &result.Current[0]
+	k.version = current.Version
+	row, _ := knowledge.Decode(current.Value)
+	k.newerOwner = row.Token > k.pool.token
+	if row.Token == k.pool.token && row.Serial == k.unansweredSerial {
+		k.markWritten(k.unanswered, len(current.Value))
+	}
+}
--- a/internal/pool/partitions.go
+++ b/internal/pool/partitions.go
@@ -74,6 +74,12 @@
 	return rows.Key{Table: NodeTable, Part: pool, Name: LeaseRow}
 }
 
+// KnowledgeKey returns the key of the row in which the owner keeps what it has learned for the next
+// owner. The row has a partition of its own, so that its writes wait for no others.
+func KnowledgeKey(pool string) rows.Key {
+	return rows.Key{Table: KnowledgeTable, Part: pool + partitionSeparator + knowledgeRow, Name: knowledgeRow}
+}
+
 func headKey(part string) rows.Key {
 	return rows.Key{Table: ProgressTable, Part: part, Name: headRow}
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -84,6 +84,10 @@
 	jobsVersion int64
 	// lossTracker correlates losses of workers, to find tasks that crash workers.
 	lossTracker *poison.LossTracker
+	// kept keeps what the owner has learned for the next owner, and keptSpeeds holds the speeds that
+	// an earlier owner kept of machines that this owner has not listed yet.
+	kept       *keptKnowledge
+	keptSpeeds map[string]keptSpeed
 	// progressFencedAt is when all progress partitions were fenced against former owners.
 	progressFencedAt time.Time
 	// ownershipConfirmedAt is when this owner last was known to hold the pool; confirmingOwnership
@@ -112,6 +116,7 @@
 		invalidRows: invalidWorkerRows{faults: map[string]fleet.RowFault{}},
 	}
 	p.writer = writer{pool: p}
+	p.kept = newKeptKnowledge(p, p.lossTracker, &speedSection{pool: p})
 	return p
 }
 
@@ -133,6 +138,7 @@
 	p.loadWorkers()
 	p.checkEvacuations()
 	p.readRows()
+	p.kept.start()
 	p.tick()
 }
 
@@ -193,6 +199,7 @@
 	p.checkUnits()
 	p.removeExpiredJobs()
 	p.refreshEstimates()
+	p.kept.writeIfDue()
 	p.scheduleCycle()
 	p.loop.After(tickInterval, p.tick)
 }
@@ -246,6 +253,7 @@
 		return
 	}
 	p.releasing = true
+	p.kept.writeIfDue()
 	p.releaseWhenIdle()
 }
 
--- a/internal/pool/records.go
+++ b/internal/pool/records.go
@@ -18,12 +18,16 @@
 	JobTable = "jobs"
 	// ProgressTable holds the progress of jobs and the head rows. Only the owner writes it.
 	ProgressTable = "progress"
+	// KnowledgeTable holds what the owner of each pool has learned. Only the owner writes it.
+	KnowledgeTable = "knowledge"
 )
 
 // Names of rows.
 const (
 	LeaseRow = "owner"
 	headRow  = "!head"
+	// knowledgeRow is also the last part of the row's partition name.
+	knowledgeRow = "knowledge"
 	// The suffixes are appended to the job's identifier.
 	acceptedSuffix  = ".accepted"
 	cancelledSuffix = ".cancelled"
--- a/internal/pool/store_load.go
+++ b/internal/pool/store_load.go
@@ -129,6 +129,7 @@
 
 func (p *Pool) readJobs(progress []rows.Row) {
 	p.progressFencedAt = p.loop.Now()
+	p.kept.continueWatch()
 	p.scanJobs(func(jobs rows.Listing) {
 		p.load(progress, jobs)
 		p.followJobs(jobs.Version)
--- a/internal/pool/worker_fault_injection_test.go
+++ b/internal/pool/worker_fault_injection_test.go
@@ -181,6 +181,7 @@
 	}
 	f.Work = func(taskgraph.TaskName) time.Duration { return f.between(500, 3500) }
 	f.Store.WriteOutcome = f.randomFate(0.03)
+	f.Store.KnowledgeWriteOutcome = randomFateFrom(rand.New(rand.NewPCG(seed, 64)), 0.03)
 	for _, worker := range f.Workers {
 		worker.OrderOutcome = f.randomFate(0.03)
 	}
@@ -203,9 +204,13 @@
 }
 
 func (f *workerFaults) randomFate(probability float64) func() simulation.Outcome {
+	return randomFateFrom(f.random, probability)
+}
+
+func randomFateFrom(random *rand.Rand, probability float64) func() simulation.Outcome {
 	return func() simulation.Outcome {
-		if f.random.Float64() < probability {
-			return simulation.Outcome(1 + f.random.IntN(3))
+		if random.Float64() < probability {
+			return simulation.Outcome(1 + random.IntN(3))
 		}
 		return simulation.Acknowledged
 	}
@@ -321,7 +326,7 @@
 func (f *workerFaults) clearFaultsAndFinish() {
 	f.Store.Unavailable = false
 	clear(f.Store.UnresponsivePartitions)
-	f.Store.WriteOutcome = nil
+	f.Store.WriteOutcome, f.Store.KnowledgeWriteOutcome = nil, nil
 	endAllEvacuations(f.Cluster)
 	for _, worker := range f.Workers {
 		worker.Partitioned, worker.OrderOutcome = false, nil
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -96,6 +96,7 @@
 		clockAt:    p.loop.Now(),
 	}
 	p.workers[incarnation.ID] = w
+	p.restoreKeptSpeed(w)
 	p.invalidateWorkerCaches()
 	return w
 }
--- a/internal/simulation/store.go
+++ b/internal/simulation/store.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/emulator"
+	"github.com/wheatroad/wheatroad/internal/pool"
 	"github.com/wheatroad/wheatroad/internal/rows"
 )
 
@@ -25,6 +26,9 @@
 	Unavailable bool
 	// WriteOutcome chooses the outcome of each write; nil means Acknowledged.
 	WriteOutcome func() Outcome
+	// KnowledgeWriteOutcome chooses the outcome of each write of kept knowledge in place of
+	// WriteOutcome, so that these writes do not change the other faults of a seed.
+	KnowledgeWriteOutcome func() Outcome
 	// FeedsUnresponsive withholds the responses of feeds.
 	FeedsUnresponsive bool
 	// ScansUnresponsive makes scans time out.
@@ -75,10 +79,7 @@
 			s.clock.After(s.Latency/2, func() { done(rows.Result{}, rows.ErrNoEffect) })
 			return
 		}
-		outcome := Acknowledged
-		if s.WriteOutcome != nil {
-			outcome = s.WriteOutcome()
-		}
+		outcome := s.writeOutcome(transaction)
 		if s.UnresponsivePartitions[partitionOf(transaction)] {
 			outcome = Dropped
 		}
@@ -99,6 +100,17 @@
 	})
 }
 
+func (s *Store) writeOutcome(transaction rows.Transaction) Outcome {
+	choose := s.WriteOutcome
+	if len(transaction.Puts) > 0 && transaction.Puts[0].Table == pool.KnowledgeTable {
+		choose = s.KnowledgeWriteOutcome
+	}
+	if choose == nil {
+		return Acknowledged
+	}
+	return choose()
+}
+
 func partitionOf(transaction rows.Transaction) string {
 	switch {
 	case len(transaction.Conditions) > 0:
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -35,19 +35,20 @@
 		"ownership_changes": {"wheatroad.domain.ownership.changes", "Scheduling domains gained and lost, by reason.", "reason"},
 		"table_operations":  {"wheatroad.table.failures", "Periodic table operations that failed, by operation.", "operation"},
 		"worker_orders":     {"wheatroad.worker.orders", "Orders sent to workers, by action.", "action"},
-		"given_up":          {"wheatroad.job.given_up", "Jobs given up because one of their tasks crashes workers, by what settled it.", "reason"},
+		"given_up":          {"wheatroad.job.given_up", "Jobs failed for crashing workers, by reason.", "reason"},
 		"attempts":          {"wheatroad.job.attempts", "What became of attempts, by event.", "event"},
 		"requests":          {"wheatroad.requests", "Requests answered, by endpoint.", "endpoint"},
 		"takeovers":         {"wheatroad.pool.ownership.changes", "Pools acquired, lost or left to their owner, by event.", "event"},
 		"feed_gaps":         {"wheatroad.feed.gaps", "Feeds read anew because their history was gone, by table.", "table"},
-		"answers_given_up":  {"wheatroad.store.answers.given.up", "Answers of the store of which only a part arrived in time, by table.", "table"},
+		"answers_given_up":  {"wheatroad.store.answers.given.up", "Store answers that arrived in part, by table.", "table"},
 		"announcements":     {"wheatroad.job.announcements", "Accepted jobs told to their pool's owner, by result.", "result"},
 		"store_relays":      {"wheatroad.store.relays", "Calls to the store through another node, by result.", "result"},
-		"foreign_rows":      {"wheatroad.worker.rows.foreign", "Rows of workers that name no worker to use, each time one is read, by fault.", "fault"},
-		"worker_restarts":   {"wheatroad.worker.restarts", "Workers that started again under their identifier, by how that was known.", "known_by"},
+		"foreign_rows":      {"wheatroad.worker.rows.foreign", "Invalid worker rows read, by fault.", "fault"},
+		"worker_restarts":   {"wheatroad.worker.restarts", "Restarts under one identifier, by evidence.", "known_by"},
 		"start_failures":    {"wheatroad.worker.start.failures", "Starts that did not succeed, by reason.", "reason"},
-		"preemptions":       {"wheatroad.unit.preemptions", "Units that had others stopped though there was room, by reason.", "reason"},
+		"preemptions":       {"wheatroad.unit.preemptions", "Preemptions despite free room, by reason.", "reason"},
 		"stops":             {"wheatroad.unit.stops", "Units stopped, by reason.", "reason"},
+		"knowledge":         {"wheatroad.pool.knowledge", "Rows of kept knowledge, by event.", "event"},
 		"forwards":          {"wheatroad.forwards", "Requests forwarded to another node, by result.", "result"},
 	}
 }
@@ -75,6 +76,7 @@
 func Gauges() map[string]Definition {
 	return map[string]Definition{
 		"foreign_rows":    {Name: "wheatroad.pool.foreign.rows", Description: "Rows of workers that name no worker to use, as another writer left them."},
+		"knowledge_bytes": {Name: "wheatroad.pool.knowledge.bytes", Description: "Size of the row of kept knowledge that was last written."},
 		"evacuated_zones": {Name: "wheatroad.pool.evacuated.zones", Description: "Zones in which the pools of this node start nothing, since operators have evacuated them."},
 	}
 }
