--- a/cmd/wheatroad-bench/load_command.go
+++ b/cmd/wheatroad-bench/load_command.go
@@ -6,6 +6,7 @@
 	"runtime"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
@@ -19,6 +20,7 @@
 	disabledSets []string
 	firstSeed    uint64
 	seeds        int
+	takeoverAt   float64
 }
 
 func newLoadCommand() *cobra.Command {
@@ -39,6 +41,7 @@
 	command.Flags().StringArrayVar(&flags.disabledSets, "without", nil, "add a variant without these mechanisms (comma-separated); repeatable")
 	command.Flags().Uint64Var(&flags.firstSeed, "seed", 1, "first seed")
 	command.Flags().IntVar(&flags.seeds, "seeds", 10, "number of seeds")
+	command.Flags().Float64Var(&flags.takeoverAt, "takeover", 0, "add variants in which another owner takes over after this many seconds, with and without what the former one kept")
 	return command
 }
 
@@ -54,6 +57,7 @@
 		}
 		variants = append(variants, loadsim.Variant{Name: "without " + names, DisabledMechanisms: disabled})
 	}
+	variants = append(variants, takeoverVariants(flags.takeoverAt)...)
 	loads, err := selectLoads(flags.loads)
 	if err != nil {
 		return err
@@ -64,6 +68,19 @@
 	return nil
 }
 
+// takeoverVariants returns the variants with a takeover after the given number of seconds; none if it
+// is 0.
+func takeoverVariants(seconds float64) []loadsim.Variant {
+	if seconds <= 0 {
+		return nil
+	}
+	at := time.Duration(seconds * float64(time.Second))
+	return []loadsim.Variant{
+		{Name: "takeover", TakeoverAt: at},
+		{Name: "takeover without " + string(mechanism.KeptKnowledge), TakeoverAt: at, DisabledMechanisms: mechanism.Disabled{mechanism.KeptKnowledge: true}},
+	}
+}
+
 func selectLoads(names []string) ([]loadsim.Load, error) {
 	all := loadsim.Loads()
 	if len(names) == 0 {
--- a/internal/knowledge/composer.go
+++ b/internal/knowledge/composer.go
@@ -98,11 +98,14 @@
 	if !found || !wasWritten {
 		return found != wasWritten && !slices.Contains(snapshot.Omitted, name)
 	}
+	if bytes.Equal(written.document, current.document) {
+		return false
+	}
 	elapsed := current.at.Sub(written.at)
 	if comparer, ok := section.(Comparer); ok {
 		return comparer.MateriallyChanged(written.document, current.document, elapsed)
 	}
-	return elapsed >= plainInterval && !bytes.Equal(written.document, current.document)
+	return elapsed >= plainInterval
 }
 
 // Row returns the row for a snapshot.
@@ -119,10 +122,9 @@
 
 // Imported tells what became of a row's sections.
 type Imported struct {
-	// Known and Refused name the sections that were merged and refused, sorted by name. Unknown
-	// counts those of names that no section has.
+	// Known and Refused name the sections that were merged and refused, sorted by name. Sections of
+	// other names are ignored.
 	Known, Refused []string
-	Unknown        int
 	// Age is the age of the oldest merged section.
 	Age time.Duration
 }
@@ -144,7 +146,6 @@
 		result.Known = append(result.Known, section.Name())
 		result.Age = max(result.Age, age)
 	}
-	result.Unknown = len(row.Sections) - len(result.Known) - len(result.Refused)
 	slices.Sort(result.Known)
 	slices.Sort(result.Refused)
 	return result
--- a/internal/loadsim/compare.go
+++ b/internal/loadsim/compare.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"sync"
+	"time"
 
 	"github.com/wheatroad/wheatroad/internal/features"
 	"github.com/wheatroad/wheatroad/internal/mechanism"
@@ -13,6 +14,8 @@
 	Name               string
 	Features           features.Settings
 	DisabledMechanisms mechanism.Disabled
+	// TakeoverAt is when the owner fails and another one takes over; 0 means never.
+	TakeoverAt time.Duration
 }
 
 // Estimate is a mean over seeds with the half width of its 95% confidence interval.
--- a/internal/loadsim/loadsim_test.go
+++ b/internal/loadsim/loadsim_test.go
@@ -75,3 +75,34 @@
 		}
 	}
 }
+
+// TestKeptKnowledgeChangesNothingWithoutTakeover: as long as no owner changes, decisions do not
+// depend on the row.
+func TestKeptKnowledgeChangesNothingWithoutTakeover(t *testing.T) {
+	load := loadNamed(t, "mixed-speeds").scaled(0.3)
+	load.Length = 12 * time.Second
+	with, without := load.Simulate(5, Variant{}), load.Simulate(5, Variant{DisabledMechanisms: mechanism.Disabled{mechanism.KeptKnowledge: true}})
+	require.Equal(t, without, with)
+}
+
+// TestNextOwnerDecidesAsFormerOwner: with the former owner's knowledge a takeover in the middle of a
+// load on workers of mixed speeds costs little; without it, more.
+func TestNextOwnerDecidesAsFormerOwner(t *testing.T) {
+	load := loadNamed(t, "mixed-speeds").scaled(0.5)
+	load.Length = 24 * time.Second
+	const middle = 12 * time.Second
+	compared := Compare(load, []Variant{
+		{Name: "one owner"},
+		{Name: "takeover", TakeoverAt: middle},
+		{Name: "takeover without knowledge", TakeoverAt: middle, DisabledMechanisms: mechanism.Disabled{mechanism.KeptKnowledge: true}},
+	}, 1, 4, 4)
+	one, kept, forgotten := compared[0].ValueShare.Mean, compared[1].ValueShare.Mean, compared[2].ValueShare.Mean
+	t.Logf("one owner %.3f, takeover %.3f, without knowledge %.3f", one, kept, forgotten)
+	require.Greater(t, kept, 0.95*one)
+	require.Greater(t, kept, forgotten)
+	for _, way := range compared {
+		for _, result := range way.Results {
+			require.Empty(t, result.Violations)
+		}
+	}
+}
--- a/internal/loadsim/simulate.go
+++ b/internal/loadsim/simulate.go
@@ -73,8 +73,14 @@
 		works[arrivals[i].spec.ID] = arrivals[i].work
 	}
 	cluster.Work = func(name taskgraph.TaskName) time.Duration { return works[name.Job] }
-	cluster.AcquirePool()
+	owner := cluster.AcquirePool()
 	cluster.Run(time.Second)
+	if variant.TakeoverAt > 0 {
+		cluster.Clock.After(variant.TakeoverAt, func() {
+			owner.Process.Kill()
+			cluster.AcquirePool()
+		})
+	}
 	ends := l.runArrivals(cluster, arrivals)
 	return l.evaluate(cluster, arrivals, ends)
 }
--- a/internal/pool/kept_knowledge.go
+++ b/internal/pool/kept_knowledge.go
@@ -34,12 +34,11 @@
 	// attemptedAt is when the last write began, and lastWriteTook how long it took.
 	attemptedAt   time.Time
 	lastWriteTook time.Duration
-	// checkedAt is when a write was last considered; zero if it is to be considered next.
+	// checkedAt is when the sections were last exported; zero if they are to be exported next.
 	checkedAt time.Time
 }
 
-// knowledgeCheckInterval is the interval at which the owner considers writing the row. All sections
-// are exported each time.
+// knowledgeCheckInterval is the minimum time between two exports of all sections.
 const knowledgeCheckInterval = time.Second
 
 // newKeptKnowledge returns the kept knowledge of a pool with the given sections, most important
@@ -131,7 +130,7 @@
 	}
 }
 
-// checkSoon lets the next tick consider a write.
+// checkSoon lets the sections be exported as soon as a write is allowed.
 func (k *keptKnowledge) checkSoon() { k.checkedAt = time.Time{} }
 
 // writeIfDue writes the row if the next owner would decide differently by it.
@@ -140,13 +139,13 @@
 	if k.disabled() || !k.pool.loaded || !k.pool.releasing && now.Sub(k.checkedAt) < knowledgeCheckInterval {
 		return
 	}
-	k.checkedAt = now
 	state := k.writeState(now)
 	// Exporting all sections takes time, so the other reasons not to write are checked first.
 	state.Changed = true
 	if knowledge.WriteDue(&state) != knowledge.Write {
 		return
 	}
+	k.checkedAt = now
 	snapshot := k.composer.Snapshot(now)
 	state.Changed = k.composer.Changed(snapshot)
 	if knowledge.WriteDue(&state) == knowledge.Write {
--- a/internal/pool/kept_speeds.go
+++ b/internal/pool/kept_speeds.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"cmp"
 	"encoding/json"
 	"slices"
 	"strings"
@@ -70,33 +71,35 @@
 	return k.kept.Restore(now.Sub(k.exportedAt))
 }
 
+// machineSpeed is a machine's speed and how far it is from the average.
+type machineSpeed struct {
+	id           string
+	kept         speeds.Kept
+	distinctness float64
+}
+
 // mostDistinct returns the speeds that differ most from the average, within a number of bytes.
 func mostDistinct(known map[string]speeds.Kept, maxBytes int) map[string]speeds.Kept {
-	ids := make([]string, 0, len(known))
+	machines := make([]machineSpeed, 0, len(known))
 	bytes := 0
-	for id := range known {
-		ids = append(ids, id)
+	for id, kept := range known {
+		machines = append(machines, machineSpeed{id: id, kept: kept, distinctness: kept.Distinctness()})
 		bytes += len(id) + speedEntryBytes
 	}
 	if bytes <= maxBytes {
 		return known
 	}
-	slices.SortFunc(ids, func(a, b string) int {
-		switch first, second := known[a].Distinctness(), known[b].Distinctness(); {
-		case first > second:
-			return -1
-		case first < second:
-			return 1
-		}
-		return strings.Compare(a, b)
+	slices.SortFunc(machines, func(a, b machineSpeed) int {
+		return cmp.Or(cmp.Compare(b.distinctness, a.distinctness), strings.Compare(a.id, b.id))
 	})
 	chosen := map[string]speeds.Kept{}
-	for _, id := range ids {
-		maxBytes -= len(id) + speedEntryBytes
-		if maxBytes < 0 {
+	for i := range machines {
+		bytes := len(machines[i].id) + speedEntryBytes
+		if bytes > maxBytes {
 			break
 		}
-		chosen[id] = known[id]
+		maxBytes -= bytes
+		chosen[machines[i].id] = machines[i].kept
 	}
 	return chosen
 }
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -91,7 +91,10 @@
 		begin = func() { cluster.Store.Latency = slowStoreLatency }
 		end = func() { cluster.Store.Latency = storeLatency }
 	case StoreLossy:
-		begin, end = func() { cluster.Store.WriteOutcome = r.randomOutcomes(writeLoss) }, func() { cluster.Store.WriteOutcome = nil }
+		begin = func() {
+			cluster.Store.WriteOutcome, cluster.Store.KnowledgeWriteOutcome = r.randomOutcomes(writeLoss), r.randomOutcomes(writeLoss)
+		}
+		end = func() { cluster.Store.WriteOutcome, cluster.Store.KnowledgeWriteOutcome = nil, nil }
 	case PartUnavailable:
 		parts := append(pool.ProgressPartitions(simulation.PoolName), pool.JobPartitions(simulation.PoolName, strconv.Itoa(fault.Target))...)
 		part := parts[fault.Target%len(parts)]
