poison: kept losses claim no more than they hold, and stay attributed

An export kept the newest 100 losses and said that all losses of the last 10 s were known. The watch now begins with the oldest loss kept (TestDroppedLossesShortenWatch: 10,000 ms in place of 2,000).

More than 4,000 recorded starts were exported as they were, and the next owner refused the section.

An import attributed a loss once for each settled loss of a task (TestKeptLossIsAttributedOnce: twice). Only the loss's own worker counts now.

The tolerance of ages applied to one of the two documents, so a loss aged 29.9 s to 30 s was a change (TestLossesAtEndOfWindowAreNoChange).

An owner's own observation of a kept loss removed it from the evidence of the tasks of the former owner. It takes the attribution over now, also if it came before the import, and a withdrawal removes the loss from their histories (TestOwnObservationKeepsAttribution).

--- a/internal/poison/kept_losses.go
+++ b/internal/poison/kept_losses.go
@@ -17,8 +17,6 @@
 type keptEvidence struct {
 	// chance is the probability that no task caused the loss.
 	chance float64
-	// suspects are the histories that contain the loss.
-	suspects []*History
 }
 
 // keptDocument is the stored form of a tracker.
@@ -55,22 +53,44 @@
 // Export returns the newest losses and the share of poison tasks. It returns nil if there are none
 // and nobody watched for losses.
 func (l *LossTracker) Export(now time.Time) (json.RawMessage, error) {
-	document := keptDocument{Started: l.prior.started, Poison: l.prior.poison, WatchedMillis: l.watchedFor(now).Milliseconds()}
-	for _, loss := range l.losses[max(0, len(l.losses)-maxKeptLosses):] {
-		age := now.Sub(loss.at)
-		if age > recentWindow {
-			continue
-		}
-		document.Losses = append(document.Losses, keptLoss{
-			Worker: loss.worker, AgeMillis: max(0, age.Milliseconds()), Chance: math.Round(chancePrecision*loss.chanceProbability) / chancePrecision,
-		})
-	}
+	shared := l.prior.limited()
+	document := keptDocument{Losses: l.exportLosses(now), Started: shared.started, Poison: shared.poison, WatchedMillis: l.watchedFor(now).Milliseconds()}
 	if len(document.Losses) == 0 && l.prior == (prior{}) && !l.watching {
 		return nil, nil
 	}
+	if dropped := len(document.Losses) - maxKeptLosses; dropped > 0 {
+		document.Losses = document.Losses[dropped:]
+		// All losses are known only as far back as the oldest one that is kept.
+		document.WatchedMillis = min(document.WatchedMillis, document.Losses[0].AgeMillis)
+	}
 	return json.Marshal(document)
 }
 
+// exportLosses returns the stored form of all losses that are not too old, oldest first.
+func (l *LossTracker) exportLosses(now time.Time) []keptLoss {
+	var losses []keptLoss
+	for _, loss := range l.losses {
+		if age := now.Sub(loss.at); age <= recentWindow && loss.worker != "" {
+			losses = append(losses, keptLoss{Worker: loss.worker, AgeMillis: max(0, age.Milliseconds()), Chance: storedChance(loss.chanceProbability)})
+		}
+	}
+	return losses
+}
+
+// storedChance returns the stored form of a probability. A value that is no number counts as 1.
+func storedChance(chance float64) float64 {
+	if math.IsNaN(chance) {
+		return 1
+	}
+	return math.Round(chancePrecision*max(0, min(1, chance))) / chancePrecision
+}
+
+// limited returns the estimate with counts up to maxRecentTasks, in the same proportion.
+func (p prior) limited() prior {
+	scale := min(1, maxRecentTasks/max(1, p.started, p.poison))
+	return prior{started: min(maxRecentTasks, scale*p.started), poison: min(maxRecentTasks, scale*p.poison)}
+}
+
 // Import adds the losses that an earlier owner recorded, except those that this tracker knows.
 func (l *LossTracker) Import(encoded json.RawMessage, now time.Time, age time.Duration) error {
 	document, err := decodeKept(encoded)
@@ -89,34 +109,50 @@
 }
 
 func (l *LossTracker) importLoss(kept *keptLoss, exportedAt time.Time) {
-	if slices.ContainsFunc(l.losses, func(loss *workerLoss) bool { return loss.worker == kept.Worker }) {
-		return
+	loss := l.find(kept.Worker)
+	if loss == nil {
+		at := exportedAt.Add(-kept.age())
+		loss = &workerLoss{worker: kept.Worker, at: at, chanceProbability: kept.Chance, kept: &keptEvidence{chance: kept.Chance}}
+		l.insert(loss)
 	}
-	at := exportedAt.Add(-time.Duration(kept.AgeMillis) * time.Millisecond)
-	loss := &workerLoss{worker: kept.Worker, at: at, chanceProbability: kept.Chance, kept: &keptEvidence{chance: kept.Chance}}
-	l.insert(loss)
 	for _, settled := range l.settled {
-		loss.attributeTo(settled.history)
+		if settled.worker == kept.Worker {
+			loss.attributeTo(settled.history)
+		}
 	}
 }
 
-// attributeTo attributes a kept loss to a task in whose history it is evidence. The loss then does
-// not count as a chance loss in the evidence about the task.
+// find returns the recent loss of a worker; nil if there is none.
+func (l *LossTracker) find(worker string) *workerLoss {
+	position := slices.IndexFunc(l.losses, func(loss *workerLoss) bool { return loss.worker == worker })
+	if position < 0 {
+		return nil
+	}
+	return l.losses[position]
+}
+
+// attributeTo attributes a loss that an earlier owner recorded to a task in whose history it is
+// evidence. The loss then does not count as a chance loss in the evidence about the task.
 func (loss *workerLoss) attributeTo(h *History) {
-	if loss.kept != nil && h.hasEvidence(loss.worker) {
-		h.group.add(loss)
-		loss.kept.suspects = append(loss.kept.suspects, h)
+	if !h.hasEvidence(loss.worker) || loss.hasSuspect(h) {
+		return
 	}
+	h.group.add(loss)
+	loss.earlierSuspects = append(loss.earlierSuspects, h)
+}
+
+func (loss *workerLoss) hasSuspect(h *History) bool {
+	return slices.Contains(loss.earlierSuspects, h) || slices.ContainsFunc(loss.suspects, func(suspect Suspect) bool { return suspect.History == h })
 }
 
-// chanceNow returns the probability that no task caused the loss. Its suspects may have become more
-// likely causes since the earlier owner recorded it.
-func (k *keptEvidence) chanceNow() float64 {
+// chanceByEarlierSuspects returns the probability that none of the tasks to which an earlier owner
+// attributed the loss caused it. They may have become more likely causes since then.
+func (loss *workerLoss) chanceByEarlierSuspects() float64 {
 	chance := 1.0
-	for _, suspect := range k.suspects {
+	for _, suspect := range loss.earlierSuspects {
 		chance *= 1 - probability(suspect.Odds())
 	}
-	return min(k.chance, chance)
+	return chance
 }
 
 // initialChance returns the probability of being a chance loss from which estimates begin.
@@ -127,16 +163,18 @@
 	return 1
 }
 
-// removeKept removes the kept loss of a worker. It returns false if there is none.
-func (l *LossTracker) removeKept(worker string) bool {
-	position := slices.IndexFunc(l.losses, func(loss *workerLoss) bool { return loss.kept != nil && loss.worker == worker })
-	if position < 0 {
-		return false
+// replaceKept removes the kept loss of a worker in favour of this owner's own observation of the
+// loss. The tasks to which the kept loss was attributed stay suspects.
+func (l *LossTracker) replaceKept(observed *workerLoss) {
+	kept := l.find(observed.worker)
+	if kept == nil || kept.kept == nil {
+		return
+	}
+	l.removeLoss(kept, nil)
+	l.losses = slices.DeleteFunc(l.losses, func(loss *workerLoss) bool { return loss == kept })
+	for _, suspect := range kept.earlierSuspects {
+		observed.attributeTo(suspect)
 	}
-	l.removeLoss(l.losses[position], nil)
-	l.losses = slices.Delete(l.losses, position, position+1)
-	l.updateEvidence()
-	return true
 }
 
 // WatchFrom records that the tracker watches for losses from now on, and that nothing is known of
@@ -187,24 +225,26 @@
 // lossesChanged reports whether a loss is new, was withdrawn or is explained differently. Losses
 // that have grown too old to matter are no change.
 func lossesChanged(before, after []keptLoss, elapsed time.Duration) bool {
-	earlier := map[string]float64{}
-	for i := range before {
-		if before[i].age()+elapsed <= recentWindow {
-			earlier[before[i].Worker] = before[i].Chance
-		}
+	return missesLoss(before, after, 0) || missesLoss(after, before, elapsed)
+}
+
+// missesLoss reports whether one of the losses, exported the given time ago, is missing among the
+// others or explained differently there. Losses that are about to be forgotten don't count.
+func missesLoss(others, losses []keptLoss, exportedAgo time.Duration) bool {
+	chances := map[string]float64{}
+	for i := range others {
+		chances[others[i].Worker] = others[i].Chance
 	}
-	found := 0
-	for i := range after {
-		if after[i].age() >= recentWindow-ageTolerance {
+	for i := range losses {
+		if losses[i].age()+exportedAgo >= recentWindow-ageTolerance {
 			continue
 		}
-		chance, known := earlier[after[i].Worker]
-		if !known || math.Abs(chance-after[i].Chance) >= materialChanceChange {
+		chance, known := chances[losses[i].Worker]
+		if !known || math.Abs(chance-losses[i].Chance) >= materialChanceChange {
 			return true
 		}
-		found++
 	}
-	return found < len(earlier)
+	return false
 }
 
 func (k *keptLoss) age() time.Duration { return time.Duration(k.AgeMillis) * time.Millisecond }
--- a/internal/poison/kept_losses_test.go
+++ b/internal/poison/kept_losses_test.go
@@ -73,9 +73,9 @@
 	}
 }
 
-// TestIgnoranceIsNotCalm shows what the kept losses are needed for: an owner that takes not knowing
-// of losses for calm rejects a healthy task.
-func TestIgnoranceIsNotCalm(t *testing.T) {
+// TestUnknownLossesAreNotTakenForNone shows what the kept losses are needed for: an owner that takes
+// it that there were no losses before it, although it does not know, rejects a healthy task.
+func TestUnknownLossesAreNotTakenForNone(t *testing.T) {
 	ages := [2]time.Duration{1050 * time.Millisecond, 1010 * time.Millisecond}
 	history := aroundTakeover{others: []float64{2, 4}, ages: ages, calm: true}.play(t)
 	require.Equal(t, PoisonByOdds, history.Verdict(), "odds %.2f", history.Odds())
--- a/internal/poison/loss_tracker.go
+++ b/internal/poison/loss_tracker.go
@@ -52,8 +52,11 @@
 	replaced        bool
 	unobserved      bool
 	suspects        []Suspect
-	// kept is set if an earlier owner recorded the loss; nil otherwise.
+	// kept is set if only an earlier owner recorded the loss; nil otherwise.
 	kept *keptEvidence
+	// earlierSuspects are the histories in which an earlier owner recorded the loss. Their ratios are
+	// final.
+	earlierSuspects []*History
 	// surroundingsUnknown is true if the losses before this one were not watched.
 	surroundingsUnknown bool
 	// chanceProbability is the probability that none of the tasks caused the loss.
@@ -115,7 +118,7 @@
 			suspect.History.group.prior = &l.prior
 		}
 	}
-	l.removeKept(lost.Worker)
+	l.replaceKept(loss)
 	l.prune(lost.At)
 	l.insert(loss)
 	l.updateEvidence()
@@ -149,7 +152,9 @@
 		l.settle(h, h.losses[i].worker)
 	}
 	for _, loss := range l.losses {
-		loss.attributeTo(h)
+		if loss.kept != nil {
+			loss.attributeTo(h)
+		}
 	}
 }
 
@@ -179,10 +184,8 @@
 		settle(suspect.History, loss)
 		suspect.History.group.remove(loss)
 	}
-	if loss.kept != nil {
-		for _, suspect := range loss.kept.suspects {
-			suspect.group.remove(loss)
-		}
+	for _, suspect := range loss.earlierSuspects {
+		suspect.group.remove(loss)
 	}
 }
 
@@ -203,7 +206,7 @@
 		return false
 	}
 	delete(l.tracked, worker)
-	withdrawn := l.removeKept(worker)
+	withdrawn := l.withdrawSettled(worker)
 	for i, loss := range l.losses {
 		if loss.worker == worker {
 			l.removeLoss(loss, func(h *History, loss *workerLoss) { h.removeWorker(loss.worker) })
@@ -212,7 +215,7 @@
 			return true
 		}
 	}
-	return l.withdrawSettled(worker) || withdrawn
+	return withdrawn
 }
 
 func (l *LossTracker) withdrawSettled(worker string) bool {
@@ -249,11 +252,12 @@
 }
 
 func (loss *workerLoss) updateChanceProbability() {
+	byEarlierSuspects := loss.chanceByEarlierSuspects()
 	if loss.kept != nil {
-		loss.chanceProbability = loss.kept.chanceNow()
+		loss.chanceProbability = min(loss.kept.chance, byEarlierSuspects)
 		return
 	}
-	loss.chanceProbability = loss.chanceRate / (loss.chanceRate + loss.suspectRate)
+	loss.chanceProbability = byEarlierSuspects * loss.chanceRate / (loss.chanceRate + loss.suspectRate)
 }
 
 // updateRatios recomputes the likelihood ratio of this loss for each suspect. The computation uses
