speeds: kept estimates have named fields and bounded deviations

A negative deviation passed as plausible, and squares of very large ones overflowed (TestImplausibleEstimates: 'small negative deviation' and 'largest deviation' failed). Estimates stay arrays of two numbers in the row; the spread of work is an object with named fields.

--- a/internal/pool/fuzz_test.go
+++ b/internal/pool/fuzz_test.go
@@ -76,7 +76,7 @@
 
 func FuzzKnowledgeRow(f *testing.F) {
 	const head = `{"format":1,"token":1,"serial":1,"written_ms":1767225600000,"sections":`
-	f.Add([]byte(head + `{"speeds":{"age_ms":5,"document":{"machines":{"w-0-0":[-470,60],"gone":[300,90]},"work":[1.5,20]}}}}`))
+	f.Add([]byte(head + `{"speeds":{"age_ms":5,"document":{"machines":{"w-0-0":[-470,60],"gone":[300,90]},"work":{"sum":1.5,"weight":20}}}}}`))
 	f.Add([]byte(head + `{"losses":{"age_ms":5,"document":{"losses":[{"worker":"w-0-1@5","age_ms":900,"chance":0.93}],"started":20,"poison":1,"watched_ms":10000}}}}`))
 	f.Add([]byte(head + `{"speeds":{"age_ms":5,"document":{"machines":{"w-0-0":[1e9,0]}}},"losses":{"age_ms":0,"document":{"losses":[{}]}}}}`))
 	f.Add([]byte(`{"format":9,"token":999999999}`))
--- a/internal/pool/kept_speeds_test.go
+++ b/internal/pool/kept_speeds_test.go
@@ -19,9 +19,9 @@
 	for i := range workers {
 		w := &worker{}
 		w.ID = fmt.Sprintf("worker-of-a-rack-%05d", i)
-		w.speed = speeds.Kept{i % 7, 60}.Restore(0)
+		w.speed = speeds.Kept{LogTime: i % 7, Deviation: 60}.Restore(0)
 		if i%10 == 0 {
-			w.speed = speeds.Kept{500 + i%7, 60}.Restore(0)
+			w.speed = speeds.Kept{LogTime: 500 + i%7, Deviation: 60}.Restore(0)
 		}
 		p.workers[w.ID] = w
 	}
@@ -76,8 +76,8 @@
 		"no deviation":      `{"machines":{"w":[100]}}`,
 		"speed too large":   `{"machines":{"w":[100000,60]}}`,
 		"overflow":          fmt.Sprintf(`{"machines":{"w":[%d,%d]}}`, math.MinInt64, math.MaxInt64),
-		"negative weight":   `{"machines":{},"work":[1,-1]}`,
-		"impossible spread": `{"machines":{},"work":[50,1]}`,
+		"negative weight":   `{"machines":{},"work":{"sum":1,"weight":-1}}`,
+		"impossible spread": `{"machines":{},"work":{"sum":50,"weight":1}}`,
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := &Pool{workers: map[string]*worker{}}
--- a/internal/speeds/kept.go
+++ b/internal/speeds/kept.go
@@ -1,34 +1,55 @@
 package speeds
 
 import (
+	"encoding/json"
 	"math"
 	"time"
 )
 
-// Kept is the stored form of an estimate: the expected logarithm of the time per work and its
-// standard deviation, both in thousandths.
-type Kept [2]int
+// Kept is the stored form of an estimate. It is encoded as an array of two numbers, since a row
+// holds many of them.
+type Kept struct {
+	// LogTime is the expected logarithm of the time per work, and Deviation its standard deviation.
+	// Both are in thousandths.
+	LogTime, Deviation int
+}
+
+// MarshalJSON encodes the estimate.
+func (k Kept) MarshalJSON() ([]byte, error) { return json.Marshal([2]int{k.LogTime, k.Deviation}) }
+
+// UnmarshalJSON decodes the estimate.
+func (k *Kept) UnmarshalJSON(encoded []byte) error {
+	var values [2]int
+	if err := json.Unmarshal(encoded, &values); err != nil {
+		return err
+	}
+	*k = Kept{LogTime: values[0], Deviation: values[1]}
+	return nil
+}
 
 const (
 	// keptUnit is the unit of the values of Kept.
 	keptUnit = 1e-3
-	// maxKeptLogTime bounds the values that are plausible: a factor of 20.
+	// maxKeptLogTime bounds the expected values that are plausible: a factor of 20.
 	maxKeptLogTime = 3.0
-	// driftPerSecond is how much the variance of a kept estimate grows with its age. The most
-	// precise estimate counts as unknown after keptLifetime.
-	keptLifetime   = time.Hour
+	// maxKeptDeviation bounds the standard deviations that are plausible, so that their squares do
+	// not overflow. No estimate is less precise than the prior.
+	maxKeptDeviation = 1_000_000
+	// keptLifetime is the age from which the most precise kept estimate counts as unknown.
+	keptLifetime = time.Hour
+	// driftPerSecond is how much the variance of a kept estimate grows with its age.
 	driftPerSecond = (maxKnownVariance - minVariance) / float64(keptLifetime/time.Second)
 )
 
 // Keep returns the stored form of the estimate. It returns false if nothing is known.
 func (e *Estimate) Keep() (Kept, bool) {
-	kept := Kept{int(math.Round(e.mean / keptUnit)), int(math.Round(math.Sqrt(e.variance()) / keptUnit))}
+	kept := Kept{LogTime: int(math.Round(e.mean / keptUnit)), Deviation: int(math.Round(math.Sqrt(e.variance()) / keptUnit))}
 	return kept, e.precision > 0 && kept.Plausible()
 }
 
 // Plausible reports whether the values may come from an estimate.
 func (k Kept) Plausible() bool {
-	return math.Abs(k.logTime()) <= maxKeptLogTime && k.variance() > 0 && k.variance() <= priorVariance
+	return math.Abs(k.logTime()) <= maxKeptLogTime && k.Deviation > 0 && k.Deviation <= maxKeptDeviation && k.variance() <= priorVariance
 }
 
 // Known reports whether the estimate is precise enough to compare workers.
@@ -37,8 +58,8 @@
 // Distinctness returns how many standard deviations the worker is from the average one.
 func (k Kept) Distinctness() float64 { return math.Abs(k.logTime()) / math.Sqrt(k.variance()) }
 
-func (k Kept) logTime() float64  { return float64(k[0]) * keptUnit }
-func (k Kept) variance() float64 { return float64(k[1]*k[1]) * keptUnit * keptUnit }
+func (k Kept) logTime() float64  { return float64(k.LogTime) * keptUnit }
+func (k Kept) variance() float64 { return float64(k.Deviation*k.Deviation) * keptUnit * keptUnit }
 
 // materialLogTime is the smallest change of the logarithm of the time per work that is material.
 const materialLogTime = 0.1
@@ -73,24 +94,27 @@
 	e.precision = min(precision, 1/minVariance-1/priorVariance)
 }
 
-// KeptWork is the stored form of a WorkVariance: the sum of squared deviations and the number of
-// tasks.
-type KeptWork [2]float64
+// KeptWork is the stored form of a WorkVariance.
+type KeptWork struct {
+	// Sum is the sum of squared deviations, and Weight the number of tasks.
+	Sum    float64 `json:"sum"`
+	Weight float64 `json:"weight"`
+}
 
 // Keep returns the stored form.
-func (v *WorkVariance) Keep() KeptWork { return KeptWork{v.sum, v.weight} }
+func (v *WorkVariance) Keep() KeptWork { return KeptWork{Sum: v.sum, Weight: v.weight} }
 
 // Plausible reports whether the values may come from a WorkVariance.
 func (k KeptWork) Plausible() bool {
-	return k[1] >= 0 && k[1] <= maxWorkWeight && k[0] >= 0 && k[0] <= maxSquaredDeviation*k[1]
+	return k.Weight >= 0 && k.Weight <= maxWorkWeight && k.Sum >= 0 && k.Sum <= maxSquaredDeviation*k.Weight
 }
 
 // Merge adds the tasks of an earlier owner.
 func (v *WorkVariance) Merge(kept KeptWork) {
-	weight := v.weight + kept[1]
+	weight := v.weight + kept.Weight
 	if weight <= 0 {
 		return
 	}
 	scale := min(1, maxWorkWeight/weight)
-	v.sum, v.weight = scale*(v.sum+kept[0]), scale*weight
+	v.sum, v.weight = scale*(v.sum+kept.Sum), scale*weight
 }
--- a/internal/speeds/kept_test.go
+++ b/internal/speeds/kept_test.go
@@ -1,6 +1,7 @@
 package speeds
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -35,7 +36,8 @@
 }
 
 func TestImplausibleEstimates(t *testing.T) {
-	for name, kept := range map[string]Kept{"no deviation": {100, 0}, "negative deviation": {100, -501}, "wide": {100, 501}, "too slow": {3001, 60}, "too fast": {-3001, 60}} {
+	for name, kept := range map[string]Kept{"no deviation": {100, 0}, "negative deviation": {100, -501}, "wide": {100, 501}, "too slow": {3001, 60}, "too fast": {-3001, 60}, "small negative deviation": {100, -60},
+		"smallest deviation": {100, math.MinInt64}, "smallest speed": {math.MinInt64, 60}, "largest deviation": {100, math.MaxInt64}, "square overflows": {100, 1<<32 + 60}} {
 		t.Run(name, func(t *testing.T) { require.False(t, kept.Plausible()) })
 	}
 	for name, kept := range map[string]KeptWork{"negative weight": {0, -1}, "heavy": {1, 501}, "negative sum": {-1, 5}, "wide": {6, 5}} {
