pool: rows and writes of kept knowledge at their limits

A head row without a usable token counted as a pool's first owner, so that the next one took it that there were no losses before it. That a head row exists is remembered apart from its token (TestChanceLossesAroundTakeoverDoNotFailJob, 'row gone, head rows without a token': the sound job failed).

A write that was sent twice shows the owner its own row; it is recognised by the serial of this write too (TestKnowledgeWriteThatArrivedTwice).

A row that is too large to decode is replaced only if its token can be read and is no newer one (TestTakeoverWithRowOfAnotherWriter, 'too large, a list' and 'too large and newer'). TestRowsOfOtherWriters expects the token of a row that is too large now, where it can be read; it expected none.

--- a/internal/knowledge/composer.go
+++ b/internal/knowledge/composer.go
@@ -108,6 +108,15 @@
 	return elapsed >= plainInterval
 }
 
+// Bytes returns an upper bound on the size of the row for a snapshot.
+func (s Snapshot) Bytes() int {
+	bytes := headerBytes
+	for name, exported := range s.exports {
+		bytes += len(exported.document) + len(name) + sectionBytes
+	}
+	return bytes
+}
+
 // Row returns the row for a snapshot.
 func (s Snapshot) Row(token int64, serial int, now, timeOfDay time.Time) Row {
 	row := Row{Format: FormatVersion, Token: token, Serial: serial, WrittenMillis: timeOfDay.UnixMilli(), Sections: map[string]StoredSection{}}
--- a/internal/knowledge/due.go
+++ b/internal/knowledge/due.go
@@ -17,13 +17,16 @@
 	// MaxConfirmationAge is the age of the last confirmed ownership from which the store counts as
 	// slow. Owners confirm their ownership about once a second.
 	MaxConfirmationAge = 2500 * time.Millisecond
+	// MaxReleaseBytes bounds a row that is written during a release. The row shares the machine's
+	// link with the lease write, which ends the release.
+	MaxReleaseBytes = 8_000
 )
 
 // WriteState is what a decision to write goes by.
 type WriteState struct {
 	// Read is true once the present row was read, or is known to be absent.
 	Read bool
-	// NewerOwner is true if the present row was written by a newer owner.
+	// NewerOwner is true if the present row was written by a newer owner, or may have been.
 	NewerOwner bool
 	// InFlight is true while a write is in flight.
 	InFlight bool
@@ -41,6 +44,8 @@
 	SinceAttempt, LastWriteTook time.Duration
 	// Releasing is true if the owner is about to release the pool.
 	Releasing bool
+	// Bytes is the size of the row, or 0 before it is known.
+	Bytes int
 }
 
 // WriteDecision says whether the row is written now, or why not.
@@ -57,6 +62,8 @@
 	WaitForInterval  WriteDecision = "too soon"
 	WaitAfterStart   WriteDecision = "just taken over"
 	NothingNew       WriteDecision = "nothing new"
+	// TooLargeForRelease is for rows that would delay a release.
+	TooLargeForRelease WriteDecision = "too large for a release"
 )
 
 // WriteDue decides whether an owner writes its row now.
@@ -76,8 +83,10 @@
 		return WaitForInterval
 	case !s.Written && s.SinceTakeover < FirstWriteDelay && !s.Releasing:
 		return WaitAfterStart
-	case s.Written && !s.Changed:
+	case !s.Changed && (s.Written || s.Releasing):
 		return NothingNew
+	case s.Releasing && s.Bytes > MaxReleaseBytes:
+		return TooLargeForRelease
 	}
 	return Write
 }
--- a/internal/knowledge/row.go
+++ b/internal/knowledge/row.go
@@ -12,7 +12,7 @@
 const FormatVersion = 1
 
 const (
-	// MaxRowBytes bounds the row. The store's limit is 65,536 bytes.
+	// MaxRowBytes bounds the row in all versions of the format. The store's limit is 65,536 bytes.
 	MaxRowBytes = 60_000
 	// MaxSectionBytes is the budget of one section. A section that exceeds it is left out. Sections
 	// therefore drop their least important content themselves.
@@ -58,21 +58,17 @@
 func (r *Row) Encode() ([]byte, error) { return json.Marshal(r) }
 
 // Decode parses a stored row. If the error is ErrNewerFormat, the result holds the token and the
-// serial. Implausible sections are left out.
+// serial. If it is ErrTooLarge, the result holds them if they can be read. Implausible sections are
+// left out.
 func Decode(value []byte) (Row, error) {
-	if len(value) > MaxRowBytes {
-		return Row{}, ErrTooLarge
-	}
-	var header struct {
-		Format int   `json:"format"`
-		Token  int64 `json:"token"`
-		Serial int   `json:"serial"`
-	}
-	if err := json.Unmarshal(value, &header); err != nil || header.Format < 1 || header.Token < 1 {
-		return Row{}, ErrUnreadable
-	}
-	if header.Format > FormatVersion {
-		return Row{Format: header.Format, Token: header.Token, Serial: header.Serial}, ErrNewerFormat
+	header, err := decodeHeader(value)
+	switch {
+	case len(value) > MaxRowBytes:
+		return header, ErrTooLarge
+	case err != nil:
+		return Row{}, err
+	case header.Format > FormatVersion:
+		return header, ErrNewerFormat
 	}
 	var row Row
 	if err := json.Unmarshal(value, &row); err != nil || row.WrittenMillis <= 0 || len(row.Sections) > maxSections {
@@ -86,6 +82,19 @@
 	return row, nil
 }
 
+// decodeHeader parses the fields that all versions of the format have.
+func decodeHeader(value []byte) (Row, error) {
+	var header struct {
+		Format int   `json:"format"`
+		Token  int64 `json:"token"`
+		Serial int   `json:"serial"`
+	}
+	if err := json.Unmarshal(value, &header); err != nil || header.Format < 1 || header.Token < 1 {
+		return Row{}, ErrUnreadable
+	}
+	return Row{Format: header.Format, Token: header.Token, Serial: header.Serial}, nil
+}
+
 func (s *StoredSection) plausible() bool {
 	return s.AgeMillis >= 0 && s.AgeMillis <= maxAge.Milliseconds() && len(s.Document) > 0 && len(s.Document) <= MaxSectionBytes
 }
--- a/internal/knowledge/row_test.go
+++ b/internal/knowledge/row_test.go
@@ -97,7 +97,9 @@
 		"token of another type":  {value: `{"format":1,"token":"7","written_ms":5}`, err: ErrUnreadable},
 		"sections are a list":    {value: `{"format":1,"token":7,"written_ms":5,"sections":[]}`, err: ErrUnreadable},
 		"newer format":           {value: `{"format":2,"token":9,"serial":4,"written_ms":"late","sections":[]}`, err: ErrNewerFormat, token: 9},
-		"too large":              {value: strings.Repeat(" ", MaxRowBytes) + valid, err: ErrTooLarge},
+		"too large":              {value: strings.Repeat(" ", MaxRowBytes) + valid, err: ErrTooLarge, token: 7},
+		"too large, truncated":   {value: valid[:len(valid)-10] + strings.Repeat(" ", MaxRowBytes), err: ErrTooLarge},
+		"too large, no format":   {value: `{"token":7}` + strings.Repeat(" ", MaxRowBytes), err: ErrTooLarge},
 		"unknown fields":         {value: strings.Replace(valid, `{"format"`, `{"more":[1],"format"`, 1), token: 7, sections: 1},
 		"unknown section":        {value: strings.Replace(valid, `"speeds"`, `"weather"`, 1), token: 7, sections: 1},
 		"negative age":           {value: strings.Replace(valid, `"age_ms":5`, `"age_ms":-5`, 1), token: 7},
@@ -221,6 +223,10 @@
 		"a slow write long ago":         {func(s *WriteState) { s.LastWriteTook = SlowWrite + 1; s.SinceAttempt = 2 * SlowWritePause }, Write},
 		"just taken over":               {func(s *WriteState) { s.Written = false; s.Attempted = false; s.SinceTakeover = FirstWriteDelay - 1 }, WaitAfterStart},
 		"first row, nothing learned":    {func(s *WriteState) { s.Written = false; s.Changed = false; s.Attempted = false; s.SinceAttempt = 0 }, Write},
+		"released, nothing learned":     {func(s *WriteState) { s.Written = false; s.Changed = false; s.Releasing = true }, NothingNew},
+		"large row":                     {func(s *WriteState) { s.Bytes = MaxReleaseBytes + 1 }, Write},
+		"large row at a release":        {func(s *WriteState) { s.Bytes = MaxReleaseBytes + 1; s.Releasing = true }, TooLargeForRelease},
+		"last write slow at a release":  {func(s *WriteState) { s.LastWriteTook = SlowWrite + 1; s.Releasing = true }, WaitForFastStore},
 		"released soon after the start": {func(s *WriteState) { s.Written = false; s.SinceTakeover = 0; s.Releasing = true }, Write},
 	}
 	for name, c := range cases {
--- a/internal/pool/kept_knowledge.go
+++ b/internal/pool/kept_knowledge.go
@@ -12,19 +12,22 @@
 )
 
 // keptKnowledge reads the row in which an earlier owner has kept what it had learned, and writes
-// the row for the next owner. Nothing waits for either. See docs/design/kept-knowledge.md.
+// the row for the next owner. No decision waits for either. See docs/design/kept-knowledge.md.
 type keptKnowledge struct {
 	pool     *Pool
 	composer *knowledge.Composer
-	// earlierOwner is the fencing token of the last owner before this one; 0 if there was none.
+	// earlierOwner is the fencing token of the last owner before this one that a head row names; 0 if
+	// none does. unnamedOwner is true if a head row names no owner.
+	earlierOwner int64
+	unnamedOwner bool
 	// rowWriter is the token of the row that was read; 0 if no row could be read.
-	earlierOwner, rowWriter int64
+	rowWriter int64
 	// read is true once the present row is known. version is its version, and written is true if
 	// this owner has written it.
 	read    bool
 	version int64
 	written bool
-	// newerOwner is true once a row with a higher token was seen.
+	// newerOwner is true if the row last seen was written by a newer owner, or may have been.
 	newerOwner bool
 	// serial is the serial of the last write. unanswered is the content of the last write whose
 	// outcome is not known, and unansweredSerial its serial.
@@ -35,7 +38,9 @@
 	attemptedAt   time.Time
 	lastWriteTook time.Duration
 	// checkedAt is when the sections were last exported; zero if they are to be exported next.
-	checkedAt time.Time
+	// releaseChecked is true once they were exported during a release.
+	checkedAt      time.Time
+	releaseChecked bool
 }
 
 // knowledgeCheckInterval is the minimum time between two exports of all sections.
@@ -54,10 +59,10 @@
 // start reads the row. If the store is away, the row is merged when it comes.
 func (k *keptKnowledge) start() {
 	p := k.pool
-	p.lossTracker.WatchFrom(p.acquiredAt)
 	if k.disabled() {
 		return
 	}
+	p.lossTracker.WatchFrom(p.acquiredAt)
 	key := KnowledgeKey(p.options.Pool)
 	p.scanPrefix(key.Table, key.Part, key.Name, func(listing rows.Listing) {
 		k.read = true
@@ -75,9 +80,9 @@
 func (k *keptKnowledge) handleRow(stored *rows.Row) {
 	k.version = stored.Version
 	row, err := knowledge.Decode(stored.Value)
-	k.newerOwner = row.Token > k.pool.token
+	k.newerOwner = k.mayBeNewer(&row, err)
 	switch {
-	case k.newerOwner:
+	case row.Token > k.pool.token:
 		k.logRead("newer_token", &row, len(stored.Value), knowledge.Imported{})
 	case err != nil:
 		k.logRead(refusalReason(err), &row, len(stored.Value), knowledge.Imported{})
@@ -90,6 +95,13 @@
 	}
 }
 
+// mayBeNewer reports whether a newer owner may have written a row. The token of a row that is too
+// large may be unknown.
+func (k *keptKnowledge) mayBeNewer(row *knowledge.Row, err error) bool {
+	unknown := errors.Is(err, knowledge.ErrTooLarge) && row.Token == 0
+	return unknown || row.Token > k.pool.token
+}
+
 func refusalReason(err error) string {
 	switch {
 	case errors.Is(err, knowledge.ErrNewerFormat):
@@ -111,10 +123,14 @@
 		"sections", strings.Join(imported.Known, " "), "refused", strings.Join(imported.Refused, " "), "age_ms", imported.Age.Milliseconds())
 }
 
-// recordEarlierOwner records the token of an owner that a head row names.
-func (k *keptKnowledge) recordEarlierOwner(token int64) {
-	if token < k.pool.token {
-		k.earlierOwner = max(k.earlierOwner, token)
+// recordHead records which owner wrote a head row. A head row without a usable token still shows
+// that there was an owner before this one.
+func (k *keptKnowledge) recordHead(head *headRecord) {
+	switch {
+	case head.Token < 1:
+		k.unnamedOwner = true
+	case head.Token < k.pool.token:
+		k.earlierOwner = max(k.earlierOwner, head.Token)
 	}
 }
 
@@ -122,7 +138,7 @@
 // name the last owner. A row of an owner before that one tells nothing of the losses since.
 func (k *keptKnowledge) continueWatch() {
 	switch {
-	case k.pool.progressFencedAt.IsZero():
+	case k.disabled(), k.pool.progressFencedAt.IsZero(), k.unnamedOwner:
 	case k.earlierOwner == 0:
 		k.pool.lossTracker.AssumeCalmBefore()
 	case k.rowWriter == k.earlierOwner:
@@ -136,7 +152,7 @@
 // writeIfDue writes the row if the next owner would decide differently by it.
 func (k *keptKnowledge) writeIfDue() {
 	now := k.pool.loop.Now()
-	if k.disabled() || !k.pool.loaded || !k.pool.releasing && now.Sub(k.checkedAt) < knowledgeCheckInterval {
+	if k.disabled() || !k.pool.loaded || !k.checkDue(now) {
 		return
 	}
 	state := k.writeState(now)
@@ -145,14 +161,22 @@
 	if knowledge.WriteDue(&state) != knowledge.Write {
 		return
 	}
-	k.checkedAt = now
+	k.checkedAt, k.releaseChecked = now, k.pool.releasing
 	snapshot := k.composer.Snapshot(now)
-	state.Changed = k.composer.Changed(snapshot)
+	state.Changed, state.Bytes = k.composer.Changed(snapshot), snapshot.Bytes()
 	if knowledge.WriteDue(&state) == knowledge.Write {
 		k.write(snapshot, now)
 	}
 }
 
+// checkDue reports whether the sections may be exported again. A release exports them once.
+func (k *keptKnowledge) checkDue(now time.Time) bool {
+	if k.pool.releasing {
+		return !k.releaseChecked
+	}
+	return now.Sub(k.checkedAt) >= knowledgeCheckInterval
+}
+
 func (k *keptKnowledge) writeState(now time.Time) knowledge.WriteState {
 	p := k.pool
 	return knowledge.WriteState{
@@ -195,7 +219,7 @@
 			k.version = result.Version
 			k.markWritten(snapshot, len(value))
 		default:
-			k.handleReplacedRow(result)
+			k.handleReplacedRow(result, snapshot, row.Serial)
 		}
 	})
 }
@@ -207,10 +231,11 @@
 	k.pool.record.Set("knowledge_bytes", int64(bytes))
 }
 
-// handleReplacedRow handles a failed condition. The row was written by an earlier write of this
-// owner whose response was lost, by a write of a former owner that came late, or by a newer owner.
-// Only the last one's row stays; the others are replaced by the next write.
-func (k *keptKnowledge) handleReplacedRow(result rows.Result) {
+// handleReplacedRow handles a failed condition of a write. The row was written by another copy of
+// this write, by an earlier write of this owner whose response was lost, by a write of a former
+// owner that came late, or by a newer owner. Only the last one's row stays; the others are replaced
+// by the next write.
+func (k *keptKnowledge) handleReplacedRow(result rows.Result, snapshot knowledge.Snapshot, serial int) {
 	k.pool.record.Count("knowledge", "write_superseded")
 	k.version, k.written = rows.Absent, false
 	if len(result.Current) == 0 {
@@ -218,9 +243,13 @@
 	}
 	current := &result.Current[0]
 	k.version = current.Version
-	row, _ := knowledge.Decode(current.Value)
-	k.newerOwner = row.Token > k.pool.token
-	if row.Token == k.pool.token && row.Serial == k.unansweredSerial {
+	row, err := knowledge.Decode(current.Value)
+	k.newerOwner = k.mayBeNewer(&row, err)
+	switch {
+	case row.Token != k.pool.token:
+	case row.Serial == serial:
+		k.markWritten(snapshot, len(current.Value))
+	case row.Serial == k.unansweredSerial:
 		k.markWritten(k.unanswered, len(current.Value))
 	}
 }
--- a/internal/pool/kept_knowledge_test.go
+++ b/internal/pool/kept_knowledge_test.go
@@ -54,9 +54,10 @@
 
 // restartTwiceAroundTakeover restarts some workers, and the worker of one task twice with a takeover
 // in between, at like ages of the task's runs. betweenOwners is called while there is no owner.
-func restartTwiceAroundTakeover(betweenOwners func(*simulation.Cluster)) *simulation.Cluster {
+func restartTwiceAroundTakeover(disabled mechanism.Disabled, betweenOwners func(*simulation.Cluster)) *simulation.Cluster {
 	const others, firstAge, secondAge = 12, 1050 * time.Millisecond, 1010 * time.Millisecond
 	w := simulation.NewCluster(4, 5)
+	w.DisabledMechanisms = disabled
 	w.Work = func(taskgraph.TaskName) time.Duration { return 20 * time.Second }
 	owner := w.AcquirePool()
 	w.Run(time.Second)
@@ -97,16 +98,37 @@
 		"row gone":    removeKnowledge,
 		"row damaged": func(w *simulation.Cluster) { putKnowledge(w, "{") },
 		"store away":  func(w *simulation.Cluster) { w.Store.UnavailablePartitions[knowledgeKey.Part] = true },
+		"row gone, head rows without a token": func(w *simulation.Cluster) {
+			removeKnowledge(w)
+			replaceHeadRows(w, "{}")
+		},
+		"row kept, head rows without a token": func(w *simulation.Cluster) { replaceHeadRows(w, "{}") },
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			w := restartTwiceAroundTakeover(betweenOwners)
+			w := restartTwiceAroundTakeover(nil, betweenOwners)
 			requireInvariants(t, w)
 			require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
 		})
 	}
 }
 
+// replaceHeadRows replaces the head row of each progress partition.
+func replaceHeadRows(w *simulation.Cluster, value string) {
+	for _, partition := range pool.ProgressPartitions(simulation.PoolName) {
+		key := rows.Key{Table: pool.ProgressTable, Part: partition, Name: "!head"}
+		w.Store.Apply(rows.Transaction{Puts: []rows.Put{{Key: key, Value: []byte(value)}}})
+	}
+}
+
+// TestDisabledMechanismWeighsLossesAsBefore: without kept knowledge an owner weighs the losses of
+// its first 10 s as if it had watched before.
+func TestDisabledMechanismWeighsLossesAsBefore(t *testing.T) {
+	w := restartTwiceAroundTakeover(mechanism.Disabled{mechanism.KeptKnowledge: true}, func(*simulation.Cluster) {})
+	requireInvariants(t, w)
+	require.Equal(t, taskgraph.Failed, w.StoredState(jobID(1)))
+}
+
 // TestCrashingTaskIsFoundAcrossTakeovers: a task that crashes its workers is found by two of them
 // although the owner changes in between, with and without kept losses.
 func TestCrashingTaskIsFoundAcrossTakeovers(t *testing.T) {
@@ -174,15 +196,17 @@
 		value, counted string
 		kept           bool
 	}{
-		"empty":             {value: ``, counted: "unreadable"},
-		"truncated":         {value: head + `{"speeds":{"age`, counted: "unreadable"},
-		"newer format":      {value: `{"format":9,"token":1,"sections":"packed"}`, counted: "newer_format"},
-		"too large":         {value: head + `{}}` + strings.Repeat(" ", knowledge.MaxRowBytes), counted: "too_large"},
-		"newer owner":       {value: `{"format":1,"token":999999999,"serial":1,"written_ms":1767225600000}`, counted: "newer_token", kept: true},
-		"newer in both":     {value: `{"format":9,"token":999999999}`, counted: "newer_token", kept: true},
-		"implausible parts": {value: head + `{"speeds":{"age_ms":0,"document":{"machines":{"w-0-0":[9999,60]}}},"losses":{"age_ms":0,"document":[]}}}`, counted: "section_refused"},
-		"unknown parts":     {value: head + `{"weather":{"age_ms":0,"document":"rain"}}}`, counted: "read"},
-		"stale":             {value: `{"format":1,"token":1,"serial":1,"written_ms":1,"sections":{"speeds":{"age_ms":0,"document":{"machines":{"w-0-0":[500,60]}}}}}`, counted: "read"},
+		"empty":               {value: ``, counted: "unreadable"},
+		"truncated":           {value: head + `{"speeds":{"age`, counted: "unreadable"},
+		"newer format":        {value: `{"format":9,"token":1,"sections":"packed"}`, counted: "newer_format"},
+		"too large":           {value: head + `{}}` + strings.Repeat(" ", knowledge.MaxRowBytes), counted: "too_large"},
+		"too large, a list":   {value: `[` + strings.Repeat(" ", knowledge.MaxRowBytes), counted: "too_large", kept: true},
+		"too large and newer": {value: `{"format":1,"token":999999999}` + strings.Repeat(" ", knowledge.MaxRowBytes), counted: "newer_token", kept: true},
+		"newer owner":         {value: `{"format":1,"token":999999999,"serial":1,"written_ms":1767225600000}`, counted: "newer_token", kept: true},
+		"newer in both":       {value: `{"format":9,"token":999999999}`, counted: "newer_token", kept: true},
+		"implausible parts":   {value: head + `{"speeds":{"age_ms":0,"document":{"machines":{"w-0-0":[9999,60]}}},"losses":{"age_ms":0,"document":[]}}}`, counted: "section_refused"},
+		"unknown parts":       {value: head + `{"weather":{"age_ms":0,"document":"rain"}}}`, counted: "read"},
+		"stale":               {value: `{"format":1,"token":1,"serial":1,"written_ms":1,"sections":{"speeds":{"age_ms":0,"document":{"machines":{"w-0-0":[500,60]}}}}}`, counted: "read"},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/pool/progress_fencing.go
+++ b/internal/pool/progress_fencing.go
@@ -22,7 +22,7 @@
 				return
 			}
 			version = listing.Rows[i].Version
-			p.kept.recordEarlierOwner(current.Token)
+			p.kept.recordHead(&current)
 			p.mergeDurations(current)
 		}
 		w.fencePartitionAt(part, version, done)
