--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -92,7 +92,7 @@
 		end = func() { cluster.Store.Latency = storeLatency }
 	case StoreLossy:
 		begin = func() {
-			cluster.Store.WriteOutcome, cluster.Store.KnowledgeWriteOutcome = r.randomOutcomes(writeLoss), r.randomOutcomes(writeLoss)
+			cluster.Store.WriteOutcome, cluster.Store.KnowledgeWriteOutcome = r.randomOutcomes(writeLoss, outcomesStream), r.randomOutcomes(writeLoss, knowledgeOutcomesStream)
 		}
 		end = func() { cluster.Store.WriteOutcome, cluster.Store.KnowledgeWriteOutcome = nil, nil }
 	case PartUnavailable:
@@ -113,10 +113,16 @@
 	orderLoss        = 0.4
 )
 
-// randomOutcomes returns a function that draws outcomes. The given share of them is not
-// acknowledged.
-func (r *run) randomOutcomes(share float64) func() simulation.Outcome {
-	random := rand.New(rand.NewPCG(r.options.Seed, 2))
+// Random streams of outcomes. Writes of kept knowledge have one of their own.
+const (
+	outcomesStream          = 2
+	knowledgeOutcomesStream = 33
+)
+
+// randomOutcomes returns a function that draws outcomes from a random stream. The given share of
+// them is not acknowledged.
+func (r *run) randomOutcomes(share float64, stream uint64) func() simulation.Outcome {
+	random := rand.New(rand.NewPCG(r.options.Seed, stream))
 	return func() simulation.Outcome {
 		if random.Float64() < share {
 			return simulation.Outcome(1 + random.IntN(3))
@@ -148,7 +154,7 @@
 				r.replaceWorker(worker)
 			}
 	default:
-		return func() { worker.OrderOutcome = r.randomOutcomes(orderLoss) }, func() { worker.OrderOutcome = nil }
+		return func() { worker.OrderOutcome = r.randomOutcomes(orderLoss, outcomesStream) }, func() { worker.OrderOutcome = nil }
 	}
 }
 
