pool: head rows tell the next owner whether the kept row lacks a loss

A row that the last owner wrote before its losses counted as a complete watch: with the row's partition away from before the losses until that owner's end a sound job failed (TestChanceLossesAroundTakeoverDoNotFailJob, 'row of before the losses'). Head rows, which are written with each change of a job anyway, carry the serial of the last row of kept knowledge before the owner's last loss. The next owner continues the watch only by a row with a higher serial.

--- a/internal/pool/kept_knowledge.go
+++ b/internal/pool/kept_knowledge.go
@@ -20,8 +20,12 @@
 	// none does. unnamedOwner is true if a head row names no owner.
 	earlierOwner int64
 	unnamedOwner bool
-	// rowWriter is the token of the row that was read; 0 if no row could be read.
+	// earlierLostAfter is the highest LostAfterSerial of the last owner's head rows.
+	earlierLostAfter int
+	// rowWriter is the token of the row that was read, and rowSerial its serial; 0 if no row could be
+	// read.
 	rowWriter int64
+	rowSerial int
 	// read is true once the present row is known. version is its version, and written is true if
 	// this owner has written it.
 	read    bool
@@ -32,8 +36,10 @@
 	// serial is the serial of the last write. unanswered is the content of the last write whose
 	// outcome is not known, and unansweredSerial its serial.
 	serial, unansweredSerial int
-	unanswered               knowledge.Snapshot
-	inFlight                 bool
+	// lostAfterSerial is the serial of the last write before the last loss of a worker.
+	lostAfterSerial int
+	unanswered      knowledge.Snapshot
+	inFlight        bool
 	// attemptedAt is when the last write began, and lastWriteTook how long it took.
 	attemptedAt   time.Time
 	lastWriteTook time.Duration
@@ -88,7 +94,7 @@
 		k.logRead(refusalReason(err), &row, len(stored.Value), knowledge.Imported{})
 	default:
 		imported := k.composer.Import(&row, k.pool.loop.Now(), k.pool.loop.TimeOfDay())
-		k.rowWriter = row.Token
+		k.rowWriter, k.rowSerial = row.Token, row.Serial
 		k.logRead("read", &row, len(stored.Value), imported)
 		k.continueWatch()
 		k.pool.scheduleCycle()
@@ -129,25 +135,30 @@
 	switch {
 	case head.Token < 1:
 		k.unnamedOwner = true
-	case head.Token < k.pool.token:
-		k.earlierOwner = max(k.earlierOwner, head.Token)
+	case head.Token >= k.pool.token || head.Token < k.earlierOwner:
+	case head.Token == k.earlierOwner:
+		k.earlierLostAfter = max(k.earlierLostAfter, head.LostAfterSerial)
+	default:
+		k.earlierOwner, k.earlierLostAfter = head.Token, head.LostAfterSerial
 	}
 }
 
 // continueWatch tells the loss tracker which losses before this owner are known, once the head rows
-// name the last owner. A row of an owner before that one tells nothing of the losses since.
+// name the last owner. A row of an owner before that one tells nothing of the losses since, nor does
+// a row that the last owner wrote before a loss.
 func (k *keptKnowledge) continueWatch() {
 	switch {
 	case k.disabled(), k.pool.progressFencedAt.IsZero(), k.unnamedOwner:
 	case k.earlierOwner == 0:
 		k.pool.lossTracker.AssumeCalmBefore()
-	case k.rowWriter == k.earlierOwner:
+	case k.rowWriter == k.earlierOwner && k.rowSerial > k.earlierLostAfter:
 		k.pool.lossTracker.ContinueWatch()
 	}
 }
 
-// checkSoon lets the sections be exported as soon as a write is allowed.
-func (k *keptKnowledge) checkSoon() { k.checkedAt = time.Time{} }
+// recordLoss records that a worker was lost. The sections are exported as soon as a write is
+// allowed, and head rows say which row does not hold the loss.
+func (k *keptKnowledge) recordLoss() { k.checkedAt, k.lostAfterSerial = time.Time{}, k.serial }
 
 // writeIfDue writes the row if the next owner would decide differently by it.
 func (k *keptKnowledge) writeIfDue() {
--- a/internal/pool/kept_knowledge_test.go
+++ b/internal/pool/kept_knowledge_test.go
@@ -52,12 +52,20 @@
 	return nil
 }
 
-// restartTwiceAroundTakeover restarts some workers, and the worker of one task twice with a takeover
-// in between, at like ages of the task's runs. betweenOwners is called while there is no owner.
-func restartTwiceAroundTakeover(disabled mechanism.Disabled, betweenOwners func(*simulation.Cluster)) *simulation.Cluster {
+// takeoverBetweenRestarts describes a takeover between restarts of workers.
+type takeoverBetweenRestarts struct {
+	disabled mechanism.Disabled
+	// beforeRestarts is called before the first restart, and betweenOwners while there is no owner.
+	// Either may be nil.
+	beforeRestarts, betweenOwners func(*simulation.Cluster)
+}
+
+// play restarts some workers, and the worker of one task twice with a takeover in between, at like
+// ages of the task's runs.
+func (s takeoverBetweenRestarts) play() *simulation.Cluster {
 	const others, firstAge, secondAge = 12, 1050 * time.Millisecond, 1010 * time.Millisecond
 	w := simulation.NewCluster(4, 5)
-	w.DisabledMechanisms = disabled
+	w.DisabledMechanisms = s.disabled
 	w.Work = func(taskgraph.TaskName) time.Duration { return 20 * time.Second }
 	owner := w.AcquirePool()
 	w.Run(time.Second)
@@ -66,6 +74,9 @@
 	}
 	// An owner that has watched for long knows the rate of losses.
 	w.Run(12 * time.Second)
+	if s.beforeRestarts != nil {
+		s.beforeRestarts(w)
+	}
 	for n := range 3 {
 		workerOf(w, taskOf(10+n, 0, 0)).Restart(300*time.Millisecond, 0)
 		w.Run(700 * time.Millisecond)
@@ -82,7 +93,9 @@
 	}
 	w.Run(secondAge - 300*time.Millisecond)
 	owner.Process.Kill()
-	betweenOwners(w)
+	if s.betweenOwners != nil {
+		s.betweenOwners(w)
+	}
 	w.AcquirePool()
 	w.Run(300 * time.Millisecond)
 	workerOf(w, victim).Restart(300*time.Millisecond, 0)
@@ -93,26 +106,35 @@
 // TestChanceLossesAroundTakeoverDoNotFailJob guards against an owner that judges a loss as if no
 // worker had been lost before it took over (soak seed 777047).
 func TestChanceLossesAroundTakeoverDoNotFailJob(t *testing.T) {
-	for name, betweenOwners := range map[string]func(*simulation.Cluster){
-		"losses kept": func(*simulation.Cluster) {},
-		"row gone":    removeKnowledge,
-		"row damaged": func(w *simulation.Cluster) { putKnowledge(w, "{") },
-		"store away":  func(w *simulation.Cluster) { w.Store.UnavailablePartitions[knowledgeKey.Part] = true },
-		"row gone, head rows without a token": func(w *simulation.Cluster) {
+	cases := map[string]takeoverBetweenRestarts{
+		"losses kept": {},
+		"row gone":    {betweenOwners: removeKnowledge},
+		"row damaged": {betweenOwners: func(w *simulation.Cluster) { putKnowledge(w, "{") }},
+		"store away":  {betweenOwners: func(w *simulation.Cluster) { setKnowledgeUnavailable(w, true) }},
+		"row of before the losses": {
+			beforeRestarts: func(w *simulation.Cluster) { setKnowledgeUnavailable(w, true) },
+			betweenOwners:  func(w *simulation.Cluster) { setKnowledgeUnavailable(w, false) },
+		},
+		"row gone, head rows without a token": {betweenOwners: func(w *simulation.Cluster) {
 			removeKnowledge(w)
 			replaceHeadRows(w, "{}")
-		},
-		"row kept, head rows without a token": func(w *simulation.Cluster) { replaceHeadRows(w, "{}") },
-	} {
+		}},
+		"row kept, head rows without a token": {betweenOwners: func(w *simulation.Cluster) { replaceHeadRows(w, "{}") }},
+	}
+	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			w := restartTwiceAroundTakeover(nil, betweenOwners)
+			w := c.play()
 			requireInvariants(t, w)
 			require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
 		})
 	}
 }
 
+func setKnowledgeUnavailable(w *simulation.Cluster, unavailable bool) {
+	w.Store.UnavailablePartitions[knowledgeKey.Part] = unavailable
+}
+
 // replaceHeadRows replaces the head row of each progress partition.
 func replaceHeadRows(w *simulation.Cluster, value string) {
 	for _, partition := range pool.ProgressPartitions(simulation.PoolName) {
@@ -124,7 +146,7 @@
 // TestDisabledMechanismWeighsLossesAsBefore: without kept knowledge an owner weighs the losses of
 // its first 10 s as if it had watched before.
 func TestDisabledMechanismWeighsLossesAsBefore(t *testing.T) {
-	w := restartTwiceAroundTakeover(mechanism.Disabled{mechanism.KeptKnowledge: true}, func(*simulation.Cluster) {})
+	w := takeoverBetweenRestarts{disabled: mechanism.Disabled{mechanism.KeptKnowledge: true}}.play()
 	requireInvariants(t, w)
 	require.Equal(t, taskgraph.Failed, w.StoredState(jobID(1)))
 }
--- a/internal/pool/lostruns.go
+++ b/internal/pool/lostruns.go
@@ -85,7 +85,7 @@
 	}
 	p.lossTracker.SetWorkers(len(p.workers))
 	p.lossTracker.RecordLoss(loss)
-	p.kept.checkSoon()
+	p.kept.recordLoss()
 }
 
 // addSuspect adds the member to the suspects of a loss if its run was on the worker.
--- a/internal/pool/progress_batch.go
+++ b/internal/pool/progress_batch.go
@@ -85,7 +85,7 @@
 }
 
 func (p *Pool) encodeHead(nonce string) []byte {
-	return mustEncode(headRecord{Token: p.token, Nonce: p.options.Incarnation + "." + nonce, Durations: p.durations})
+	return mustEncode(headRecord{Token: p.token, Nonce: p.options.Incarnation + "." + nonce, Durations: p.durations, LostAfterSerial: p.kept.lostAfterSerial})
 }
 
 // partitionTimeout is how long the owner waits for a response before it also sends a batch to the
--- a/internal/pool/records.go
+++ b/internal/pool/records.go
@@ -66,6 +66,9 @@
 	Nonce string `json:"nonce"`
 	// Durations holds the learned duration model of each queue.
 	Durations map[string]*durationModel `json:"durations,omitempty"`
+	// LostAfterSerial is the serial of the last row of kept knowledge that does not hold the owner's
+	// last loss of a worker. Versions before the field ignore it.
+	LostAfterSerial int `json:"lost_after_serial,omitempty"`
 }
 
 // mustEncode encodes a record as JSON. Records have only fields that can be encoded.
