--- a/internal/loadsim/simulate.go
+++ b/internal/loadsim/simulate.go
@@ -83,8 +83,14 @@
 	}
 	cluster.Work = func(name taskgraph.TaskName) time.Duration { return works[name.Job] }
 	prepare(cluster)
-	cluster.AcquirePool()
+	owner := cluster.AcquirePool()
 	cluster.Run(time.Second)
+	if variant.TakeoverAt > 0 {
+		cluster.Clock.After(variant.TakeoverAt, func() {
+			owner.Process.Kill()
+			cluster.AcquirePool()
+		})
+	}
 	ends := l.runArrivals(cluster, arrivals, l.randomFailingWorkers(seed))
 	return l.evaluate(cluster, arrivals, ends)
 }
--- a/internal/poison/loss_tracker.go
+++ b/internal/poison/loss_tracker.go
@@ -27,6 +27,13 @@
 	prior   prior
 	// workers is the number of workers in the pool.
 	workers int
+	// watchedFrom is the time from which all losses are known; zero if there were none before.
+	// watching is true once WatchFrom was called.
+	watchedFrom time.Time
+	watching    bool
+	// importedWatchFrom is the time from which an earlier owner knew all losses; zero if none of its
+	// losses were imported.
+	importedWatchFrom time.Time
 }
 
 // settledLoss is the loss of a worker whose evidence in one task's history is final.
@@ -45,6 +52,13 @@
 	replaced        bool
 	unobserved      bool
 	suspects        []Suspect
+	// kept is set if only an earlier owner recorded the loss; nil otherwise.
+	kept *keptEvidence
+	// earlierSuspects are the histories in which an earlier owner recorded the loss. Their ratios are
+	// final.
+	earlierSuspects []*History
+	// surroundingsUnknown is true if the losses before this one were not watched.
+	surroundingsUnknown bool
 	// chanceProbability is the probability that none of the tasks caused the loss.
 	chanceProbability float64
 	// chanceRate is the rate of chance losses at the time of this loss. suspectRate is the rate of
@@ -104,11 +118,17 @@
 			suspect.History.group.prior = &l.prior
 		}
 	}
+	l.replaceKept(loss)
 	l.prune(lost.At)
+	l.insert(loss)
+	l.updateEvidence()
+}
+
+// insert adds a loss in the order of time.
+func (l *LossTracker) insert(loss *workerLoss) {
 	position, _ := slices.BinarySearchFunc(l.losses, loss, func(a, b *workerLoss) int { return a.at.Compare(b.at) })
 	l.losses = slices.Insert(l.losses, position, loss)
-	l.tracked[lost.Worker] = true
-	l.updateEvidence()
+	l.tracked[loss.worker] = true
 }
 
 func (h *History) has(worker string) bool {
@@ -121,12 +141,21 @@
 	}
 }
 
+func (g *Group) remove(loss *workerLoss) {
+	g.losses = slices.DeleteFunc(g.losses, func(other *workerLoss) bool { return other == loss })
+}
+
 // Restore registers a history that was read from the store, so that WithdrawLoss finds its losses.
 func (l *LossTracker) Restore(h *History) {
 	h.group.prior = &l.prior
 	for i := range h.losses {
 		l.settle(h, h.losses[i].worker)
 	}
+	for _, loss := range l.losses {
+		if loss.kept != nil {
+			loss.attributeTo(h)
+		}
+	}
 }
 
 func (l *LossTracker) settle(h *History, worker string) {
@@ -153,8 +182,10 @@
 func (l *LossTracker) removeLoss(loss *workerLoss, settle func(*History, *workerLoss)) {
 	for _, suspect := range loss.suspects {
 		settle(suspect.History, loss)
-		group := suspect.History.group
-		group.losses = slices.DeleteFunc(group.losses, func(other *workerLoss) bool { return other == loss })
+		suspect.History.group.remove(loss)
+	}
+	for _, suspect := range loss.earlierSuspects {
+		suspect.group.remove(loss)
 	}
 }
 
@@ -175,6 +206,7 @@
 		return false
 	}
 	delete(l.tracked, worker)
+	withdrawn := l.withdrawSettled(worker)
 	for i, loss := range l.losses {
 		if loss.worker == worker {
 			l.removeLoss(loss, func(h *History, loss *workerLoss) { h.removeWorker(loss.worker) })
@@ -183,7 +215,7 @@
 			return true
 		}
 	}
-	return l.withdrawSettled(worker)
+	return withdrawn
 }
 
 func (l *LossTracker) withdrawSettled(worker string) bool {
@@ -203,7 +235,7 @@
 // workers are lost more often than the rate of chance losses explains.
 func (l *LossTracker) updateEvidence() {
 	for _, loss := range l.losses {
-		loss.chanceProbability = 1
+		loss.chanceProbability = loss.initialChance()
 		for _, suspect := range loss.suspects {
 			suspect.History.setRatio(loss, 1)
 		}
@@ -214,11 +246,20 @@
 			loss.updateRatios(l.workers)
 		}
 		for _, loss := range l.losses {
-			loss.chanceProbability = loss.chanceRate / (loss.chanceRate + loss.suspectRate)
+			loss.updateChanceProbability()
 		}
 	}
 }
 
+func (loss *workerLoss) updateChanceProbability() {
+	byEarlierSuspects := loss.chanceByEarlierSuspects()
+	if loss.kept != nil {
+		loss.chanceProbability = min(loss.kept.chance, byEarlierSuspects)
+		return
+	}
+	loss.chanceProbability = byEarlierSuspects * loss.chanceRate / (loss.chanceRate + loss.suspectRate)
+}
+
 // updateRatios recomputes the likelihood ratio of this loss for each suspect. The computation uses
 // the odds that the suspects have without this loss.
 func (loss *workerLoss) updateRatios(workers int) {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -89,6 +89,10 @@
 	underusedSince time.Time
 	// health records which workers fail their runs.
 	health *health.Record
+	// kept keeps what the owner has learned for the next owner, and keptSpeeds holds the speeds that
+	// an earlier owner kept of machines that this owner has not listed yet.
+	kept       *keptKnowledge
+	keptSpeeds map[string]keptSpeed
 	// progressFencedAt is when all progress partitions were fenced against former owners.
 	progressFencedAt time.Time
 	// ownershipConfirmedAt is when this owner last was known to hold the pool; confirmingOwnership
@@ -117,6 +121,7 @@
 		invalidRows: invalidWorkerRows{faults: map[string]fleet.RowFault{}},
 	}
 	p.writer = newWriter(p)
+	p.kept = newKeptKnowledge(p, p.lossTracker, p.health, &speedSection{pool: p})
 	return p
 }
 
@@ -138,6 +143,7 @@
 	p.loadWorkers()
 	p.checkEvacuations()
 	p.readRows()
+	p.kept.start()
 	p.tick()
 }
 
@@ -199,6 +205,7 @@
 	p.checkHealth()
 	p.removeExpiredJobs()
 	p.refreshEstimates()
+	p.kept.writeIfDue()
 	p.scheduleCycle()
 	p.loop.After(tickInterval, p.tick)
 }
@@ -252,6 +259,7 @@
 		return
 	}
 	p.releasing = true
+	p.kept.writeIfDue()
 	p.releaseWhenIdle()
 }
 
--- a/internal/pool/records.go
+++ b/internal/pool/records.go
@@ -19,12 +19,16 @@
 	JobTable = "jobs"
 	// ProgressTable holds the progress of jobs and the head rows. Only the owner writes it.
 	ProgressTable = "progress"
+	// KnowledgeTable holds what the owner of each pool has learned. Only the owner writes it.
+	KnowledgeTable = "knowledge"
 )
 
 // Names of rows.
 const (
 	LeaseRow = "owner"
 	headRow  = "!head"
+	// knowledgeRow is also the last part of the row's partition name.
+	knowledgeRow = "knowledge"
 	// The suffixes are appended to the job's identifier.
 	acceptedSuffix  = ".accepted"
 	cancelledSuffix = ".cancelled"
@@ -65,6 +69,9 @@
 	Nonce string `json:"nonce"`
 	// Durations holds the learned duration model of each queue.
 	Durations map[string]*durationModel `json:"durations,omitempty"`
+	// LostAfterSerial is the serial of the last row of kept knowledge that does not hold the owner's
+	// last loss of a worker. Versions before the field ignore it.
+	LostAfterSerial int `json:"lost_after_serial,omitempty"`
 }
 
 // mustEncode encodes a record as JSON. Records have only fields that can be encoded.
