fairshare: order waiting work of equal priority by the tenants' shares

Cause: within a priority the first to arrive went first, so one tenant's burst was everybody's wait. Before shares come, within a priority, starts that are due by a guarantee, work behind its latest start by ten objectives and 30 s, work that has just preempted others, and work that is in time before late work. Shares, credits and waits are in node-status, gauges and a counter.

--- a/internal/cli/node_status.go
+++ b/internal/cli/node_status.go
@@ -13,6 +13,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/wheatroad/wheatroad/internal/node"
+	"github.com/wheatroad/wheatroad/internal/pool"
 )
 
 // statusTimeout is the timeout of the request to one node.
@@ -63,6 +64,15 @@
 	return status, json.NewDecoder(response.Body).Decode(status)
 }
 
+// printTenants prints one line for each tenant. Shares are percentages of the pool.
+func printTenants(text *strings.Builder, tenants []pool.TenantStatus) {
+	for i := range tenants {
+		t := &tenants[i]
+		fmt.Fprintf(text, "      tenant %s: due %.1f%%, holds %.1f%%, used lately %.1f%%, credit %+.1f%%, waiting units %d, longest wait %d ms\n",
+			t.Tenant, 100*t.Due, 100*t.Held, 100*t.Used, 100*t.Credit, t.WaitingUnits, t.LongestWaitMillis)
+	}
+}
+
 func printStatus(out io.Writer, status *node.Status, asJSON bool) error {
 	if asJSON {
 		return json.NewEncoder(out).Encode(status)
@@ -81,6 +91,7 @@
 				o.EvacuatedZones, o.EvacuationsAgeMillis, o.EvacuationsFresh, o.RunsInEvacuatedZones, o.WaitingForZones)
 			fmt.Fprintf(&text, "    policies: tenant sharing %v, bounded preemption %v, admission forecast %v\n",
 				o.Policies.TenantSharing, o.Policies.BoundedPreemption, o.Policies.AdmissionForecast)
+			printTenants(&text, o.Tenants)
 			fmt.Fprintf(&text, "    worker restarts %d, invalid worker rows %d\n", o.Restarts, o.InvalidWorkerRows)
 			for _, restarted := range o.Restarted {
 				fmt.Fprintf(&text, "      %s restarted %d times, last start %s, %d runs\n",
--- /dev/null
+++ b/internal/fairshare/wait_bound.go
@@ -0,0 +1,20 @@
+package fairshare
+
+import "time"
+
+// A caller waits for a small multiple of the objective, and for an accepted job that is later than
+// that it only counts that the job is done at all.
+const (
+	// maxDelayObjectives is the delay after the latest timely start, in objectives, after which
+	// shares no longer decide.
+	maxDelayObjectives = 10
+	// minMaxDelay is the lower limit of that delay. It is longer than a burst.
+	minMaxDelay = 30 * time.Second
+)
+
+// ExceedsWaitBound reports whether work with the given slack has waited so long behind others of its
+// priority that the order of arrival decides. slack is how long the start may be delayed without
+// missing the objective.
+func ExceedsWaitBound(slack, objective time.Duration) bool {
+	return -slack > max(minMaxDelay, maxDelayObjectives*objective)
+}
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -47,6 +47,27 @@
 	AdmissionForecast Mode
 }
 
+// AllOff returns settings without any policy, whatever the configuration.
+func AllOff() Settings {
+	return Settings{TenantSharing: Off, BoundedPreemption: Off, AdmissionForecast: Off}
+}
+
+// Only returns settings with just the named policy.
+func Only(policy string) (Settings, error) {
+	settings := AllOff()
+	switch policy {
+	case "tenant-sharing":
+		settings.TenantSharing = On
+	case "bounded-preemption":
+		settings.BoundedPreemption = On
+	case "admission-forecast":
+		settings.AdmissionForecast = On
+	default:
+		return Settings{}, errors.Newf("policy %q is not known", policy)
+	}
+	return settings, nil
+}
+
 // Set tells which policies are in use.
 type Set struct {
 	TenantSharing     bool `json:"tenant_sharing"`
--- a/internal/features/features_test.go
+++ b/internal/features/features_test.go
@@ -38,6 +38,23 @@
 	}
 }
 
+func TestOnlySelectsOnePolicy(t *testing.T) {
+	uneven := configuration(696, 303, 186, 132, 101, 81, 67, 57, 50, 44)
+	require.Equal(t, Set{}, Resolve(AllOff(), uneven))
+	cases := map[string]Set{
+		"tenant-sharing":     {TenantSharing: true},
+		"bounded-preemption": {BoundedPreemption: true},
+		"admission-forecast": {AdmissionForecast: true},
+	}
+	for name, want := range cases {
+		settings, err := Only(name)
+		require.NoError(t, err)
+		require.Equal(t, want, Resolve(settings, uneven), name)
+	}
+	_, err := Only("everything")
+	require.ErrorContains(t, err, "everything")
+}
+
 func TestParseMode(t *testing.T) {
 	mode, err := ParseMode("")
 	require.NoError(t, err)
--- a/internal/loadsim/compare.go
+++ b/internal/loadsim/compare.go
@@ -28,12 +28,21 @@
 	ValueShare Estimate
 	// ValueGain is the mean difference between the variant's ValueShare and that of the first
 	// variant with the same seed.
-	ValueGain       Estimate
-	Served          Estimate
-	Classes         []Estimate
-	PreemptionRate  Estimate
-	MaxPreemptions  int
-	LostCoreSeconds Estimate
+	ValueGain Estimate
+	Served    Estimate
+	Classes   []Estimate
+	// ClassGains are the mean differences in the classes' worth from the first variant.
+	ClassGains []Estimate
+	// Tenants holds the worth of each tenant. MeanTenant and WorstTenants are those of each seed's
+	// Result, and their gains the differences from the first variant.
+	Tenants          []Estimate
+	MeanTenant       Estimate
+	MeanTenantGain   Estimate
+	WorstTenants     Estimate
+	WorstTenantsGain Estimate
+	PreemptionRate   Estimate
+	MaxPreemptions   int
+	LostCoreSeconds  Estimate
 }
 
 // Compare simulates a load with several variants and the same seeds. At most threads simulations
@@ -74,7 +83,15 @@
 	c.LostCoreSeconds = estimateOverSeeds(func(i int) float64 { return c.Results[i].LostCoreSeconds })
 	for class := range c.Results[0].Classes {
 		c.Classes = append(c.Classes, estimateOverSeeds(func(i int) float64 { return c.Results[i].Classes[class].Worth }))
+		c.ClassGains = append(c.ClassGains, estimateOverSeeds(func(i int) float64 { return c.Results[i].Classes[class].Worth - base[i].Classes[class].Worth }))
 	}
+	for tenant := range c.Results[0].Tenants {
+		c.Tenants = append(c.Tenants, estimateOverSeeds(func(i int) float64 { return c.Results[i].Tenants[tenant].Worth }))
+	}
+	c.MeanTenant = estimateOverSeeds(func(i int) float64 { return c.Results[i].MeanTenant })
+	c.MeanTenantGain = estimateOverSeeds(func(i int) float64 { return c.Results[i].MeanTenant - base[i].MeanTenant })
+	c.WorstTenants = estimateOverSeeds(func(i int) float64 { return c.Results[i].WorstTenants })
+	c.WorstTenantsGain = estimateOverSeeds(func(i int) float64 { return c.Results[i].WorstTenants - base[i].WorstTenants })
 	for i := range c.Results {
 		c.MaxPreemptions = max(c.MaxPreemptions, c.Results[i].MaxPreemptions)
 	}
@@ -84,11 +101,7 @@
 const zScore95 = 1.96
 
 func estimate(values []float64) Estimate {
-	sum := 0.0
-	for _, value := range values {
-		sum += value
-	}
-	mean := sum / float64(len(values))
+	mean := sum(values) / float64(len(values))
 	squares := 0.0
 	for _, value := range values {
 		squares += (value - mean) * (value - mean)
--- a/internal/loadsim/load.go
+++ b/internal/loadsim/load.go
@@ -44,9 +44,20 @@
 	Value, LateValue float64
 }
 
-// Burst multiplies the rate of a class for a period. It applies to all classes if Class is empty.
+// Tenant is a tenant that submits jobs.
+type Tenant struct {
+	Name string
+	// Share is the tenant's share of the arrivals outside bursts.
+	Share float64
+	// GuaranteedGPUs is the number of accelerators that the tenant is guaranteed.
+	GuaranteedGPUs int
+}
+
+// Burst multiplies a rate for a period. It applies to all classes if Class is empty, and to all
+// tenants if Tenant is empty.
 type Burst struct {
 	Class       string
+	Tenant      string
 	From, Until time.Duration
 	Factor      float64
 }
@@ -59,6 +70,10 @@
 	Length  time.Duration
 	Classes []Class
 	Bursts  []Burst
+	// Tenants are the tenants that submit the jobs; empty means one tenant without a guarantee.
+	Tenants []Tenant
+	// Capacity is the capacity of each worker.
+	Capacity taskgraph.Resources
 	// Speeds are the choices for the speed of a worker; empty means that all are 1.
 	Speeds []float64
 }
@@ -67,8 +82,10 @@
 type arrival struct {
 	at    time.Duration
 	class int
-	spec  taskgraph.Spec
-	work  time.Duration
+	// tenant is the index in Load.Tenants; 0 if there are none.
+	tenant int
+	spec   taskgraph.Spec
+	work   time.Duration
 }
 
 // arrivalStep is the time resolution of arrivals.
@@ -80,25 +97,64 @@
 	var arrivals []arrival
 	for at := time.Duration(0); at < l.Length; at += arrivalStep {
 		for class := range l.Classes {
-			if random.Float64() < l.rateAt(class, at)*arrivalStep.Seconds() {
-				arrivals = append(arrivals, l.randomArrival(random, class, at, len(arrivals)))
+			rates := l.ratesAt(class, at)
+			if random.Float64() < sum(rates)*arrivalStep.Seconds() {
+				next := l.randomArrival(random, class, at, len(arrivals))
+				next.tenant = randomIndex(random, rates)
+				arrivals = append(arrivals, next)
 			}
 		}
 	}
 	return arrivals
 }
 
-func (l *Load) rateAt(class int, at time.Duration) float64 {
+// ratesAt returns the rate of arrivals of a class for each tenant.
+func (l *Load) ratesAt(class int, at time.Duration) []float64 {
+	if len(l.Tenants) == 0 {
+		return []float64{l.rateAt(class, "", at)}
+	}
+	rates := make([]float64, len(l.Tenants))
+	for i := range rates {
+		rates[i] = l.Tenants[i].Share * l.rateAt(class, l.Tenants[i].Name, at)
+	}
+	return rates
+}
+
+func (l *Load) rateAt(class int, tenant string, at time.Duration) float64 {
 	rate := l.Classes[class].Rate
 	for i := range l.Bursts {
 		burst := &l.Bursts[i]
-		if at >= burst.From && at < burst.Until && (burst.Class == "" || burst.Class == l.Classes[class].Queue.Name) {
+		applies := (burst.Class == "" || burst.Class == l.Classes[class].Queue.Name) && (burst.Tenant == "" || burst.Tenant == tenant)
+		if applies && at >= burst.From && at < burst.Until {
 			rate *= burst.Factor
 		}
 	}
 	return rate
 }
 
+func sum(values []float64) float64 {
+	total := 0.0
+	for _, value := range values {
+		total += value
+	}
+	return total
+}
+
+// randomIndex returns an index with a probability in proportion to its weight. It draws no random
+// number if there is only one.
+func randomIndex(random *rand.Rand, weights []float64) int {
+	if len(weights) == 1 {
+		return 0
+	}
+	left := random.Float64() * sum(weights)
+	for i, weight := range weights {
+		if left -= weight; left < 0 {
+			return i
+		}
+	}
+	return len(weights) - 1
+}
+
 func (l *Load) randomArrival(random *rand.Rand, class int, at time.Duration, number int) arrival {
 	c := &l.Classes[class]
 	work := time.Duration(float64(c.Work) * logNormalFactor(random, c.WorkSigma))
@@ -138,22 +194,24 @@
 	small := *l
 	small.Racks = max(1, int(math.Round(share*float64(l.Racks))))
 	small.Classes = slices.Clone(l.Classes)
+	ratio := float64(small.Racks) / float64(l.Racks)
 	for i := range small.Classes {
-		small.Classes[i].Rate *= float64(small.Racks) / float64(l.Racks)
+		small.Classes[i].Rate *= ratio
+	}
+	small.Tenants = slices.Clone(l.Tenants)
+	for i := range small.Tenants {
+		small.Tenants[i].GuaranteedGPUs = int(math.Round(ratio * float64(l.Tenants[i].GuaranteedGPUs)))
 	}
 	return &small
 }
 
 // fitsOnRack reports whether all tasks of a step fit on one rack at the same time.
 func (l *Load) fitsOnRack(step *taskgraph.Step) bool {
-	perWorker := workerCapacity.GPUs / max(1, step.GPUs)
-	perWorker = min(perWorker, workerCapacity.CPU/max(1, step.CPU), workerCapacity.MemoryMB/max(1, step.MemoryMB))
+	perWorker := l.Capacity.GPUs / max(1, step.GPUs)
+	perWorker = min(perWorker, l.Capacity.CPU/max(1, step.CPU), l.Capacity.MemoryMB/max(1, step.MemoryMB))
 	return step.Count <= perWorker*l.PerRack
 }
 
-// workerCapacity is the capacity of each worker.
-var workerCapacity = taskgraph.Resources{CPU: 128000, MemoryMB: 524288, GPUs: 8}
-
 // logNormalFactor returns a log-normal random factor with mean 1. deviation is the standard
 // deviation of the factor's logarithm.
 func logNormalFactor(random *rand.Rand, deviation float64) float64 {
--- a/internal/loadsim/loads.go
+++ b/internal/loadsim/loads.go
@@ -1,6 +1,8 @@
 package loadsim
 
 import (
+	"fmt"
+	"math"
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/catalog"
@@ -14,6 +16,12 @@
 	wideClass   = "wide"
 )
 
+// Capacities of workers.
+var (
+	largeWorker = taskgraph.Resources{CPU: 128000, MemoryMB: 524288, GPUs: 8}
+	smallWorker = taskgraph.Resources{CPU: 64000, MemoryMB: 262144, GPUs: 8}
+)
+
 // accelerators are the choices for the number of accelerators per task of urgent and middle jobs.
 var accelerators = []int{1, 2, 4, 8, 8}
 
@@ -41,7 +49,7 @@
 
 // Loads returns the predefined loads.
 func Loads() []Load {
-	base := Load{Racks: 14, PerRack: 8, Length: 34 * time.Second, Classes: classes()}
+	base := Load{Racks: 14, PerRack: 8, Length: 34 * time.Second, Classes: classes(), Capacity: largeWorker}
 	calm := base
 	calm.Name = "calm"
 	urgent := base
@@ -62,7 +70,53 @@
 	mixed.Name = "mixed-speeds"
 	mixed.Speeds = []float64{0.6, 1, 1.6}
 	mixed.Classes = withLongTail(classes(), 0.03, 7)
-	return []Load{calm, urgent, threeBursts, full, mixed}
+	return append([]Load{calm, urgent, threeBursts, full, mixed}, tenantLoads()...)
+}
+
+// tenantLoads returns loads of tenants of very different size: one within the capacity, one above
+// it, and one in which the largest tenant bursts over all others.
+func tenantLoads() []Load {
+	base := Load{Racks: 8, PerRack: 12, Length: 80 * time.Second, Classes: halvedRequests(classes()), Capacity: smallWorker}
+	base.Tenants = skewedTenants(10, guaranteedShare*float64(base.Racks*base.PerRack*base.Capacity.GPUs))
+	steady := base
+	steady.Name = "tenants"
+	full := base
+	full.Name = "tenants-full"
+	full.Bursts = []Burst{{From: 0, Until: base.Length, Factor: 2}}
+	burst := base
+	burst.Name = "tenant-burst"
+	burst.Bursts = []Burst{{Tenant: burst.Tenants[0].Name, From: 10 * time.Second, Until: 40 * time.Second, Factor: 4}}
+	return []Load{steady, full, burst}
+}
+
+// guaranteedShare is the share of the accelerators that are guaranteed to tenants.
+const guaranteedShare = 0.62
+
+// skewExponent makes tenant k submit and be guaranteed k^-skewExponent times as much as the first.
+const skewExponent = 1.2
+
+// skewedTenants returns tenants whose arrivals and guarantees are in proportion, the largest first.
+func skewedTenants(count int, guaranteedGPUs float64) []Tenant {
+	tenants := make([]Tenant, count)
+	total := 0.0
+	for k := range tenants {
+		tenants[k] = Tenant{Name: fmt.Sprintf("tenant-%02d", k+1), Share: math.Pow(float64(k+1), -skewExponent)}
+		total += tenants[k].Share
+	}
+	for k := range tenants {
+		tenants[k].Share /= total
+		tenants[k].GuaranteedGPUs = int(math.Round(tenants[k].Share * guaranteedGPUs))
+	}
+	return tenants
+}
+
+// halvedRequests returns classes whose tasks request half of the cores and memory.
+func halvedRequests(all []Class) []Class {
+	for i := range all {
+		all[i].Request.CPU /= 2
+		all[i].Request.MemoryMB /= 2
+	}
+	return all
 }
 
 // withLongTail returns classes in which the tasks of a share of the jobs take factor times as long.
--- a/internal/loadsim/simulate.go
+++ b/internal/loadsim/simulate.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/wheatroad/wheatroad/internal/catalog"
 	"github.com/wheatroad/wheatroad/internal/simulation"
 	"github.com/wheatroad/wheatroad/internal/taskgraph"
 )
@@ -15,9 +16,21 @@
 	Worth float64
 }
 
+// TenantResult is the outcome of the jobs of a tenant.
+type TenantResult struct {
+	Name string
+	Jobs int
+	// Worth is the earned share of the attainable value.
+	Worth float64
+}
+
 // Result is the outcome of one simulation of a load.
 type Result struct {
 	Classes []ClassResult
+	Tenants []TenantResult
+	// MeanTenant is the mean worth of the tenants, large or small, and WorstTenants that of the
+	// worst-served tenth of them; 0 without tenants.
+	MeanTenant, WorstTenants float64
 	// ValueShare is the earned share of the attainable value of all classes.
 	ValueShare float64
 	// Served is the share of jobs that completed in time or late.
@@ -60,7 +73,7 @@
 	cluster.Bounds.StopTimeout, cluster.Bounds.CheckpointInterval, cluster.Bounds.GuaranteedStartTimeout = stopTime, checkpointInterval, reclaimTime
 	slowdowns := l.randomSlowdowns(seed)
 	for i, worker := range cluster.Workers {
-		worker.SetCapacity(workerCapacity, 0)
+		worker.SetCapacity(l.Capacity, 0)
 		worker.SlowdownFactor = slowdowns[i]
 	}
 	for i := range l.Classes {
@@ -68,6 +81,11 @@
 		queue.Pool = simulation.PoolName
 		cluster.Catalog.Queues = append(cluster.Catalog.Queues, queue)
 	}
+	for _, tenant := range l.Tenants {
+		cluster.Catalog.Tenants = append(cluster.Catalog.Tenants, catalog.Tenant{
+			Name: tenant.Name, Guaranteed: taskgraph.Resources{GPUs: tenant.GuaranteedGPUs},
+		})
+	}
 	works := map[string]time.Duration{}
 	for i := range arrivals {
 		works[arrivals[i].spec.ID] = arrivals[i].work
@@ -87,7 +105,7 @@
 	next := 0
 	for now := time.Duration(0); now < l.Length+drainTime && (next < len(arrivals) || len(unfinished) > 0); now += pollPeriod {
 		for ; next < len(arrivals) && arrivals[next].at <= now; next++ {
-			cluster.Submit(arrivals[next].spec, l.Classes[arrivals[next].class].Queue)
+			cluster.SubmitOf(l.tenantName(&arrivals[next]), arrivals[next].spec, l.Classes[arrivals[next].class].Queue)
 			unfinished[arrivals[next].spec.ID] = now
 		}
 		cluster.Run(pollPeriod)
@@ -108,15 +126,20 @@
 		MaxPreemptions: cluster.Checker.MaxPreemptions(), LostCoreSeconds: cluster.Checker.LostCoreSeconds,
 	}
 	attainable, earned := make([]float64, len(l.Classes)), make([]float64, len(l.Classes))
+	tenants := newTenantValues(l.Tenants)
 	sizes := l.meanSizes(arrivals)
 	for i := range arrivals {
 		a := &arrivals[i]
 		size := min(maxSizeFactor, fixedValueShare+(1-fixedValueShare)*a.size()/sizes[a.class])
 		duration, ended := ends[a.spec.ID]
-		attainable[a.class] += size * l.Classes[a.class].Value
-		earned[a.class] += size * l.jobValue(a, duration, ended, &result.Classes[a.class])
+		possible, value := size*l.Classes[a.class].Value, size*l.jobValue(a, duration, ended, &result.Classes[a.class])
+		attainable[a.class] += possible
+		earned[a.class] += value
+		tenants.add(a.tenant, possible, value)
 	}
 	result.addTotals(l, attainable, earned)
+	result.Tenants = tenants.results()
+	result.MeanTenant, result.WorstTenants = summarizeTenants(result.Tenants)
 	return result
 }
 
--- a/internal/pool/assignment.go
+++ b/internal/pool/assignment.go
@@ -11,6 +11,9 @@
 
 // assign reserves capacity for a member on a worker and resets the state of its previous run.
 func (p *Pool) assign(m *member, w *worker) {
+	if m.worker == nil {
+		p.tenantUse.Take(m.unit.job.Tenant, m.unit.spec().Requirements(), p.loop.Now())
+	}
 	m.worker = w
 	m.state = memberWithoutRun
 	m.stopAttempted, m.stopSent, m.stopAnswered, m.startUnanswered = false, false, false, false
@@ -32,6 +35,7 @@
 		m.stopTimer = nil
 	}
 	if m.worker != nil {
+		p.tenantUse.Release(m.unit.job.Tenant, m.unit.spec().Requirements(), p.loop.Now())
 		p.rememberLateStart(m)
 		m.worker.members = slices.DeleteFunc(slices.Clone(m.worker.members), func(other *member) bool { return other == m })
 	}
--- a/internal/pool/cycle.go
+++ b/internal/pool/cycle.go
@@ -45,7 +45,7 @@
 	}
 }
 
-// runSchedulingCycle places waiting units in the order of compareUnits.
+// runSchedulingCycle places waiting units in the order of cycleOrder.
 func (p *Pool) runSchedulingCycle() {
 	startedAt := p.loop.Now()
 	waiting := p.waitingUnits()
@@ -54,8 +54,9 @@
 		return
 	}
 	s := p.snapshot()
+	order := p.cycleOrder(waiting, s.now)
 	unplaceable := map[equivalenceClass]bool{}
-	for _, u := range waiting {
+	for u := order.next(); u != nil; u = order.next() {
 		if u.state != unitWaiting || p.failPoisonJob(u) {
 			continue
 		}
@@ -63,7 +64,9 @@
 		if unplaceable[class] {
 			continue
 		}
-		if p.placeUnit(s, u) {
+		placed := p.placeUnit(s, u)
+		order.tried(placed)
+		if placed {
 			continue
 		}
 		p.hasBacklog = true
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -102,6 +102,8 @@
 	members    []*member
 	readyAt    time.Time
 	startedAt  time.Time
+	// preemptedAt is when the unit last preempted others; zero if it never did.
+	preemptedAt time.Time
 	// runningSince is when all members of the latest run were first known to be running; zero
 	// before.
 	runningSince time.Time
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/evacuation"
+	"github.com/wheatroad/wheatroad/internal/fairshare"
 	"github.com/wheatroad/wheatroad/internal/features"
 	"github.com/wheatroad/wheatroad/internal/fleet"
 	"github.com/wheatroad/wheatroad/internal/loop"
@@ -98,6 +99,11 @@
 	evacuationsRead, reportedEvacuations         evacuation.Set
 	evacuationsWereFresh, evacuationReadInFlight bool
 	invalidRows                                  invalidWorkerRows
+	// tenantUse is what each tenant holds and has used. shareItemsBuffer is reused by each cycle, and
+	// sharesReportedAt is when the gauges of the tenants' shares were last set.
+	tenantUse        *fairshare.Ledger
+	shareItemsBuffer []fairshare.Item
+	sharesReportedAt time.Time
 	// pendingCancels holds cancellations that were read before their job.
 	pendingCancels map[string]bool
 }
@@ -109,6 +115,7 @@
 		jobs: map[string]*job{}, workers: map[string]*worker{},
 		lastStoreAnswerAt: l.Now(), pendingCancels: map[string]bool{},
 		durations: map[string]*durationModel{}, storeRetries: loop.NewRetries(l), lossTracker: poison.NewLossTracker(),
+		tenantUse:   fairshare.NewLedger(),
 		invalidRows: invalidWorkerRows{faults: map[string]fleet.RowFault{}},
 	}
 	p.writer = writer{pool: p}
@@ -193,6 +200,7 @@
 	p.checkUnits()
 	p.removeExpiredJobs()
 	p.refreshEstimates()
+	p.reportShares()
 	p.scheduleCycle()
 	p.loop.After(tickInterval, p.tick)
 }
--- a/internal/pool/preempt.go
+++ b/internal/pool/preempt.go
@@ -52,6 +52,7 @@
 func (p *Pool) preempt(s *snapshot, u *unit, request *placement.Request, places, victims []int) {
 	s.reallocate(victims, places, request.Resources)
 	if len(victims) > 0 {
+		u.preemptedAt = s.now
 		p.preemptionBackoffPriority = u.job.Queue.Priority
 		p.preemptionBackoffUntil = s.now.Add(preemptionBackoff)
 	}
@@ -109,8 +110,13 @@
 
 // guaranteeDue reports whether the tenant's guarantee requires the unit to start now.
 func (p *Pool) guaranteeDue(s *snapshot, u *unit) bool {
+	return p.guaranteeTimeUp(u, s.now) && p.withinGuarantee(u.job)
+}
+
+// guaranteeTimeUp reports whether the unit would have to start now if it is guaranteed.
+func (p *Pool) guaranteeTimeUp(u *unit, now time.Time) bool {
 	latest := u.job.acceptedAt.Add(p.options.Bounds.GuaranteedStartTimeout - p.options.Bounds.StopTimeout - guaranteeMargin)
-	return s.now.After(latest.Add(-tickInterval)) && p.withinGuarantee(u.job)
+	return now.After(latest.Add(-tickInterval))
 }
 
 // startGain returns the gain of starting a unit, in core-seconds.
--- a/internal/pool/summary.go
+++ b/internal/pool/summary.go
@@ -56,6 +56,9 @@
 	Restarts  int               `json:"restarts"`
 	// InvalidWorkerRows counts invalid worker rows.
 	InvalidWorkerRows int `json:"foreign_rows"`
+	// Tenants are the tenants' shares of the pool, by name; empty while tenants do not share it by
+	// their weights.
+	Tenants []TenantStatus `json:"tenants,omitempty"`
 	// SinceOwnershipConfirmedMillis is the time since the owner last was known to hold the pool.
 	SinceOwnershipConfirmedMillis int64 `json:"confirmed_ms"`
 }
@@ -79,6 +82,9 @@
 			summary.Suspects++
 		}
 	}
+	if summary.Policies.TenantSharing {
+		summary.Tenants = p.tenantStatus(now)
+	}
 	summary.InvalidWorkerRows = len(p.invalidRows.faults)
 	summary.addRestarted(p.sortedWorkers())
 	for _, w := range p.workers {
--- /dev/null
+++ b/internal/pool/tenant_sharing.go
@@ -0,0 +1,244 @@
+package pool
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/wheatroad/wheatroad/internal/fairshare"
+	"github.com/wheatroad/wheatroad/internal/mechanism"
+	"github.com/wheatroad/wheatroad/internal/taskgraph"
+)
+
+// unitOrder yields the units of one cycle in the order in which they are placed.
+type unitOrder struct {
+	pool  *Pool
+	units []*unit
+	// index is the index of the unit that was yielded last; -1 before the first.
+	index int
+	// turns orders the units, described by items, by the shares of their tenants; nil if the units
+	// stay in the given order.
+	turns *fairshare.Turns
+	items []fairshare.Item
+	ranks *shareRanks
+	// ahead is true if the last unit came before an earlier one because of its tenant's share.
+	ahead bool
+}
+
+// cycleOrder returns the order of a cycle's units, which are sorted by compareUnits.
+func (p *Pool) cycleOrder(waiting []*unit, now time.Time) *unitOrder {
+	order := &unitOrder{pool: p, units: waiting, index: -1}
+	if !p.features().TenantSharing {
+		return order
+	}
+	p.updateTenantWeights()
+	order.ranks = &shareRanks{pool: p, now: now, withinGuarantee: map[string]bool{}}
+	order.items = p.shareItems(waiting, order.ranks)
+	order.turns = p.tenantUse.Turns(order.items, now)
+	return order
+}
+
+// next returns the next unit, or nil if none is left.
+func (o *unitOrder) next() *unit {
+	o.index++
+	if o.turns != nil {
+		o.index, o.ahead = o.turns.Next()
+	}
+	if o.index == fairshare.NoItem || o.index == len(o.units) {
+		return nil
+	}
+	return o.units[o.index]
+}
+
+// tried records that the pool has tried to place the unit that was yielded last. A unit that was not
+// placed may have reserved resources or preempted others. In either case it counts as held by its
+// tenant for the rest of the cycle, so that reservations are shared like placements.
+func (o *unitOrder) tried(placed bool) {
+	if o.turns == nil {
+		return
+	}
+	o.turns.Charge(o.index)
+	switch {
+	case placed && o.ranks.of(o.units[o.index]) == rankOverdue:
+		o.pool.record.Count("tenant_turns", "wait_bound")
+	case placed && o.ahead:
+		o.pool.record.Count("tenant_turns", "share")
+	}
+}
+
+// updateTenantWeights gives the ledger the pool's present capacity and guarantees.
+func (p *Pool) updateTenantWeights() {
+	capacity := taskgraph.Resources{}
+	for _, w := range p.workers {
+		capacity = capacity.Plus(w.Capacity)
+	}
+	guarantees := map[string]taskgraph.Resources{}
+	if current := p.options.Catalog(); current != nil {
+		for i := range current.Tenants {
+			guarantees[current.Tenants[i].Name] = current.Tenants[i].Guaranteed
+		}
+	}
+	p.tenantUse.SetPool(capacity, guarantees)
+}
+
+// shareRank orders the units of one priority before the shares of their tenants do.
+type shareRank int
+
+const (
+	// rankGuaranteed units must start now by their tenant's guarantee.
+	rankGuaranteed shareRank = iota
+	// rankOverdue units have waited so long that the order of arrival decides.
+	rankOverdue
+	// rankClaimant units have preempted others and wait for them to stop. They stay in front, since
+	// other units that took the resources first would make them preempt again.
+	rankClaimant
+	// rankTimely units can still meet their objective.
+	rankTimely
+	// rankLate units cannot.
+	rankLate
+
+	shareRankCount
+)
+
+// shared reports whether the shares of the tenants order the units of a rank. Units of other ranks
+// stay in the order of arrival.
+func (r shareRank) shared() bool { return r == rankTimely || r == rankLate }
+
+// shareRanks determines the ranks of units in one cycle.
+type shareRanks struct {
+	pool *Pool
+	now  time.Time
+	// withinGuarantee caches Pool.withinGuarantee for jobs of priority 0, by tenant.
+	withinGuarantee map[string]bool
+}
+
+// of returns the rank of a unit.
+func (r *shareRanks) of(u *unit) shareRank {
+	bounds := &r.pool.options.Bounds
+	switch {
+	case r.guaranteeDue(u):
+		return rankGuaranteed
+	case fairshare.ExceedsWaitBound(u.slack(r.now), u.job.objective):
+		return rankOverdue
+	case !u.preemptedAt.IsZero() && r.now.Sub(u.preemptedAt) < bounds.StopTimeout+guaranteeMargin:
+		return rankClaimant
+	case u.missesObjective(r.now) && !r.pool.options.DisabledMechanisms[mechanism.OnTimeFirst]:
+		return rankLate
+	}
+	return rankTimely
+}
+
+// guaranteeDue is Pool.guaranteeDue, computed at most once for each tenant.
+func (r *shareRanks) guaranteeDue(u *unit) bool {
+	if u.job.Queue.Priority > 0 || !r.pool.guaranteeTimeUp(u, r.now) {
+		return false
+	}
+	within, known := r.withinGuarantee[u.job.Tenant]
+	if !known {
+		within = r.pool.withinGuarantee(u.job)
+		r.withinGuarantee[u.job.Tenant] = within
+	}
+	return within
+}
+
+// shareItems sorts units by priority and rank, and otherwise keeps their order. It returns their
+// descriptions in the new order, which are valid until the next call.
+func (p *Pool) shareItems(waiting []*unit, ranks *shareRanks) []fairshare.Item {
+	groups := map[int][]*unit{}
+	for _, u := range waiting {
+		group := u.job.Queue.Priority*int(shareRankCount) + int(ranks.of(u))
+		groups[group] = append(groups[group], u)
+	}
+	items, sorted := p.shareItemsBuffer[:0], waiting[:0]
+	for _, group := range slices.Sorted(maps.Keys(groups)) {
+		rank := shareRank(group % int(shareRankCount))
+		sorted = append(sorted, groups[group]...)
+		for _, u := range groups[group] {
+			items = append(items, fairshare.Item{
+				Tenant: u.job.Tenant, Demand: u.spec().Requirements().Multiply(len(u.members)),
+				Group: group, InOrder: !rank.shared(),
+			})
+		}
+	}
+	p.shareItemsBuffer = items
+	return items
+}
+
+// TenantStatus is a tenant's share of a pool. Shares are dominant shares: the largest of the shares
+// of cores, memory and accelerators.
+type TenantStatus struct {
+	Tenant string `json:"tenant"`
+	// Due is the share that the tenant's weight gives it while all tenants compete.
+	Due float64 `json:"due"`
+	// Held is the share in use, and Used its decaying mean.
+	Held float64 `json:"held"`
+	Used float64 `json:"used"`
+	// Credit is the share that the tenant has lent to others lately; negative if it owes them.
+	Credit float64 `json:"credit"`
+	// WaitingUnits counts tasks and gangs that wait for placement, and LongestWaitMillis is the
+	// longest of their waits.
+	WaitingUnits      int   `json:"waiting_units"`
+	LongestWaitMillis int64 `json:"longest_wait_ms"`
+}
+
+// tenantStatus returns the shares of the tenants, by name.
+func (p *Pool) tenantStatus(now time.Time) []TenantStatus {
+	waits := p.tenantWaits(now)
+	p.updateTenantWeights()
+	standings := p.tenantUse.Standings(maps.Keys(waits), now)
+	tenants := make([]TenantStatus, len(standings))
+	for i := range standings {
+		s := &standings[i]
+		wait := waits[s.Tenant]
+		tenants[i] = TenantStatus{
+			Tenant: s.Tenant, Due: s.Due, Held: s.Held, Used: s.Used, Credit: s.Credit(),
+			WaitingUnits: wait.units, LongestWaitMillis: wait.longest.Milliseconds(),
+		}
+	}
+	return tenants
+}
+
+// tenantWait counts the waiting units of a tenant.
+type tenantWait struct {
+	units   int
+	longest time.Duration
+}
+
+// tenantWaits returns the waits of the tenants that have waiting units.
+func (p *Pool) tenantWaits(now time.Time) map[string]tenantWait {
+	waits := map[string]tenantWait{}
+	for u := range p.openUnits() {
+		if u.state != unitWaiting {
+			continue
+		}
+		wait := waits[u.job.Tenant]
+		wait.units++
+		wait.longest = max(wait.longest, now.Sub(u.readyAt))
+		waits[u.job.Tenant] = wait
+	}
+	return waits
+}
+
+// sharesReportPeriod is the minimum time between two updates of the gauges of the tenants' shares.
+const sharesReportPeriod = time.Second
+
+// reportShares sets the gauges of the tenants' shares.
+func (p *Pool) reportShares() {
+	now := p.loop.Now()
+	if now.Sub(p.sharesReportedAt) < sharesReportPeriod || !p.features().TenantSharing {
+		return
+	}
+	p.sharesReportedAt = now
+	longestWait, mostLent, mostOwed := int64(0), 0.0, 0.0
+	for _, t := range p.tenantStatus(now) {
+		longestWait = max(longestWait, t.LongestWaitMillis)
+		mostLent = max(mostLent, t.Credit)
+		mostOwed = max(mostOwed, -t.Credit)
+	}
+	p.record.Set("tenant_longest_wait", longestWait)
+	p.record.Set("tenant_most_lent", permille(mostLent))
+	p.record.Set("tenant_most_owed", permille(mostOwed))
+}
+
+// permille returns a share in thousandths.
+func permille(share float64) int64 { return int64(1000 * share) }
--- a/internal/simulation/cluster.go
+++ b/internal/simulation/cluster.go
@@ -197,11 +197,16 @@
 	return nil
 }
 
-// Submit writes an accepted job to the store.
+// Submit writes an accepted job of the only tenant to the store.
 func (c *Cluster) Submit(spec taskgraph.Spec, queue catalog.Queue) {
+	c.SubmitOf("tenant", spec, queue)
+}
+
+// SubmitOf writes an accepted job of a tenant to the store.
+func (c *Cluster) SubmitOf(tenant string, spec taskgraph.Spec, queue catalog.Queue) {
 	queue.Pool = PoolName
 	c.RegisterJob(spec, queue)
-	accepted := pool.Accepted{Spec: spec, Tenant: "tenant", Queue: queue, AcceptedMillis: c.Clock.Now().UnixMilli()}
+	accepted := pool.Accepted{Spec: spec, Tenant: tenant, Queue: queue, AcceptedMillis: c.Clock.Now().UnixMilli()}
 	key := pool.AcceptedKey(pool.JobPartitions(PoolName, spec.ID)[0], spec.ID)
 	c.Store.Apply(rows.Transaction{Puts: []rows.Put{{Key: key, Value: pool.Encode(accepted)}}})
 }
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -35,18 +35,19 @@
 		"ownership_changes": {"wheatroad.domain.ownership.changes", "Scheduling domains gained and lost, by reason.", "reason"},
 		"table_operations":  {"wheatroad.table.failures", "Periodic table operations that failed, by operation.", "operation"},
 		"worker_orders":     {"wheatroad.worker.orders", "Orders sent to workers, by action.", "action"},
-		"given_up":          {"wheatroad.job.given_up", "Jobs given up because one of their tasks crashes workers, by what settled it.", "reason"},
+		"given_up":          {"wheatroad.job.given_up", "Jobs given up for a task that crashes workers, by what settled it.", "reason"},
 		"attempts":          {"wheatroad.job.attempts", "What became of attempts, by event.", "event"},
 		"requests":          {"wheatroad.requests", "Requests answered, by endpoint.", "endpoint"},
 		"takeovers":         {"wheatroad.pool.ownership.changes", "Pools acquired, lost or left to their owner, by event.", "event"},
 		"feed_gaps":         {"wheatroad.feed.gaps", "Feeds read anew because their history was gone, by table.", "table"},
-		"answers_given_up":  {"wheatroad.store.answers.given.up", "Answers of the store of which only a part arrived in time, by table.", "table"},
+		"answers_given_up":  {"wheatroad.store.answers.given.up", "Store answers of which only a part came in time, by table.", "table"},
 		"announcements":     {"wheatroad.job.announcements", "Accepted jobs told to their pool's owner, by result.", "result"},
 		"store_relays":      {"wheatroad.store.relays", "Calls to the store through another node, by result.", "result"},
-		"foreign_rows":      {"wheatroad.worker.rows.foreign", "Rows of workers that name no worker to use, each time one is read, by fault.", "fault"},
+		"foreign_rows":      {"wheatroad.worker.rows.foreign", "Rows read that name no worker to use, by fault.", "fault"},
 		"worker_restarts":   {"wheatroad.worker.restarts", "Workers that started again under their identifier, by how that was known.", "known_by"},
 		"start_failures":    {"wheatroad.worker.start.failures", "Starts that did not succeed, by reason.", "reason"},
 		"preemptions":       {"wheatroad.unit.preemptions", "Units that had others stopped though there was room, by reason.", "reason"},
+		"tenant_turns":      {"wheatroad.tenant.turns", "Units placed out of order of arrival, by reason.", "reason"},
 		"stops":             {"wheatroad.unit.stops", "Units stopped, by reason.", "reason"},
 		"forwards":          {"wheatroad.forwards", "Requests forwarded to another node, by result.", "result"},
 	}
@@ -74,8 +75,11 @@
 // Gauges returns all gauges, by the short name used in the code.
 func Gauges() map[string]Definition {
 	return map[string]Definition{
-		"foreign_rows":    {Name: "wheatroad.pool.foreign.rows", Description: "Rows of workers that name no worker to use, as another writer left them."},
-		"evacuated_zones": {Name: "wheatroad.pool.evacuated.zones", Description: "Zones in which the pools of this node start nothing, since operators have evacuated them."},
+		"foreign_rows":        {Name: "wheatroad.pool.foreign.rows", Description: "Rows of workers that name no worker to use, as another writer left them."},
+		"evacuated_zones":     {Name: "wheatroad.pool.evacuated.zones", Description: "Zones in which the pools of this node start nothing, since operators have evacuated them."},
+		"tenant_longest_wait": {Name: "wheatroad.tenant.longest.wait.ms", Description: "Longest present wait of a task or gang, in milliseconds, while tenants share the pool by weight."},
+		"tenant_most_lent":    {Name: "wheatroad.tenant.most.lent.permille", Description: "Largest share of the pool that a tenant has lent, in thousandths."},
+		"tenant_most_owed":    {Name: "wheatroad.tenant.most.owed.permille", Description: "Largest share of the pool that a tenant owes, in thousandths."},
 	}
 }
 
