pool: guaranteed urgent work goes first from its arrival

Cause: a unit of priority 0 within its tenant's guarantee came first only once its start was due. Until then later work of priority 0 of other tenants passed it by shares, and it cannot preempt work of its own priority, so it started after 3 s. Change: such units have the first rank from their arrival, in order of arrival. Failed first: TestGuaranteeHoldsForATenantThatOwes (policy on: not started within 3 s; with the policy off it passes).

--- a/internal/pool/tenant_sharing.go
+++ b/internal/pool/tenant_sharing.go
@@ -85,7 +85,8 @@
 type shareRank int
 
 const (
-	// rankGuaranteed units must start now by their tenant's guarantee.
+	// rankGuaranteed units have priority 0 and a tenant within its guarantee. They go first from their
+	// arrival: once their start is due, they could not preempt work of priority 0 that had passed them.
 	rankGuaranteed shareRank = iota
 	// rankOverdue units have waited so long that the order of arrival decides.
 	rankOverdue
@@ -116,7 +117,7 @@
 func (r *shareRanks) of(u *unit) shareRank {
 	bounds := &r.pool.options.Bounds
 	switch {
-	case r.guaranteeDue(u):
+	case r.guaranteed(u):
 		return rankGuaranteed
 	case fairshare.ExceedsWaitBound(u.slack(r.now), u.job.objective):
 		return rankOverdue
@@ -128,9 +129,9 @@
 	return rankTimely
 }
 
-// guaranteeDue is Pool.guaranteeDue, computed at most once for each tenant.
-func (r *shareRanks) guaranteeDue(u *unit) bool {
-	if u.job.Queue.Priority > 0 || !r.pool.guaranteeTimeUp(u, r.now) {
+// guaranteed is Pool.withinGuarantee, computed at most once for each tenant.
+func (r *shareRanks) guaranteed(u *unit) bool {
+	if u.job.Queue.Priority > 0 {
 		return false
 	}
 	within, known := r.withinGuarantee[u.job.Tenant]
--- a/internal/pool/tenant_sharing_test.go
+++ b/internal/pool/tenant_sharing_test.go
@@ -157,3 +157,32 @@
 	}
 	requireIdle(t, owner)
 }
+
+// TestGuaranteeHoldsForATenantThatOwes checks that an urgent gang within its tenant's guarantee starts
+// before a later one of a tenant without a guarantee, whatever its tenant has used. All that runs is
+// urgent, so the gang cannot preempt.
+func TestGuaranteeHoldsForATenantThatOwes(t *testing.T) {
+	for _, mode := range []features.Mode{features.Off, features.On} {
+		w := simulation.NewCluster(1, 2)
+		w.Features.TenantSharing = mode
+		work := map[string]time.Duration{jobID(1): 10 * time.Second, jobID(2): time.Minute, jobID(3): 2 * time.Second, jobID(4): 10 * time.Second, jobID(5): 10 * time.Second}
+		w.Work = func(name taskgraph.TaskName) time.Duration { return work[name.Job] }
+		for _, tenant := range []string{"a", "c"} {
+			w.Catalog.Tenants = append(w.Catalog.Tenants, catalog.Tenant{Name: tenant, Guaranteed: taskgraph.Resources{GPUs: 8}})
+		}
+		w.SubmitOf("a", gangOfAll(1, 2, work[jobID(1)]), batch)
+		w.AcquirePool()
+		w.Run(11 * time.Second)
+		require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
+		w.SubmitOf("c", gangOfAll(2, 1, work[jobID(2)]), urgent)
+		w.SubmitOf("b", gangOfAll(3, 1, work[jobID(3)]), urgent)
+		w.Run(1200 * time.Millisecond)
+		w.SubmitOf("a", gangOfAll(4, 1, work[jobID(4)]), urgent)
+		w.Run(200 * time.Millisecond)
+		w.SubmitOf("z", gangOfAll(5, 1, work[jobID(5)]), urgent)
+		w.Run(2800 * time.Millisecond)
+		require.Equal(t, 1, w.Checker.Starts(taskgraph.TaskName{Job: jobID(4)}), "policy %s: not started within 3 s", mode)
+		require.Zero(t, w.Checker.Starts(taskgraph.TaskName{Job: jobID(5)}))
+		requireInvariants(t, w)
+	}
+}
