pool: no nil dereference without a configuration

Cause: withinGuarantee read the guarantee from Options.Catalog, which may return nil; updateTenantWeights guarded that, withinGuarantee did not. Change: without a configuration nobody is within a guarantee. Failed first: TestSharingWithoutConfiguration (panic in Catalog.Guarantee).

--- a/internal/pool/preempt.go
+++ b/internal/pool/preempt.go
@@ -150,9 +150,10 @@
 }
 
 // withinGuarantee reports whether the job has priority 0 and the accelerators of all its tenant's
-// jobs of priority 0 are within the tenant's guarantee.
+// jobs of priority 0 are within the tenant's guarantee. Without a configuration nobody has one.
 func (p *Pool) withinGuarantee(j *job) bool {
-	if j.Queue.Priority != 0 {
+	current := p.options.Catalog()
+	if current == nil || j.Queue.Priority != 0 {
 		return false
 	}
 	demand := taskgraph.Resources{}
@@ -163,7 +164,7 @@
 			}
 		}
 	}
-	return demand.GPUs <= p.options.Catalog().Guarantee(j.Tenant).GPUs
+	return demand.GPUs <= current.Guarantee(j.Tenant).GPUs
 }
 
 // missesObjectiveOn reports whether an urgent unit that can still meet its objective would miss it
--- a/internal/pool/tenant_order_test.go
+++ b/internal/pool/tenant_order_test.go
@@ -143,6 +143,18 @@
 	}
 }
 
+// TestSharingWithoutConfiguration checks that urgent work is ordered and may preempt before an owner has
+// a configuration. Nobody has a guarantee then.
+func TestSharingWithoutConfiguration(t *testing.T) {
+	p := newSharingPool(features.On, []waitingJob{{tenant: "large", age: testGuaranteedStart}, {tenant: "small"}})
+	p.options.Catalog = func() *catalog.Catalog { return nil }
+	p.tenantUse.Take("large", taskgraph.Resources{GPUs: 60}, p.loop.Now())
+	require.Equal(t, []int{1, 0}, p.placementOrder())
+	for u := range p.openUnits() {
+		require.False(t, p.withinGuarantee(u.job))
+	}
+}
+
 // TestOrderWithoutSharingIsUnchanged checks that the order of units is the former one while tenants do
 // not share the pool, whatever they hold.
 func TestOrderWithoutSharingIsUnchanged(t *testing.T) {
