pool: of overdue work one unit of each tenant at a time goes first

Cause: all work beyond the wait bound came before work in time and was not shared, so a long overload of one tenant put the on-time work of all others last, which the order of arrival does not. Change: each tenant has one turn for its overdue work. It is taken while the unit that used it runs, at most for 30 s; a unit that cannot be placed passes it on at once, one that only gets a reservation after 30 s. Other overdue work keeps its normal place. So the wait of accepted work stays bounded: each overdue unit's turn comes after at most as many turns as its tenant has overdue units. placeUnit says whether a unit was placed, got a reservation or nothing.

The case 'overdue work comes first, in order of arrival' stays as it is: it has one overdue unit of each tenant.

--- a/internal/fairshare/wait_bound.go
+++ b/internal/fairshare/wait_bound.go
@@ -10,10 +10,13 @@
 	maxDelayObjectives = 10
 	// minMaxDelay is the lower limit of that delay. It is longer than a burst.
 	minMaxDelay = 30 * time.Second
+	// OverdueTurn is the longest time for which one overdue unit keeps the other overdue units of its
+	// tenant from going first.
+	OverdueTurn = 30 * time.Second
 )
 
-// ExceedsWaitBound reports whether work with the given slack has waited so long behind others of its
-// priority that the order of arrival decides. slack is how long the start may be delayed without
+// ExceedsWaitBound reports whether work with the given slack is overdue: it has waited so long behind
+// others of its priority that it goes first, one unit of each tenant at a time. slack is how long the start may be delayed without
 // missing the objective.
 func ExceedsWaitBound(slack, objective time.Duration) bool {
 	return -slack > max(minMaxDelay, maxDelayObjectives*objective)
--- a/internal/pool/cycle.go
+++ b/internal/pool/cycle.go
@@ -62,11 +62,12 @@
 		}
 		class := classOf(u)
 		if unplaceable[class] {
+			order.skipped()
 			continue
 		}
-		placed := p.placeUnit(s, u)
-		order.tried(placed)
-		if placed {
+		result := p.placeUnit(s, u)
+		order.tried(result)
+		if result == unitPlaced {
 			continue
 		}
 		p.hasBacklog = true
@@ -146,29 +147,40 @@
 	return u.job.Queue.Priority > 0 && u.slack(now) < 0
 }
 
+// placeResult is what a cycle did for a unit.
+type placeResult int
+
+const (
+	// unitNotPlaced: the unit got nothing.
+	unitNotPlaced placeResult = iota
+	// unitReserved: resources are reserved for the unit, or others were preempted for it.
+	unitReserved
+	// unitPlaced: the unit is assigned to workers.
+	unitPlaced
+)
+
 // placeUnit assigns a unit to workers. If no workers are free, placeUnit preempts other units or
-// reserves resources for the unit, and returns false.
-func (p *Pool) placeUnit(s *snapshot, u *unit) bool {
+// reserves resources for the unit.
+func (p *Pool) placeUnit(s *snapshot, u *unit) placeResult {
 	request := s.request(u)
 	if places := p.findPlacement(s, u, request); places != nil {
 		if p.missesObjectiveOn(s, u, places) && p.preemptForFastWorkers(s, u, request) {
-			return false
+			return unitReserved
 		}
 		p.assignTo(s, u, request, places)
-		return true
+		return unitPlaced
 	}
 	p.updateWaitReason(s, u, request)
 	if u.needsEmptyWorkers() {
-		s.reserveEmptyWorkers(u, request)
-		return false
+		return s.reserveEmptyWorkers(u, request)
 	}
 	if !u.likelyPoison() && p.mayPreempt(s, u) && p.preemptFor(s, u, request) {
-		return false
+		return unitReserved
 	}
-	if !p.options.DisabledMechanisms[mechanism.Reservations] {
-		s.reserve(u, request, s.earliestPlacement(u, request))
+	if p.options.DisabledMechanisms[mechanism.Reservations] {
+		return unitNotPlaced
 	}
-	return false
+	return s.reserve(u, request, s.earliestPlacement(u, request))
 }
 
 func (p *Pool) assignTo(s *snapshot, u *unit, request *placement.Request, places []int) {
--- a/internal/pool/find_placement.go
+++ b/internal/pool/find_placement.go
@@ -196,10 +196,10 @@
 	return best
 }
 
-// reserve reserves the resources of a future placement for a unit.
-func (s *snapshot) reserve(u *unit, request *placement.Request, future *placement.FuturePlacement) {
+// reserve reserves the resources of a future placement for a unit, unless future is nil.
+func (s *snapshot) reserve(u *unit, request *placement.Request, future *placement.FuturePlacement) placeResult {
 	if future == nil {
-		return
+		return unitNotPlaced
 	}
 	if u.job.Queue.Priority > 0 {
 		s.reservationsLeft--
@@ -214,4 +214,5 @@
 		}
 		s.reservations[i] = reservation{startsIn: existing.startsIn, unreserved: spare}
 	}
+	return unitReserved
 }
--- a/internal/pool/isolation.go
+++ b/internal/pool/isolation.go
@@ -115,15 +115,15 @@
 }
 
 // reserveEmptyWorkers reserves all resources of the workers that become empty first.
-func (s *snapshot) reserveEmptyWorkers(u *unit, request *placement.Request) {
+func (s *snapshot) reserveEmptyWorkers(u *unit, request *placement.Request) placeResult {
 	future := s.earliestPlacement(u, s.restrictToEmpty(request))
 	if future == nil {
-		return
+		return unitNotPlaced
 	}
 	for i := range future.Unreserved {
 		future.Unreserved[i] = taskgraph.Resources{}
 	}
-	s.reserve(u, request, future)
+	return s.reserve(u, request, future)
 }
 
 // isolationPreferences returns the preferred workers of a unit with unexplained losses, best first.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -104,6 +104,7 @@
 	tenantUse        *fairshare.Ledger
 	shareItemsBuffer []fairshare.Item
 	sharesReportedAt time.Time
+	overdueTurns     overdueTurns
 	// pendingCancels holds cancellations that were read before their job.
 	pendingCancels map[string]bool
 }
@@ -115,7 +116,7 @@
 		jobs: map[string]*job{}, workers: map[string]*worker{},
 		lastStoreAnswerAt: l.Now(), pendingCancels: map[string]bool{},
 		durations: map[string]*durationModel{}, storeRetries: loop.NewRetries(l), lossTracker: poison.NewLossTracker(),
-		tenantUse:   fairshare.NewLedger(),
+		tenantUse: fairshare.NewLedger(), overdueTurns: overdueTurns{},
 		invalidRows: invalidWorkerRows{faults: map[string]fleet.RowFault{}},
 	}
 	p.writer = writer{pool: p}
--- a/internal/pool/tenant_order_test.go
+++ b/internal/pool/tenant_order_test.go
@@ -51,6 +51,9 @@
 	return p
 }
 
+// testJobID returns the identifier of the job with a number.
+func testJobID(number int) string { return fmt.Sprintf("%016x", number) }
+
 // addWaitingJob adds a job with the given number and waiting tasks.
 func (p *Pool) addWaitingJob(number int, waiting waitingJob, tasks int) {
 	accepted := Accepted{
@@ -58,7 +61,7 @@
 		Spec: taskgraph.Spec{Steps: []taskgraph.Step{{Count: tasks, Resources: taskgraph.Resources{GPUs: max(1, waiting.gpus)}}}},
 	}
 	now := p.loop.Now()
-	j := newJob(fmt.Sprintf("%016x", number), accepted, now.Add(-waiting.age))
+	j := newJob(testJobID(number), accepted, now.Add(-waiting.age))
 	j.objective, j.estimates, j.criticalPaths = testObjective, []time.Duration{0}, []time.Duration{0}
 	p.jobs[j.id] = j
 	p.createReadyUnits(j)
@@ -76,7 +79,7 @@
 		number := 0
 		_, _ = fmt.Sscanf(u.job.id, "%x", &number)
 		numbers = append(numbers, number)
-		order.tried(true)
+		order.tried(unitPlaced)
 	}
 	return numbers
 }
@@ -106,6 +109,12 @@
 		"overdue work comes first, in order of arrival": {
 			[]waitingJob{{tenant: "large", priority: 1, age: overdue + time.Second}, {tenant: "small", priority: 1, age: overdue}, {tenant: "small", priority: 1}},
 			[]int{0, 1, 2}},
+		"one overdue unit of each tenant comes first, the others in their normal place": {
+			[]waitingJob{
+				{tenant: "large", priority: 1, age: overdue + 2*time.Second}, {tenant: "large", priority: 1, age: overdue + time.Second},
+				{tenant: "small", priority: 1, age: overdue}, {tenant: "small", priority: 1},
+			},
+			[]int{0, 2, 3, 1}},
 		"overdue work does not pass a higher priority": {
 			[]waitingJob{{tenant: "large", priority: 2, age: overdue}, {tenant: "large", priority: 1}},
 			[]int{1, 0}},
@@ -213,7 +222,7 @@
 				order := p.cycleOrder(p.waitingUnits(), p.loop.Now())
 				for u := order.next(); u != nil; u = order.next() {
 					if u.index == 0 {
-						order.tried(false)
+						order.tried(unitNotPlaced)
 					}
 				}
 			}
--- a/internal/pool/tenant_sharing.go
+++ b/internal/pool/tenant_sharing.go
@@ -20,7 +20,7 @@
 	// stay in the given order.
 	turns *fairshare.Turns
 	items []fairshare.Item
-	ranks *shareRanks
+	now   time.Time
 	// ahead is true if the last unit came before an earlier one because of its tenant's share.
 	ahead bool
 }
@@ -32,8 +32,8 @@
 		return order
 	}
 	p.updateTenantWeights()
-	order.ranks = &shareRanks{pool: p, now: now, withinGuarantee: map[string]bool{}}
-	order.items = p.shareItems(waiting, order.ranks)
+	order.now = now
+	order.items = p.shareItems(waiting, newShareRanks(p, waiting, now))
 	order.turns = p.tenantUse.Turns(order.items, now)
 	return order
 }
@@ -53,19 +53,34 @@
 // tried records that the pool has tried to place the unit that was yielded last. A unit that was not
 // placed may have reserved resources or preempted others. In either case it counts as held by its
 // tenant for the rest of the cycle, so that reservations are shared like placements.
-func (o *unitOrder) tried(placed bool) {
+func (o *unitOrder) tried(result placeResult) {
 	if o.turns == nil {
 		return
 	}
 	o.turns.Charge(o.index)
+	overdue := o.rank() == rankOverdue
+	if overdue {
+		o.pool.overdueTurns.tried(o.units[o.index], result, o.now)
+	}
 	switch {
-	case placed && o.ranks.of(o.units[o.index]) == rankOverdue:
+	case result == unitPlaced && overdue:
 		o.pool.record.Count("tenant_turns", "wait_bound")
-	case placed && o.ahead:
+	case result == unitPlaced && o.ahead:
 		o.pool.record.Count("tenant_turns", "share")
 	}
 }
 
+// skipped records that the pool has not tried to place the unit that was yielded last, since it could
+// not place an equivalent one.
+func (o *unitOrder) skipped() {
+	if o.turns != nil && o.rank() == rankOverdue {
+		o.pool.overdueTurns.tried(o.units[o.index], unitNotPlaced, o.now)
+	}
+}
+
+// rank returns the rank of the unit that was yielded last.
+func (o *unitOrder) rank() shareRank { return shareRank(o.items[o.index].Group % int(shareRankCount)) }
+
 // updateTenantWeights gives the ledger the pool's present capacity and guarantees.
 func (p *Pool) updateTenantWeights() {
 	capacity := taskgraph.Resources{}
@@ -88,7 +103,7 @@
 	// rankGuaranteed units have priority 0 and a tenant within its guarantee. They go first from their
 	// arrival: once their start is due, they could not preempt work of priority 0 that had passed them.
 	rankGuaranteed shareRank = iota
-	// rankOverdue units have waited so long that the order of arrival decides.
+	// rankOverdue units have waited longer than the wait bound and have their tenant's turn.
 	rankOverdue
 	// rankClaimant units have preempted others and wait for them to stop. They stay in front, since
 	// other units that took the resources first would make them preempt again.
@@ -111,6 +126,28 @@
 	now  time.Time
 	// withinGuarantee caches Pool.withinGuarantee for jobs of priority 0, by tenant.
 	withinGuarantee map[string]bool
+	// overdue holds the units that have their tenant's turn among its overdue units.
+	overdue map[*unit]bool
+}
+
+func newShareRanks(p *Pool, waiting []*unit, now time.Time) *shareRanks {
+	r := &shareRanks{pool: p, now: now, withinGuarantee: map[string]bool{}, overdue: map[*unit]bool{}}
+	candidates := map[string]*unit{}
+	for _, u := range waiting {
+		if !fairshare.ExceedsWaitBound(u.slack(now), u.job.objective) || r.guaranteed(u) {
+			continue
+		}
+		first := candidates[u.job.Tenant]
+		if first == nil || u.overdueMissedAt.Before(first.overdueMissedAt) {
+			candidates[u.job.Tenant] = u
+		}
+	}
+	for tenant, u := range candidates {
+		if !p.overdueTurns.taken(tenant, now) {
+			r.overdue[u] = true
+		}
+	}
+	return r
 }
 
 // of returns the rank of a unit.
@@ -119,7 +156,7 @@
 	switch {
 	case r.guaranteed(u):
 		return rankGuaranteed
-	case fairshare.ExceedsWaitBound(u.slack(r.now), u.job.objective):
+	case r.overdue[u]:
 		return rankOverdue
 	case !u.preemptedAt.IsZero() && r.now.Sub(u.preemptedAt) < bounds.StopTimeout+guaranteeMargin:
 		return rankClaimant
