pool: turns of overdue work by priority, and in the order of becoming overdue

Cause: a unit that passed its turn on came after all that became overdue later, so its wait had no bound under a steady overload; and overdue work of a low priority took the turn of a higher one. Change: a turn for each tenant and priority; it goes to the unit that has been overdue for longest since it last passed a turn on. Failed first: TestOverdueUnitIsNotPassedForEver (the later unit came first), TestOverdueTurnsArePerPriority (got 2 1).

--- a/internal/fairshare/wait_bound.go
+++ b/internal/fairshare/wait_bound.go
@@ -19,5 +19,10 @@
 // others of its priority that it goes first, one unit of each tenant at a time. slack is how long the start may be delayed without
 // missing the objective.
 func ExceedsWaitBound(slack, objective time.Duration) bool {
-	return -slack > max(minMaxDelay, maxDelayObjectives*objective)
+	return -slack > WaitBound(objective)
+}
+
+// WaitBound returns the delay after the latest timely start from which work is overdue.
+func WaitBound(objective time.Duration) time.Duration {
+	return max(minMaxDelay, maxDelayObjectives*objective)
 }
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -104,7 +104,7 @@
 	startedAt  time.Time
 	// preemptedAt is when the unit last preempted others; zero if it never did.
 	preemptedAt time.Time
-	// overdueTurnSince is since when the unit has had its tenant's turn among the overdue units without
+	// overdueTurnSince is since when the unit has had the turn of the overdue units without
 	// being placed, and overdueMissedAt is when it last passed the turn on; zero if never.
 	overdueTurnSince, overdueMissedAt time.Time
 	// runningSince is when all members of the latest run were first known to be running; zero
--- a/internal/pool/overdue_turns_test.go
+++ b/internal/pool/overdue_turns_test.go
@@ -110,3 +110,30 @@
 	want := []*unit{testUnit(p, 0), testUnit(p, 1), testUnit(p, 2), testUnit(p, 0)}
 	require.True(t, slices.Equal(want, firsts))
 }
+
+// TestOverdueUnitIsNotPassedForEver checks that a unit that has passed its turn on comes before units
+// that become overdue after that, so that an overload does not keep it waiting.
+func TestOverdueUnitIsNotPassedForEver(t *testing.T) {
+	bound := testObjective + 10*testObjective
+	p := newSharingPool(features.On, []waitingJob{
+		{tenant: "large", priority: 1, age: bound + time.Second}, {tenant: "large", priority: 1, age: bound - time.Second},
+	})
+	now := p.loop.Now()
+	order := p.cycleOrder(p.waitingUnits(), now)
+	require.Same(t, testUnit(p, 0), order.next())
+	order.tried(unitNotPlaced)
+	order = p.cycleOrder(p.waitingUnits(), now.Add(2*time.Second))
+	require.Same(t, testUnit(p, 0), order.next())
+}
+
+// TestOverdueTurnsArePerPriority checks that overdue work of a lower priority does not take the turn of
+// a higher one.
+func TestOverdueTurnsArePerPriority(t *testing.T) {
+	p := newSharingPool(features.On, []waitingJob{
+		{tenant: "large", priority: 2, age: testOverdue + time.Second}, {tenant: "large", priority: 1, age: testOverdue}, {tenant: "small", priority: 1},
+	})
+	testUnit(p, 0).state = unitActive
+	p.overdueTurns.tried(testUnit(p, 0), unitPlaced, p.loop.Now())
+	p.tenantUse.Take("large", taskgraph.Resources{GPUs: 60}, p.loop.Now())
+	require.Equal(t, []int{1, 2}, p.placementOrder())
+}
--- a/internal/pool/tenant_sharing.go
+++ b/internal/pool/tenant_sharing.go
@@ -103,7 +103,7 @@
 	// rankGuaranteed units have priority 0 and a tenant within its guarantee. They go first from their
 	// arrival: once their start is due, they could not preempt work of priority 0 that had passed them.
 	rankGuaranteed shareRank = iota
-	// rankOverdue units have waited longer than the wait bound and have their tenant's turn.
+	// rankOverdue units have waited longer than the wait bound and have their turn.
 	rankOverdue
 	// rankClaimant units have preempted others and wait for them to stop. They stay in front, since
 	// other units that took the resources first would make them preempt again.
@@ -126,27 +126,13 @@
 	now  time.Time
 	// withinGuarantee caches Pool.withinGuarantee for jobs of priority 0, by tenant.
 	withinGuarantee map[string]bool
-	// overdue holds the units that have their tenant's turn among its overdue units.
+	// overdue holds the overdue units that have their turn.
 	overdue map[*unit]bool
 }
 
 func newShareRanks(p *Pool, waiting []*unit, now time.Time) *shareRanks {
-	r := &shareRanks{pool: p, now: now, withinGuarantee: map[string]bool{}, overdue: map[*unit]bool{}}
-	candidates := map[string]*unit{}
-	for _, u := range waiting {
-		if !fairshare.ExceedsWaitBound(u.slack(now), u.job.objective) || r.guaranteed(u) {
-			continue
-		}
-		first := candidates[u.job.Tenant]
-		if first == nil || u.overdueMissedAt.Before(first.overdueMissedAt) {
-			candidates[u.job.Tenant] = u
-		}
-	}
-	for tenant, u := range candidates {
-		if !p.overdueTurns.taken(tenant, now) {
-			r.overdue[u] = true
-		}
-	}
+	r := &shareRanks{pool: p, now: now, withinGuarantee: map[string]bool{}}
+	r.overdue = p.overdueTurns.choose(waiting, r.guaranteed, now)
 	return r
 }
 
