fairshare: charge a cycle's turns only for what was placed or reserved

Cause: a unit that could not be placed was charged in full in every cycle, also at lower priorities, so a tenant whose first job never fits had its other jobs placed after everyone else's. Change: what is placed counts for the rest of the cycle, a reservation or preemption within its priority, nothing else at all. Failed first: TestUnplaceableUnitsCostNothing (a reservation was charged at the next priority, a unit without one as if placed). TestReservationsCountWithinTheirPriority came with the new method. BenchmarkOrder tries its units with a reservation, so that it still charges.

--- a/internal/fairshare/turns.go
+++ b/internal/fairshare/turns.go
@@ -12,6 +12,8 @@
 	Tenant string
 	// Demand is what the item takes.
 	Demand taskgraph.Resources
+	// Priority is the item's priority. All items of a group have the same.
+	Priority int
 	// Group separates items that shares do not reorder, for example by priority. Items of a lower
 	// group come first.
 	Group int
@@ -39,10 +41,12 @@
 
 // contender is a tenant that takes turns.
 type contender struct {
-	held       amount
+	held amount
+	// reserved counts like held until the turns of the next priority.
+	reserved   amount
 	fadedShare float64
 	weight     float64
-	// level is the tenant's held and faded share in proportion to its weight.
+	// level is the tenant's held, reserved and faded share in proportion to its weight.
 	level float64
 }
 
@@ -84,12 +88,32 @@
 	t.current = nil
 }
 
+// ChargeReservation counts an item as held by its tenant for the rest of the turns of its priority. The
+// item holds nothing yet, so it does not count against what its tenant wants at lower priorities.
+func (t *Turns) ChargeReservation(index int) {
+	c := t.contender(t.items[index].Tenant)
+	c.reserved = c.reserved.plus(amountOf(t.items[index].Demand))
+	c.updateLevel(t.ledger.capacity)
+	t.current = nil
+}
+
+// dropReservations ends the effect of ChargeReservation.
+func (t *Turns) dropReservations() {
+	for _, c := range t.contenders {
+		c.reserved = amount{}
+		c.updateLevel(t.ledger.capacity)
+	}
+}
+
 // enterNextGroup queues the items of the next group. It returns false if there is none.
 func (t *Turns) enterNextGroup() bool {
 	start := t.groupEnd
 	if start == len(t.items) {
 		return false
 	}
+	if start > 0 && t.items[start].Priority != t.items[start-1].Priority {
+		t.dropReservations()
+	}
 	byTenant := map[string]*queue{}
 	for t.groupEnd < len(t.items) && t.items[t.groupEnd].Group == t.items[start].Group {
 		t.enqueue(byTenant, t.groupEnd)
@@ -159,5 +183,5 @@
 }
 
 func (c *contender) updateLevel(capacity amount) {
-	c.level = (c.held.dominantShare(capacity) + c.fadedShare) / c.weight
+	c.level = (c.held.plus(c.reserved).dominantShare(capacity) + c.fadedShare) / c.weight
 }
--- a/internal/fairshare/turns_test.go
+++ b/internal/fairshare/turns_test.go
@@ -125,3 +125,33 @@
 		t.Run(name, func(t *testing.T) { require.Equal(t, c.want, ExceedsWaitBound(c.slack, c.objective)) })
 	}
 }
+
+// TestReservationsCountWithinTheirPriority checks that a reservation counts as held in the later groups
+// of its priority and not below, and that a placement counts to the end.
+func TestReservationsCountWithinTheirPriority(t *testing.T) {
+	for _, reserved := range []bool{true, false} {
+		all := items("small", "small", "large", "small", "large")
+		for i := range all {
+			all[i].Group, all[i].Priority = min(i, 1), 0
+		}
+		all[3].Group, all[4].Group = 2, 2
+		all[3].Priority, all[4].Priority = 1, 1
+		turns := newTestLedger().Turns(all, start)
+		var indexes []int
+		for index, _ := turns.Next(); index != NoItem; index, _ = turns.Next() {
+			switch {
+			case index > 0:
+			case reserved:
+				turns.ChargeReservation(index)
+			default:
+				turns.Charge(index)
+			}
+			indexes = append(indexes, index)
+		}
+		want := []int{0, 2, 1, 4, 3}
+		if reserved {
+			want = []int{0, 2, 1, 3, 4}
+		}
+		require.Equal(t, want, indexes, "reserved: %t", reserved)
+	}
+}
--- a/internal/pool/tenant_order_test.go
+++ b/internal/pool/tenant_order_test.go
@@ -222,10 +222,40 @@
 				order := p.cycleOrder(p.waitingUnits(), p.loop.Now())
 				for u := order.next(); u != nil; u = order.next() {
 					if u.index == 0 {
-						order.tried(unitNotPlaced)
+						order.tried(unitReserved)
 					}
 				}
 			}
 		})
 	}
 }
+
+// TestUnplaceableUnitsCostNothing checks that a unit that the pool can neither place nor reserve
+// resources for does not put its tenant's other units behind those of other tenants, and that a
+// reservation does within its priority only.
+func TestUnplaceableUnitsCostNothing(t *testing.T) {
+	jobs := []waitingJob{
+		{tenant: "small", priority: 1, age: 4 * time.Second, gpus: 200},
+		{tenant: "small", priority: 1, age: 3 * time.Second}, {tenant: "large", priority: 1, age: 2 * time.Second},
+		{tenant: "small", priority: 2, age: 3 * time.Second}, {tenant: "large", priority: 2, age: 2 * time.Second},
+	}
+	cases := map[placeResult][]int{
+		unitNotPlaced: {0, 1, 2, 3, 4},
+		unitReserved:  {0, 2, 1, 3, 4},
+		unitPlaced:    {0, 2, 1, 4, 3},
+	}
+	for first, want := range cases {
+		p := newSharingPool(features.On, jobs)
+		order := p.cycleOrder(p.waitingUnits(), p.loop.Now())
+		var numbers []int
+		for u := order.next(); u != nil; u = order.next() {
+			number := 0
+			_, _ = fmt.Sscanf(u.job.id, "%x", &number)
+			numbers = append(numbers, number)
+			if number == 0 {
+				order.tried(first)
+			}
+		}
+		require.Equal(t, want, numbers, "result %d", first)
+	}
+}
--- a/internal/pool/tenant_sharing.go
+++ b/internal/pool/tenant_sharing.go
@@ -50,14 +50,19 @@
 	return o.units[o.index]
 }
 
-// tried records that the pool has tried to place the unit that was yielded last. A unit that was not
-// placed may have reserved resources or preempted others. In either case it counts as held by its
-// tenant for the rest of the cycle, so that reservations are shared like placements.
+// tried records that the pool has tried to place the unit that was yielded last. A placed unit counts as
+// held by its tenant for the rest of the cycle. A reservation does so within its priority, so that
+// reservations are shared like placements. A unit that got neither costs its tenant nothing.
 func (o *unitOrder) tried(result placeResult) {
 	if o.turns == nil {
 		return
 	}
-	o.turns.Charge(o.index)
+	switch result {
+	case unitPlaced:
+		o.turns.Charge(o.index)
+	case unitReserved:
+		o.turns.ChargeReservation(o.index)
+	}
 	overdue := o.rank() == rankOverdue
 	if overdue {
 		o.pool.overdueTurns.tried(o.units[o.index], result, o.now)
@@ -180,7 +185,7 @@
 		for _, u := range groups[group] {
 			items = append(items, fairshare.Item{
 				Tenant: u.job.Tenant, Demand: u.spec().Requirements().Multiply(len(u.members)),
-				Group: group, InOrder: !rank.shared(),
+				Priority: u.job.Queue.Priority, Group: group, InOrder: !rank.shared(),
 			})
 		}
 	}
