fairshare: prune accounts on a tick, read without effects

Cause: accounts of idle tenants were dropped only by a status while the policy was on, so with the policy off they grew without bound; before the capacity was known, an export listed tenants without use; a status changed the weights and dropped accounts. Change: the owner's tick prunes, at most once a second and whatever the policy; without a known capacity the time since the last use decides. Export leaves out what is negligible. A status reads from a view of the accounts with the present weights. With the policy off an owner only keeps the accounts. Failed first: TestStandingsOnlyRead, TestIdleAccountsArePruned, TestExportOmitsEmptyUse (both without a known capacity), TestSummaryOnlyReads, TestPolicyOffDoesNoTenantWork.

--- a/internal/fairshare/ledger.go
+++ b/internal/fairshare/ledger.go
@@ -4,6 +4,7 @@
 package fairshare
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -18,6 +19,8 @@
 	minWeight = 0.005
 	// negligibleShare is the faded share below which the account of an idle tenant is dropped.
 	negligibleShare = 1e-4
+	// negligibleAfter is the time after which past use of the whole pool is below negligibleShare.
+	negligibleAfter = 14 * useHalfLife
 )
 
 // Ledger keeps what each tenant of a pool holds and has used. It is changed whenever a task takes or
@@ -76,6 +79,14 @@
 	return math.Exp2(-max(0, elapsed).Seconds() / useHalfLife.Seconds())
 }
 
+// View returns a ledger for reading that has the same accounts, for a given capacity of the pool and the
+// given guarantees.
+func (l *Ledger) View(capacity taskgraph.Resources, guarantees map[string]taskgraph.Resources) *Ledger {
+	view := &Ledger{accounts: l.accounts, weights: map[string]float64{}}
+	view.SetPool(capacity, guarantees)
+	return view
+}
+
 // SetPool sets the capacity of the pool and the tenants' guarantees.
 func (l *Ledger) SetPool(capacity taskgraph.Resources, guarantees map[string]taskgraph.Resources) {
 	l.capacity = amountOf(capacity)
@@ -88,16 +99,25 @@
 // weight returns the weight of a tenant as a share of the pool.
 func (l *Ledger) weight(tenant string) float64 { return max(minWeight, l.weights[tenant]) }
 
-// dropIdleAccounts drops the accounts of tenants that hold nothing and whose past use is negligible.
-func (l *Ledger) dropIdleAccounts(now time.Time) {
-	for tenant, a := range l.accounts {
-		if a.held == (taskgraph.Resources{}) && l.negligible(a.fadedAt(now)) {
-			delete(l.accounts, tenant)
-		}
-	}
+// Prune drops the accounts of tenants that hold nothing and whose past use is negligible.
+func (l *Ledger) Prune(now time.Time) {
+	maps.DeleteFunc(l.accounts, func(_ string, a *account) bool { return l.idle(a, now) })
 }
 
-// negligible reports whether faded use no longer matters; false while the capacity is not known.
-func (l *Ledger) negligible(faded amount) bool {
+// idle reports whether a tenant holds nothing and its past use is negligible.
+func (l *Ledger) idle(a *account, now time.Time) bool {
+	return a.held == (taskgraph.Resources{}) && l.negligible(a, now)
+}
+
+// negligible reports whether a tenant's past use no longer matters. While the capacity is not known,
+// only the absence of use or the time since it tells.
+func (l *Ledger) negligible(a *account, now time.Time) bool {
+	faded := a.fadedAt(now)
+	switch {
+	case faded == (amount{}):
+		return true
+	case a.held == (taskgraph.Resources{}) && now.Sub(a.settledAt) >= negligibleAfter:
+		return true
+	}
 	return l.capacity != (amount{}) && faded.dominantShare(l.capacity) < negligibleShare
 }
--- a/internal/fairshare/ledger_test.go
+++ b/internal/fairshare/ledger_test.go
@@ -163,3 +163,49 @@
 		})
 	}
 }
+
+// TestStandingsOnlyRead checks that reading the standings keeps the accounts of idle tenants.
+func TestStandingsOnlyRead(t *testing.T) {
+	l := newTestLedger()
+	l.Take("stranger", gpus(1), start)
+	l.Release("stranger", gpus(1), start.Add(time.Second))
+	l.Standings(maps.Keys(map[string]bool{}), start.Add(time.Hour))
+	require.Len(t, l.accounts, 1)
+}
+
+// TestIdleAccountsArePruned checks that only accounts that no longer matter are dropped, also while the
+// capacity of the pool is not known.
+func TestIdleAccountsArePruned(t *testing.T) {
+	for name, l := range map[string]*Ledger{"capacity known": newTestLedger(), "capacity not known": NewLedger()} {
+		t.Run(name, func(t *testing.T) {
+			l.Take("idle", gpus(100), start)
+			l.Take("busy", gpus(1), start)
+			released := start.Add(time.Hour)
+			l.Release("idle", gpus(100), released)
+			l.Prune(released.Add(13 * useHalfLife))
+			require.Contains(t, l.accounts, "idle")
+			l.Prune(released.Add(14 * useHalfLife))
+			require.NotContains(t, l.accounts, "idle")
+			require.Contains(t, l.accounts, "busy")
+		})
+	}
+}
+
+// TestExportOmitsEmptyUse checks that tenants without use that is worth keeping are not exported, also
+// while the capacity of the pool is not known.
+func TestExportOmitsEmptyUse(t *testing.T) {
+	for name, l := range map[string]*Ledger{"capacity known": newTestLedger(), "capacity not known": NewLedger()} {
+		t.Run(name, func(t *testing.T) {
+			l.Take("just started", gpus(1), start)
+			document, err := l.Export(start)
+			require.NoError(t, err)
+			require.Nil(t, document)
+			l.Take("former", gpus(1), start)
+			l.Release("former", gpus(1), start.Add(time.Second))
+			l.Release("just started", gpus(1), start)
+			document, err = l.Export(start.Add(15 * useHalfLife))
+			require.NoError(t, err)
+			require.Nil(t, document)
+		})
+	}
+}
--- a/internal/fairshare/section.go
+++ b/internal/fairshare/section.go
@@ -36,8 +36,8 @@
 func (l *Ledger) Export(now time.Time) (json.RawMessage, error) {
 	stored := storedUse{Used: map[string]amount{}}
 	for tenant, a := range l.accounts {
-		if faded := a.fadedAt(now); !l.negligible(faded) {
-			stored.Used[tenant] = faded
+		if !l.negligible(a, now) {
+			stored.Used[tenant] = a.fadedAt(now)
 		}
 	}
 	for len(stored.Used) > 0 {
--- a/internal/fairshare/standing.go
+++ b/internal/fairshare/standing.go
@@ -22,9 +22,13 @@
 // Standings returns, by name, the standings of the tenants that have a guarantee, hold something,
 // have used something lately, or are among the waiting ones.
 func (l *Ledger) Standings(waiting iter.Seq[string], now time.Time) []Standing {
-	l.dropIdleAccounts(now)
 	listed := map[string]bool{}
-	for _, tenants := range []iter.Seq[string]{maps.Keys(l.weights), maps.Keys(l.accounts), waiting} {
+	for tenant, a := range l.accounts {
+		if !l.idle(a, now) {
+			listed[tenant] = true
+		}
+	}
+	for _, tenants := range []iter.Seq[string]{maps.Keys(l.weights), waiting} {
 		for tenant := range tenants {
 			listed[tenant] = true
 		}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -100,10 +100,10 @@
 	evacuationsWereFresh, evacuationReadInFlight bool
 	invalidRows                                  invalidWorkerRows
 	// tenantUse is what each tenant holds and has used. shareItemsBuffer is reused by each cycle, and
-	// sharesReportedAt is when the gauges of the tenants' shares were last set.
+	// tenantsUpdatedAt is when updateTenants last had an effect.
 	tenantUse        *fairshare.Ledger
 	shareItemsBuffer []fairshare.Item
-	sharesReportedAt time.Time
+	tenantsUpdatedAt time.Time
 	overdueTurns     overdueTurns
 	// pendingCancels holds cancellations that were read before their job.
 	pendingCancels map[string]bool
@@ -201,7 +201,7 @@
 	p.checkUnits()
 	p.removeExpiredJobs()
 	p.refreshEstimates()
-	p.reportShares()
+	p.updateTenants()
 	p.scheduleCycle()
 	p.loop.After(tickInterval, p.tick)
 }
--- a/internal/pool/tenant_order_test.go
+++ b/internal/pool/tenant_order_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/wheatroad/wheatroad/internal/catalog"
+	"github.com/wheatroad/wheatroad/internal/fairshare"
 	"github.com/wheatroad/wheatroad/internal/features"
 	"github.com/wheatroad/wheatroad/internal/fleet"
 	"github.com/wheatroad/wheatroad/internal/taskgraph"
@@ -259,3 +260,26 @@
 		require.Equal(t, want, numbers, "result %d", first)
 	}
 }
+
+// TestSummaryOnlyReads checks that a status for operators changes nothing in the ledger and yet shows
+// the shares of a pool without any cycle.
+func TestSummaryOnlyReads(t *testing.T) {
+	p := newSharingPool(features.On, nil)
+	tenants := p.Summary().Tenants
+	require.Len(t, tenants, 9)
+	require.InDelta(t, 0.7843, tenants[0].Due, 1e-3, "40 of 51")
+	require.Equal(t, fairshare.NewLedger(), p.tenantUse)
+}
+
+// TestPolicyOffDoesNoTenantWork checks that with the policy off an owner only keeps accounts of what is
+// held, and drops those of tenants that have long been idle.
+func TestPolicyOffDoesNoTenantWork(t *testing.T) {
+	p := newSharingPool(features.Off, []waitingJob{{tenant: "small"}})
+	now := p.loop.Now()
+	p.tenantUse.Take("large", taskgraph.Resources{GPUs: 1}, now.Add(-time.Hour))
+	p.tenantUse.Release("large", taskgraph.Resources{GPUs: 1}, now.Add(-time.Hour))
+	p.updateTenants()
+	p.placementOrder()
+	require.Empty(t, p.Summary().Tenants)
+	require.Equal(t, fairshare.NewLedger(), p.tenantUse)
+}
--- a/internal/pool/tenant_sharing.go
+++ b/internal/pool/tenant_sharing.go
@@ -31,7 +31,7 @@
 	if !p.features().TenantSharing {
 		return order
 	}
-	p.updateTenantWeights()
+	p.tenantUse.SetPool(p.capacityAndGuarantees())
 	order.now = now
 	order.items = p.shareItems(waiting, newShareRanks(p, waiting, now))
 	order.turns = p.tenantUse.Turns(order.items, now)
@@ -86,19 +86,18 @@
 // rank returns the rank of the unit that was yielded last.
 func (o *unitOrder) rank() shareRank { return shareRank(o.items[o.index].Group % int(shareRankCount)) }
 
-// updateTenantWeights gives the ledger the pool's present capacity and guarantees.
-func (p *Pool) updateTenantWeights() {
-	capacity := taskgraph.Resources{}
+// capacityAndGuarantees returns the pool's present capacity and the tenants' guarantees.
+func (p *Pool) capacityAndGuarantees() (capacity taskgraph.Resources, guarantees map[string]taskgraph.Resources) {
 	for _, w := range p.workers {
 		capacity = capacity.Plus(w.Capacity)
 	}
-	guarantees := map[string]taskgraph.Resources{}
+	guarantees = map[string]taskgraph.Resources{}
 	if current := p.options.Catalog(); current != nil {
 		for i := range current.Tenants {
 			guarantees[current.Tenants[i].Name] = current.Tenants[i].Guaranteed
 		}
 	}
-	p.tenantUse.SetPool(capacity, guarantees)
+	return capacity, guarantees
 }
 
 // shareRank orders the units of one priority before the shares of their tenants do.
@@ -213,8 +212,7 @@
 // tenantStatus returns the shares of the tenants, by name.
 func (p *Pool) tenantStatus(now time.Time) []TenantStatus {
 	waits := p.tenantWaits(now)
-	p.updateTenantWeights()
-	standings := p.tenantUse.Standings(maps.Keys(waits), now)
+	standings := p.tenantUse.View(p.capacityAndGuarantees()).Standings(maps.Keys(waits), now)
 	tenants := make([]TenantStatus, len(standings))
 	for i := range standings {
 		s := &standings[i]
@@ -248,16 +246,24 @@
 	return waits
 }
 
-// sharesReportPeriod is the minimum time between two updates of the gauges of the tenants' shares.
-const sharesReportPeriod = time.Second
+// tenantsUpdatePeriod is the minimum time between two calls of updateTenants that have an effect.
+const tenantsUpdatePeriod = time.Second
 
-// reportShares sets the gauges of the tenants' shares.
-func (p *Pool) reportShares() {
+// updateTenants drops the accounts of idle tenants, and sets the gauges of the tenants' shares.
+func (p *Pool) updateTenants() {
 	now := p.loop.Now()
-	if now.Sub(p.sharesReportedAt) < sharesReportPeriod || !p.features().TenantSharing {
+	if now.Sub(p.tenantsUpdatedAt) < tenantsUpdatePeriod {
 		return
 	}
-	p.sharesReportedAt = now
+	p.tenantsUpdatedAt = now
+	p.tenantUse.Prune(now)
+	if p.features().TenantSharing {
+		p.reportShares(now)
+	}
+}
+
+// reportShares sets the gauges of the tenants' shares.
+func (p *Pool) reportShares(now time.Time) {
 	longestWait, mostLent, mostOwed := int64(0), 0.0, 0.0
 	for _, t := range p.tenantStatus(now) {
 		longestWait = max(longestWait, t.LongestWaitMillis)
