pool: the gauges of the tenants' shares end with the policy and the ownership

Cause: they kept their last value when the policy went off or the pool was lost. Turns of overdue work that were over kept their units. Change: both set the gauges to 0, and the tick forgets turns that are over. Failed first: TestGaugesOfSharesEnd (25000 after either end), TestOverTurnsAreForgotten.

--- a/internal/fairshare/ledger.go
+++ b/internal/fairshare/ledger.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// useHalfLife is the time in which past use loses half of its effect. It spans several jobs of
-	// some seconds, so that a burst is paid back while its callers still compete.
+	// useHalfLife is the time in which past use loses half of its effect. It is several times the
+	// duration of a typical job, so that past use still counts when the tenants' next jobs arrive.
 	useHalfLife = 20 * time.Second
 	// minWeight is the weight of a tenant without a guarantee, as a share of the pool.
 	minWeight = 0.005
--- a/internal/fairshare/standing.go
+++ b/internal/fairshare/standing.go
@@ -16,7 +16,9 @@
 	Held, Used float64
 }
 
-// Credit is the share that the tenant has lent to others; negative if it owes them.
+// Credit is the tenant's due share less what it has used. A positive credit is what the tenant has lent
+// to others by holding less than its share lately; a negative one is what it owes them for having held
+// more. It lies between the due share, after a long idle time, and the due share less 1.
 func (s *Standing) Credit() float64 { return s.Due - s.Used }
 
 // Standings returns, by name, the standings of the tenants that have a guarantee, hold something,
--- a/internal/fairshare/wait_bound.go
+++ b/internal/fairshare/wait_bound.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// A caller waits for a small multiple of the objective, and for an accepted job that is later than
-// that it only counts that the job is done at all.
+// The wait bound is well above a job's objective, since a late job gains little by going first and delays
+// jobs that are still in time.
 const (
 	// maxDelayObjectives is the delay after the latest timely start, in objectives, after which
 	// shares no longer decide.
--- a/internal/pool/overdue_turns.go
+++ b/internal/pool/overdue_turns.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"maps"
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/fairshare"
@@ -64,14 +65,17 @@
 // taken reports whether a queue's turn is taken by a unit that was placed.
 func (o overdueTurns) taken(queue overdueQueue, now time.Time) bool {
 	turn, found := o[queue]
-	if !found {
-		return false
-	}
-	over := turn.unit.state == unitWaiting || turn.unit.state == unitEnded || !now.Before(turn.until)
-	if over {
-		delete(o, queue)
-	}
-	return !over
+	return found && !turn.over(now)
+}
+
+// over reports whether the unit no longer runs or has had its time.
+func (t overdueTurn) over(now time.Time) bool {
+	return t.unit.state == unitWaiting || t.unit.state == unitEnded || !now.Before(t.until)
+}
+
+// prune forgets the turns that are over.
+func (o overdueTurns) prune(now time.Time) {
+	maps.DeleteFunc(o, func(_ overdueQueue, turn overdueTurn) bool { return turn.over(now) })
 }
 
 // tried records that the pool has tried to place the unit that has its queue's turn. A unit that the
--- a/internal/pool/overdue_turns_test.go
+++ b/internal/pool/overdue_turns_test.go
@@ -137,3 +137,12 @@
 	p.tenantUse.Take("large", taskgraph.Resources{GPUs: 60}, p.loop.Now())
 	require.Equal(t, []int{1, 2}, p.placementOrder())
 }
+
+// TestOverTurnsAreForgotten checks that an owner keeps no unit for a turn that is over.
+func TestOverTurnsAreForgotten(t *testing.T) {
+	p := newSharingPool(features.Off, overdueJobs("large", 1))
+	p.overdueTurns.tried(testUnit(p, 0), unitPlaced, p.loop.Now())
+	testUnit(p, 0).state = unitEnded
+	p.updateTenants()
+	require.Empty(t, p.overdueTurns)
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -100,10 +100,12 @@
 	evacuationsWereFresh, evacuationReadInFlight bool
 	invalidRows                                  invalidWorkerRows
 	// tenantUse is what each tenant holds and has used. shareItemsBuffer is reused by each cycle, and
-	// tenantsUpdatedAt is when updateTenants last had an effect.
+	// tenantsUpdatedAt is when updateTenants last had an effect. sharesReported is true while the gauges
+	// of the tenants' shares are set.
 	tenantUse        *fairshare.Ledger
 	shareItemsBuffer []fairshare.Item
 	tenantsUpdatedAt time.Time
+	sharesReported   bool
 	overdueTurns     overdueTurns
 	// pendingCancels holds cancellations that were read before their job.
 	pendingCancels map[string]bool
@@ -182,6 +184,7 @@
 		return
 	}
 	p.closed = true
+	p.endShareReports()
 	p.record.Count("takeovers", "lost")
 	p.record.LogEvent("pool ownership ended", "pool", p.options.Pool, "token", p.token, "reason", reason)
 	p.options.OnOwnershipEnded(reason)
--- a/internal/pool/tenant_sharing.go
+++ b/internal/pool/tenant_sharing.go
@@ -201,7 +201,8 @@
 	// Held is the share in use, and Used its decaying mean.
 	Held float64 `json:"held"`
 	Used float64 `json:"used"`
-	// Credit is the share that the tenant has lent to others lately; negative if it owes them.
+	// Credit is Due less Used. A positive credit is what the tenant has lent to others by holding less
+	// than its share lately; a negative one is what it owes them for having held more.
 	Credit float64 `json:"credit"`
 	// WaitingUnits counts tasks and gangs that wait for placement, and LongestWaitMillis is the
 	// longest of their waits.
@@ -249,7 +250,8 @@
 // tenantsUpdatePeriod is the minimum time between two calls of updateTenants that have an effect.
 const tenantsUpdatePeriod = time.Second
 
-// updateTenants drops the accounts of idle tenants, and sets the gauges of the tenants' shares.
+// updateTenants drops the accounts of idle tenants and the turns that are over, and sets the gauges of
+// the tenants' shares.
 func (p *Pool) updateTenants() {
 	now := p.loop.Now()
 	if now.Sub(p.tenantsUpdatedAt) < tenantsUpdatePeriod {
@@ -257,8 +259,11 @@
 	}
 	p.tenantsUpdatedAt = now
 	p.tenantUse.Prune(now)
+	p.overdueTurns.prune(now)
 	if p.features().TenantSharing {
 		p.reportShares(now)
+	} else {
+		p.endShareReports()
 	}
 }
 
@@ -270,7 +275,21 @@
 		mostLent = max(mostLent, t.Credit)
 		mostOwed = max(mostOwed, -t.Credit)
 	}
-	p.record.Set("tenant_longest_wait", longestWait)
+	p.sharesReported = true
+	p.setShareGauges(longestWait, mostLent, mostOwed)
+}
+
+// endShareReports sets the gauges that reportShares has set to 0. It is called when the policy is off or
+// the pool is no longer owned.
+func (p *Pool) endShareReports() {
+	if p.sharesReported {
+		p.sharesReported = false
+		p.setShareGauges(0, 0, 0)
+	}
+}
+
+func (p *Pool) setShareGauges(longestWaitMillis int64, mostLent, mostOwed float64) {
+	p.record.Set("tenant_longest_wait", longestWaitMillis)
 	p.record.Set("tenant_most_lent", permille(mostLent))
 	p.record.Set("tenant_most_owed", permille(mostOwed))
 }
--- a/internal/pool/tenant_sharing_test.go
+++ b/internal/pool/tenant_sharing_test.go
@@ -186,3 +186,33 @@
 		requireInvariants(t, w)
 	}
 }
+
+// TestGaugesOfSharesEnd checks that the gauges of the tenants' shares are 0 once the policy is off or the
+// pool is lost.
+func TestGaugesOfSharesEnd(t *testing.T) {
+	ends := map[string]func(w *simulation.Cluster, owner *simulation.Owner){
+		"policy off": func(w *simulation.Cluster, _ *simulation.Owner) { w.Catalog.Tenants = nil },
+		"lost":       func(_ *simulation.Cluster, owner *simulation.Owner) { owner.Abandon("lost") },
+	}
+	gauges := []string{"tenant_longest_wait", "tenant_most_lent", "tenant_most_owed"}
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			w := sharingCluster(4, time.Minute)
+			w.Features.TenantSharing = features.Auto
+			w.Catalog.Tenants = []catalog.Tenant{{Name: "a", Guaranteed: taskgraph.Resources{GPUs: 8}}, {Name: "b"}, {Name: "c"}, {Name: "d"}}
+			w.SubmitOf("b", gangOfAll(1, 4, time.Minute), batch)
+			owner := w.AcquirePool()
+			w.Run(time.Second)
+			w.SubmitOf("a", gangOfAll(2, 4, time.Minute), batch)
+			w.Run(25 * time.Second)
+			for _, gauge := range gauges {
+				require.Positive(t, w.Checker.Metrics[gauge], gauge)
+			}
+			end(w, owner)
+			w.Run(1250 * time.Millisecond)
+			for _, gauge := range gauges {
+				require.Zero(t, w.Checker.Metrics[gauge], gauge)
+			}
+		})
+	}
+}
