fairshare: the kept use of tenants is written for changes, not for the passing of time

Cause: the section holds decaying means, so its bytes differ in every export though nothing happened. Change: Ledger.MateriallyChanged (knowledge.Comparer of the storing part) compares the current use with the faded one of the written section: a difference above a tenth of the pool, for a known or a new tenant, is worth a write.

--- a/internal/fairshare/amount.go
+++ b/internal/fairshare/amount.go
@@ -1,6 +1,10 @@
 package fairshare
 
-import "github.com/wheatroad/wheatroad/internal/taskgraph"
+import (
+	"math"
+
+	"github.com/wheatroad/wheatroad/internal/taskgraph"
+)
 
 // amount is an amount of resources, possibly a mean over time.
 type amount struct {
@@ -21,6 +25,11 @@
 	return amount{MilliCores: a.MilliCores * factor, MemoryMB: a.MemoryMB * factor, GPUs: a.GPUs * factor}
 }
 
+// difference returns the distance of two amounts in each resource.
+func (a amount) difference(b amount) amount {
+	return amount{MilliCores: math.Abs(a.MilliCores - b.MilliCores), MemoryMB: math.Abs(a.MemoryMB - b.MemoryMB), GPUs: math.Abs(a.GPUs - b.GPUs)}
+}
+
 // dominantShare returns the largest share of the amount in one resource of a capacity.
 func (a amount) dominantShare(capacity amount) float64 {
 	return max(shareOf(a.MilliCores, capacity.MilliCores), shareOf(a.MemoryMB, capacity.MemoryMB), shareOf(a.GPUs, capacity.GPUs))
--- a/internal/fairshare/ledger_test.go
+++ b/internal/fairshare/ledger_test.go
@@ -209,3 +209,58 @@
 		})
 	}
 }
+
+// TestMateriallyChanged checks that a section is written for changes of use, not for the passing of time.
+func TestMateriallyChanged(t *testing.T) {
+	const small, large = `{"used":{"small":{"gpus":40}}}`, `{"used":{"small":{"gpus":40},"large":{"gpus":20}}}`
+	cases := map[string]struct {
+		written, current string
+		elapsed          time.Duration
+		want             bool
+	}{
+		"unchanged":                      {small, small, 0, false},
+		"faded":                          {small, `{"used":{"small":{"gpus":10}}}`, 2 * useHalfLife, false},
+		"faded away":                     {small, ``, 20 * useHalfLife, false},
+		"held on":                        {small, small, useHalfLife, true},
+		"rose by a tenth of the pool":    {small, `{"used":{"small":{"gpus":50}}}`, 0, false},
+		"rose by more":                   {small, `{"used":{"small":{"gpus":51}}}`, 0, true},
+		"fell by more":                   {small, `{"used":{"small":{"gpus":29}}}`, 0, true},
+		"gone":                           {small, ``, 0, true},
+		"new tenant":                     {small, large, 0, true},
+		"new tenant below a tenth":       {small, `{"used":{"small":{"gpus":40},"large":{"gpus":9}}}`, 0, false},
+		"first section":                  {``, small, 0, true},
+		"first section, below a tenth":   {``, `{"used":{"small":{"gpus":9}}}`, 0, false},
+		"nothing":                        {``, ``, time.Hour, false},
+		"null":                           {`null`, `null`, time.Hour, false},
+		"written section is not valid":   {`{"used":`, small, 0, true},
+		"other resources count":          {small, `{"used":{"small":{"gpus":40,"milli_cores":200000}}}`, 0, true},
+		"one resource falls, one rises":  {`{"used":{"small":{"gpus":20}}}`, `{"used":{"small":{"memory_mb":50000}}}`, 0, true},
+		"current section cannot be read": {small, `[]`, 0, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			l := newTestLedger()
+			require.Equal(t, c.want, l.MateriallyChanged(json.RawMessage(c.written), json.RawMessage(c.current), c.elapsed))
+		})
+	}
+}
+
+// TestIdleUseChangesWithTimeAlone checks that the export of a ledger in which nothing happens never
+// counts as changed, and that a tenant that begins to hold something does.
+func TestIdleUseChangesWithTimeAlone(t *testing.T) {
+	l := newTestLedger()
+	l.Take("small", gpus(100), start)
+	released := start.Add(time.Minute)
+	l.Release("small", gpus(100), released)
+	written, err := l.Export(released)
+	require.NoError(t, err)
+	for elapsed := time.Duration(0); elapsed < 20*useHalfLife; elapsed += time.Second {
+		current, err := l.Export(released.Add(elapsed))
+		require.NoError(t, err)
+		require.False(t, l.MateriallyChanged(written, current, elapsed))
+	}
+	l.Take("large", gpus(40), released)
+	current, err := l.Export(released.Add(useHalfLife))
+	require.NoError(t, err)
+	require.True(t, l.MateriallyChanged(written, current, useHalfLife))
+}
--- a/internal/fairshare/section.go
+++ b/internal/fairshare/section.go
@@ -19,6 +19,8 @@
 	maxSectionBytes = 32 << 10
 	// maxStoredAmount bounds each amount that is imported, far above any pool.
 	maxStoredAmount = 1e15
+	// materialShare is the change of a tenant's use, as a share of the pool, that is worth a write.
+	materialShare = 0.1
 )
 
 var _ knowledge.Section = (*Ledger)(nil)
@@ -66,20 +68,62 @@
 	if len(document) > maxSectionBytes {
 		return errors.Newf("use of tenants has %d bytes; at most %d are imported", len(document), maxSectionBytes)
 	}
+	stored, err := parseUse(document)
+	if err != nil {
+		return err
+	}
+	for tenant, used := range stored.Used {
+		a := l.settle(tenant, now)
+		a.faded = a.faded.plus(used.times(remainingAfter(age)))
+	}
+	return nil
+}
+
+// parseUse parses and checks a section.
+func parseUse(document json.RawMessage) (storedUse, error) {
 	var stored storedUse
 	if err := json.Unmarshal(document, &stored); err != nil {
-		return errors.Wrap(err, "use of tenants")
+		return storedUse{}, errors.Wrap(err, "use of tenants")
 	}
 	for tenant, used := range stored.Used {
 		if !used.valid() {
-			return errors.Newf("use of tenant %q is out of range", tenant)
+			return storedUse{}, errors.Newf("use of tenant %q is out of range", tenant)
 		}
 	}
-	for tenant, used := range stored.Used {
-		a := l.settle(tenant, now)
-		a.faded = a.faded.plus(used.times(remainingAfter(age)))
+	return stored, nil
+}
+
+// MateriallyChanged reports whether the current section is worth writing over one that was written the
+// given time ago. It is if the use of some tenant differs by more than materialShare of the pool from
+// what the next owner would compute from the written section. So time alone makes no difference. While
+// the capacity of the pool is not known, nothing is worth a write.
+func (l *Ledger) MateriallyChanged(written, current json.RawMessage, elapsed time.Duration) bool {
+	// A written section that cannot be read is worth as much as none.
+	before, _ := parseUse(written)
+	var after storedUse
+	if len(current) > 0 {
+		var err error
+		if after, err = parseUse(current); err != nil {
+			return true
+		}
 	}
-	return nil
+	remaining := remainingAfter(elapsed)
+	for tenant, used := range before.Used {
+		if l.material(used.times(remaining), after.Used[tenant]) {
+			return true
+		}
+	}
+	for tenant, used := range after.Used {
+		if l.material(before.Used[tenant].times(remaining), used) {
+			return true
+		}
+	}
+	return false
+}
+
+// material reports whether two amounts of use differ by more than materialShare.
+func (l *Ledger) material(a, b amount) bool {
+	return a.difference(b).dominantShare(l.capacity) > materialShare
 }
 
 // valid reports whether all amounts are within the range of a pool.
