--- a/internal/pool/tenant_sharing_test.go
+++ b/internal/pool/tenant_sharing_test.go
@@ -216,3 +216,35 @@
 		})
 	}
 }
+
+// TestOverloadEndsNoWait checks that the jobs of a tenant without a guarantee are done one after another
+// once they are overdue, while two other tenants submit more timely work than the pool can take.
+func TestOverloadEndsNoWait(t *testing.T) {
+	const jobsOfStranger = 4
+	w := sharingCluster(2, time.Second)
+	for n := range jobsOfStranger {
+		w.SubmitOf("stranger", gangOfAll(n+1, 2, time.Second), batch)
+	}
+	w.AcquirePool()
+	done := func() (count int) {
+		for n := range jobsOfStranger {
+			if w.StoredState(jobID(n+1)) == taskgraph.Completed {
+				count++
+			}
+		}
+		return count
+	}
+	started := 0
+	for second := range 110 {
+		for i, tenant := range []string{"a", "b", "c"} {
+			w.SubmitOf(tenant, gangOfAll(10+3*second+i, 2, time.Second), batch)
+		}
+		w.Run(time.Second)
+		if second == 50 {
+			started = done()
+		}
+	}
+	require.Less(t, started, jobsOfStranger, "some of the jobs wait until they are overdue")
+	require.Equal(t, jobsOfStranger, done())
+	requireInvariants(t, w)
+}
