Merge tenant sharing: waiting work of equal priority by the tenants' shares

What tenants have used is a section of the kept knowledge; the test of the next owner now goes by the row itself, and switches the mechanism off for the other case. Descriptions of twelve counters are shorter, for the own counters to stay within the 4,000 bytes that scrapers keep.

--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -103,6 +103,11 @@
 	members    []*member
 	readyAt    time.Time
 	startedAt  time.Time
+	// preemptedAt is when the unit last preempted others; zero if it never did.
+	preemptedAt time.Time
+	// overdueTurnSince is since when the unit has had the turn of the overdue units without
+	// being placed, and overdueMissedAt is when it last passed the turn on; zero if never.
+	overdueTurnSince, overdueMissedAt time.Time
 	// runningSince is when all members of the latest run were first known to be running; zero
 	// before.
 	runningSince time.Time
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/evacuation"
+	"github.com/wheatroad/wheatroad/internal/fairshare"
 	"github.com/wheatroad/wheatroad/internal/features"
 	"github.com/wheatroad/wheatroad/internal/fleet"
 	"github.com/wheatroad/wheatroad/internal/health"
@@ -107,6 +108,14 @@
 	evacuationsRead, reportedEvacuations         evacuation.Set
 	evacuationsWereFresh, evacuationReadInFlight bool
 	invalidRows                                  invalidWorkerRows
+	// tenantUse is what each tenant holds and has used. shareItemsBuffer is reused by each cycle, and
+	// tenantsUpdatedAt is when updateTenants last had an effect. sharesReported is true while the gauges
+	// of the tenants' shares are set.
+	tenantUse        *fairshare.Ledger
+	shareItemsBuffer []fairshare.Item
+	tenantsUpdatedAt time.Time
+	sharesReported   bool
+	overdueTurns     overdueTurns
 	// pendingCancels holds cancellations that were read before their job.
 	pendingCancels map[string]bool
 }
@@ -118,10 +127,11 @@
 		jobs: map[string]*job{}, workers: map[string]*worker{},
 		lastStoreAnswerAt: l.Now(), pendingCancels: map[string]bool{},
 		durations: map[string]*durationModel{}, storeRetries: loop.NewRetries(l), lossTracker: poison.NewLossTracker(), health: health.New(),
+		tenantUse: fairshare.NewLedger(), overdueTurns: overdueTurns{},
 		invalidRows: invalidWorkerRows{faults: map[string]fleet.RowFault{}},
 	}
 	p.writer = newWriter(p)
-	p.kept = newKeptKnowledge(p, p.lossTracker, p.health, &speedSection{pool: p})
+	p.kept = newKeptKnowledge(p, p.lossTracker, p.health, p.tenantUse, &speedSection{pool: p})
 	return p
 }
 
@@ -185,6 +195,7 @@
 		return
 	}
 	p.closed = true
+	p.endShareReports()
 	p.record.Count("takeovers", "lost")
 	p.record.LogEvent("pool ownership ended", "pool", p.options.Pool, "token", p.token, "reason", reason)
 	p.options.OnOwnershipEnded(reason)
@@ -205,6 +216,7 @@
 	p.checkHealth()
 	p.removeExpiredJobs()
 	p.refreshEstimates()
+	p.updateTenants()
 	p.kept.writeIfDue()
 	p.scheduleCycle()
 	p.loop.After(tickInterval, p.tick)
--- a/internal/pool/preempt.go
+++ b/internal/pool/preempt.go
@@ -53,6 +53,7 @@
 	s.reallocate(victims, places, request.Resources)
 	s.presentUtilization = nil
 	if len(victims) > 0 {
+		u.preemptedAt = s.now
 		p.preemptionBackoffPriority = u.job.Queue.Priority
 		p.preemptionBackoffUntil = s.now.Add(preemptionBackoff)
 	}
@@ -110,8 +111,7 @@
 
 // guaranteeDue reports whether the tenant's guarantee requires the unit to start now.
 func (p *Pool) guaranteeDue(s *snapshot, u *unit) bool {
-	latest := u.job.acceptedAt.Add(p.options.Bounds.GuaranteedStartTimeout - p.options.Bounds.StopTimeout - guaranteeMargin)
-	if !s.now.After(latest.Add(-tickInterval)) {
+	if !p.guaranteeTimeUp(u, s.now) {
 		return false
 	}
 	guaranteed, known := s.guaranteed[u.job]
@@ -122,6 +122,12 @@
 	return guaranteed
 }
 
+// guaranteeTimeUp reports whether the unit would have to start now if it is guaranteed.
+func (p *Pool) guaranteeTimeUp(u *unit, now time.Time) bool {
+	latest := u.job.acceptedAt.Add(p.options.Bounds.GuaranteedStartTimeout - p.options.Bounds.StopTimeout - guaranteeMargin)
+	return now.After(latest.Add(-tickInterval))
+}
+
 // startGain returns the gain of starting a unit, in core-seconds.
 func startGain(u *unit, now time.Time) float64 {
 	if u.slack(now) <= 0 {
@@ -153,11 +159,15 @@
 }
 
 // withinGuarantee reports whether the job has priority 0 and the accelerators of all its tenant's
-// jobs of priority 0 are within the tenant's guarantee.
+// jobs of priority 0 are within the tenant's guarantee. Without a configuration nobody has one.
 func (p *Pool) withinGuarantee(j *job) bool {
 	if j.Queue.Priority != 0 {
 		return false
 	}
+	current := p.options.Catalog()
+	if current == nil {
+		return false
+	}
 	demand := taskgraph.Resources{}
 	for _, other := range p.jobs {
 		if other.Tenant == j.Tenant && other.Queue.Priority == 0 && !other.pendingState.Final() {
@@ -166,7 +176,7 @@
 			}
 		}
 	}
-	return demand.GPUs <= p.options.Catalog().Guarantee(j.Tenant).GPUs
+	return demand.GPUs <= current.Guarantee(j.Tenant).GPUs
 }
 
 // missesObjectiveOn reports whether an urgent unit that can still meet its objective would miss it
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -29,24 +29,25 @@
 // Definitions returns all counters, by the short name used in the code.
 func Definitions() map[string]Definition {
 	return map[string]Definition{
-		"refusals":          {"wheatroad.refusals", "Requests and orders refused, by reason.", "reason"},
+		"refusals":          {"wheatroad.refusals", "Refusals, by reason.", "reason"},
 		"retries":           {"wheatroad.retries", "Calls repeated, by reason.", "reason"},
-		"job_transitions":   {"wheatroad.job.transitions", "Jobs that entered a state.", "state"},
+		"job_transitions":   {"wheatroad.job.transitions", "Job state changes.", "state"},
 		"ownership_changes": {"wheatroad.domain.ownership.changes", "Domains gained and lost, by reason.", "reason"},
 		"table_operations":  {"wheatroad.table.failures", "Failed table operations, by operation.", "operation"},
-		"worker_orders":     {"wheatroad.worker.orders", "Orders sent to workers, by action.", "action"},
-		"given_up":          {"wheatroad.job.given_up", "Jobs failed for crashing workers, by reason.", "reason"},
-		"attempts":          {"wheatroad.job.attempts", "What became of attempts, by event.", "event"},
+		"worker_orders":     {"wheatroad.worker.orders", "Orders to workers, by action.", "action"},
+		"given_up":          {"wheatroad.job.given_up", "Crashing jobs failed, by reason.", "reason"},
+		"attempts":          {"wheatroad.job.attempts", "Attempts, by event.", "event"},
 		"requests":          {"wheatroad.requests", "Requests answered, by endpoint.", "endpoint"},
-		"takeovers":         {"wheatroad.pool.ownership.changes", "Ownership changes of pools, by event.", "event"},
-		"feed_gaps":         {"wheatroad.feed.gaps", "Feeds read anew for lost history, by table.", "table"},
-		"answers_given_up":  {"wheatroad.store.answers.given.up", "Store answers that arrived in part, by table.", "table"},
-		"announcements":     {"wheatroad.job.announcements", "Notices of accepted jobs to the owner, by result.", "result"},
-		"store_relays":      {"wheatroad.store.relays", "Calls to the store through another node, by result.", "result"},
+		"takeovers":         {"wheatroad.pool.ownership.changes", "Pool ownership, by event.", "event"},
+		"feed_gaps":         {"wheatroad.feed.gaps", "Feeds restarted, by table.", "table"},
+		"answers_given_up":  {"wheatroad.store.answers.given.up", "Partial store answers, by table.", "table"},
+		"announcements":     {"wheatroad.job.announcements", "Notices to owners, by result.", "result"},
+		"store_relays":      {"wheatroad.store.relays", "Relayed store calls, by result.", "result"},
 		"foreign_rows":      {"wheatroad.worker.rows.foreign", "Invalid worker rows read, by fault.", "fault"},
-		"worker_restarts":   {"wheatroad.worker.restarts", "Restarts under one identifier, by evidence.", "known_by"},
-		"start_failures":    {"wheatroad.worker.start.failures", "Starts that did not succeed, by reason.", "reason"},
+		"worker_restarts":   {"wheatroad.worker.restarts", "Worker restarts, by evidence.", "known_by"},
+		"start_failures":    {"wheatroad.worker.start.failures", "Failed starts, by reason.", "reason"},
 		"preemptions":       {"wheatroad.unit.preemptions", "Preemptions despite free room, by reason.", "reason"},
+		"tenant_turns":      {"wheatroad.tenant.turns", "Units placed out of order, by reason.", "reason"},
 		"stops":             {"wheatroad.unit.stops", "Units stopped, by reason.", "reason"},
 		"writes_put_off":    {"wheatroad.writes.put.off", "Writes put off for a slow store, by kind.", "kind"},
 		"knowledge":         {"wheatroad.pool.knowledge", "Rows of kept knowledge, by event.", "event"},
@@ -80,10 +81,13 @@
 // Gauges returns all gauges, by the short name used in the code.
 func Gauges() map[string]Definition {
 	return map[string]Definition{
-		"foreign_rows":    {Name: "wheatroad.pool.foreign.rows", Description: "Rows of workers that name no worker to use, as another writer left them."},
-		"write_batches":   {Name: "wheatroad.pool.write.batches", Description: "Batches of the owner's rows in flight."},
-		"knowledge_bytes": {Name: "wheatroad.pool.knowledge.bytes", Description: "Size of the row of kept knowledge that was last written."},
-		"evacuated_zones": {Name: "wheatroad.pool.evacuated.zones", Description: "Zones in which the pools of this node start nothing, since operators have evacuated them."},
+		"foreign_rows":        {Name: "wheatroad.pool.foreign.rows", Description: "Rows of workers that name no worker to use, as another writer left them."},
+		"write_batches":       {Name: "wheatroad.pool.write.batches", Description: "Batches of the owner's rows in flight."},
+		"knowledge_bytes":     {Name: "wheatroad.pool.knowledge.bytes", Description: "Size of the row of kept knowledge that was last written."},
+		"evacuated_zones":     {Name: "wheatroad.pool.evacuated.zones", Description: "Zones in which the pools of this node start nothing, since operators have evacuated them."},
+		"tenant_longest_wait": {Name: "wheatroad.tenant.longest.wait.ms", Description: "Longest present wait of a task or gang, in milliseconds, while tenants share the pool by weight."},
+		"tenant_most_lent":    {Name: "wheatroad.tenant.most.lent.permille", Description: "Largest share of the pool that a tenant has lent, in thousandths."},
+		"tenant_most_owed":    {Name: "wheatroad.tenant.most.owed.permille", Description: "Largest share of the pool that a tenant owes, in thousandths."},
 	}
 }
 
