Read-through: policies that are not built leave the settings; health, fairshare and soak mends

Tenant sections between 28,000 and 32,768 bytes were left out of the kept row; suspects of one job began a wave at the next owner; a blamed job that succeeded was blamed again by one more failure; a failed run of unknown start counted against its job; the health record was rewritten every 10 s for its ages alone. Health of workers goes by the version of their software, too. The soak's draws of versions have a stream of their own.

--- a/internal/cli/node_status.go
+++ b/internal/cli/node_status.go
@@ -90,8 +90,7 @@
 				o.Jobs, o.WaitingUnits, o.Runs, o.Workers, o.Unusable, o.Slow, o.Unresponsive, o.SuspectedWorkers, o.Suspects, o.SinceOwnershipConfirmedMillis)
 			fmt.Fprintf(&text, "    evacuated zones %v (read %d ms ago, recent enough to start work %v): %d runs in them, %d units wait for them\n",
 				o.EvacuatedZones, o.EvacuationsAgeMillis, o.EvacuationsFresh, o.RunsInEvacuatedZones, o.WaitingForZones)
-			fmt.Fprintf(&text, "    policies: tenant sharing %v, bounded preemption %v, admission forecast %v\n",
-				o.Policies.TenantSharing, o.Policies.BoundedPreemption, o.Policies.AdmissionForecast)
+			fmt.Fprintf(&text, "    policies: tenant sharing %v\n", o.Policies.TenantSharing)
 			printTenants(&text, o.Tenants)
 			fmt.Fprintf(&text, "    worker restarts %d, invalid worker rows %d\n", o.Restarts, o.InvalidWorkerRows)
 			for _, restarted := range o.Restarted {
--- a/internal/fairshare/section.go
+++ b/internal/fairshare/section.go
@@ -16,7 +16,7 @@
 	// sectionName identifies the faded use in an owner's kept knowledge.
 	sectionName = "tenant_use"
 	// maxSectionBytes bounds the section. On export, the tenants with the least use are left out.
-	maxSectionBytes = 32 << 10
+	maxSectionBytes = knowledge.MaxSectionBytes
 	// maxStoredAmount bounds each amount that is imported, far above any pool.
 	maxStoredAmount = 1e15
 	// materialShare is the change of a tenant's use, as a share of the pool, that is worth a write.
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -40,50 +40,34 @@
 type Settings struct {
 	// TenantSharing orders the waiting work of equal priority by the tenants' shares of the pool.
 	TenantSharing Mode
-	// BoundedPreemption limits how often a unit is preempted, and counts all that a preemption
-	// costs.
-	BoundedPreemption Mode
-	// AdmissionForecast rejects jobs that cannot be served in time.
-	AdmissionForecast Mode
 }
 
 // AllOff returns settings without any policy, whatever the configuration.
 func AllOff() Settings {
-	return Settings{TenantSharing: Off, BoundedPreemption: Off, AdmissionForecast: Off}
+	return Settings{TenantSharing: Off}
 }
 
+// tenantSharing is the name of the policy in command lines.
+const tenantSharing = "tenant-sharing"
+
 // Only returns settings with just the named policy.
 func Only(policy string) (Settings, error) {
-	settings := AllOff()
-	switch policy {
-	case "tenant-sharing":
-		settings.TenantSharing = On
-	case "bounded-preemption":
-		settings.BoundedPreemption = On
-	case "admission-forecast":
-		settings.AdmissionForecast = On
-	default:
+	if policy != tenantSharing {
 		return Settings{}, errors.Newf("policy %q is not known", policy)
 	}
-	return settings, nil
+	return Settings{TenantSharing: On}, nil
 }
 
 // Set tells which policies are in use.
 type Set struct {
-	TenantSharing     bool `json:"tenant_sharing"`
-	BoundedPreemption bool `json:"bounded_preemption"`
-	AdmissionForecast bool `json:"admission_forecast"`
+	TenantSharing bool `json:"tenant_sharing"`
 }
 
 // Resolve returns the policies in use under a configuration; configuration may be nil. In mode Auto
-// all policies are used if tenants of very different size compete for the pool.
+// tenants share by weight if tenants of very different size compete for the pool.
 func Resolve(settings Settings, configuration *catalog.Catalog) Set {
 	uneven := configuration != nil && UnevenGuarantees(configuration.Tenants)
-	return Set{
-		TenantSharing:     settings.TenantSharing.enabled(uneven),
-		BoundedPreemption: settings.BoundedPreemption.enabled(uneven),
-		AdmissionForecast: settings.AdmissionForecast.enabled(uneven),
-	}
+	return Set{TenantSharing: settings.TenantSharing.enabled(uneven)}
 }
 
 func (m Mode) enabled(calledFor bool) bool {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -13,9 +13,11 @@
 // Worker describes one incarnation of a worker, as decoded from the worker's row.
 type Worker struct {
 	Incarnation
-	Pool     string
-	Address  string
-	Zone     string
+	Pool    string
+	Address string
+	Zone    string
+	// Version is the version of the worker's software; empty if unknown.
+	Version  string
 	Capacity taskgraph.Resources
 	Labels   []string
 	Draining bool
--- a/internal/health/attempt.go
+++ b/internal/health/attempt.go
@@ -18,7 +18,7 @@
 	// maxUrgentWait is how long the only attempt of an urgent job waits for a worker that has not
 	// failed. It leaves a second of the three within which a guaranteed job starts.
 	maxUrgentWait = 2 * time.Second
-	// A gang with attempts to spare waits at most maxGangWait, a third of the time within which a
+	// A gang waits for better workers for at most maxGangWait, a third of the time within which a
 	// guaranteed start is due, and at most gangWaitShare of its slack, so that it can be retried in
 	// time.
 	maxGangWait   = time.Second
@@ -117,7 +117,7 @@
 	return math.Pow(1-a.FailingShare, float64(a.Members)) < 1-evenChance
 }
 
-// gangWaits reports whether a gang with attempts to spare still waits for better workers.
+// gangWaits reports whether a gang still waits for better workers.
 func (a *Attempt) gangWaits() bool {
 	limit := min(maxGangWait, time.Duration(gangWaitShare*float64(a.Slack+a.Waited)))
 	return a.Members > 1 && !a.Starved && a.Waited < limit
--- a/internal/health/job.go
+++ b/internal/health/job.go
@@ -44,15 +44,18 @@
 // from the workers, and blameJob returns those that have no failures left.
 func (r *Record) blameJob(j *jobRecord, machine Machine, f *Failure, now time.Time) (blamed bool, cleared []string) {
 	counts, known := j.failures[machine.ID]
-	if !known {
+	wasBlamed := j.blamed
+	if !known && !wasBlamed {
 		others := r.tallyWorkers(f.Job, now)
 		chance := max(minFailureChance, others.chance(r.recordWithout(machine.ID, f.Job), machine, now))
 		j.coincidence *= 1 - math.Pow(1-chance, float64(max(1, f.Members)))
 	}
 	j.failedAt = now
-	wasBlamed := j.blamed
 	unlikely := len(j.failures) > 0 && j.coincidence < jobFaultPrior
-	j.blamed = f.Elsewhere == NoOtherRun && unlikely || f.Elsewhere < OtherRunSucceeds && wasBlamed
+	j.blamed = f.Elsewhere == NoOtherRun && unlikely || f.Elsewhere != OtherRunSucceeds && wasBlamed
+	if wasBlamed && !j.blamed {
+		j.coincidence = 1
+	}
 	if j.blamed && !wasBlamed {
 		return true, r.withdraw(f.Job, j)
 	}
--- a/internal/health/record.go
+++ b/internal/health/record.go
@@ -54,6 +54,8 @@
 	OtherRunLasts
 	// OtherRunSucceeds: another run has made progress or ended done.
 	OtherRunSucceeds
+	// OtherRunsUnknown: the start of the failed run is unknown, so there is nothing to compare.
+	OtherRunsUnknown
 )
 
 // Verdict is what a failure says about a worker and a job.
@@ -92,8 +94,8 @@
 	return &Record{workers: map[string]*workerRecord{}, jobs: map[string]*jobRecord{}}
 }
 
-// Active reports whether there is evidence of failing workers. All decisions are as without this
-// package while there is none.
+// Active reports whether a worker has failed recently. Only then do attempts wait for proven workers.
+// Suspects are avoided for forgetPeriod.
 func (r *Record) Active(now time.Time) bool {
 	return !r.lastFailureAt.IsZero() && now.Sub(r.lastFailureAt) < quietPeriod
 }
--- a/internal/health/record_test.go
+++ b/internal/health/record_test.go
@@ -274,3 +274,31 @@
 	require.True(t, r.Empty())
 	require.Empty(t, r.jobs)
 }
+
+// TestBlameEndsWithSuccess checks that a job that was blamed and then succeeds somewhere is blamed
+// again only by as much evidence as at first.
+func TestBlameEndsWithSuccess(t *testing.T) {
+	r := New()
+	failOn := func(worker int, elsewhere OtherRuns) bool {
+		f := &Failure{Job: "job", StartedAt: at(1000), Early: true, Elsewhere: elsewhere}
+		return r.RecordFailure(rackWorker(0, worker), f, at(1050)).JobBlamed
+	}
+	require.False(t, failOn(0, NoOtherRun))
+	require.True(t, failOn(1, NoOtherRun))
+	for worker := range 4 {
+		require.False(t, failOn(2+worker, OtherRunLasts), "blamed already")
+	}
+	require.False(t, failOn(6, OtherRunSucceeds))
+	require.True(t, r.Suspected(rackWorker(0, 6).ID, at(1050)))
+	require.False(t, failOn(7, NoOtherRun), "one more worker is not enough")
+}
+
+// TestUnknownStartBlamesNoJob checks that a failed run of which the start is unknown does not blame its
+// job, as there is nothing to compare it with.
+func TestUnknownStartBlamesNoJob(t *testing.T) {
+	r := New()
+	for worker := range 4 {
+		f := &Failure{Job: "job", Elsewhere: OtherRunsUnknown}
+		require.False(t, r.RecordFailure(rackWorker(0, worker), f, at(1050)).JobBlamed)
+	}
+}
--- a/internal/health/section.go
+++ b/internal/health/section.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -31,6 +32,8 @@
 	Version       string `json:"version,omitempty"`
 	Failures      int    `json:"failures,omitempty"`
 	EarlyFailures int    `json:"early,omitempty"`
+	// FailedJob is the job of all failures; absent if they are of several jobs.
+	FailedJob string `json:"job,omitempty"`
 	// FailureAge and HealthyAge are absent if the worker has not failed, or made no progress.
 	FailureAge *int64 `json:"failure_age_ms,omitempty"`
 	Successes  int    `json:"successes,omitempty"`
@@ -71,7 +74,7 @@
 func (w *workerRecord) export(now time.Time) exportedWorker {
 	exported := exportedWorker{
 		ID: w.machine.ID, Rack: w.machine.Rack, Version: w.machine.Version,
-		Failures: w.failures, EarlyFailures: w.earlyFailures, Successes: w.successes,
+		Failures: w.failures, EarlyFailures: w.earlyFailures, FailedJob: w.failedJob, Successes: w.successes,
 	}
 	if !w.failedAt.IsZero() {
 		age := ageMillis(w.failedAt, now)
@@ -109,10 +112,38 @@
 	return nil
 }
 
+// maxProofAge is how old the proofs in a stored record may get while the suspects stay the same. The
+// next owner trusts workers without a proof less.
+const maxProofAge = 5 * time.Second
+
+// MateriallyChanged implements knowledge.Comparer. A record is worth a write if the suspects or their
+// failures have changed, or if its proofs have aged.
+func (r *Record) MateriallyChanged(written, current json.RawMessage, elapsed time.Duration) bool {
+	if elapsed >= maxProofAge {
+		return true
+	}
+	var before, after exportedRecord
+	if json.Unmarshal(written, &before) != nil || json.Unmarshal(current, &after) != nil {
+		return true
+	}
+	return !maps.Equal(before.failuresByWorker(), after.failuresByWorker())
+}
+
+// failuresByWorker returns the early failures of the suspects.
+func (e *exportedRecord) failuresByWorker() map[string]int {
+	failures := map[string]int{}
+	for i := range e.Workers {
+		if e.Workers[i].EarlyFailures > 0 {
+			failures[e.Workers[i].ID] = e.Workers[i].EarlyFailures
+		}
+	}
+	return failures
+}
+
 func (w *exportedWorker) restore(exportedAt time.Time) *workerRecord {
 	restored := &workerRecord{
 		machine:  Machine{ID: w.ID, Rack: w.Rack, Version: w.Version},
-		failures: max(0, w.Failures), earlyFailures: max(0, w.EarlyFailures), successes: min(max(0, w.Successes), maxSuccesses),
+		failures: max(0, w.Failures), earlyFailures: max(0, w.EarlyFailures), failedJob: w.FailedJob, successes: min(max(0, w.Successes), maxSuccesses),
 	}
 	if w.FailureAge != nil {
 		restored.failedAt = timeAtAge(*w.FailureAge, exportedAt)
--- a/internal/health/section_test.go
+++ b/internal/health/section_test.go
@@ -96,3 +96,35 @@
 	require.NoError(t, r.Import(document, at(1800), 700*time.Millisecond))
 	require.True(t, r.Proven(a.ID, at(1800)))
 }
+
+// TestNextOwnerKnowsThatOneJobFailed checks that the suspects of a single job begin no wave at the next
+// owner either.
+func TestNextOwnerKnowsThatOneJobFailed(t *testing.T) {
+	former := New()
+	for worker := range 3 {
+		f := &Failure{Job: "a", Members: 18, StartedAt: at(1000), Early: true, Elsewhere: OtherRunLasts}
+		former.RecordFailure(rackWorker(0, worker), f, at(1050))
+	}
+	document, err := former.Export(at(1100))
+	require.NoError(t, err)
+	next := New()
+	require.NoError(t, next.Import(document, at(1100), 0))
+	require.Equal(t, 3, next.SuspectedWorkers(at(1100)))
+	require.False(t, next.UpdateWave(at(1100)))
+}
+
+func TestMateriallyChanged(t *testing.T) {
+	r := New()
+	fail(r, rackWorker(0, 0), 1000)
+	export := func(millis int) json.RawMessage {
+		document, err := r.Export(at(millis))
+		require.NoError(t, err)
+		return document
+	}
+	written := export(1100)
+	require.False(t, r.MateriallyChanged(written, export(2100), time.Second), "time alone")
+	require.True(t, r.MateriallyChanged(written, export(2100), maxProofAge))
+	fail(r, rackWorker(0, 1), 2000)
+	require.True(t, r.MateriallyChanged(written, export(2100), time.Second), "another suspect")
+	require.True(t, r.MateriallyChanged(json.RawMessage("{"), export(2100), time.Second))
+}
--- a/internal/health/wave.go
+++ b/internal/health/wave.go
@@ -4,8 +4,8 @@
 
 const (
 	// waveWorkers is the number of suspects, and waveShare the share of failing workers, from which
-	// failures of several jobs are a wave. Two workers that fail within evidenceHalfLife have seldom
-	// done so by chance. The failures of a single job may be its own fault.
+	// failures of several jobs are a wave. Two suspects at once are seldom
+	// chance. The failures of a single job may be its own fault.
 	waveWorkers = 2
 	waveShare   = cautionChance
 	// waveOverShare is the share below which a wave is over. It is lower than waveShare, so that one
--- a/internal/pool/reliability.go
+++ b/internal/pool/reliability.go
@@ -18,7 +18,9 @@
 const exclusionPeriod = 6 * time.Second
 
 // machine identifies the worker in the record of health.
-func (w *worker) machine() health.Machine { return health.Machine{ID: w.ID, Rack: w.rack} }
+func (w *worker) machine() health.Machine {
+	return health.Machine{ID: w.ID, Rack: w.rack, Version: w.Version}
+}
 
 // recordRunProgress records that the unit's present run made progress on a worker or ended done.
 // The start of a run is known exactly only to the owner that started it.
@@ -71,6 +73,7 @@
 func (p *Pool) runFailure(u *unit, now time.Time) *health.Failure {
 	failure := &health.Failure{Job: u.job.id, Members: len(u.members), StartedAt: u.runStartedAt()}
 	if failure.StartedAt.IsZero() {
+		failure.Elsewhere = health.OtherRunsUnknown
 		return failure
 	}
 	runTime := now.Sub(failure.StartedAt)
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -75,30 +75,18 @@
 // Policies holds the modes of the optional scheduling policies: "auto", "on" or "off". An empty
 // mode means "auto".
 type Policies struct {
-	TenantSharing     string `toml:"tenant_sharing"`
-	BoundedPreemption string `toml:"bounded_preemption"`
-	AdmissionForecast string `toml:"admission_forecast"`
+	TenantSharing string `toml:"tenant_sharing"`
 }
 
 // Features returns the modes of the policies. The settings must have been validated.
 func (p *Policies) Features() features.Settings {
-	parse := func(name string) features.Mode {
-		mode, _ := features.ParseMode(name)
-		return mode
-	}
-	return features.Settings{
-		TenantSharing: parse(p.TenantSharing), BoundedPreemption: parse(p.BoundedPreemption), AdmissionForecast: parse(p.AdmissionForecast),
-	}
+	mode, _ := features.ParseMode(p.TenantSharing)
+	return features.Settings{TenantSharing: mode}
 }
 
 func (p *Policies) check(c *checker) {
-	mode := func(key, name string) {
-		_, err := features.ParseMode(name)
-		c.require(err == nil, key, "%v", err)
-	}
-	mode("policies.tenant_sharing", p.TenantSharing)
-	mode("policies.bounded_preemption", p.BoundedPreemption)
-	mode("policies.admission_forecast", p.AdmissionForecast)
+	_, err := features.ParseMode(p.TenantSharing)
+	c.require(err == nil, "policies.tenant_sharing", "%v", err)
 }
 
 // SeveralRegions reports whether the zones are in more than one region.
--- a/internal/soak/versions.go
+++ b/internal/soak/versions.go
@@ -9,6 +9,9 @@
 	random *rand.Rand
 }
 
+// versionStream is the random stream of the first daemon's versions, apart from those of faults.
+const versionStream = 1000
+
 // programsFor returns the programs of a daemon. The choices depend only on the seed and the daemon's
 // number.
 func (o *Options) programsFor(number int) programs {
@@ -16,7 +19,7 @@
 	if o.OtherDaemonPath != "" {
 		paths = append(paths, o.OtherDaemonPath)
 	}
-	return programs{paths: paths, random: rand.New(rand.NewPCG(o.Seed, uint64(number)))}
+	return programs{paths: paths, random: rand.New(rand.NewPCG(o.Seed, versionStream+uint64(number)))}
 }
 
 // next returns the program of the next start.
