--- a/internal/cli/node_status.go
+++ b/internal/cli/node_status.go
@@ -86,7 +86,7 @@
 		p := &status.Pools[i]
 		fmt.Fprintf(&text, "  pool %s: owner %s, token %d, unanswered pings %d\n", p.Pool, p.Owner, p.Token, p.OwnerFailures)
 		if o := p.Owned; o != nil {
-			fmt.Fprintf(&text, "    owned here: jobs %v, waiting units %d, runs %d, workers %d (unusable %d, slow %d, unresponsive %d, suspected of failing %d), suspects %d, ownership confirmed %d ms ago\n",
+			fmt.Fprintf(&text, "    owned here: jobs %v, waiting units %d, runs %d, workers %d (unusable %d, slow %d, unresponsive %d, failing %d), tasks suspected of crashes %d, ownership confirmed %d ms ago\n",
 				o.Jobs, o.WaitingUnits, o.Runs, o.Workers, o.Unusable, o.Slow, o.Unresponsive, o.SuspectedWorkers, o.Suspects, o.SinceOwnershipConfirmedMillis)
 			fmt.Fprintf(&text, "    evacuated zones %v (read %d ms ago, recent enough to start work %v): %d runs in them, %d units wait for them\n",
 				o.EvacuatedZones, o.EvacuationsAgeMillis, o.EvacuationsFresh, o.RunsInEvacuatedZones, o.WaitingForZones)
--- a/internal/fairshare/ledger.go
+++ b/internal/fairshare/ledger.go
@@ -15,7 +15,8 @@
 	// useHalfLife is the time in which past use loses half of its effect. It is several times the
 	// duration of a typical job, so that past use still counts when the tenants' next jobs arrive.
 	useHalfLife = 20 * time.Second
-	// minWeight is the weight of a tenant without a guarantee, as a share of the pool.
+	// minWeight is the weight of a tenant without a guarantee, as a share of the pool. It is small, but
+	// such tenants still get a turn.
 	minWeight = 0.005
 	// negligibleShare is the faded share below which the account of an idle tenant is dropped.
 	negligibleShare = 1e-4
@@ -24,7 +25,7 @@
 )
 
 // Ledger keeps what each tenant of a pool holds and has used. It is changed whenever a task takes or
-// leaves resources.
+// releases resources.
 type Ledger struct {
 	accounts map[string]*account
 	capacity amount
@@ -51,7 +52,7 @@
 	a.held = a.held.Plus(resources)
 }
 
-// Release records that a tenant leaves resources.
+// Release records that a tenant releases resources.
 func (l *Ledger) Release(tenant string, resources taskgraph.Resources, now time.Time) {
 	a := l.settle(tenant, now)
 	a.held = a.held.Minus(resources)
--- a/internal/fairshare/section.go
+++ b/internal/fairshare/section.go
@@ -19,7 +19,8 @@
 	maxSectionBytes = knowledge.MaxSectionBytes
 	// maxStoredAmount bounds each amount that is imported, far above any pool.
 	maxStoredAmount = 1e15
-	// materialShare is the change of a tenant's use, as a share of the pool, that is worth a write.
+	// materialShare is the change of a tenant's use, as a share of the pool, that is worth a write. A
+	// smaller one seldom changes whose turn it is.
 	materialShare = 0.1
 )
 
--- a/internal/poison/kept_losses.go
+++ b/internal/poison/kept_losses.go
@@ -181,8 +181,8 @@
 // earlier ones. Losses in the time that follows weigh less.
 func (l *LossTracker) WatchFrom(at time.Time) { l.watching, l.watchedFrom = true, at }
 
-// AssumeCalmBefore records that no losses before the time of WatchFrom matter.
-func (l *LossTracker) AssumeCalmBefore() {
+// AssumeNoLossesBefore records that no losses before the time of WatchFrom matter.
+func (l *LossTracker) AssumeNoLossesBefore() {
 	l.watchedFrom = time.Time{}
 	l.updateEvidence()
 }
--- a/internal/poison/kept_losses_test.go
+++ b/internal/poison/kept_losses_test.go
@@ -49,7 +49,7 @@
 		next.ContinueWatch()
 	}
 	if a.calm {
-		next.AssumeCalmBefore()
+		next.AssumeNoLossesBefore()
 	}
 	loseWorker(next, secondLossAt, a.ages[1], restored)
 	return restored
--- a/internal/pool/kept_knowledge.go
+++ b/internal/pool/kept_knowledge.go
@@ -150,7 +150,7 @@
 	switch {
 	case k.disabled(), k.pool.progressFencedAt.IsZero(), k.unnamedOwner:
 	case k.earlierOwner == 0:
-		k.pool.lossTracker.AssumeCalmBefore()
+		k.pool.lossTracker.AssumeNoLossesBefore()
 	case k.rowWriter == k.earlierOwner && k.rowSerial > k.earlierLostAfter:
 		k.pool.lossTracker.ContinueWatch()
 	}
--- a/internal/pool/progress_batch.go
+++ b/internal/pool/progress_batch.go
@@ -155,13 +155,13 @@
 			return
 		}
 		w.pool.record.Count("retries", "commit_slow")
-		w.send(a.batch, w.leavePartition(a))
+		w.send(a.batch, w.nextPartition(a))
 	})
 }
 
-// leavePartition returns the partition for the next attempt after one that failed or got no response
-// in time. The next batch goes there as well, unless it would not have used the partition left.
-func (w *writer) leavePartition(a *attempt) int {
+// nextPartition returns the partition for the next attempt after one that failed or got no response
+// in time. If new batches would go to the partition of the failed attempt, they go there as well.
+func (w *writer) nextPartition(a *attempt) int {
 	next := w.partitionAfter(a)
 	if w.partition == a.part || w.queue.Batches() == 1 {
 		w.partition = next
@@ -193,7 +193,7 @@
 	if b.written || b.inFlight > 0 {
 		return
 	}
-	next := w.leavePartition(a)
+	next := w.nextPartition(a)
 	if b.failedAttempts%progressPartitions != 0 {
 		w.send(b, next)
 		return
--- a/internal/pool/reliability.go
+++ b/internal/pool/reliability.go
@@ -119,7 +119,7 @@
 	best := health.NoOtherRun
 	for _, other := range compared.units {
 		if other != u {
-			best = max(best, other.fares(runTime, now))
+			best = max(best, other.outcomeSoFar(runTime, now))
 		}
 	}
 	return best
@@ -132,20 +132,20 @@
 		s := t.steps[u.step.index]
 		selected.succeeded = selected.succeeded || s.ended > 0 || s.complete
 		for _, other := range s.units {
-			if other.fares(0, now) > health.NoOtherRun {
+			if other.outcomeSoFar(0, now) > health.NoOtherRun {
 				selected.units = append(selected.units, other)
 			}
 		}
 	}
 	slices.SortFunc(selected.units, func(a, b *unit) int {
-		return cmp.Or(cmp.Compare(b.fares(0, now), a.fares(0, now)), a.startedAt.Compare(b.startedAt))
+		return cmp.Or(cmp.Compare(b.outcomeSoFar(0, now), a.outcomeSoFar(0, now)), a.startedAt.Compare(b.startedAt))
 	})
 	selected.units = slices.Clone(selected.units[:min(len(selected.units), comparedRuns)])
 	return selected
 }
 
-// fares returns how the unit's present run fares, compared with one that failed after runTime.
-func (u *unit) fares(runTime time.Duration, now time.Time) health.OtherRuns {
+// outcomeSoFar returns how the unit's present run fares, compared with one that failed after runTime.
+func (u *unit) outcomeSoFar(runTime time.Duration, now time.Time) health.OtherRuns {
 	progressed := func(m *member) bool { return m.percent > 0 }
 	running := u.state == unitActive && u.startedByThisOwner && !u.runningSince.IsZero()
 	switch {
--- a/internal/pool/slow_store.go
+++ b/internal/pool/slow_store.go
@@ -46,12 +46,12 @@
 	if err == nil {
 		m.writer.latency.Answered(now, now.Sub(m.sentAt)-m.sendTime)
 	}
-	m.writer.scheduleCalmCheck()
+	m.writer.scheduleFastCheck()
 }
 
-// scheduleCalmCheck schedules a check for the time at which the store counts as fast again, so that
+// scheduleFastCheck schedules a check for the time at which the store counts as fast again, so that
 // the end of a slow phase is noticed without a write.
-func (w *writer) scheduleCalmCheck() {
+func (w *writer) scheduleFastCheck() {
 	if w.cancelCalmCheck != nil {
 		w.cancelCalmCheck()
 		w.cancelCalmCheck = nil
@@ -64,7 +64,7 @@
 	w.cancelCalmCheck = w.pool.loop.After(fastAt.Sub(now), func() {
 		w.cancelCalmCheck = nil
 		w.updateStoreState()
-		w.scheduleCalmCheck()
+		w.scheduleFastCheck()
 	})
 }
 
--- a/internal/writequeue/latency.go
+++ b/internal/writequeue/latency.go
@@ -8,8 +8,8 @@
 const SlowAnswer = 100 * time.Millisecond
 
 const (
-	// calmPeriod is how long all answers must have been fast before the store counts as fast again.
-	calmPeriod = time.Second
+	// fastAfter is how long all answers must have been fast before the store counts as fast again.
+	fastAfter = time.Second
 	// copyTimeoutAnswers is the number of typical answer times to wait before a batch is also sent to
 	// another partition. A copy doubles the load, so ordinary variation must not lead to one.
 	copyTimeoutAnswers = 2
@@ -58,13 +58,13 @@
 
 // Slow reports whether the store is slow.
 func (l *Latency) Slow(now time.Time) bool {
-	return l.overdue > 0 || !l.lastSlowAt.IsZero() && now.Sub(l.lastSlowAt) < calmPeriod
+	return l.overdue > 0 || !l.lastSlowAt.IsZero() && now.Sub(l.lastSlowAt) < fastAfter
 }
 
 // FastAt returns when the store counts as fast again if no other slow answer arrives; false if the
 // store is fast, or if a write is overdue.
 func (l *Latency) FastAt(now time.Time) (time.Time, bool) {
-	return l.lastSlowAt.Add(calmPeriod), l.overdue == 0 && l.Slow(now)
+	return l.lastSlowAt.Add(fastAfter), l.overdue == 0 && l.Slow(now)
 }
 
 // Typical returns the typical answer time of a slow store; 0 if it is unknown.
--- a/internal/writequeue/queue_test.go
+++ b/internal/writequeue/queue_test.go
@@ -261,7 +261,7 @@
 	require.Equal(t, maxCopyTimeout, l.CopyTimeout(start, fast))
 	calm, known := l.FastAt(start)
 	require.True(t, known)
-	require.Equal(t, start.Add(calmPeriod), calm)
+	require.Equal(t, start.Add(fastAfter), calm)
 	require.False(t, l.Slow(calm))
 	require.Equal(t, fast, l.CopyTimeout(calm, fast))
 	l.Overdue(calm)
