--- a/scripts/upgrade-soak.sh
+++ b/scripts/upgrade-soak.sh
@@ -15,10 +15,12 @@
 fi
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
+# Runs beside each other must not share settings. Logs of failed seeds stay.
+logs=$(mktemp -d -t upgrade-soak-XXXXXX)
 mkdir "$folder/source"
 git archive "$commit" cmd internal platform go.mod go.sum | tar -x -C "$folder/source"
 (cd "$folder/source" && go build -o "$folder/wheatroadd-production" ./cmd/wheatroadd)
 go build -o "$folder/" ./cmd/wheatroadd ./cmd/wheatroad-bench ./cmd/wheatroad-platform
 [ $# -gt 0 ] || set -- --seed 1 --seeds 2 --seconds 12 --processes 5
 echo "upgrade soak: production $commit beside this version"
-"$folder/wheatroad-bench" faults --bin "$folder" --other-daemon "$folder/wheatroadd-production" "$@"
+"$folder/wheatroad-bench" faults --bin "$folder" --logs "$logs" --other-daemon "$folder/wheatroadd-production" "$@"
