Log what each lost worker says about a task that is found to crash workers

One line `poison evidence` for each loss gives its age and whether it is known, the ratio, the rate of chance losses, the number, rate and present odds of the other suspects, and whether this owner weighed it. `run lost` gives the odds of each suspect after the loss, `poison job failed` the prior.

--- a/internal/poison/history.go
+++ b/internal/poison/history.go
@@ -32,6 +32,8 @@
 	unexplained bool
 	// loss is nil once the ratio is final.
 	loss *workerLoss
+	// basis holds the values that the ratio was computed from; nil if an earlier owner computed it.
+	basis *ratioBasis
 }
 
 // Record is the stored form of a loss in a history.
@@ -184,20 +186,20 @@
 	return odds
 }
 
-func (h *History) setRatio(loss *workerLoss, ratio float64) {
+// lossOf returns the history's entry for a recent loss; nil if there is none.
+func (h *History) lossOf(loss *workerLoss) *taskLoss {
 	for i := range h.losses {
 		if h.losses[i].loss == loss {
-			h.losses[i].ratio = ratio
+			return &h.losses[i]
 		}
 	}
+	return nil
 }
 
 // freeze makes the ratio of a loss final.
 func (h *History) freeze(loss *workerLoss) {
-	for i := range h.losses {
-		if h.losses[i].loss == loss {
-			h.losses[i].loss = nil
-		}
+	if settled := h.lossOf(loss); settled != nil {
+		settled.loss = nil
 	}
 }
 
--- a/internal/poison/loss_tracker.go
+++ b/internal/poison/loss_tracker.go
@@ -237,7 +237,9 @@
 	for _, loss := range l.losses {
 		loss.chanceProbability = loss.initialChance()
 		for _, suspect := range loss.suspects {
-			suspect.History.setRatio(loss, 1)
+			if evidence := suspect.History.lossOf(loss); evidence != nil {
+				evidence.ratio = 1
+			}
 		}
 	}
 	for range estimateIterations {
@@ -259,25 +261,3 @@
 	}
 	loss.chanceProbability = byEarlierSuspects * loss.chanceRate / (loss.chanceRate + loss.suspectRate)
 }
-
-// updateRatios recomputes the likelihood ratio of this loss for each suspect. The computation uses
-// the odds that the suspects have without this loss.
-func (loss *workerLoss) updateRatios(workers int) {
-	suspectRate := 0.0
-	weights := make([]float64, len(loss.suspects))
-	for i, suspect := range loss.suspects {
-		weights[i] = probability(suspect.History.oddsWithout(loss)) * crashDensity(suspect.Age)
-		suspectRate += weights[i]
-	}
-	for i, suspect := range loss.suspects {
-		group := suspect.History.group
-		otherRate := loss.baseChanceRate() + loss.nearbyChance.rate(group.groupChance(loss), workers, loss.followedFor) + suspectRate
-		for k, other := range loss.suspects {
-			if k == i || other.History.group == group {
-				otherRate -= weights[k]
-			}
-		}
-		suspect.History.setRatio(loss, crashDensity(suspect.Age)/max(otherRate, loss.baseChanceRate()))
-	}
-	loss.suspectRate = suspectRate
-}
--- a/internal/pool/losshistory.go
+++ b/internal/pool/losshistory.go
@@ -77,11 +77,22 @@
 			continue
 		}
 		p.record.Count("given_up", string(verdict))
+		p.logPoisonEvidence(m)
 		p.record.LogEvent("poison job failed", "job", u.job.id, "task", m.name().String(), "reason", string(verdict),
-			"losses", m.losses.LossCount(), "odds", m.losses.Odds(), "workers", m.losses.Workers())
+			"losses", m.losses.LossCount(), "odds", m.losses.Odds(), "prior", p.lossTracker.PriorOdds(), "workers", m.losses.Workers())
 		p.lossTracker.RecordPoison()
 		p.finishJob(u.job, taskgraph.Failed)
 		return true
 	}
 	return false
 }
+
+// logPoisonEvidence logs what each lost worker says about a task that is found to crash workers.
+func (p *Pool) logPoisonEvidence(m *member) {
+	for _, loss := range m.losses.Evidence() {
+		p.record.LogEvent("poison evidence", "job", m.unit.job.id, "task", m.name().String(), "lost", loss.Worker,
+			"age_ms", loss.Age.Milliseconds(), "age_known", loss.AgeKnown, "ratio", loss.Ratio, "no_evidence", loss.Unexplained,
+			"weighed_here", loss.Weighed, "chance_rate", loss.ChanceRate, "others", loss.Others, "others_rate", loss.OthersRate,
+			"others_odds", loss.OthersOdds)
+	}
+}
--- a/internal/pool/lostruns.go
+++ b/internal/pool/lostruns.go
@@ -42,7 +42,8 @@
 	}
 	p.record.Count("attempts", "lost")
 	p.record.LogEvent("run lost", "job", u.job.id, "task", m.name().String(), "run", u.run, "worker", w.ID, "born", w.StartMillis, "reason", string(reason),
-		"confirmed", m.state == memberRunning, "ran_ms", u.runMillis(w.lastResponsive(p.loop.Now())))
+		"confirmed", m.state == memberRunning, "ran_ms", u.runMillis(w.lastResponsive(p.loop.Now())),
+		"poison_odds", m.losses.Odds())
 }
 
 // runMillis returns how long the unit's run had been running at a given time, for logs. It is 0 if
