poison: members of a gang on one worker are one suspect

Cause: `updateRatios` added up the weights of all suspects, each member of a gang for itself. Evidence: two losses together at 12 ms, prior 1:40, 12 workers, odds of a member and of the task: 1.29/1.29 with one member, 21.8/0.05 with two, 1,031/0.00 with six. Two that are always lost together can't be told apart.

Now a group is one suspect with the weight of its heaviest member, here and in the probability of chance of kept losses: 1.29 on both sides for 1, 2 and 6 members.

--- a/internal/poison/evidence.go
+++ b/internal/poison/evidence.go
@@ -7,7 +7,7 @@
 	// chanceRate is the rate of chance losses, and othersRate the rate of losses that the other
 	// suspects would cause. Both are per worker and second.
 	chanceRate, othersRate float64
-	// others is the number of other suspects.
+	// others is the number of other suspects. Tasks of one group count as one suspect.
 	others int
 }
 
@@ -27,7 +27,7 @@
 	// ChanceRate is the rate of chance losses around the loss, and OthersRate the rate of losses that
 	// the other suspects would cause. Both are per worker and second.
 	ChanceRate, OthersRate float64
-	// Others is the number of other suspects.
+	// Others is the number of other suspects. Tasks of one group count as one suspect.
 	Others int
 	// OthersOdds are the present odds of the likeliest other suspect; 0 if the loss is settled.
 	OthersOdds float64
--- a/internal/poison/kept_losses.go
+++ b/internal/poison/kept_losses.go
@@ -146,15 +146,30 @@
 }
 
 // chanceByEarlierSuspects returns the probability that none of the tasks to which an earlier owner
-// attributed the loss caused it. They may have become more likely causes since then.
+// attributed the loss caused it. They may have become more likely causes since then. Tasks of one
+// group have one cause, so only the likeliest of them counts.
 func (loss *workerLoss) chanceByEarlierSuspects() float64 {
 	chance := 1.0
-	for _, suspect := range loss.earlierSuspects {
-		chance *= 1 - probability(suspect.Odds())
+	for i, suspect := range loss.earlierSuspects {
+		isFirst := !slices.ContainsFunc(loss.earlierSuspects[:i], func(other *History) bool { return other.group == suspect.group })
+		if isFirst {
+			chance *= 1 - probability(loss.highestEarlierOdds(suspect.group))
+		}
 	}
 	return chance
 }
 
+// highestEarlierOdds returns the odds of the likeliest earlier suspect of a group.
+func (loss *workerLoss) highestEarlierOdds(group *Group) float64 {
+	highest := 0.0
+	for _, suspect := range loss.earlierSuspects {
+		if suspect.group == group {
+			highest = max(highest, suspect.Odds())
+		}
+	}
+	return highest
+}
+
 // initialChance returns the probability of being a chance loss from which estimates begin.
 func (loss *workerLoss) initialChance() float64 {
 	if loss.kept != nil {
--- a/internal/poison/ratios.go
+++ b/internal/poison/ratios.go
@@ -1,27 +1,57 @@
 package poison
 
-// updateRatios recomputes the likelihood ratio of this loss for each suspect. The computation uses
-// the odds that the suspects have without this loss.
+// suspectGroup holds what the suspects of one loss that belong to one group have in common. Their
+// cause is one, so the group counts as one suspect, whatever the number of its members on the worker.
+type suspectGroup struct {
+	group *Group
+	// weight is the rate of losses that the group would cause, per worker and second.
+	weight float64
+}
+
+// suspectGroups returns the groups of the loss's suspects. The weights use the odds that the suspects
+// have without this loss.
+func (loss *workerLoss) suspectGroups() []suspectGroup {
+	groups := make([]suspectGroup, 0, len(loss.suspects))
+	for _, suspect := range loss.suspects {
+		weight := probability(suspect.History.oddsWithout(loss)) * crashDensity(suspect.Age)
+		position := 0
+		for position < len(groups) && groups[position].group != suspect.History.group {
+			position++
+		}
+		if position == len(groups) {
+			groups = append(groups, suspectGroup{group: suspect.History.group})
+		}
+		groups[position].weight = max(groups[position].weight, weight)
+	}
+	return groups
+}
+
+// updateRatios recomputes the likelihood ratio of this loss for each suspect.
 func (loss *workerLoss) updateRatios(workers int) {
-	weights := make([]float64, len(loss.suspects))
+	groups := loss.suspectGroups()
 	loss.suspectRate = 0
-	for i, suspect := range loss.suspects {
-		weights[i] = probability(suspect.History.oddsWithout(loss)) * crashDensity(suspect.Age)
-		loss.suspectRate += weights[i]
+	for i := range groups {
+		loss.suspectRate += groups[i].weight
 	}
-	for i := range loss.suspects {
-		suspect := &loss.suspects[i]
-		loss.weigh(suspect, loss.basisFor(suspect.History.group, weights, workers))
+	for i := range groups {
+		basis := loss.basisFor(groups, i, workers)
+		for k := range loss.suspects {
+			if suspect := &loss.suspects[k]; suspect.History.group == groups[i].group {
+				loss.weigh(suspect, basis)
+			}
+		}
 	}
 }
 
-// basisFor returns the values from which the ratios of a group's suspects are computed.
-func (loss *workerLoss) basisFor(group *Group, weights []float64, workers int) *ratioBasis {
-	basis := &ratioBasis{chanceRate: loss.baseChanceRate() + loss.nearbyChance.rate(group.groupChance(loss), workers, loss.followedFor)}
-	for i := range loss.suspects {
-		if loss.suspects[i].History.group != group {
-			basis.othersRate += weights[i]
-			basis.others++
+// basisFor returns the values from which the ratios of one group's suspects are computed.
+func (loss *workerLoss) basisFor(groups []suspectGroup, own, workers int) *ratioBasis {
+	basis := &ratioBasis{
+		chanceRate: loss.baseChanceRate() + loss.nearbyChance.rate(groups[own].group.groupChance(loss), workers, loss.followedFor),
+		others:     len(groups) - 1,
+	}
+	for i := range groups {
+		if i != own {
+			basis.othersRate += groups[i].weight
 		}
 	}
 	return basis
