poison: two losses beside other suspects prove nothing before a run alone

Cause: with a prior of one in 80, "it did it twice" is 80 times likelier than "two others did it once each", and where a sixth of the jobs crash workers that comes up in each play.

Two losses now prove a task guilty only if at least one is conclusive (its age is known, and no other suspect had a run of an age at which it may have done it as well), or if the odds reach 1,000. To learn it soon, a task runs alone from odds of 0.3 or from two losses on. Rows keep which losses were conclusive.

--- a/internal/poison/evidence.go
+++ b/internal/poison/evidence.go
@@ -7,6 +7,9 @@
 	// chanceRate is the rate of chance losses, and othersRate the rate of losses that the other
 	// suspects would cause. Both are per worker and second.
 	chanceRate, othersRate float64
+	// othersDensity is the sum of the probability densities of a crash at the ages of the other
+	// suspects' runs.
+	othersDensity float64
 	// others is the number of other suspects. Tasks of one group count as one suspect.
 	others int
 }
@@ -22,6 +25,8 @@
 	Ratio float64
 	// Unexplained losses count toward the limit of losses but are not evidence.
 	Unexplained bool
+	// Conclusive losses can't be blamed on another suspect.
+	Conclusive bool
 	// Weighed is true if this owner has computed the ratio, and the fields below are known.
 	Weighed bool
 	// ChanceRate is the rate of chance losses around the loss, and OthersRate the rate of losses that
@@ -43,7 +48,7 @@
 }
 
 func (l *taskLoss) describe(group *Group) Evidence {
-	described := Evidence{Worker: l.worker, Age: l.age, AgeKnown: l.age != unknownAge, Ratio: l.ratio, Unexplained: l.unexplained}
+	described := Evidence{Worker: l.worker, Age: l.age, AgeKnown: l.age != unknownAge, Ratio: l.ratio, Unexplained: l.unexplained, Conclusive: l.conclusive}
 	if l.basis != nil {
 		described.Weighed = true
 		described.ChanceRate, described.OthersRate, described.Others = l.basis.chanceRate, l.basis.othersRate, l.basis.others
--- a/internal/poison/history.go
+++ b/internal/poison/history.go
@@ -30,6 +30,9 @@
 	ratio float64
 	// unexplained losses count toward maxLosses but are not evidence.
 	unexplained bool
+	// conclusive losses can't be blamed on another suspect, as no other had a run of such an age. The
+	// age of the run and the losses around this one are known.
+	conclusive bool
 	// loss is nil once the ratio is final.
 	loss *workerLoss
 	// basis holds the values that the ratio was computed from; nil if an earlier owner computed it.
@@ -44,6 +47,8 @@
 	AgeMillis int64 `json:"a,omitempty"`
 	// Unexplained losses count toward maxLosses but are not evidence.
 	Unexplained bool `json:"u,omitempty"`
+	// Conclusive losses can't be blamed on another suspect. It is false in records of earlier versions.
+	Conclusive bool `json:"c,omitempty"`
 }
 
 // NewGroup returns an empty group.
@@ -53,7 +58,10 @@
 func (g *Group) NewHistory(records []Record) *History {
 	h := &History{group: g}
 	for _, record := range records {
-		h.losses = append(h.losses, taskLoss{worker: record.Worker, age: record.age(), ratio: record.Ratio, unexplained: record.Unexplained})
+		h.losses = append(h.losses, taskLoss{
+			worker: record.Worker, age: record.age(), ratio: record.Ratio,
+			unexplained: record.Unexplained, conclusive: record.Conclusive,
+		})
 	}
 	return h
 }
@@ -71,8 +79,11 @@
 	return slices.ContainsFunc(h.losses, func(loss taskLoss) bool { return loss.worker == worker && !loss.unexplained })
 }
 
-// evidenceCount returns the number of losses that are evidence.
-func (h *History) evidenceCount() int {
+// EvidenceCount returns the number of losses that are evidence.
+func (h *History) EvidenceCount() int {
+	if h == nil {
+		return 0
+	}
 	count := 0
 	for i := range h.losses {
 		if !h.losses[i].unexplained {
@@ -90,7 +101,10 @@
 	records := make([]Record, 0, len(h.losses))
 	for i := range h.losses {
 		loss := &h.losses[i]
-		records = append(records, Record{Worker: loss.worker, Ratio: loss.ratio, AgeMillis: ageMillis(loss.age), Unexplained: loss.unexplained})
+		records = append(records, Record{
+			Worker: loss.worker, Ratio: loss.ratio, AgeMillis: ageMillis(loss.age),
+			Unexplained: loss.unexplained, Conclusive: loss.conclusive,
+		})
 	}
 	return records
 }
@@ -142,13 +156,21 @@
 func (v Verdict) Poison() bool { return v == PoisonByOdds || v == PoisonByLimit }
 
 // hasSufficientEvidence reports whether the evidence proves that the task is poison. If there are
-// only two losses, their ages must agree. If there are more, only the odds decide.
+// only two losses, their ages must agree, and one of them must be conclusive unless the odds are
+// overwhelming: two different neighbors may each have crashed one worker. From minEvidence losses
+// on a task runs alone, so with more losses the odds decide.
 func (h *History) hasSufficientEvidence() bool {
-	evidence := h.evidenceCount()
-	if evidence == minEvidence && !h.agesAgree() {
+	switch evidence := h.EvidenceCount(); {
+	case evidence < minEvidence, evidence == minEvidence && !h.agesAgree():
 		return false
+	case evidence == minEvidence && !h.hasConclusiveLoss():
+		return h.Odds() >= inconclusiveOdds
 	}
-	return evidence >= minEvidence && h.Odds() >= poisonOdds
+	return h.Odds() >= poisonOdds
+}
+
+func (h *History) hasConclusiveLoss() bool {
+	return slices.ContainsFunc(h.losses, func(loss taskLoss) bool { return loss.conclusive })
 }
 
 // Verdict classifies the task.
@@ -157,7 +179,7 @@
 	if count == 0 {
 		return Sound
 	}
-	evidence, odds := h.evidenceCount(), h.Odds()
+	evidence, odds := h.EvidenceCount(), h.Odds()
 	switch {
 	case count >= maxLosses, count == maxLosses-1 && evidence >= minEvidence && odds >= nearLimitRatio*h.group.prior.odds():
 		return PoisonByLimit
--- a/internal/poison/model.go
+++ b/internal/poison/model.go
@@ -20,14 +20,17 @@
 	// those lost soon after a takeover if the losses before it are unknown. The owner has not seen
 	// the losses around them. A failure of the previous owner's machine often affects workers too.
 	unobservedLossRate = 3e-3
-	// A task is poison if its odds reach poisonOdds and at least minEvidence losses are evidence.
+	// A task is poison if its odds reach poisonOdds and at least minEvidence losses are evidence. With
+	// just minEvidence losses that other suspects may have caused, the odds must reach
+	// inconclusiveOdds.
 	// A task with maxLosses losses is rejected whatever its odds. For a task with one loss less the
 	// odds of nearLimitRatio times the prior odds are sufficient instead of poisonOdds, in case one
 	// loss was not detected.
-	poisonOdds     = 10
-	minEvidence    = 2
-	nearLimitRatio = 10
-	maxLosses      = 5
+	poisonOdds       = 10
+	inconclusiveOdds = 1000
+	minEvidence      = 2
+	nearLimitRatio   = 10
+	maxLosses        = 5
 	// A task is Doubtful if its odds reach doubtfulOdds.
 	doubtfulOdds = 0.05
 	// A task is Suspected if its odds reach suspectedOdds or minEvidence losses are evidence.
--- a/internal/poison/ratios.go
+++ b/internal/poison/ratios.go
@@ -6,6 +6,8 @@
 	group *Group
 	// weight is the rate of losses that the group would cause, per worker and second.
 	weight float64
+	// density is the highest probability density of a crash at the age of a member's run.
+	density float64
 }
 
 // suspectGroups returns the groups of the loss's suspects. The weights use the odds that the suspects
@@ -13,7 +15,8 @@
 func (loss *workerLoss) suspectGroups() []suspectGroup {
 	groups := make([]suspectGroup, 0, len(loss.suspects))
 	for _, suspect := range loss.suspects {
-		weight := probability(suspect.History.oddsWithout(loss)) * crashDensity(suspect.Age)
+		density := crashDensity(suspect.Age)
+		weight := probability(suspect.History.oddsWithout(loss)) * density
 		position := 0
 		for position < len(groups) && groups[position].group != suspect.History.group {
 			position++
@@ -22,6 +25,7 @@
 			groups = append(groups, suspectGroup{group: suspect.History.group})
 		}
 		groups[position].weight = max(groups[position].weight, weight)
+		groups[position].density = max(groups[position].density, density)
 	}
 	return groups
 }
@@ -52,6 +56,7 @@
 	for i := range groups {
 		if i != own {
 			basis.othersRate += groups[i].weight
+			basis.othersDensity += groups[i].density
 		}
 	}
 	return basis
@@ -59,7 +64,11 @@
 
 // weigh sets the evidence of this loss about a suspect.
 func (loss *workerLoss) weigh(suspect *Suspect, basis *ratioBasis) {
-	if evidence := suspect.History.lossOf(loss); evidence != nil {
-		evidence.ratio, evidence.basis = crashDensity(suspect.Age)/(basis.chanceRate+basis.othersRate), basis
+	evidence := suspect.History.lossOf(loss)
+	if evidence == nil {
+		return
 	}
+	density := crashDensity(suspect.Age)
+	evidence.ratio, evidence.basis = density/(basis.chanceRate+basis.othersRate), basis
+	evidence.conclusive = !suspect.AgeEstimated && density >= poisonOdds*basis.othersDensity
 }
--- a/internal/pool/isolation.go
+++ b/internal/pool/isolation.go
@@ -17,10 +17,11 @@
 	isolationPeriod = time.Second
 	// isolationWait is how long a suspected unit waits for workers without other suspected units.
 	isolationWait = 500 * time.Millisecond
-	// isolationLosses is the number of lost workers from which a unit needs empty workers, whatever
-	// its odds. The platform limits further starts of a task that crashes its workers, so each
-	// start must be conclusive.
-	isolationLosses = 3
+	// isolationLosses is the number of lost workers, and isolationEvidence the number of losses that
+	// are evidence, from which a unit needs empty workers, whatever its odds. The platform limits
+	// further starts of a task that crashes its workers, so each start must be conclusive.
+	isolationLosses   = 3
+	isolationEvidence = 2
 )
 
 // hasVerdict reports whether the verdict on any member of the unit is one of verdicts.
@@ -52,7 +53,7 @@
 		return false
 	}
 	for _, m := range u.suspects() {
-		if m.losses.LossCount() >= isolationLosses || m.losses.LossCount() > 1 && m.losses.SuspectedByOdds() {
+		if m.losses.LossCount() >= isolationLosses || m.losses.EvidenceCount() >= isolationEvidence || m.losses.SuspectedByOdds() {
 			return true
 		}
 	}
--- a/internal/pool/losshistory.go
+++ b/internal/pool/losshistory.go
@@ -91,7 +91,7 @@
 func (p *Pool) logPoisonEvidence(m *member) {
 	for _, loss := range m.losses.Evidence() {
 		p.record.LogEvent("poison evidence", "job", m.unit.job.id, "task", m.name().String(), "lost", loss.Worker,
-			"age_ms", loss.Age.Milliseconds(), "age_known", loss.AgeKnown, "ratio", loss.Ratio, "no_evidence", loss.Unexplained,
+			"age_ms", loss.Age.Milliseconds(), "age_known", loss.AgeKnown, "ratio", loss.Ratio, "no_evidence", loss.Unexplained, "conclusive", loss.Conclusive,
 			"weighed_here", loss.Weighed, "chance_rate", loss.ChanceRate, "others", loss.Others, "others_rate", loss.OthersRate,
 			"others_odds", loss.OthersOdds)
 	}
--- a/internal/pool/worker_fault_injection_test.go
+++ b/internal/pool/worker_fault_injection_test.go
@@ -30,47 +30,64 @@
 	// zones, restarts and foreign are the random generators for evacuations, worker restarts and
 	// invalid worker rows. Each kind of fault has its own generator, so that it does not change the
 	// other faults of a seed.
-	zones         *rand.Rand
-	restarts      *rand.Rand
-	invalidRows   *rand.Rand
-	owner         *simulation.Owner
+	zones       *rand.Rand
+	restarts    *rand.Rand
+	invalidRows *rand.Rand
+	owner       *simulation.Owner
+	// submit submits the jobs of one round.
+	submit        func()
 	jobs          int
 	crashingTasks []taskgraph.TaskName
 	// cancelled holds the numbers of the cancelled jobs.
 	cancelled map[int]bool
 }
 
-// TestRandomFaultsOfWorkers requires that all invariants hold, that jobs with a task that crashes
-// workers fail, and that all others complete, except for a small fraction.
-func TestRandomFaultsOfWorkers(t *testing.T) {
-	var mutex sync.Mutex
-	sound, givenUp := 0, 0
+// workerFaultTotals sums up the plays of several seeds.
+type workerFaultTotals struct {
+	// regular and failed count the regular jobs and those of them that failed.
+	regular, failed int
 	// lost counts the crashing tasks by the number of workers that each crashed.
-	lost := map[int]int{}
-	reasons := map[string]int{}
+	lost map[int]int
+	// reasons counts the failed jobs, regular or not, by reason.
+	reasons map[string]int
+}
+
+// playWorkerSeeds plays the seeds that the flags select and requires that all invariants hold, that
+// jobs with a task that crashes workers fail, and that no task crashes more workers than the platform
+// allows.
+func playWorkerSeeds(t *testing.T, play func(seed uint64) *workerFaults) workerFaultTotals {
+	var mutex sync.Mutex
+	totals := workerFaultTotals{lost: map[int]int{}, reasons: map[string]int{}}
 	t.Run("seeds", func(t *testing.T) {
 		for seed := *firstWorkerSeed; seed < *firstWorkerSeed+*workerSeeds; seed++ {
 			t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 				t.Parallel()
-				f := runWorkerFaults(uint64(seed), pool.DisabledSafeguards{}, false)
+				f := play(uint64(seed))
 				requireInvariants(t, f.Cluster)
-				soundHere, givenUpHere := f.countRegularJobs(t)
+				regular, failed := f.countRegularJobs(t)
 				mutex.Lock()
 				defer mutex.Unlock()
-				sound += soundHere
-				givenUp += givenUpHere
+				totals.regular += regular
+				totals.failed += failed
 				for _, reason := range []string{"crash_odds", "crash_limit"} {
-					reasons[reason] += f.Checker.Metrics["given_up/"+reason]
+					totals.reasons[reason] += f.Checker.Metrics["given_up/"+reason]
 				}
 				for _, name := range f.crashingTasks {
-					lost[f.Checker.Crashes(name)]++
+					totals.lost[f.Checker.Crashes(name)]++
 				}
 			})
 		}
 	})
-	t.Logf("%d regular jobs, %d of them failed (reasons, all jobs: %v); crashing tasks by number of workers lost: %v", sound, givenUp, reasons, lost)
-	require.LessOrEqual(t, givenUp*500, sound, "regular jobs failed for crashing workers")
-	require.Zero(t, lost[6], "a task may crash at most five workers")
+	t.Logf("%d regular jobs, %d of them failed (reasons, all jobs: %v); crashing tasks by number of workers lost: %v", totals.regular, totals.failed, totals.reasons, totals.lost)
+	require.Zero(t, totals.lost[6], "a task may crash at most five workers")
+	return totals
+}
+
+// TestRandomFaultsOfWorkers requires that all invariants hold, that jobs with a task that crashes
+// workers fail, and that all others complete, except for a small fraction.
+func TestRandomFaultsOfWorkers(t *testing.T) {
+	totals := playWorkerSeeds(t, func(seed uint64) *workerFaults { return runWorkerFaults(seed, pool.DisabledSafeguards{}, false) })
+	require.LessOrEqual(t, totals.failed*500, totals.regular, "regular jobs failed for crashing workers")
 }
 
 // keptWorkerSeeds are seeds of the random worker faults that have violated an invariant.
@@ -137,7 +154,7 @@
 				givenUp++
 				if testing.Verbose() {
 					for _, line := range f.Checker.DecisionLog {
-						if strings.Contains(line, "poison job failed") && strings.Contains(line, jobID(n)) {
+						if (strings.Contains(line, "poison job failed") || strings.Contains(line, "poison evidence")) && strings.Contains(line, jobID(n)) {
 							t.Log(line)
 						}
 					}
@@ -169,6 +186,15 @@
 // runWorkerFaultsWithMaxLease simulates random faults drawn from the seed, clears them and lets the
 // jobs finish. If maxLease is 0, the default maximum lease applies.
 func runWorkerFaultsWithMaxLease(seed uint64, disabled pool.DisabledSafeguards, steady bool, maxLease time.Duration) *workerFaults {
+	f := newWorkerFaults(seed, disabled, steady, maxLease)
+	f.Work = func(taskgraph.TaskName) time.Duration { return f.between(500, 3500) }
+	f.submit = f.submitSome
+	f.play(40, 1, 1200)
+	return f
+}
+
+// newWorkerFaults returns a simulation that draws all its random numbers from the seed.
+func newWorkerFaults(seed uint64, disabled pool.DisabledSafeguards, steady bool, maxLease time.Duration) *workerFaults {
 	f := &workerFaults{
 		Cluster: simulation.NewCluster(2, 6), random: rand.New(rand.NewPCG(seed, 4)), zones: rand.New(rand.NewPCG(seed, 8)), restarts: rand.New(rand.NewPCG(seed, 16)),
 		invalidRows: rand.New(rand.NewPCG(seed, 32)), cancelled: map[int]bool{},
@@ -179,24 +205,35 @@
 	if maxLease > 0 {
 		f.Bounds.MaxLease = maxLease
 	}
-	f.Work = func(taskgraph.TaskName) time.Duration { return f.between(500, 3500) }
 	f.Store.WriteOutcome = f.randomFate(0.03)
 	f.Store.KnowledgeWriteOutcome = randomFateFrom(rand.New(rand.NewPCG(seed, 64)), 0.03)
 	for _, worker := range f.Workers {
 		worker.OrderOutcome = f.randomFate(0.03)
 	}
+	return f
+}
+
+// play submits jobs for a number of rounds of up to maxRoundMillis, injects faults in one of every
+// roundsPerFault rounds, clears the faults and lets the jobs finish.
+func (f *workerFaults) play(rounds, roundsPerFault, maxRoundMillis int) {
 	f.owner = f.AcquirePool()
-	for range 40 {
-		f.submitSome()
-		f.injectWorkerFault()
-		f.injectOwnerFault()
-		changeEvacuationsAtRandom(f.Cluster, f.zones)
-		f.RestartRandomWorkers(f.restarts)
-		f.InjectInvalidRow(f.invalidRows)
-		f.Run(f.between(0, 1200))
+	for round := range rounds {
+		f.submit()
+		if round%roundsPerFault == 0 {
+			f.injectFaults()
+		}
+		f.Run(f.between(0, maxRoundMillis))
 	}
 	f.clearFaultsAndFinish()
-	return f
+}
+
+// injectFaults injects faults of all kinds.
+func (f *workerFaults) injectFaults() {
+	f.injectWorkerFault()
+	f.injectOwnerFault()
+	changeEvacuationsAtRandom(f.Cluster, f.zones)
+	f.RestartRandomWorkers(f.restarts)
+	f.InjectInvalidRow(f.invalidRows)
 }
 
 func (f *workerFaults) between(least, most int) time.Duration {
