poison: four losses end a job only if one of them is conclusive

Cause: with one loss left before the limit, odds that rose tenfold suffice, which four losses of any kind reach where many workers are lost by chance.

One of the four now has to be conclusive. A task that crashes its workers has run alone twice by then.

--- a/internal/poison/history.go
+++ b/internal/poison/history.go
@@ -31,7 +31,7 @@
 	// unexplained losses count toward maxLosses but are not evidence.
 	unexplained bool
 	// conclusive losses can't be blamed on another suspect, as no other had a run of such an age. The
-	// age of the run and the losses around this one are known.
+	// age of the task's own run is known.
 	conclusive bool
 	// loss is nil once the ratio is final.
 	loss *workerLoss
@@ -181,7 +181,7 @@
 	}
 	evidence, odds := h.EvidenceCount(), h.Odds()
 	switch {
-	case count >= maxLosses, count == maxLosses-1 && evidence >= minEvidence && odds >= nearLimitRatio*h.group.prior.odds():
+	case count >= maxLosses, count == maxLosses-1 && h.isNearLimit(odds):
 		return PoisonByLimit
 	case h.hasSufficientEvidence():
 		return PoisonByOdds
@@ -193,6 +193,12 @@
 	return Sound
 }
 
+// isNearLimit reports whether the odds have risen far enough, and not only by losses that prove
+// little, for a task with one loss less than maxLosses to be rejected.
+func (h *History) isNearLimit(odds float64) bool {
+	return h.EvidenceCount() >= minEvidence && h.hasConclusiveLoss() && odds >= nearLimitRatio*h.group.prior.odds()
+}
+
 // SuspectedByOdds reports whether the odds alone make the task suspected.
 func (h *History) SuspectedByOdds() bool { return h.Odds() >= suspectedOdds }
 
--- a/internal/poison/model.go
+++ b/internal/poison/model.go
@@ -23,9 +23,9 @@
 	// A task is poison if its odds reach poisonOdds and at least minEvidence losses are evidence. With
 	// just minEvidence losses that other suspects may have caused, the odds must reach
 	// inconclusiveOdds.
-	// A task with maxLosses losses is rejected whatever its odds. For a task with one loss less the
-	// odds of nearLimitRatio times the prior odds are sufficient instead of poisonOdds, in case one
-	// loss was not detected.
+	// A task with maxLosses losses is rejected whatever its odds. For a task with one loss less, of
+	// which one is conclusive, the odds of nearLimitRatio times the prior odds are sufficient instead
+	// of poisonOdds, in case one loss was not detected.
 	poisonOdds       = 10
 	inconclusiveOdds = 1000
 	minEvidence      = 2
--- a/internal/pool/shared_workers_fault_injection_test.go
+++ b/internal/pool/shared_workers_fault_injection_test.go
@@ -34,7 +34,10 @@
 
 // keptSharedWorkerSeeds are seeds in which a healthy job failed because of losses that were each beside
 // another task that crashed the worker.
-var keptSharedWorkerSeeds = []uint64{20312, 20323, 20354, 20388, 20438, 20579, 20607, 20616, 20624, 20643, 20708, 20722, 20838, 20981}
+var keptSharedWorkerSeeds = []uint64{
+	20312, 20323, 20354, 20388, 20438, 20579, 20607, 20616, 20624, 20643, 20708, 20722, 20838, 20981,
+	20335, 20465, // Four losses, three of which proved little.
+}
 
 // TestRandomFaultsOfSharedWorkersWithKeptSeeds plays the seeds in which a healthy job has failed.
 func TestRandomFaultsOfSharedWorkersWithKeptSeeds(t *testing.T) {
