pool: a head row that can't be decoded is replaced

Callers would see accepted jobs that never run: a new owner passed over a head row that is not JSON, asked for its absence instead of its version, and retried the fencing of that partition without end.

Such a row now names no owner, is counted as `head_row_invalid` and replaced at its version. The lease decides who owns the pool. TestUnreadableHeadRowsAreReplaced failed before (jobs "running" after 20 s).

--- a/internal/pool/progress_fencing.go
+++ b/internal/pool/progress_fencing.go
@@ -13,10 +13,10 @@
 	p.scanPrefix(ProgressTable, partition, headRow, func(listing rows.Listing) {
 		version := rows.Absent
 		for i := range listing.Rows {
-			var current headRecord
-			if listing.Rows[i].Name != headRow || json.Unmarshal(listing.Rows[i].Value, &current) != nil {
+			if listing.Rows[i].Name != headRow {
 				continue
 			}
+			current := w.decodeHead(listing.Rows[i].Value)
 			if current.Token > p.token {
 				p.Abandon("head row has a newer token")
 				return
@@ -29,6 +29,17 @@
 	})
 }
 
+// decodeHead decodes a head row. A row that can't be decoded names no owner and is replaced like any
+// other: the lease says who owns the pool, and without a new head row the partition is of no use.
+func (w *writer) decodeHead(value []byte) headRecord {
+	var head headRecord
+	if err := json.Unmarshal(value, &head); err != nil {
+		w.pool.record.Count("refusals", "head_row_invalid")
+		return headRecord{}
+	}
+	return head
+}
+
 func (w *writer) fencePartitionAt(part int, version int64, done func()) {
 	key := headKey(progressPartition(w.pool.options.Pool, part))
 	sentAt := w.pool.loop.Now()
