pool: suspects run alone, without the ways that this has made needless

Since a task runs alone from odds of 0.3 or two losses on, every suspected unit needs empty workers: the wait for workers without suspects, the second of isolation after a start and the preferences of suspected units could no longer be reached. A unit that needs empty workers is isolated for its whole run, also one with three losses and low odds, which others could join before.

docs/design/poison-tasks.md says what a verdict needs. Tests of pool, poison, emulator and loadsim pass.

--- a/internal/poison/history.go
+++ b/internal/poison/history.go
@@ -79,11 +79,8 @@
 	return slices.ContainsFunc(h.losses, func(loss taskLoss) bool { return loss.worker == worker && !loss.unexplained })
 }
 
-// EvidenceCount returns the number of losses that are evidence.
-func (h *History) EvidenceCount() int {
-	if h == nil {
-		return 0
-	}
+// evidenceCount returns the number of losses that are evidence.
+func (h *History) evidenceCount() int {
 	count := 0
 	for i := range h.losses {
 		if !h.losses[i].unexplained {
@@ -144,7 +141,7 @@
 	// Doubtful tasks run on different workers unless a task would have to wait. The next loss then
 	// shows which of the tasks is poison.
 	Doubtful Verdict = "doubtful"
-	// Suspected tasks do not share a worker with newly placed tasks. Empty workers are preferred.
+	// Suspected tasks run alone on their workers.
 	Suspected Verdict = "suspected"
 	// PoisonByOdds tasks were rejected by the odds, PoisonByLimit tasks by the number of losses.
 	// Neither may run again.
@@ -160,7 +157,7 @@
 // overwhelming: two different neighbors may each have crashed one worker. From minEvidence losses
 // on a task runs alone, so with more losses the odds decide.
 func (h *History) hasSufficientEvidence() bool {
-	switch evidence := h.EvidenceCount(); {
+	switch evidence := h.evidenceCount(); {
 	case evidence < minEvidence, evidence == minEvidence && !h.agesAgree():
 		return false
 	case evidence == minEvidence && !h.hasConclusiveLoss():
@@ -179,7 +176,7 @@
 	if count == 0 {
 		return Sound
 	}
-	evidence, odds := h.EvidenceCount(), h.Odds()
+	evidence, odds := h.evidenceCount(), h.Odds()
 	switch {
 	case count >= maxLosses, count == maxLosses-1 && h.isNearLimit(odds):
 		return PoisonByLimit
@@ -196,12 +193,9 @@
 // isNearLimit reports whether the odds have risen far enough, and not only by losses that prove
 // little, for a task with one loss less than maxLosses to be rejected.
 func (h *History) isNearLimit(odds float64) bool {
-	return h.EvidenceCount() >= minEvidence && h.hasConclusiveLoss() && odds >= nearLimitRatio*h.group.prior.odds()
+	return h.evidenceCount() >= minEvidence && h.hasConclusiveLoss() && odds >= nearLimitRatio*h.group.prior.odds()
 }
 
-// SuspectedByOdds reports whether the odds alone make the task suspected.
-func (h *History) SuspectedByOdds() bool { return h.Odds() >= suspectedOdds }
-
 // oddsWithout returns the odds that the task is poison, ignoring the evidence of one loss. If loss
 // is nil, no evidence is ignored.
 func (h *History) oddsWithout(loss *workerLoss) float64 {
--- a/internal/pool/cycle.go
+++ b/internal/pool/cycle.go
@@ -194,7 +194,7 @@
 	p.countHealthDecision(s, u, places)
 	p.commitPlacement(u, workers)
 	p.updateWorkerHealth(s, places)
-	if u.suspectedOfCrashes() {
+	if u.isolated() {
 		s.excludeWorkers(places)
 	}
 }
--- a/internal/pool/isolation.go
+++ b/internal/pool/isolation.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/wheatroad/wheatroad/internal/placement"
 	"github.com/wheatroad/wheatroad/internal/poison"
@@ -11,18 +10,11 @@
 
 // Placement of units whose earlier runs ended with the loss of a worker. Their next run is
 // isolated, so that another loss can be attributed to the unit and affects few other runs.
-const (
-	// isolationPeriod is how long after its start a suspected unit gets no new neighbors. Most
-	// tasks that crash workers do so soon after their start.
-	isolationPeriod = time.Second
-	// isolationWait is how long a suspected unit waits for workers without other suspected units.
-	isolationWait = 500 * time.Millisecond
-	// isolationLosses is the number of lost workers, and isolationEvidence the number of losses that
-	// are evidence, from which a unit needs empty workers, whatever its odds. The platform limits
-	// further starts of a task that crashes its workers, so each start must be conclusive.
-	isolationLosses   = 3
-	isolationEvidence = 2
-)
+
+// isolationLosses is the number of lost workers from which a unit with unexplained losses needs empty
+// workers, whatever its odds. The platform limits further starts of a task that crashes its workers,
+// so each start must be conclusive.
+const isolationLosses = 3
 
 // hasVerdict reports whether the verdict on any member of the unit is one of verdicts.
 func (u *unit) hasVerdict(verdicts ...poison.Verdict) bool {
@@ -49,15 +41,10 @@
 // Such a unit waits for empty workers and does not share them, since the loss of a shared worker
 // proves nothing. Losses that are no evidence do not restrict a unit, however many there are.
 func (u *unit) needsEmptyWorkers() bool {
-	if !u.hasUnexplainedLosses() {
-		return false
-	}
-	for _, m := range u.suspects() {
-		if m.losses.LossCount() >= isolationLosses || m.losses.EvidenceCount() >= isolationEvidence || m.losses.SuspectedByOdds() {
-			return true
-		}
+	if u.suspectedOfCrashes() {
+		return true
 	}
-	return false
+	return u.hasUnexplainedLosses() && slices.ContainsFunc(u.suspects(), func(m *member) bool { return m.losses.LossCount() >= isolationLosses })
 }
 
 // likelyPoison reports whether the unit is more likely than not to crash its workers. No other
@@ -71,34 +58,29 @@
 	return false
 }
 
-// isolated reports whether no other unit may be placed on the unit's workers. This holds for a
-// suspected unit while its start is pending or recent, and for its whole run if the unit needs
-// empty workers.
-func (u *unit) isolated(now time.Time) bool {
-	if u.lossGroup == nil || !u.suspectedOfCrashes() {
-		return false
-	}
-	isolated := u.state == unitActive && (now.Sub(u.startedAt) < isolationPeriod || u.needsEmptyWorkers())
-	return u.state == unitCommitting || isolated
+// isolated reports whether no other unit may be placed on the unit's workers, because its present run
+// must show whether it crashes them.
+func (u *unit) isolated() bool {
+	return (u.state == unitCommitting || u.state == unitActive) && u.needsEmptyWorkers()
 }
 
 // findIsolatedPlacement returns workers for a unit with unexplained worker losses, as isolated as
-// possible, or nil.
+// necessary, or nil. Doubtful units run beside other doubtful units only if they would have to wait.
 func (p *Pool) findIsolatedPlacement(s *snapshot, u *unit, visible *placement.Request) []int {
 	if u.needsEmptyWorkers() {
 		return placement.Fit(s.workers, s.racks.All, s.restrictToEmpty(visible))
 	}
-	for _, preferred := range s.isolationPreferences(u) {
-		if places := p.fitWithLocality(s, u, restrict(visible, preferred), visible); places != nil {
-			return places
-		}
-	}
-	if u.suspectedOfCrashes() && s.now.Sub(u.readyAt) < isolationWait {
-		return nil
+	if places := p.fitWithLocality(s, u, restrict(visible, s.withoutDoubtfulUnits), visible); places != nil {
+		return places
 	}
 	return p.fitWithLocality(s, u, visible, visible)
 }
 
+// withoutDoubtfulUnits reports whether no unit with unexplained losses runs on a worker.
+func (s *snapshot) withoutDoubtfulUnits(i int) bool {
+	return !slices.ContainsFunc(s.poolWorkers[i].members, func(m *member) bool { return m.unit.hasUnexplainedLosses() })
+}
+
 // restrictToEmpty restricts a request to workers without runs. In a search for a future placement,
 // workers count that will be empty then.
 func (s *snapshot) restrictToEmpty(request *placement.Request) *placement.Request {
@@ -127,23 +109,6 @@
 	return s.reserve(u, request, future)
 }
 
-// isolationPreferences returns the preferred workers of a unit with unexplained losses, best first.
-func (s *snapshot) isolationPreferences(u *unit) []func(i int) bool {
-	empty := func(i int) bool { return len(s.poolWorkers[i].members) == 0 }
-	withoutDoubtful := func(i int) bool {
-		for _, m := range s.poolWorkers[i].members {
-			if m.unit.hasUnexplainedLosses() {
-				return false
-			}
-		}
-		return true
-	}
-	if u.suspectedOfCrashes() {
-		return []func(int) bool{empty, withoutDoubtful}
-	}
-	return []func(int) bool{withoutDoubtful}
-}
-
 // excludeWorkers marks workers as unusable for the rest of the cycle.
 func (s *snapshot) excludeWorkers(places []int) {
 	for _, place := range places {
--- a/internal/pool/snapshot.go
+++ b/internal/pool/snapshot.go
@@ -102,7 +102,7 @@
 		entry.Usable = false
 	}
 	for _, m := range w.members {
-		if m.unit.isolated(s.now) {
+		if m.unit.isolated() {
 			entry.Usable = false
 		}
 		requirements := m.unit.spec().Requirements()
