poison: a run that may have been on the worker is another suspect of its loss

Runs without a confirmed start are still no evidence about their own task, but they take their share in the weights of the others. TestUnconfirmedNeighborsLeaveDoubt fails with them left out (odds 14,304, "crash_odds").

--- a/internal/poison/evidence.go
+++ b/internal/poison/evidence.go
@@ -10,7 +10,8 @@
 	// othersDensity is the sum of the probability densities of a crash at the ages of the other
 	// suspects' runs.
 	othersDensity float64
-	// others is the number of other suspects. Tasks of one group count as one suspect.
+	// others is the number of other suspects, with runs that may have been on the worker. Tasks of one
+	// group count as one suspect.
 	others int
 }
 
@@ -32,7 +33,8 @@
 	// ChanceRate is the rate of chance losses around the loss, and OthersRate the rate of losses that
 	// the other suspects would cause. Both are per worker and second.
 	ChanceRate, OthersRate float64
-	// Others is the number of other suspects. Tasks of one group count as one suspect.
+	// Others is the number of other suspects, with runs that may have been on the worker. Tasks of one
+	// group count as one suspect.
 	Others int
 	// OthersOdds are the present odds of the likeliest other suspect; 0 if the loss is settled.
 	OthersOdds float64
--- a/internal/poison/history.go
+++ b/internal/poison/history.go
@@ -30,8 +30,8 @@
 	ratio float64
 	// unexplained losses count toward maxLosses but are not evidence.
 	unexplained bool
-	// conclusive losses can't be blamed on another suspect, as no other had a run of such an age. The
-	// age of the task's own run is known.
+	// conclusive losses can't be blamed on another task, as no other had a run of such an age there,
+	// or may have had one. The age of the task's own run is known.
 	conclusive bool
 	// loss is nil once the ratio is final.
 	loss *workerLoss
--- a/internal/poison/loss_tracker.go
+++ b/internal/poison/loss_tracker.go
@@ -52,6 +52,9 @@
 	replaced        bool
 	unobserved      bool
 	suspects        []Suspect
+	// unconfirmed holds runs that may have been on the worker. They are no evidence about their tasks,
+	// but may have caused the loss.
+	unconfirmed []Suspect
 	// kept is set if only an earlier owner recorded the loss; nil otherwise.
 	kept *keptEvidence
 	// earlierSuspects are the histories in which an earlier owner recorded the loss. Their ratios are
@@ -98,7 +101,8 @@
 	// Replaced is true if another instance runs at the worker's address. The lost worker then
 	// certainly runs nothing.
 	Replaced bool
-	Suspects []Suspect
+	// Suspects are the runs that were on the worker, and Unconfirmed those that may have been.
+	Suspects, Unconfirmed []Suspect
 }
 
 // NewLossTracker returns an empty loss tracker.
@@ -109,7 +113,10 @@
 
 // RecordLoss records the loss of a worker and updates the evidence of all recent losses.
 func (l *LossTracker) RecordLoss(lost Loss) {
-	loss := &workerLoss{worker: lost.Worker, address: lost.Address, at: lost.At, replaced: lost.Replaced, unobserved: lost.Unobserved, chanceProbability: 1}
+	loss := &workerLoss{
+		worker: lost.Worker, address: lost.Address, at: lost.At, replaced: lost.Replaced, unobserved: lost.Unobserved,
+		unconfirmed: lost.Unconfirmed, chanceProbability: 1,
+	}
 	for _, suspect := range lost.Suspects {
 		if suspect.Age < ageHorizon && !suspect.History.has(lost.Worker) {
 			loss.suspects = append(loss.suspects, suspect)
--- a/internal/poison/ratios.go
+++ b/internal/poison/ratios.go
@@ -1,5 +1,7 @@
 package poison
 
+import "slices"
+
 // suspectGroup holds what the suspects of one loss that belong to one group have in common. Their
 // cause is one, so the group counts as one suspect, whatever the number of its members on the worker.
 type suspectGroup struct {
@@ -10,11 +12,11 @@
 	density float64
 }
 
-// suspectGroups returns the groups of the loss's suspects. The weights use the odds that the suspects
-// have without this loss.
+// suspectGroups returns the groups of the loss's suspects, and of the runs that may have been on the
+// worker. The weights use the odds that the tasks have without this loss.
 func (loss *workerLoss) suspectGroups() []suspectGroup {
-	groups := make([]suspectGroup, 0, len(loss.suspects))
-	for _, suspect := range loss.suspects {
+	groups := make([]suspectGroup, 0, len(loss.suspects)+len(loss.unconfirmed))
+	for _, suspect := range slices.Concat(loss.suspects, loss.unconfirmed) {
 		density := crashDensity(suspect.Age)
 		weight := probability(suspect.History.oddsWithout(loss)) * density
 		position := 0
--- a/internal/poison/shared_losses_test.go
+++ b/internal/poison/shared_losses_test.go
@@ -45,3 +45,24 @@
 		require.Equal(t, c.verdict, restored.Verdict(), "age %v, odds %.1f", c.neighborAge, restored.Odds())
 	}
 }
+
+// TestUnconfirmedNeighborsLeaveDoubt guards against a healthy task that seems to have been alone on a
+// lost worker, because the task that crashed it did so before its start was answered.
+func TestUnconfirmedNeighborsLeaveDoubt(t *testing.T) {
+	for name, c := range map[string]struct {
+		neighbor *History
+		verdict  Verdict
+	}{"other task": {newHistory(), Suspected}, "none": {nil, PoisonByOdds}} {
+		t.Run(name, func(t *testing.T) {
+			tracker, task := newTrackerOfCrashingLoad(), newHistory()
+			loss := Loss{Worker: "lost", At: at(0), Replaced: true, Suspects: []Suspect{{History: task, Age: earlyAge}}}
+			if c.neighbor != nil {
+				loss.Unconfirmed = []Suspect{{History: c.neighbor, Age: earlyAge}}
+			}
+			tracker.RecordLoss(loss)
+			loseWorker(tracker, 18, earlyAge, task, newHistory())
+			require.Greater(t, task.Odds(), float64(poisonOdds))
+			require.Equal(t, c.verdict, task.Verdict(), "odds %.0f", task.Odds())
+		})
+	}
+}
--- a/internal/pool/lostruns.go
+++ b/internal/pool/lostruns.go
@@ -95,15 +95,18 @@
 		return
 	}
 	history := m.lossHistory()
-	switch {
-	case history == nil:
+	if history == nil {
 		// The unit has too many loss histories, so the cause is probably outside the unit.
-	case ran == possiblyStarted:
+		return
+	}
+	age, estimated := m.unit.runAgeAt(loss)
+	suspect := poison.Suspect{History: history, Age: age, AgeEstimated: estimated}
+	if ran == possiblyStarted {
 		history.AddUnexplained(loss.Worker)
-	default:
-		age, estimated := m.unit.runAgeAt(loss)
-		loss.Suspects = append(loss.Suspects, poison.Suspect{History: history, Age: age, AgeEstimated: estimated})
+		loss.Unconfirmed = append(loss.Unconfirmed, suspect)
+		return
 	}
+	loss.Suspects = append(loss.Suspects, suspect)
 }
 
 // addressTaken reports whether another worker is listed at the worker's address.
