--- a/internal/poison/evidence.go
+++ b/internal/poison/evidence.go
@@ -51,7 +51,7 @@
 
 func (l *taskLoss) describe(group *Group) Evidence {
 	described := Evidence{Worker: l.worker, Age: l.age, AgeKnown: l.age != unknownAge, Ratio: l.ratio, Unexplained: l.unexplained, Conclusive: l.conclusive}
-	if l.basis != nil {
+	if l.weighed {
 		described.Weighed = true
 		described.ChanceRate, described.OthersRate, described.Others = l.basis.chanceRate, l.basis.othersRate, l.basis.others
 	}
--- a/internal/poison/history.go
+++ b/internal/poison/history.go
@@ -35,8 +35,9 @@
 	conclusive bool
 	// loss is nil once the ratio is final.
 	loss *workerLoss
-	// basis holds the values that the ratio was computed from; nil if an earlier owner computed it.
-	basis *ratioBasis
+	// basis holds the values that the ratio was computed from, unless an earlier owner computed it.
+	basis   ratioBasis
+	weighed bool
 }
 
 // Record is the stored form of a loss in a history.
--- a/internal/poison/loss_tracker.go
+++ b/internal/poison/loss_tracker.go
@@ -52,9 +52,9 @@
 	replaced        bool
 	unobserved      bool
 	suspects        []Suspect
-	// unconfirmed holds runs that may have been on the worker. They are no evidence about their tasks,
-	// but may have caused the loss.
-	unconfirmed []Suspect
+	// groups holds the suspects by group, with runs that may have been on the worker. The latter are no
+	// evidence about their tasks, but may have caused the loss.
+	groups []suspectGroup
 	// kept is set if only an earlier owner recorded the loss; nil otherwise.
 	kept *keptEvidence
 	// earlierSuspects are the histories in which an earlier owner recorded the loss. Their ratios are
@@ -113,10 +113,7 @@
 
 // RecordLoss records the loss of a worker and updates the evidence of all recent losses.
 func (l *LossTracker) RecordLoss(lost Loss) {
-	loss := &workerLoss{
-		worker: lost.Worker, address: lost.Address, at: lost.At, replaced: lost.Replaced, unobserved: lost.Unobserved,
-		unconfirmed: lost.Unconfirmed, chanceProbability: 1,
-	}
+	loss := &workerLoss{worker: lost.Worker, address: lost.Address, at: lost.At, replaced: lost.Replaced, unobserved: lost.Unobserved, chanceProbability: 1}
 	for _, suspect := range lost.Suspects {
 		if suspect.Age < ageHorizon && !suspect.History.has(lost.Worker) {
 			loss.suspects = append(loss.suspects, suspect)
@@ -125,6 +122,7 @@
 			suspect.History.group.prior = &l.prior
 		}
 	}
+	loss.groups = newSuspectGroups(loss.suspects, lost.Unconfirmed)
 	l.replaceKept(loss)
 	l.prune(lost.At)
 	l.insert(loss)
