--- a/internal/pool/shared_workers_fault_injection_test.go
+++ b/internal/pool/shared_workers_fault_injection_test.go
@@ -13,10 +13,9 @@
 )
 
 const (
-	// One in sharedCrashingEvery to sharedCrashingEvery+sharedCrashingRange jobs has a task that
-	// crashes workers.
-	sharedCrashingEvery = 6
-	sharedCrashingRange = 10
+	// One in minCrashingEvery to maxCrashingEvery jobs has a task that crashes workers, drawn by seed.
+	minCrashingEvery = 6
+	maxCrashingEvery = 15
 	// The load on shared workers has sharedRounds rounds of up to sharedRoundMillis. Faults are
 	// injected in one of four rounds in every other seed, and in one of sixteen in the rest, where few
 	// workers are lost by chance.
@@ -32,8 +31,8 @@
 	require.Zero(t, totals.failed, "of %d regular jobs failed for crashing workers", totals.regular)
 }
 
-// keptSharedWorkerSeeds are seeds in which a healthy job failed because of losses that were each beside
-// another task that crashed the worker.
+// keptSharedWorkerSeeds are seeds in which a healthy job failed, in the first line because each of its
+// losses was beside another task that crashed the worker.
 var keptSharedWorkerSeeds = []uint64{
 	20312, 20323, 20354, 20388, 20438, 20579, 20607, 20616, 20624, 20643, 20708, 20722, 20838, 20981,
 	20335, 20465, // Four losses, three of which proved little.
@@ -60,7 +59,7 @@
 	if f.random.IntN(3) == 0 {
 		crash.After = f.between(0, 600)
 	}
-	every := sharedCrashingEvery + f.random.IntN(sharedCrashingRange)
+	every := minCrashingEvery + f.random.IntN(maxCrashingEvery-minCrashingEvery+1)
 	f.submit = func() { f.submitSharing(every, crash) }
 	roundsPerFault := 4
 	if seed%2 == 0 {
@@ -70,8 +69,8 @@
 	return f
 }
 
-// submitSharing submits a job whose members and tasks share workers with others. Each job with a
-// number that is a multiple of every has a task that crashes workers; some others are cancelled.
+// submitSharing submits a job whose members and tasks share workers with others. One of every so many
+// jobs has a task that crashes workers, if the task would run long enough; some others are cancelled.
 func (f *workerFaults) submitSharing(every int, crash simulation.Crash) {
 	queue := batch
 	queue.MaxAttempts = 40
