Log what tells why a run counts as missing from reports

What callers saw: two tasks ran twice at once on one worker; the owner's lines in the record don't tell why it took the first runs for over. Cause of the gap: 'run missing from reports' said neither when and by what the run had been confirmed nor how old the report was, and nothing counted reports that are read out of order. Now: the line carries the last confirmation (answer to a start, or a report), the worker's clock then and in the report, when the report was requested, other reports in flight and whether the start has an answer; 'start failed' says whether a copy may still be carried out; 'stopping unexpected run' tells the report's age; wheatroad_refusals_total{reason="worker_report_overtaken"} counts reports read after a later one. wheatroadctl trace says in words which of the two is older. A report and the time of its request travel as one value, workerReport. No decision changes.

--- a/internal/cli/trace.go
+++ b/internal/cli/trace.go
@@ -34,6 +34,31 @@
 	StartedAt int64  `json:"born"`
 	Result    string `json:"how"`
 	Reason    string `json:"reason"`
+	unlistedRun
+}
+
+// unlistedRun holds the log fields of a run that ended since a report did not list it.
+type unlistedRun struct {
+	ConfirmedBy     string `json:"confirmed_by"`
+	ConfirmedAgo    int64  `json:"confirmed_ms_ago"`
+	ConfirmedClock  int64  `json:"confirmed_clock"`
+	ReportRequested int64  `json:"requested_ms_ago"`
+	ReportClock     int64  `json:"report_clock"`
+	ReportsInFlight int    `json:"reports_in_flight"`
+	StartUnanswered bool   `json:"start_unanswered"`
+}
+
+// format describes the evidence for the end of the run. It is empty if the log line has none.
+func (u *unlistedRun) format() string {
+	if u.ConfirmedBy == "" {
+		return ""
+	}
+	order := "the report is the later one"
+	if u.ReportClock < u.ConfirmedClock {
+		order = "the report is the earlier one, so it proves nothing"
+	}
+	return fmt.Sprintf("; confirmed by a %s %d ms before, at %d of the worker's clock; report requested %d ms before, written at %d: %s; %d other reports in flight, start unanswered: %t",
+		u.ConfirmedBy, u.ConfirmedAgo, u.ConfirmedClock, u.ReportRequested, u.ReportClock, order, u.ReportsInFlight, u.StartUnanswered)
 }
 
 // runEndMessages are the log messages that report the end of a run.
@@ -49,7 +74,7 @@
 	if e.Reason != "" {
 		result += ", " + e.Reason
 	}
-	return fmt.Sprintf("%s run %d in %s: %s", e.Task, e.Run, incarnation, result)
+	return fmt.Sprintf("%s run %d in %s: %s%s", e.Task, e.Run, incarnation, result, e.unlistedRun.format())
 }
 
 // logLine holds the log fields that the trace uses.
--- a/internal/pool/assignment.go
+++ b/internal/pool/assignment.go
@@ -18,6 +18,7 @@
 	m.state = memberWithoutRun
 	m.stopAttempted, m.stopSent, m.stopAnswered, m.startUnanswered = false, false, false, false
 	m.startCall, m.startSentAt, m.earlierStartPending = nil, time.Time{}, false
+	m.confirmation = confirmation{}
 	m.confirmedToEarlierOwner, m.formerIncarnation = false, fleet.Incarnation{}
 	m.percent, m.percentChangedAt, m.reportedAt = 0, time.Time{}, time.Time{}
 	m.sentAt = time.Time{}
--- a/internal/pool/formerruns.go
+++ b/internal/pool/formerruns.go
@@ -12,17 +12,17 @@
 // of the next incarnation.
 
 // markFormerRunsLost marks runs of the former incarnation as lost. These runs were confirmed before
-// the report of the next incarnation was requested at sentAt, and the report does not contain them.
-func (p *Pool) markFormerRunsLost(w *worker, reply fleet.Reply, sentAt time.Time) {
-	listed := runIDs(reply.Running)
-	for i := range reply.Ended {
-		listed[runID{task: reply.Ended[i].Task, run: reply.Ended[i].Run}] = true
+// the report of the next incarnation was requested, and the report does not contain them.
+func (p *Pool) markFormerRunsLost(w *worker, report workerReport) {
+	listed := runIDs(report.Running)
+	for i := range report.Ended {
+		listed[runID{task: report.Ended[i].Task, run: report.Ended[i].Run}] = true
 	}
 	all := w.members
 	w.members = nil
 	var kept []*member
 	for _, m := range all {
-		if m.endedWithIncarnation(sentAt, p.options.DisabledSafeguards) && !listed[runID{task: m.name(), run: m.unit.run}] {
+		if m.endedWithIncarnation(report.requestedAt, p.options.DisabledSafeguards) && !listed[runID{task: m.name(), run: m.unit.run}] {
 			w.members = append(w.members, m)
 		} else {
 			kept = append(kept, m)
@@ -33,12 +33,12 @@
 }
 
 // endedWithIncarnation reports whether absence from a report proves that the member's run has
-// ended. The report is that of the worker's next incarnation, requested at sentAt. An unanswered
+// ended. The report is that of the worker's next incarnation, requested at requestedAt. An unanswered
 // start of this owner, or a copy of the start, may still reach the next incarnation. A start of an
 // earlier owner cannot, because the request for the report has fenced that owner. A run that is
 // being stopped is missing from reports. Such a run counts as ended only if the former incarnation
 // had confirmed it to an earlier owner.
-func (m *member) endedWithIncarnation(sentAt time.Time, disabled DisabledSafeguards) bool {
+func (m *member) endedWithIncarnation(requestedAt time.Time, disabled DisabledSafeguards) bool {
 	switch m.state {
 	case memberWithoutRun:
 		return true
@@ -46,7 +46,7 @@
 		return m.confirmedToEarlierOwner
 	case memberRunning:
 		startUnresolved := m.startUnanswered || m.incarnationUnknown || m.startCall != nil && m.startCall.pending > 0
-		return (!startUnresolved || disabled.UnansweredStarts) && !m.stopAttempted && m.sentAt.Before(sentAt)
+		return (!startUnresolved || disabled.UnansweredStarts) && !m.stopAttempted && m.sentAt.Before(requestedAt)
 	}
 	return false
 }
--- a/internal/pool/incarnation_verification.go
+++ b/internal/pool/incarnation_verification.go
@@ -21,7 +21,7 @@
 		return
 	}
 	w.verifying = true
-	claimed, sentAt := w.claimedIncarnation, p.loop.Now()
+	claimed, requestedAt := w.claimedIncarnation, p.loop.Now()
 	p.record.Count("worker_orders", "ask_life")
 	p.ports.Poll(claimed, fleet.Poll{Token: p.token}, func(reply fleet.Reply, err error) {
 		if p.closed || p.workers[w.ID] != w {
@@ -31,8 +31,9 @@
 		if w.claimedIncarnation == nil {
 			return
 		}
-		if err == nil && p.isSuccessor(w, reply.StartMillis, sentAt) {
-			p.handleRestart(w, reply, restartConfirmedByReply, sentAt)
+		report := workerReport{Reply: reply, requestedAt: requestedAt}
+		if err == nil && p.isSuccessor(w, report) {
+			p.handleRestart(w, report, restartConfirmedByReply)
 			return
 		}
 		p.claimedIncarnationUnverified(w, err)
--- a/internal/pool/incarnations.go
+++ b/internal/pool/incarnations.go
@@ -1,10 +1,6 @@
 package pool
 
-import (
-	"time"
-
-	"github.com/wheatroad/wheatroad/internal/fleet"
-)
+import "github.com/wheatroad/wheatroad/internal/fleet"
 
 // A value of type worker stands for one incarnation of a worker. A restart discards the state in
 // the value, except the members and the machine state. A worker row that names another incarnation
@@ -49,44 +45,44 @@
 	return earlierIncarnation
 }
 
-// isSuccessor reports whether the incarnation that answered a request succeeds the known
-// incarnation. The request was sent at sentAt. Start times are wall-clock times, and the clock may
-// be set back between two incarnations. An incarnation with an earlier start time therefore also
-// counts as a successor if the request was sent after the last report of the known incarnation.
-func (p *Pool) isSuccessor(w *worker, startMillis int64, sentAt time.Time) bool {
-	switch p.compareIncarnation(w, startMillis) {
+// isSuccessor reports whether the incarnation that wrote a report succeeds the known incarnation.
+// Start times are wall-clock times, and the clock may be set back between two incarnations. An
+// incarnation with an earlier start time therefore also counts as a successor if the report was
+// requested after the last report of the known incarnation was received.
+func (p *Pool) isSuccessor(w *worker, report workerReport) bool {
+	switch p.compareIncarnation(w, report.StartMillis) {
 	case laterIncarnation:
 		return true
 	case earlierIncarnation:
-		return w.contacted && sentAt.After(w.endAcks.reportAt)
+		return w.contacted && report.requestedAt.After(w.endAcks.reportAt)
 	}
 	return false
 }
 
-// handleRestart handles the report of an incarnation that succeeds the known one. The report was
-// requested at sentAt. Runs that certainly ended with the former incarnation are lost. Any other
-// start may still reach the new incarnation.
-func (p *Pool) handleRestart(w *worker, reply fleet.Reply, evidence restartEvidence, sentAt time.Time) {
+// handleRestart handles the report of an incarnation that succeeds the known one. Runs that
+// certainly ended with the former incarnation are lost. Any other start may still reach the new
+// incarnation.
+func (p *Pool) handleRestart(w *worker, report workerReport, evidence restartEvidence) {
 	claimed := w.claimedIncarnation
 	next := w.Worker
 	if claimed != nil {
 		next = *claimed
 	}
-	next.StartMillis = reply.StartMillis
+	next.StartMillis = report.StartMillis
 	p.recordRestart(w, next.Incarnation, evidence, len(w.members))
-	p.markFormerRunsLost(w, reply, sentAt)
+	p.markFormerRunsLost(w, report)
 	replacement := p.replaceIncarnation(w, next)
 	replacement.contacted, replacement.contactedAt = true, p.loop.Now()
 	if claimed != nil {
 		p.updateFromRow(replacement, claimed)
 		// The row may name an incarnation later than the one that answered.
-		replacement.StartMillis = reply.StartMillis
+		replacement.StartMillis = report.StartMillis
 	}
 	if !p.options.DisabledSafeguards.RestartLease {
 		// Commands to the former incarnation carried lease deadlines on its clock.
-		replacement.deadline = reply.ClockMillis + p.options.Bounds.MaxLease.Milliseconds()
+		replacement.deadline = report.ClockMillis + p.options.Bounds.MaxLease.Milliseconds()
 	}
-	p.handlePollReply(replacement, reply, sentAt)
+	p.handlePollReply(replacement, report)
 }
 
 // recordRestart counts and logs a worker's restart.
@@ -142,17 +138,17 @@
 	}
 }
 
-// handleOtherIncarnation handles a reply of another incarnation than the known one. It returns
-// false if the caller should handle the reply as one of the known incarnation.
-func (p *Pool) handleOtherIncarnation(w *worker, reply fleet.Reply, sentAt time.Time) bool {
+// handleOtherIncarnation handles a report of another incarnation than the known one. It returns
+// false if the caller should handle the report as one of the known incarnation.
+func (p *Pool) handleOtherIncarnation(w *worker, report workerReport) bool {
 	if w.StartMillis == 0 {
-		w.StartMillis = reply.StartMillis
+		w.StartMillis = report.StartMillis
 	}
 	switch {
-	case p.isSuccessor(w, reply.StartMillis, sentAt):
-		p.handleRestart(w, reply, restartSeenInReply, sentAt)
+	case p.isSuccessor(w, report):
+		p.handleRestart(w, report, restartSeenInReply)
 		return true
-	case p.compareIncarnation(w, reply.StartMillis) == earlierIncarnation:
+	case p.compareIncarnation(w, report.StartMillis) == earlierIncarnation:
 		if w.contacted {
 			// Replies on different connections may arrive out of order.
 			p.record.Count("refusals", "worker_answer_stale")
@@ -161,7 +157,7 @@
 		}
 		// The known incarnation was taken from a row, and the row was wrong.
 		p.record.Count("refusals", "worker_row_refuted")
-		w.StartMillis = reply.StartMillis
+		w.StartMillis = report.StartMillis
 		p.markUnlisted(w)
 		return p.workers[w.ID] != w
 	}
--- a/internal/pool/poll.go
+++ b/internal/pool/poll.go
@@ -33,7 +33,9 @@
 		}
 	}
 	p.record.Count("worker_orders", "hold")
+	w.reportsInFlight++
 	p.ports.Poll(&w.Worker, request, func(reply fleet.Reply, err error) {
+		w.reportsInFlight--
 		p.releasePollSlot(w)
 		if p.closed || p.workers[w.ID] != w {
 			return
@@ -43,11 +45,12 @@
 			p.handlePollError(w, err)
 			return
 		}
-		if p.handleOtherIncarnation(w, reply, now) {
+		report := workerReport{Reply: reply, requestedAt: now}
+		if p.handleOtherIncarnation(w, report) {
 			return
 		}
 		w.endAcks.acknowledge(request.AcknowledgedEnd)
-		p.handlePollReply(w, reply, now)
+		p.handlePollReply(w, report)
 	})
 }
 
@@ -93,9 +96,11 @@
 		p.poll(w)
 		return
 	}
-	sentAt := p.loop.Now()
+	requestedAt := p.loop.Now()
 	p.record.Count("worker_orders", "look")
+	w.reportsInFlight++
 	p.ports.Poll(&w.Worker, fleet.Poll{Token: p.token}, func(reply fleet.Reply, err error) {
+		w.reportsInFlight--
 		if p.closed || p.workers[w.ID] != w {
 			return
 		}
@@ -103,10 +108,11 @@
 			p.handleCommandError(w, err)
 			return
 		}
-		if p.handleOtherIncarnation(w, reply, sentAt) {
+		report := workerReport{Reply: reply, requestedAt: requestedAt}
+		if p.handleOtherIncarnation(w, report) {
 			return
 		}
-		p.handleReport(w, reply, sentAt)
+		p.handleReport(w, report)
 	})
 }
 
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -10,41 +10,42 @@
 // applyReport applies a worker's report of running and ended runs. An owner that is releasing its
 // pool leaves reports to the next owner, since each recorded end would delay the release by a
 // write.
-func (p *Pool) applyReport(w *worker, reply fleet.Reply, sentAt time.Time) {
+func (p *Pool) applyReport(w *worker, report workerReport) {
 	if p.releasing {
 		return
 	}
-	p.applyEnds(w, reply.Ended)
-	if reply.MoreEnded {
+	p.applyEnds(w, report.Ended)
+	if report.MoreEnded {
 		// The worker lists further ends only after an acknowledgement.
 		w.endAcks.heldUntil = time.Time{}
 	}
-	p.reconcile(w, reply, sentAt)
+	p.reconcile(w, report)
 }
 
 // reconcile reconciles the members on a worker with the runs that the worker lists. Ended runs have
 // already been applied.
-func (p *Pool) reconcile(w *worker, reply fleet.Reply, sentAt time.Time) {
+func (p *Pool) reconcile(w *worker, report workerReport) {
 	now := p.loop.Now()
-	p.updateUnexpected(w, reply)
+	p.updateUnexpected(w, report)
 	listed := map[*member]bool{}
-	for i := range reply.Running {
-		entry := &reply.Running[i]
+	for i := range report.Running {
+		entry := &report.Running[i]
 		m := p.memberOnWorker(w, entry.Task, entry.Run)
 		if m == nil {
-			p.stopUnexpected(w, entry.Task, entry.Run)
+			p.stopUnexpected(w, entry.Task, entry.Run, report)
 			continue
 		}
 		listed[m] = true
+		m.confirm(confirmedByReport, now, report.ClockMillis)
 		p.reconcileListed(m, entry, now)
 	}
-	if reply.MoreEnded {
+	if report.MoreEnded {
 		return
 	}
 	p.markEarlierConfirmedRunsLost(w, listed)
 	for _, m := range w.members {
 		if !listed[m] {
-			p.reconcileUnlisted(m, sentAt)
+			p.reconcileUnlisted(m, report)
 		}
 	}
 }
@@ -83,12 +84,12 @@
 }
 
 // reconcileUnlisted reconciles a member whose run the worker lists neither as running nor as ended.
-func (p *Pool) reconcileUnlisted(m *member, sentAt time.Time) {
+func (p *Pool) reconcileUnlisted(m *member, report workerReport) {
 	switch {
 	case m.stopAnswered:
 		// The worker reports a completed stop as an ended run. If it reported none in time, there
 		// was no run.
-		if sentAt.Sub(m.sentAt) > p.options.Bounds.StopTimeout {
+		if report.requestedAt.Sub(m.sentAt) > p.options.Bounds.StopTimeout {
 			m.recordUnexplainedLoss()
 			p.memberEnded(m, fleet.EndStopped)
 		}
@@ -105,22 +106,24 @@
 		// A stop of the earlier owner may still be in progress.
 		m.stopAnswered = true
 		m.sentAt = p.loop.Now()
-	case m.state == memberUnconfirmed && m.sentAt.Before(sentAt):
+	case m.state == memberUnconfirmed && m.sentAt.Before(report.requestedAt):
 		// The start may still be carried out; a stop blocks it.
 		p.sendStop(m)
-	case m.state == memberRunning && m.sentAt.Before(sentAt):
-		p.recordUnlistedRun(m)
+	case m.state == memberRunning && m.sentAt.Before(report.requestedAt):
+		p.recordUnlistedRun(m, report)
 		p.memberEnded(m, fleet.EndLeaseExpired)
 	}
 }
 
 // recordUnlistedRun counts and logs a confirmed run that ended with an unknown outcome: the worker
 // lists it neither as running nor as ended.
-func (p *Pool) recordUnlistedRun(m *member) {
-	u, w := m.unit, m.worker
+func (p *Pool) recordUnlistedRun(m *member, report workerReport) {
+	u, w, now := m.unit, m.worker, p.loop.Now()
 	p.record.Count("attempts", "unlisted")
 	p.record.LogEvent("run missing from reports", "job", u.job.id, "task", m.name().String(), "run", u.run, "worker", w.ID, "born", w.StartMillis,
-		"ran_ms", u.runMillis(p.loop.Now()), "acknowledged_end", w.endAcks.acknowledged)
+		"ran_ms", u.runMillis(now), "acknowledged_end", w.endAcks.acknowledged, "start_unanswered", m.startPending(),
+		"confirmed_by", string(m.confirmation.source), "confirmed_ms_ago", now.Sub(m.confirmation.receivedAt).Milliseconds(), "confirmed_clock", m.confirmation.workerMillis,
+		"requested_ms_ago", now.Sub(report.requestedAt).Milliseconds(), "report_clock", report.ClockMillis, "reports_in_flight", w.reportsInFlight)
 }
 
 // applyEnds applies the ended runs that a worker lists, and acknowledges them once they are stored.
--- a/internal/pool/starts.go
+++ b/internal/pool/starts.go
@@ -101,6 +101,7 @@
 	p.record.Observe("start_order", latency)
 	p.commandLatency += (latency - p.commandLatency) / commandLatencySamples
 	m.incarnationUnknown = p.recordReply(m.worker, reply.ClockMillis)
+	m.confirm(confirmedByStart, p.loop.Now(), reply.ClockMillis)
 	if m.state == memberStarting || m.state == memberUnconfirmed {
 		m.state = memberRunning
 		m.sentAt = p.loop.Now()
@@ -114,7 +115,8 @@
 	w, u := m.worker, m.unit
 	reason := fleet.ReasonOf(err)
 	p.record.Count("start_failures", string(reason))
-	p.record.LogEvent("start failed", "job", u.job.id, "task", m.name().String(), "run", u.run, "worker", w.ID, "born", w.StartMillis, "reason", string(reason))
+	p.record.LogEvent("start failed", "job", u.job.id, "task", m.name().String(), "run", u.run, "worker", w.ID, "born", w.StartMillis, "reason", string(reason),
+		"unanswered", m.startUnanswered || reason == fleet.OutcomeUnknown, "confirmed_by", string(m.confirmation.source))
 	if p.handleCommandError(w, err) {
 		return
 	}
--- a/internal/pool/unexpected_runs.go
+++ b/internal/pool/unexpected_runs.go
@@ -31,14 +31,15 @@
 }
 
 // stopUnexpected stops a run that should not be on a worker.
-func (p *Pool) stopUnexpected(w *worker, name taskgraph.TaskName, run int) {
+func (p *Pool) stopUnexpected(w *worker, name taskgraph.TaskName, run int, report workerReport) {
 	room := taskgraph.Resources{}
 	if j := p.jobs[name.Job]; j != nil && name.Step < len(j.Spec.Steps) {
 		room = j.Spec.Steps[name.Step].Requirements()
 	}
 	w.unexpected[runID{task: name, run: run}] = unexpectedRun{resources: room}
 	p.record.Count("worker_orders", "stop_stranger")
-	p.record.LogEvent("stopping unexpected run", "job", name.Job, "task", name.String(), "run", run, "worker", w.ID, "born", w.StartMillis)
+	p.record.LogEvent("stopping unexpected run", "job", name.Job, "task", name.String(), "run", run, "worker", w.ID, "born", w.StartMillis,
+		"requested_ms_ago", p.loop.Now().Sub(report.requestedAt).Milliseconds(), "report_clock", report.ClockMillis)
 	p.ports.Stop(&w.Worker, fleet.Stop{Task: name, Run: run, Token: p.token}, func(_ fleet.Reply, err error) {
 		if !p.closed && err != nil {
 			p.handleCommandError(w, err)
@@ -49,11 +50,11 @@
 // updateUnexpected updates the unexpected runs of a worker from its report. Reports omit runs that
 // are being stopped. A run that is neither listed nor reported as ended is therefore removed only
 // after the time that a stop may take.
-func (p *Pool) updateUnexpected(w *worker, reply fleet.Reply) {
-	for i := range reply.Ended {
-		delete(w.unexpected, runID{task: reply.Ended[i].Task, run: reply.Ended[i].Run})
+func (p *Pool) updateUnexpected(w *worker, report workerReport) {
+	for i := range report.Ended {
+		delete(w.unexpected, runID{task: report.Ended[i].Task, run: report.Ended[i].Run})
 	}
-	listed := runIDs(reply.Running)
+	listed := runIDs(report.Running)
 	now := p.loop.Now()
 	for name, run := range w.unexpected {
 		switch {
--- a/internal/pool/worker.go
+++ b/internal/pool/worker.go
@@ -60,6 +60,10 @@
 	polledAt        time.Time
 	pollInFlight    bool
 	cancelPollTimer func()
+	// reportsInFlight counts the polls without a response, and lastReportMillis is the worker's clock
+	// in milliseconds at the latest report that was handled.
+	reportsInFlight  int
+	lastReportMillis int64
 	// unansweredCalls counts the calls without a reply since the last reply.
 	unansweredCalls   int
 	unresponsiveSince time.Time
--- a/internal/pool/worker_replies.go
+++ b/internal/pool/worker_replies.go
@@ -1,10 +1,6 @@
 package pool
 
-import (
-	"time"
-
-	"github.com/wheatroad/wheatroad/internal/fleet"
-)
+import "time"
 
 // recordReply records a reply of a worker. It returns true if the worker's clock deviates from its
 // estimate, in which case another incarnation may have answered.
@@ -26,14 +22,25 @@
 	return jumped
 }
 
-// handleReport handles a report of the known incarnation that was requested at sentAt.
-func (p *Pool) handleReport(w *worker, reply fleet.Reply, sentAt time.Time) {
-	p.recordReply(w, reply.ClockMillis)
+// handleReport handles a report of the known incarnation.
+func (p *Pool) handleReport(w *worker, report workerReport) {
+	if p.recordReply(w, report.ClockMillis) {
+		w.lastReportMillis = 0
+	}
+	p.countOvertakenReport(w, report)
 	w.endAcks.reportAt = p.loop.Now()
 	if p.lossTracker.WithdrawLoss(w.Incarnation.String()) {
 		p.record.LogEvent("lost worker responded", "worker", w.ID)
 	}
-	p.applyReport(w, reply, sentAt)
+	p.applyReport(w, report)
+}
+
+// countOvertakenReport counts a report that is handled after one that the worker wrote later.
+func (p *Pool) countOvertakenReport(w *worker, report workerReport) {
+	if report.ClockMillis < w.lastReportMillis {
+		p.record.Count("refusals", "worker_report_overtaken")
+	}
+	w.lastReportMillis = max(w.lastReportMillis, report.ClockMillis)
 }
 
 // clockJumpThreshold is the deviation of a worker's clock from its estimate, beyond drift, that
@@ -71,13 +78,13 @@
 	p.pollAfter(w, quickPollDelay)
 }
 
-// handlePollReply handles the reply to a poll that was sent at sentAt.
-func (p *Pool) handlePollReply(w *worker, reply fleet.Reply, sentAt time.Time) {
+// handlePollReply handles the report that answers a poll.
+func (p *Pool) handlePollReply(w *worker, report workerReport) {
 	first := !w.contacted
 	if first {
 		w.contacted, w.contactedAt = true, p.loop.Now()
 	}
-	p.handleReport(w, reply, sentAt)
+	p.handleReport(w, report)
 	if first {
 		p.renewLeaseNow(w)
 		p.scheduleCycle()
