--- a/internal/simulation/cluster.go
+++ b/internal/simulation/cluster.go
@@ -39,6 +39,9 @@
 	Crashing map[taskgraph.TaskName]Crash
 	// RestartWithSameID makes a worker keep its identifier when it restarts after a task crashed it.
 	RestartWithSameID bool
+	// MessageDelay returns by how much a message between an owner and a worker is delayed; nil means
+	// that every message takes the same time.
+	MessageDelay func(Message) time.Duration
 	// OrderDelay is the delay of an order whose outcome is AppliedLate.
 	OrderDelay time.Duration
 	// LateOrdersReachRestartedWorkers delivers delayed orders to the latest instance of a worker
@@ -251,5 +254,8 @@
 	return &c.jobs[name.Job].Steps[name.Step]
 }
 
+// StartedAt returns the virtual time at which the simulation began.
+func (c *Cluster) StartedAt() time.Time { return c.epoch }
+
 // Run advances virtual time by d.
 func (c *Cluster) Run(d time.Duration) { c.Clock.Run(c.Clock.Now().Add(d)) }
--- a/internal/simulation/ports.go
+++ b/internal/simulation/ports.go
@@ -57,99 +57,106 @@
 
 // Start implements pool.Ports.
 func (p *ports) Start(to *fleet.Worker, order fleet.Start, done func(fleet.Reply, error)) {
-	p.order(to, func(w *Worker) (fleet.Reply, error) { return w.start(order) }, postResult(p, done))
+	p.order(to, StartMessage, func(w *Worker) (fleet.Reply, error) { return w.start(order) }, postResult(p, done))
 }
 
 // Stop implements pool.Ports.
 func (p *ports) Stop(to *fleet.Worker, order fleet.Stop, done func(fleet.Reply, error)) {
-	p.order(to, func(w *Worker) (fleet.Reply, error) { return w.stop(order) }, postResult(p, done))
+	p.order(to, StopMessage, func(w *Worker) (fleet.Reply, error) { return w.stop(order) }, postResult(p, done))
 }
 
-func (p *ports) order(to *fleet.Worker, execute func(*Worker) (fleet.Reply, error), done func(fleet.Reply, error)) {
-	clock := p.cluster.Clock
-	id := to.ID
+func (p *ports) order(to *fleet.Worker, kind MessageKind, execute func(*Worker) (fleet.Reply, error), done func(fleet.Reply, error)) {
+	c := p.cluster
+	request := Message{Kind: kind, Worker: to.ID}
+	once := firstResult(done)
+	answer := func(reply fleet.Reply, err error) {
+		c.deliver(request.answer(), func() { once(reply, err) })
+	}
 	if to.Address == "" {
-		clock.After(orderLatency/2, func() { done(fleet.Reply{}, fleet.ErrUnreachable) })
+		c.Clock.After(orderLatency/2, func() { once(fleet.Reply{}, fleet.ErrUnreachable) })
 		return
 	}
-	clock.After(orderLatency/2, func() {
-		w := p.cluster.worker(id)
-		if w == nil {
-			// No worker listens at the row's address.
-			clock.After(orderLatency/2, func() { done(fleet.Reply{}, fleet.ErrUnreachable) })
-			return
-		}
-		if w.Replaced {
-			clock.After(orderLatency/2, func() { done(fleet.Reply{}, fleet.ErrOtherInstance) })
-			return
-		}
-		if w.Unreachable {
-			clock.After(orderLatency/2, func() { done(fleet.Reply{}, fleet.ErrUnreachable) })
+	c.Clock.After(orderLatency/2+orderTimeout, func() { once(fleet.Reply{}, fleet.ErrOutcomeUnknown) })
+	c.deliver(request, func() {
+		w := c.worker(to.ID)
+		if refusal := connectionRefusal(w); refusal != nil {
+			answer(fleet.Reply{}, refusal)
 			return
 		}
 		outcome := Acknowledged
 		if w.OrderOutcome != nil {
 			outcome = w.OrderOutcome()
 		}
-		if w.Crashed || w.Partitioned || p.owner.PartitionedFrom[id] {
+		if w.Crashed || w.Partitioned || p.owner.PartitionedFrom[to.ID] {
 			outcome = Dropped
 		}
 		switch outcome {
 		case Acknowledged:
-			reply, err := execute(w)
-			clock.After(orderLatency/2, func() { done(reply, err) })
-			return
+			answer(execute(w))
 		case AppliedUnacknowledged:
 			_, _ = execute(w)
 		case AppliedLate:
-			clock.After(p.cluster.OrderDelay, func() {
+			c.Clock.After(c.OrderDelay, func() {
 				recipient := w
-				if p.cluster.LateOrdersReachRestartedWorkers {
-					recipient = p.cluster.worker(id)
+				if c.LateOrdersReachRestartedWorkers {
+					recipient = c.worker(to.ID)
 				}
 				if !recipient.Crashed {
 					_, _ = execute(recipient)
 				}
 			})
 		}
-		clock.After(orderTimeout, func() { done(fleet.Reply{}, fleet.ErrOutcomeUnknown) })
 	})
 }
 
+// connectionRefusal returns the error of a call to a worker that does not accept it, or nil.
+func connectionRefusal(w *Worker) error {
+	switch {
+	case w == nil:
+		// No worker listens at the row's address.
+		return fleet.ErrUnreachable
+	case w.Replaced:
+		return fleet.ErrOtherInstance
+	case w.Unreachable:
+		return fleet.ErrUnreachable
+	}
+	return nil
+}
+
+// firstResult returns a function that passes its first call on to done.
+func firstResult(done func(fleet.Reply, error)) func(fleet.Reply, error) {
+	finished := false
+	return func(reply fleet.Reply, err error) {
+		if !finished {
+			finished = true
+			done(reply, err)
+		}
+	}
+}
+
 // Poll implements pool.Ports.
 func (p *ports) Poll(to *fleet.Worker, order fleet.Poll, done func(fleet.Reply, error)) {
-	clock := p.cluster.Clock
-	answer := postResult(p, done)
-	replied := false
-	once := func(reply fleet.Reply, err error) {
-		if !replied {
-			replied = true
-			answer(reply, err)
-		}
+	c := p.cluster
+	request := Message{Kind: PollMessage, Worker: to.ID, Wait: order.Wait}
+	once := firstResult(postResult(p, done))
+	answer := func(reply fleet.Reply, err error) {
+		c.deliver(request.answer(), func() { once(reply, err) })
 	}
-	clock.After(order.Wait+orderTimeout, func() { once(fleet.Reply{}, fleet.ErrOutcomeUnknown) })
-	clock.After(orderLatency/2, func() {
-		w := p.cluster.worker(to.ID)
-		if w == nil {
-			clock.After(orderLatency/2, func() { once(fleet.Reply{}, fleet.ErrUnreachable) })
-			return
-		}
-		if w.Replaced {
-			clock.After(orderLatency/2, func() { once(fleet.Reply{}, fleet.ErrOtherInstance) })
-			return
-		}
-		if w.Unreachable && w.Crashed {
-			clock.After(orderLatency/2, func() { once(fleet.Reply{}, fleet.ErrUnreachable) })
+	c.Clock.After(order.Wait+orderTimeout, func() { once(fleet.Reply{}, fleet.ErrOutcomeUnknown) })
+	c.deliver(request, func() {
+		w := c.worker(to.ID)
+		// An unreachable worker that has not crashed keeps the connections of its polls.
+		if refusal := connectionRefusal(w); refusal != nil && (w == nil || w.Replaced || w.Crashed) {
+			answer(fleet.Reply{}, refusal)
 			return
 		}
 		if w.Crashed || w.Partitioned || p.owner.PartitionedFrom[to.ID] {
 			return
 		}
 		w.poll(order, func(reply fleet.Reply, err error) {
-			if w.DropPollReply != nil && w.DropPollReply() {
-				return
+			if w.DropPollReply == nil || !w.DropPollReply() {
+				answer(reply, err)
 			}
-			clock.After(orderLatency/2, func() { once(reply, err) })
 		})
 	})
 }
