A report ends a run only if it was requested after the run's last confirmation

What callers saw: a task that must run once ran twice at once on one worker. Cause: the owner took a run that a report does not list for over if the report was requested after member.sentAt. A confirmation by the answer to a start moved that time; a confirmation by another report did not, so it stayed the time at which the start was sent (zero after a takeover). A report that was requested after that, reached the worker before the start and was read after a report that lists the run 'proved' its end. Class: an answer taken as newer than a fact because it is read later. Why this works: the worker had the run when it gave the confirmation, the owner received that before it requested the report, so the report was written after the run began, whatever the connections do. One method, confirmedBefore, asks this in all three places: runs that are not listed, runs whose stop has no answer, and runs of a former incarnation.

--- a/internal/pool/fault_injection_test.go
+++ b/internal/pool/fault_injection_test.go
@@ -136,10 +136,13 @@
 
 // randomFaults simulates random faults drawn from the seed, clears them and lets the jobs finish.
 // It returns the simulation and its number of jobs.
-func randomFaults(seed uint64, disabled pool.DisabledSafeguards, store storeSpeed) (*simulation.Cluster, int) {
+func randomFaults(seed uint64, disabled pool.DisabledSafeguards, store storeSpeed, options ...clusterOption) (*simulation.Cluster, int) {
 	random := rand.New(rand.NewPCG(seed, 1))
 	w := simulation.NewCluster(2, 5)
 	w.DisabledSafeguards = disabled
+	for _, configure := range options {
+		configure(w)
+	}
 	w.Work = func(taskgraph.TaskName) time.Duration { return time.Duration(500+random.IntN(3000)) * time.Millisecond }
 	outcomeWith := func(probability float64) func() simulation.Outcome {
 		return func() simulation.Outcome {
--- a/internal/pool/formerruns.go
+++ b/internal/pool/formerruns.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/wheatroad/wheatroad/internal/fleet"
 )
@@ -22,7 +21,7 @@
 	w.members = nil
 	var kept []*member
 	for _, m := range all {
-		if m.endedWithIncarnation(report.requestedAt, p.options.DisabledSafeguards) && !listed[runID{task: m.name(), run: m.unit.run}] {
+		if m.endedWithIncarnation(report, p.options.DisabledSafeguards) && !listed[runID{task: m.name(), run: m.unit.run}] {
 			w.members = append(w.members, m)
 		} else {
 			kept = append(kept, m)
@@ -33,12 +32,12 @@
 }
 
 // endedWithIncarnation reports whether absence from a report proves that the member's run has
-// ended. The report is that of the worker's next incarnation, requested at requestedAt. An unanswered
+// ended. The report is that of the worker's next incarnation. An unanswered
 // start of this owner, or a copy of the start, may still reach the next incarnation. A start of an
 // earlier owner cannot, because the request for the report has fenced that owner. A run that is
 // being stopped is missing from reports. Such a run counts as ended only if the former incarnation
 // had confirmed it to an earlier owner.
-func (m *member) endedWithIncarnation(requestedAt time.Time, disabled DisabledSafeguards) bool {
+func (m *member) endedWithIncarnation(report workerReport, disabled DisabledSafeguards) bool {
 	switch m.state {
 	case memberWithoutRun:
 		return true
@@ -46,7 +45,7 @@
 		return m.confirmedToEarlierOwner
 	case memberRunning:
 		startUnresolved := m.startUnanswered || m.incarnationUnknown || m.startCall != nil && m.startCall.pending > 0
-		return (!startUnresolved || disabled.UnansweredStarts) && !m.stopAttempted && m.sentAt.Before(requestedAt)
+		return (!startUnresolved || disabled.UnansweredStarts) && !m.stopAttempted && m.confirmedBefore(report, disabled)
 	}
 	return false
 }
--- a/internal/pool/options.go
+++ b/internal/pool/options.go
@@ -67,6 +67,9 @@
 type DisabledSafeguards struct {
 	// StopConfirmation: a run that a contacted worker does not report counts as ended immediately.
 	StopConfirmation bool
+	// ReportOrder: a report that does not list a run proves that the run has ended, even if the report
+	// may be older than the run.
+	ReportOrder bool
 	// LeaseExpiryWait: runs on an unresponsive worker count as ended immediately.
 	LeaseExpiryWait bool
 	// PersistEndsBeforeAcknowledging: run results are acknowledged before they are persisted.
--- /dev/null
+++ b/internal/pool/overtaking_fault_injection_test.go
@@ -0,0 +1,103 @@
+package pool_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wheatroad/wheatroad/internal/pool"
+	"github.com/wheatroad/wheatroad/internal/simulation"
+	"github.com/wheatroad/wheatroad/internal/taskgraph"
+)
+
+// Seeds of the random fault tests with messages that overtake each other.
+var (
+	overtakingSeeds     = flag.Int("overtaking-seeds", 20, "number of seeds of the random fault tests with overtaking messages, for each kind of faults")
+	firstOvertakingSeed = flag.Int("first-overtaking-seed", 0, "first seed of the random fault tests with overtaking messages")
+)
+
+// clusterOption changes a simulated cluster before its random faults begin.
+type clusterOption func(*simulation.Cluster)
+
+// messageDelaysStream is the random stream of the delays of single messages.
+const messageDelaysStream = 128
+
+// overtaking delays single messages at random, so that they overtake each other. Every third seed has
+// a few messages that take about as long as a call may, every third many, and the rest short delays.
+func overtaking(seed uint64) clusterOption {
+	return func(c *simulation.Cluster) {
+		random := rand.New(rand.NewPCG(seed, messageDelaysStream))
+		classes := []simulation.DelayClass{{Probability: 0.1, Longest: 450 * time.Millisecond}, {Probability: 0.2, Longest: 60 * time.Millisecond}}
+		switch seed % 3 {
+		case 1:
+			classes = []simulation.DelayClass{{Probability: 0.25, Longest: 690 * time.Millisecond}}
+		case 2:
+			classes = []simulation.DelayClass{{Probability: 0.5, Longest: 20 * time.Millisecond}}
+		}
+		c.MessageDelay = simulation.RandomDelays(random, classes...)
+	}
+}
+
+// overtakingPlays are the random faults that are played with overtaking messages. Each play requires
+// that all invariants hold and that all jobs end.
+var overtakingPlays = map[string]func(t *testing.T, seed uint64, disabled pool.DisabledSafeguards) *simulation.Cluster{
+	"owners and store": func(t *testing.T, seed uint64, disabled pool.DisabledSafeguards) *simulation.Cluster {
+		return playOwnerFaults(t, seed, disabled, fastStore)
+	},
+	"slow store": func(t *testing.T, seed uint64, disabled pool.DisabledSafeguards) *simulation.Cluster {
+		return playOwnerFaults(t, seed, disabled, slowStore)
+	},
+	"workers": func(t *testing.T, seed uint64, disabled pool.DisabledSafeguards) *simulation.Cluster {
+		f := runWorkerFaultsWithMaxLease(seed, disabled, false, 0, overtaking(seed))
+		f.countRegularJobs(t)
+		return f.Cluster
+	},
+	"long leases": func(t *testing.T, seed uint64, disabled pool.DisabledSafeguards) *simulation.Cluster {
+		f := runWorkerFaultsWithMaxLease(seed, disabled, false, 10*time.Second, overtaking(seed))
+		f.countRegularJobs(t)
+		return f.Cluster
+	},
+	"shared workers": func(t *testing.T, seed uint64, disabled pool.DisabledSafeguards) *simulation.Cluster {
+		f := runSharedWorkerFaults(seed, disabled, overtaking(seed))
+		f.countRegularJobs(t)
+		return f.Cluster
+	},
+}
+
+func playOwnerFaults(t *testing.T, seed uint64, disabled pool.DisabledSafeguards, store storeSpeed) *simulation.Cluster {
+	w, jobs := randomFaults(seed, disabled, store, overtaking(seed))
+	for n := range jobs {
+		require.Equal(t, taskgraph.Completed, w.StoredState(jobID(n)), "job %d", n)
+	}
+	return w
+}
+
+// TestRandomFaultsWithOvertakingMessages plays all kinds of random faults while messages between
+// owners and workers overtake each other.
+func TestRandomFaultsWithOvertakingMessages(t *testing.T) {
+	for name, play := range overtakingPlays {
+		for seed := *firstOvertakingSeed; seed < *firstOvertakingSeed+*overtakingSeeds; seed++ {
+			t.Run(fmt.Sprintf("%s/seed %d", name, seed), func(t *testing.T) {
+				t.Parallel()
+				requireInvariants(t, play(t, uint64(seed), pool.DisabledSafeguards{}))
+			})
+		}
+	}
+}
+
+// TestCheckerDetectsReportsOutOfOrder lets reports prove the end of runs that may be younger. At least
+// one seed of the random faults must then violate an invariant.
+func TestCheckerDetectsReportsOutOfOrder(t *testing.T) {
+	for seed := range uint64(*overtakingSeeds) {
+		f := runSharedWorkerFaults(seed, pool.DisabledSafeguards{ReportOrder: true}, overtaking(seed))
+		if len(f.Checker.Violations) > 0 {
+			t.Logf("seed %d: %s", seed, f.Checker.Violations[0])
+			return
+		}
+	}
+	require.Fail(t, "no seed violates an invariant without the safeguard")
+}
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -93,6 +93,8 @@
 			m.recordUnexplainedLoss()
 			p.memberEnded(m, fleet.EndStopped)
 		}
+	case m.state == memberRunning && !m.confirmedBefore(report, p.options.DisabledSafeguards):
+		// The report may be older than the run.
 	case m.stopAttempted && m.state == memberRunning && !p.options.DisabledSafeguards.StopConfirmation:
 		// The worker may be carrying out a stop whose reply was lost. A run that is being stopped
 		// is not listed but may still run. An unconfirmed start may still arrive, so such a run has
@@ -109,7 +111,7 @@
 	case m.state == memberUnconfirmed && m.sentAt.Before(report.requestedAt):
 		// The start may still be carried out; a stop blocks it.
 		p.sendStop(m)
-	case m.state == memberRunning && m.sentAt.Before(report.requestedAt):
+	case m.state == memberRunning:
 		p.recordUnlistedRun(m, report)
 		p.memberEnded(m, fleet.EndLeaseExpired)
 	}
--- a/internal/pool/shared_workers_fault_injection_test.go
+++ b/internal/pool/shared_workers_fault_injection_test.go
@@ -27,7 +27,7 @@
 // share workers. It guards against healthy jobs that fail because their tasks, or several members of
 // a gang, run beside tasks that crash the workers (soak seed 920100).
 func TestRandomFaultsOfSharedWorkers(t *testing.T) {
-	totals := playWorkerSeeds(t, runSharedWorkerFaults)
+	totals := playWorkerSeeds(t, func(seed uint64) *workerFaults { return runSharedWorkerFaults(seed, pool.DisabledSafeguards{}) })
 	require.Zero(t, totals.failed, "of %d regular jobs failed for crashing workers", totals.regular)
 }
 
@@ -43,7 +43,7 @@
 	for _, seed := range keptSharedWorkerSeeds {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Parallel()
-			f := runSharedWorkerFaults(seed)
+			f := runSharedWorkerFaults(seed, pool.DisabledSafeguards{})
 			requireInvariants(t, f.Cluster)
 			_, failed := f.countRegularJobs(t)
 			require.Zero(t, failed, "regular jobs failed")
@@ -52,8 +52,8 @@
 }
 
 // runSharedWorkerFaults simulates random faults drawn from the seed under a load on shared workers.
-func runSharedWorkerFaults(seed uint64) *workerFaults {
-	f := newWorkerFaults(seed, pool.DisabledSafeguards{}, false, 0)
+func runSharedWorkerFaults(seed uint64, disabled pool.DisabledSafeguards, options ...clusterOption) *workerFaults {
+	f := newWorkerFaults(seed, disabled, false, 0, options...)
 	f.Work = f.Estimate
 	crash := simulation.Crash{From: simulation.CrashTrigger(f.random.IntN(2)), After: 10 * time.Millisecond}
 	if f.random.IntN(3) == 0 {
--- a/internal/pool/worker_fault_injection_test.go
+++ b/internal/pool/worker_fault_injection_test.go
@@ -185,8 +185,8 @@
 
 // runWorkerFaultsWithMaxLease simulates random faults drawn from the seed, clears them and lets the
 // jobs finish. If maxLease is 0, the default maximum lease applies.
-func runWorkerFaultsWithMaxLease(seed uint64, disabled pool.DisabledSafeguards, steady bool, maxLease time.Duration) *workerFaults {
-	f := newWorkerFaults(seed, disabled, steady, maxLease)
+func runWorkerFaultsWithMaxLease(seed uint64, disabled pool.DisabledSafeguards, steady bool, maxLease time.Duration, options ...clusterOption) *workerFaults {
+	f := newWorkerFaults(seed, disabled, steady, maxLease, options...)
 	f.Work = func(taskgraph.TaskName) time.Duration { return f.between(500, 3500) }
 	f.submit = f.submitSome
 	f.play(40, 1, 1200)
@@ -194,7 +194,7 @@
 }
 
 // newWorkerFaults returns a simulation that draws all its random numbers from the seed.
-func newWorkerFaults(seed uint64, disabled pool.DisabledSafeguards, steady bool, maxLease time.Duration) *workerFaults {
+func newWorkerFaults(seed uint64, disabled pool.DisabledSafeguards, steady bool, maxLease time.Duration, options ...clusterOption) *workerFaults {
 	f := &workerFaults{
 		Cluster: simulation.NewCluster(2, 6), random: rand.New(rand.NewPCG(seed, 4)), zones: rand.New(rand.NewPCG(seed, 8)), restarts: rand.New(rand.NewPCG(seed, 16)),
 		invalidRows: rand.New(rand.NewPCG(seed, 32)), cancelled: map[int]bool{},
@@ -205,6 +205,9 @@
 	if maxLease > 0 {
 		f.Bounds.MaxLease = maxLease
 	}
+	for _, configure := range options {
+		configure(f.Cluster)
+	}
 	f.Store.WriteOutcome = f.randomFate(0.03)
 	f.Store.KnowledgeWriteOutcome = randomFateFrom(rand.New(rand.NewPCG(seed, 64)), 0.03)
 	for _, worker := range f.Workers {
