A report requested when the confirmation was handled proves the end of a run

What callers would see: a run that is gone is noticed one poll later than it could be, in virtual time always, since a poll is requested in the instant in which the last report was handled. Why equal times suffice: the worker gave the confirmation before the owner handled it, and wrote the report after the owner requested it.

--- a/internal/pool/confirmation.go
+++ b/internal/pool/confirmation.go
@@ -20,11 +20,11 @@
 	workerMillis int64
 }
 
-// confirmedBefore reports whether a report was requested after the run's latest confirmation. Answers
-// of a worker may overtake each other. Any other report may therefore be older than the run, and
-// proves nothing if it does not list the run.
+// confirmedBefore reports whether a report was requested after the run's latest confirmation was
+// received. Answers of a worker may overtake each other. Any other report may therefore be older than
+// the run, and proves nothing if it does not list the run.
 func (m *member) confirmedBefore(report workerReport, disabled DisabledSafeguards) bool {
-	return disabled.ReportOrder || m.confirmation.receivedAt.Before(report.requestedAt)
+	return disabled.ReportOrder || !m.confirmation.receivedAt.After(report.requestedAt)
 }
 
 // confirm records an answer of the worker that shows the member's run on it.
