An unlisted run is stopped before its task starts again

What callers saw: a task that must run once ran twice at once. This one closes the class at its other end: a run that is over for an unknown reason got another start at once, without any order to the worker that may still have it. Now such a run is stopped like a start without an answer: its task is placed again once the worker has answered the stop and the time that a stop may take has passed, or once the end is listed. A worker that is there answers within milliseconds; the stop also bars copies of the start. Evidence: TestUnlistedRunIsStoppedBeforeItsTaskStartsAgain (a worker whose report lacks a run that it has, which the protocol rules out): without the stop 'run 2 starts while another run of the task is active', with DisabledSafeguards.UnlistedRunStop and on the code before.

--- a/internal/pool/options.go
+++ b/internal/pool/options.go
@@ -70,6 +70,8 @@
 	// ReportOrder: a report that does not list a run proves that the run has ended, even if the report
 	// may be older than the run.
 	ReportOrder bool
+	// UnlistedRunStop: a run that a report no longer lists counts as ended without a stop.
+	UnlistedRunStop bool
 	// LeaseExpiryWait: runs on an unresponsive worker count as ended immediately.
 	LeaseExpiryWait bool
 	// PersistEndsBeforeAcknowledging: run results are acknowledged before they are persisted.
--- a/internal/pool/overtaken_reports_test.go
+++ b/internal/pool/overtaken_reports_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/wheatroad/wheatroad/internal/pool"
 	"github.com/wheatroad/wheatroad/internal/simulation"
 	"github.com/wheatroad/wheatroad/internal/taskgraph"
 )
@@ -47,3 +48,27 @@
 	requireInvariants(t, w)
 	require.Equal(t, 1, w.Checker.Starts(taskOf(3, 0, 0)))
 }
+
+// TestUnlistedRunIsStoppedBeforeItsTaskStartsAgain guards against a task that runs twice at once when
+// a run is missing from a single report for whatever reason.
+func TestUnlistedRunIsStoppedBeforeItsTaskStartsAgain(t *testing.T) {
+	requireInvariantsNeed(t, func(disabled pool.DisabledSafeguards) *simulation.Cluster {
+		const omittedAt = 3900 * time.Millisecond
+		w := simulation.NewCluster(1, 2)
+		w.DisabledSafeguards = disabled
+		w.Work = func(taskgraph.TaskName) time.Duration { return 8 * time.Second }
+		slow := singleTaskStep(2)
+		slow.EstimateMillis = 100_000
+		w.Submit(spec(1, slow), batch)
+		for _, worker := range w.Workers {
+			worker.OmitFromReport = func(name taskgraph.TaskName) bool {
+				age := w.Clock.Now().Sub(w.StartedAt())
+				return name.Index == 0 && age > omittedAt && age < omittedAt+simulation.StopTime
+			}
+		}
+		w.AcquirePool()
+		w.Run(30 * time.Second)
+		require.Positive(t, w.Checker.DecisionCounts["run missing from reports"])
+		return w
+	}, pool.DisabledSafeguards{UnlistedRunStop: true})
+}
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -113,12 +113,26 @@
 		p.sendStop(m)
 	case m.state == memberRunning:
 		p.recordUnlistedRun(m, report)
+		p.stopUnlistedRun(m)
+	}
+}
+
+// stopUnlistedRun stops a run that its worker no longer lists for an unknown reason. The task is
+// placed again once the worker has answered the stop and the time that a stop may take has passed,
+// so that no second run starts beside the first, whatever the report was worth.
+func (p *Pool) stopUnlistedRun(m *member) {
+	if p.options.DisabledSafeguards.UnlistedRunStop {
 		p.memberEnded(m, fleet.EndLeaseExpired)
+		return
 	}
+	m.state = memberUnconfirmed
+	m.sentAt = p.loop.Now()
+	p.stopUnit(m.unit, "run missing from reports")
+	p.sendStop(m)
 }
 
-// recordUnlistedRun counts and logs a confirmed run that ended with an unknown outcome: the worker
-// lists it neither as running nor as ended.
+// recordUnlistedRun counts and logs a confirmed run that the worker lists neither as running nor as
+// ended.
 func (p *Pool) recordUnlistedRun(m *member, report workerReport) {
 	u, w, now := m.unit, m.worker, p.loop.Now()
 	p.record.Count("attempts", "unlisted")
