A report that was overtaken by a later one is ignored

What callers would see: room on a worker stays unused for half a second, and the worker gets a stop for a run that has ended, when a report that lists the run is read after one that lists its end; progress and checkpoints go back to older ones. Cause: reports were applied in the order in which they were read. Why this works: the worker's clock orders the reports of one incarnation, and a later report holds every end of an earlier one that is not acknowledged. The clock alone would be unsafe where a worker starts again unnoticed, so only a report that was requested before the later one was handled can count as overtaken. Counted as wheatroad_refusals_total{reason="worker_report_overtaken"}.

--- a/internal/pool/options.go
+++ b/internal/pool/options.go
@@ -67,8 +67,8 @@
 type DisabledSafeguards struct {
 	// StopConfirmation: a run that a contacted worker does not report counts as ended immediately.
 	StopConfirmation bool
-	// ReportOrder: a report that does not list a run proves that the run has ended, even if the report
-	// may be older than the run.
+	// ReportOrder: reports are believed in the order in which they are read. A report that does not
+	// list a run proves that the run has ended, even if the report may be older than the run.
 	ReportOrder bool
 	// UnlistedRunStop: a run that a report no longer lists counts as ended without a stop.
 	UnlistedRunStop bool
--- a/internal/pool/overtaken_reports_test.go
+++ b/internal/pool/overtaken_reports_test.go
@@ -11,12 +11,16 @@
 	"github.com/wheatroad/wheatroad/internal/taskgraph"
 )
 
-// TestReportOlderThanRunDoesNotEndIt guards against a task that runs twice at once: a report that was
-// taken before the start was carried out is read after one that lists the run.
-func TestReportOlderThanRunDoesNotEndIt(t *testing.T) {
+// overtakenReport plays a task whose start is carried out after a poll that was sent later. The answer
+// to the poll, which does not list the run, arrives after the run was confirmed: by the answer to the
+// start, which takes startAnswerDelay, or by another report.
+func overtakenReport(startAnswerDelay time.Duration) *simulation.Cluster {
 	const (
 		submittedAt = 1240 * time.Millisecond
-		firstEnd    = 1400 * time.Millisecond
+		// The end of the first run answers a waiting poll, which then lists the new run.
+		firstEnd          = 1400 * time.Millisecond
+		startRequestDelay = 100 * time.Millisecond
+		pollAnswerDelay   = 300 * time.Millisecond
 	)
 	w := simulation.NewCluster(1, 1)
 	w.Work = func(name taskgraph.TaskName) time.Duration {
@@ -26,14 +30,15 @@
 		return 100 * time.Second
 	}
 	w.MessageDelay = func(message simulation.Message) time.Duration {
-		late := w.Clock.Now().Sub(w.StartedAt()) > submittedAt
 		switch {
-		case late && message.Kind == simulation.StartMessage && !message.Answer:
-			return 100 * time.Millisecond
-		case late && message.Kind == simulation.StartMessage:
-			return 500 * time.Millisecond
-		case late && message.Kind == simulation.PollMessage && message.Answer && message.Wait == 0:
-			return 300 * time.Millisecond
+		case w.Clock.Now().Sub(w.StartedAt()) < submittedAt:
+			return 0
+		case message.Kind == simulation.StartMessage && message.Answer:
+			return startAnswerDelay
+		case message.Kind == simulation.StartMessage:
+			return startRequestDelay
+		case message.Kind == simulation.PollMessage && message.Answer && message.Wait == 0:
+			return pollAnswerDelay
 		}
 		return 0
 	}
@@ -45,8 +50,29 @@
 	w.Run(submittedAt)
 	w.Submit(spec(3, slow), batch)
 	w.Run(2 * time.Second)
-	requireInvariants(t, w)
-	require.Equal(t, 1, w.Checker.Starts(taskOf(3, 0, 0)))
+	return w
+}
+
+// TestReportOlderThanRunDoesNotEndIt guards against a task that runs twice at once: a report that was
+// written before the start was carried out is read after the run was confirmed.
+func TestReportOlderThanRunDoesNotEndIt(t *testing.T) {
+	cases := map[string]time.Duration{"confirmed by a report": 500 * time.Millisecond, "confirmed by the answer to the start": 0}
+	for name, startAnswerDelay := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := overtakenReport(startAnswerDelay)
+			requireInvariants(t, w)
+			require.Equal(t, 1, w.Checker.Starts(taskOf(3, 0, 0)))
+			require.Zero(t, w.Checker.DecisionCounts["run missing from reports"])
+		})
+	}
+}
+
+// TestOvertakenReportStopsNothing guards against a stop of a run that has ended, and against room kept
+// for it: a report that lists the run is read after one that lists its end.
+func TestOvertakenReportStopsNothing(t *testing.T) {
+	w := overtakenReport(0)
+	require.Positive(t, w.Checker.Metrics["refusals/worker_report_overtaken"])
+	require.Zero(t, w.Checker.DecisionCounts["stopping unexpected run"])
 }
 
 // TestUnlistedRunIsStoppedBeforeItsTaskStartsAgain guards against a task that runs twice at once when
--- a/internal/pool/worker.go
+++ b/internal/pool/worker.go
@@ -61,7 +61,7 @@
 	pollInFlight    bool
 	cancelPollTimer func()
 	// reportsInFlight counts the polls without a response, and lastReportMillis is the worker's clock
-	// in milliseconds at the latest report that was handled.
+	// in milliseconds in the last report that was handled.
 	reportsInFlight  int
 	lastReportMillis int64
 	// unansweredCalls counts the calls without a reply since the last reply.
--- a/internal/pool/worker_replies.go
+++ b/internal/pool/worker_replies.go
@@ -22,12 +22,16 @@
 	return jumped
 }
 
-// handleReport handles a report of the known incarnation.
+// handleReport handles a report of the known incarnation, unless a later one was handled before.
 func (p *Pool) handleReport(w *worker, report workerReport) {
 	if p.recordReply(w, report.ClockMillis) {
 		w.lastReportMillis = 0
 	}
-	p.countOvertakenReport(w, report)
+	if !p.options.DisabledSafeguards.ReportOrder && w.overtaken(report) {
+		p.record.Count("refusals", "worker_report_overtaken")
+		return
+	}
+	w.lastReportMillis = report.ClockMillis
 	w.endAcks.reportAt = p.loop.Now()
 	if p.lossTracker.WithdrawLoss(w.Incarnation.String()) {
 		p.record.LogEvent("lost worker responded", "worker", w.ID)
@@ -35,12 +39,11 @@
 	p.applyReport(w, report)
 }
 
-// countOvertakenReport counts a report that is handled after one that the worker wrote later.
-func (p *Pool) countOvertakenReport(w *worker, report workerReport) {
-	if report.ClockMillis < w.lastReportMillis {
-		p.record.Count("refusals", "worker_report_overtaken")
-	}
-	w.lastReportMillis = max(w.lastReportMillis, report.ClockMillis)
+// overtaken reports whether the owner has handled a report that the worker wrote later. The later
+// report holds all ends of this one that are not acknowledged yet. A report that was requested after
+// the last one was handled is later, whatever the worker's clock says.
+func (w *worker) overtaken(report workerReport) bool {
+	return report.ClockMillis < w.lastReportMillis && report.requestedAt.Before(w.endAcks.reportAt)
 }
 
 // clockJumpThreshold is the deviation of a worker's clock from its estimate, beyond drift, that
