A run that a report lists isn't stopped for a lost answer to its start

What callers saw: work thrown away: a run that its worker had reported was stopped and started again because no copy of its start got an answer within the retry window. Cause: the failure of a start was applied whatever had been learned since it was sent. Evidence: TestRunConfirmedByAReportIsNotStoppedForALostStartAnswer, on the code before: two starts in place of one. Why this works: a report of the present incarnation is proof of the run; what remains unknown is only whether a copy of the start is still under way, which startUnanswered keeps.

--- a/internal/pool/overtaken_reports_test.go
+++ b/internal/pool/overtaken_reports_test.go
@@ -98,3 +98,35 @@
 		return w
 	}, pool.DisabledSafeguards{UnlistedRunStop: true})
 }
+
+// TestRunConfirmedByAReportIsNotStoppedForALostStartAnswer guards against a stop of a run that a
+// report lists, sent because no copy of its start got an answer.
+func TestRunConfirmedByAReportIsNotStoppedForALostStartAnswer(t *testing.T) {
+	const (
+		submittedAt = 800 * time.Millisecond
+		// The end of the first run answers a waiting poll after the start was sent again.
+		firstEnd  = 1900 * time.Millisecond
+		neverSeen = 5 * time.Second
+	)
+	w := simulation.NewCluster(1, 1)
+	w.Work = func(name taskgraph.TaskName) time.Duration {
+		if name.Job == jobID(1) {
+			return firstEnd
+		}
+		return 6 * time.Second
+	}
+	w.MessageDelay = func(message simulation.Message) time.Duration {
+		if message.Kind == simulation.StartMessage && message.Answer && w.Clock.Now().Sub(w.StartedAt()) > submittedAt {
+			return neverSeen
+		}
+		return 0
+	}
+	w.AcquirePool()
+	w.Submit(spec(1, singleTaskStep(1)), batch)
+	w.Run(submittedAt)
+	w.Submit(spec(2, singleTaskStep(1)), batch)
+	w.Run(10 * time.Second)
+	requireInvariants(t, w)
+	require.Equal(t, 1, w.Checker.Starts(taskOf(2, 0, 0)))
+	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(2)))
+}
--- a/internal/pool/starts.go
+++ b/internal/pool/starts.go
@@ -121,6 +121,10 @@
 		return
 	}
 	m.startUnanswered = m.startUnanswered || reason == fleet.OutcomeUnknown
+	if m.state == memberRunning {
+		// A report has confirmed the run in the meantime.
+		return
+	}
 	if m.startUnanswered {
 		if reason == fleet.OutcomeUnknown && p.mayRetryStart(m) {
 			p.retryStart(m)
