A report older than an unexpected run doesn't free its room

What callers would see: on workers that don't guard their capacity, new work beside a run that the owner has just found there and not stopped yet. Cause: any report that does not list an unexpected run was taken as a sign that its stop is under way, also one that was requested before the run was listed. Evidence: TestReportOlderThanUnexpectedRunDoesNotFreeItsRoom; on the code before 8 accelerators free in place of 5. Why this works: only a report that was requested after the run was listed can tell that it is being stopped. Within one incarnation most such reports are ignored as overtaken already; this covers equal times of the worker's clock, which counts milliseconds.

--- a/internal/pool/unexpected_runs.go
+++ b/internal/pool/unexpected_runs.go
@@ -17,6 +17,8 @@
 // occupies capacity until it has ended.
 type unexpectedRun struct {
 	resources taskgraph.Resources
+	// listedAt is when the latest report that lists the run was handled.
+	listedAt time.Time
 	// endedBy is the time by which the run has certainly ended; zero while the worker lists it.
 	endedBy time.Time
 }
@@ -36,7 +38,7 @@
 	if j := p.jobs[name.Job]; j != nil && name.Step < len(j.Spec.Steps) {
 		room = j.Spec.Steps[name.Step].Requirements()
 	}
-	w.unexpected[runID{task: name, run: run}] = unexpectedRun{resources: room}
+	w.unexpected[runID{task: name, run: run}] = unexpectedRun{resources: room, listedAt: p.loop.Now()}
 	p.record.Count("worker_orders", "stop_stranger")
 	p.record.LogEvent("stopping unexpected run", "job", name.Job, "task", name.String(), "run", run, "worker", w.ID, "born", w.StartMillis,
 		"requested_ms_ago", p.loop.Now().Sub(report.requestedAt).Milliseconds(), "report_clock", report.ClockMillis)
@@ -49,7 +51,8 @@
 
 // updateUnexpected updates the unexpected runs of a worker from its report. Reports omit runs that
 // are being stopped. A run that is neither listed nor reported as ended is therefore removed only
-// after the time that a stop may take.
+// after the time that a stop may take. A report that was requested before the run was listed may be
+// older than the run.
 func (p *Pool) updateUnexpected(w *worker, report workerReport) {
 	for i := range report.Ended {
 		delete(w.unexpected, runID{task: report.Ended[i].Task, run: report.Ended[i].Run})
@@ -58,7 +61,7 @@
 	now := p.loop.Now()
 	for name, run := range w.unexpected {
 		switch {
-		case listed[name]:
+		case listed[name], run.listedAt.After(report.requestedAt):
 		case run.endedBy.IsZero():
 			run.endedBy = now.Add(p.options.Bounds.StopTimeout + stopMargin)
 			w.unexpected[name] = run
