pool: one field for each time that a member's run is known by

member.sentAt stood for five things: the time of a start, of its confirmation, of a stop's answer, of a doubt, and, as zero, that a run is known from rows only. Now: confirmation (the last evidence), stoppingSince, unconfirmedSince, knownFromRows, and the time of a command in hedgedCall. The latency of starts counts from the command that was answered.

--- a/internal/pool/assignment.go
+++ b/internal/pool/assignment.go
@@ -16,12 +16,12 @@
 	}
 	m.worker = w
 	m.state = memberWithoutRun
-	m.stopAttempted, m.stopSent, m.stopAnswered, m.startUnanswered = false, false, false, false
+	m.stopAttempted, m.stopSent, m.stoppingSince, m.startUnanswered = false, false, time.Time{}, false
 	m.startCall, m.startSentAt, m.earlierStartPending = nil, time.Time{}, false
 	m.confirmation = confirmation{}
 	m.confirmedToEarlierOwner, m.formerIncarnation = false, fleet.Incarnation{}
 	m.percent, m.percentChangedAt, m.reportedAt = 0, time.Time{}, time.Time{}
-	m.sentAt = time.Time{}
+	m.unconfirmedSince, m.knownFromRows = time.Time{}, false
 	m.startDeadline = 0
 	m.incarnationUnknown = false
 	m.runTimePercent = 0
@@ -42,7 +42,7 @@
 	}
 	m.worker = nil
 	m.state = memberWithoutRun
-	m.stopAttempted, m.stopSent, m.stopAnswered = false, false, false
+	m.stopAttempted, m.stopSent, m.stoppingSince = false, false, time.Time{}
 }
 
 func (p *Pool) unassignAll(u *unit) {
--- a/internal/pool/formerruns.go
+++ b/internal/pool/formerruns.go
@@ -53,10 +53,10 @@
 // markEarlierConfirmedRunsLost marks runs as lost that a former incarnation of the worker had
 // confirmed to an earlier owner. The first report of the present incarnation does not list these
 // runs.
-func (p *Pool) markEarlierConfirmedRunsLost(w *worker, listed map[*member]bool) {
+func (p *Pool) markEarlierConfirmedRunsLost(w *worker) {
 	var formers []*worker
 	for _, m := range slices.Clone(w.members) {
-		if m.formerIncarnation.ID == "" || m.state != memberUnconfirmed || !m.sentAt.IsZero() || listed[m] {
+		if m.formerIncarnation.ID == "" || !m.knownFromRows {
 			continue
 		}
 		index := slices.IndexFunc(formers, func(known *worker) bool { return known.Incarnation == m.formerIncarnation })
--- a/internal/pool/hedging.go
+++ b/internal/pool/hedging.go
@@ -27,6 +27,8 @@
 
 // hedgedCall is the state of one hedged command.
 type hedgedCall struct {
+	// sentAt is when the first copy was sent.
+	sentAt time.Time
 	// pending is the number of copies without a response or failure.
 	pending int
 	// answered is true once the command's outcome is known or all copies failed.
@@ -51,7 +53,7 @@
 // sendHedged sends a command, and a second copy if there is no response after hedgeDelay. It
 // returns the state of the hedged command.
 func (p *Pool) sendHedged(command *hedgedCommand) *hedgedCall {
-	state := &hedgedCall{}
+	state := &hedgedCall{sentAt: p.loop.Now()}
 	sendCopy := func() {
 		p.record.Count("worker_orders", command.name)
 		state.pending++
--- a/internal/pool/incarnations.go
+++ b/internal/pool/incarnations.go
@@ -1,6 +1,10 @@
 package pool
 
-import "github.com/wheatroad/wheatroad/internal/fleet"
+import (
+	"time"
+
+	"github.com/wheatroad/wheatroad/internal/fleet"
+)
 
 // A value of type worker stands for one incarnation of a worker. A restart discards the state in
 // the value, except the members and the machine state. A worker row that names another incarnation
@@ -123,14 +127,14 @@
 	m.startUnanswered = m.startUnanswered || m.startCall != nil && m.startCall.pending > 0
 	m.worker = replacement
 	replacement.members = append(replacement.members, m)
-	m.stopSent, m.stopAnswered = false, false
+	m.stopSent, m.stoppingSince = false, time.Time{}
 	if m.stopTimer != nil {
 		m.stopTimer()
 		m.stopTimer = nil
 	}
 	if m.state == memberStarting || m.state == memberRunning {
 		m.state = memberUnconfirmed
-		m.sentAt = p.loop.Now()
+		m.unconfirmedSince = p.loop.Now()
 	}
 	p.persist(m.unit.job)
 	if m.stopAttempted {
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -143,12 +143,14 @@
 	state memberState
 	// worker is where a run of the member may exist, or nil.
 	worker *worker
-	// stopAttempted is true once a stop of the present run was sent, whatever its outcome; stopSent
-	// and stopAnswered are the state of the current stop.
+	// stopAttempted is true once a stop of the present run was sent, whatever its outcome, and stopSent
+	// while a stop is in flight or answered.
 	stopAttempted bool
 	stopSent      bool
-	stopAnswered  bool
 	stopTimer     func()
+	// stoppingSince is since when the worker is known to be stopping the present run, or to refuse its
+	// start; zero if unknown.
+	stoppingSince time.Time
 	// startUnanswered is true once a start of the present run got no response. The worker may still
 	// carry out this start, whatever the response to a later attempt.
 	startUnanswered bool
@@ -167,7 +169,11 @@
 	confirmation confirmation
 	// startCall is the state of the present run's latest start; nil before the first.
 	startCall *hedgedCall
-	sentAt    time.Time
+	// unconfirmedSince is since when the worker may have the present run without having confirmed it.
+	unconfirmedSince time.Time
+	// knownFromRows is true while the present run is known only from the rows of an earlier owner: no
+	// answer of the worker has told about it yet.
+	knownFromRows bool
 	// startSentAt is when the latest copy of the present run's start was sent.
 	startSentAt time.Time
 	// startDeadline is the deadline of the present run's start, in milliseconds of the worker's
--- a/internal/pool/progress_restore.go
+++ b/internal/pool/progress_restore.go
@@ -78,7 +78,7 @@
 		}
 		m, incarnation := u.members[i], saved.incarnationOf(i)
 		p.assign(m, p.workerFromProgress(incarnation, saved.Addresses[id]))
-		m.state = memberUnconfirmed
+		m.state, m.knownFromRows = memberUnconfirmed, true
 		m.confirmedToEarlierOwner = saved.isConfirmed(i)
 		m.earlierStartPending = !m.confirmedToEarlierOwner || bitset(saved.StartPending).has(i)
 		if p.compareIncarnation(m.worker, incarnation.StartMillis) == earlierIncarnation {
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -42,7 +42,7 @@
 	if report.MoreEnded {
 		return
 	}
-	p.markEarlierConfirmedRunsLost(w, listed)
+	p.markEarlierConfirmedRunsLost(w)
 	for _, m := range w.members {
 		if !listed[m] {
 			p.reconcileUnlisted(m, report)
@@ -70,7 +70,7 @@
 		p.scheduleConfirmationWrite(m.unit)
 	}
 	m.reportedAt = now
-	m.incarnationUnknown = false
+	m.incarnationUnknown, m.knownFromRows = false, false
 	if entry.Percent > 0 && !m.unit.fromCheckpoint {
 		p.recordRunProgress(m.worker, m.unit)
 	}
@@ -86,10 +86,10 @@
 // reconcileUnlisted reconciles a member whose run the worker lists neither as running nor as ended.
 func (p *Pool) reconcileUnlisted(m *member, report workerReport) {
 	switch {
-	case m.stopAnswered:
+	case !m.stoppingSince.IsZero():
 		// The worker reports a completed stop as an ended run. If it reported none in time, there
 		// was no run.
-		if report.requestedAt.Sub(m.sentAt) > p.options.Bounds.StopTimeout {
+		if report.requestedAt.Sub(m.stoppingSince) > p.options.Bounds.StopTimeout {
 			m.recordUnexplainedLoss()
 			p.memberEnded(m, fleet.EndStopped)
 		}
@@ -99,16 +99,14 @@
 		// The worker may be carrying out a stop whose reply was lost. A run that is being stopped
 		// is not listed but may still run. An unconfirmed start may still arrive, so such a run has
 		// ended only once the worker has answered a stop.
-		m.stopAnswered = true
-		m.sentAt = p.loop.Now()
-	case m.state == memberUnconfirmed && m.sentAt.IsZero() && p.options.DisabledSafeguards.StopConfirmation:
+		m.stoppingSince = p.loop.Now()
+	case m.knownFromRows && p.options.DisabledSafeguards.StopConfirmation:
 		p.memberEnded(m, fleet.EndLeaseExpired)
-	case m.state == memberUnconfirmed && m.sentAt.IsZero():
+	case m.knownFromRows:
 		// The worker has seen this owner's token, so a pending start of an earlier owner is fenced.
 		// A stop of the earlier owner may still be in progress.
-		m.stopAnswered = true
-		m.sentAt = p.loop.Now()
-	case m.state == memberUnconfirmed && m.sentAt.Before(report.requestedAt):
+		m.stoppingSince, m.knownFromRows = p.loop.Now(), false
+	case m.state == memberUnconfirmed && m.unconfirmedSince.Before(report.requestedAt):
 		// The start may still be carried out; a stop blocks it.
 		p.sendStop(m)
 	case m.state == memberRunning:
@@ -126,7 +124,7 @@
 		return
 	}
 	m.state = memberUnconfirmed
-	m.sentAt = p.loop.Now()
+	m.unconfirmedSince = p.loop.Now()
 	p.stopUnit(m.unit, "run missing from reports")
 	p.sendStop(m)
 }
--- a/internal/pool/starts.go
+++ b/internal/pool/starts.go
@@ -53,7 +53,6 @@
 	}
 	w.deadline = max(w.deadline, order.DeadlineMillis)
 	m.state = memberStarting
-	m.sentAt = now
 	run := u.run
 	m.startCall = p.sendHedged(&hedgedCommand{
 		name:        "start",
@@ -87,7 +86,7 @@
 		}
 	case err == nil:
 		sent.answered = true
-		p.handleStartConfirmed(m, reply)
+		p.handleStartConfirmed(m, sent, reply)
 	case sent.pending == 0 || reason == fleet.Fenced || reason == fleet.OtherInstance:
 		sent.answered = true
 		p.handleStartError(m, err)
@@ -96,16 +95,16 @@
 	}
 }
 
-func (p *Pool) handleStartConfirmed(m *member, reply fleet.Reply) {
-	latency := p.loop.Now().Sub(m.sentAt)
+func (p *Pool) handleStartConfirmed(m *member, sent *hedgedCall, reply fleet.Reply) {
+	now := p.loop.Now()
+	latency := now.Sub(sent.sentAt)
 	p.record.Observe("start_order", latency)
 	p.commandLatency += (latency - p.commandLatency) / commandLatencySamples
 	m.incarnationUnknown = p.recordReply(m.worker, reply.ClockMillis)
-	m.confirm(confirmedByStart, p.loop.Now(), reply.ClockMillis)
+	m.confirm(confirmedByStart, now, reply.ClockMillis)
 	if m.state == memberStarting || m.state == memberUnconfirmed {
 		m.state = memberRunning
-		m.sentAt = p.loop.Now()
-		m.unit.updateRunningSince(m.sentAt)
+		m.unit.updateRunningSince(now)
 		p.scheduleConfirmationWrite(m.unit)
 	}
 	p.poll(m.worker)
@@ -146,7 +145,7 @@
 // the worker for the state of the run.
 func (p *Pool) blockStart(m *member) {
 	m.state = memberUnconfirmed
-	m.sentAt = p.loop.Now()
+	m.unconfirmedSince = p.loop.Now()
 	p.poll(m.worker)
 	p.sendStop(m)
 	if len(m.unit.members) > 1 {
--- a/internal/pool/stops.go
+++ b/internal/pool/stops.go
@@ -52,8 +52,7 @@
 	case err == nil:
 		sent.answered = true
 		p.recordReply(w, reply.ClockMillis)
-		m.stopAnswered = true
-		m.sentAt = p.loop.Now()
+		m.stoppingSince, m.knownFromRows = p.loop.Now(), false
 		if m.state != memberRunning {
 			p.pollNow(w)
 		}
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -188,7 +188,7 @@
 	now := p.loop.Now()
 	for _, w := range p.sortedWorkers() {
 		for _, m := range w.members {
-			if m.stopAnswered && now.Sub(m.sentAt) > p.options.Bounds.StopTimeout+stopMargin {
+			if !m.stoppingSince.IsZero() && now.Sub(m.stoppingSince) > p.options.Bounds.StopTimeout+stopMargin {
 				p.pollNow(w)
 				break
 			}
