--- a/internal/simulation/cluster.go
+++ b/internal/simulation/cluster.go
@@ -42,6 +42,14 @@
 	// MessageDelay returns by how much a message between an owner and a worker is delayed; nil means
 	// that every message takes the same time.
 	MessageDelay func(Message) time.Duration
+	// TimeoutDelay returns by how much later than usual a call to a worker times out, as in a process
+	// that is descheduled; nil means no delay.
+	TimeoutDelay func() time.Duration
+	// BreakCall returns whether the connection of a call breaks, and when. The request may still be
+	// delivered. nil means that no connection breaks.
+	BreakCall func() (after time.Duration, breaks bool)
+	// OwnerStarted is called for each new owner; nil means no call.
+	OwnerStarted func(*Owner)
 	// OrderDelay is the delay of an order whose outcome is AppliedLate.
 	OrderDelay time.Duration
 	// LateOrdersReachRestartedWorkers delivers delayed orders to the latest instance of a worker
--- a/internal/simulation/messages.go
+++ b/internal/simulation/messages.go
@@ -18,6 +18,8 @@
 // Message describes a message between an owner and a worker.
 type Message struct {
 	Kind MessageKind
+	// Owner is the name of the owner's process that sends or receives the message.
+	Owner string
 	// Worker is the identifier of the worker that sends or receives the message.
 	Worker string
 	// Answer is true for messages of the worker, and false for those of the owner.
@@ -41,6 +43,20 @@
 	c.Clock.After(latency, receive)
 }
 
+// limitCall calls fail once the connection of a call breaks or the call times out.
+func (c *Cluster) limitCall(timeout time.Duration, fail func()) {
+	if c.TimeoutDelay != nil {
+		timeout += c.TimeoutDelay()
+	}
+	c.Clock.After(timeout, fail)
+	if c.BreakCall == nil {
+		return
+	}
+	if after, breaks := c.BreakCall(); breaks {
+		c.Clock.After(after, fail)
+	}
+}
+
 // DelayClass is a class of delayed messages: each message belongs to it with the given probability,
 // and is then delayed by up to Longest.
 type DelayClass struct {
--- a/internal/simulation/owner.go
+++ b/internal/simulation/owner.go
@@ -13,6 +13,8 @@
 // Owner is a process that owns the pool.
 type Owner struct {
 	*pool.Pool
+	// Name identifies the owner's process.
+	Name    string
 	Process *emulator.Process
 	// Ended is the reason why the ownership ended; empty while the process owns the pool.
 	Ended string
@@ -27,7 +29,7 @@
 func (c *Cluster) AcquirePool() *Owner {
 	c.owners++
 	name := fmt.Sprintf("node-%d", c.owners)
-	owner := &Owner{cluster: c, Process: emulator.NewProcess(c.Clock), PartitionedFrom: map[string]bool{}}
+	owner := &Owner{cluster: c, Name: name, Process: emulator.NewProcess(c.Clock), PartitionedFrom: map[string]bool{}}
 	owner.Process.SteadyTime = c.SuspendedClock
 	options := pool.Options{
 		Pool: PoolName, Node: name, Incarnation: name, Address: name, Bounds: c.Bounds, Features: c.Features, DisabledSafeguards: c.DisabledSafeguards, DisabledMechanisms: c.DisabledMechanisms,
@@ -39,6 +41,9 @@
 	owner.Pool = pool.New(options, owner.Process, &ports{cluster: c, owner: owner, process: owner.Process}, c.Checker, result.Version)
 	owner.Process.Post(owner.Pool.Start)
 	c.Clock.After(peerCheckPeriod, func() { c.confirmOwnership(owner) })
+	if c.OwnerStarted != nil {
+		c.OwnerStarted(owner)
+	}
 	return owner
 }
 
--- a/internal/simulation/ports.go
+++ b/internal/simulation/ports.go
@@ -67,7 +67,7 @@
 
 func (p *ports) order(to *fleet.Worker, kind MessageKind, execute func(*Worker) (fleet.Reply, error), done func(fleet.Reply, error)) {
 	c := p.cluster
-	request := Message{Kind: kind, Worker: to.ID}
+	request := Message{Kind: kind, Owner: p.owner.Name, Worker: to.ID}
 	once := firstResult(done)
 	answer := func(reply fleet.Reply, err error) {
 		c.deliver(request.answer(), func() { once(reply, err) })
@@ -76,7 +76,7 @@
 		c.Clock.After(orderLatency/2, func() { once(fleet.Reply{}, fleet.ErrUnreachable) })
 		return
 	}
-	c.Clock.After(orderLatency/2+orderTimeout, func() { once(fleet.Reply{}, fleet.ErrOutcomeUnknown) })
+	c.limitCall(orderLatency/2+orderTimeout, func() { once(fleet.Reply{}, fleet.ErrOutcomeUnknown) })
 	c.deliver(request, func() {
 		w := c.worker(to.ID)
 		if refusal := connectionRefusal(w); refusal != nil {
@@ -137,12 +137,12 @@
 // Poll implements pool.Ports.
 func (p *ports) Poll(to *fleet.Worker, order fleet.Poll, done func(fleet.Reply, error)) {
 	c := p.cluster
-	request := Message{Kind: PollMessage, Worker: to.ID, Wait: order.Wait}
+	request := Message{Kind: PollMessage, Owner: p.owner.Name, Worker: to.ID, Wait: order.Wait}
 	once := firstResult(postResult(p, done))
 	answer := func(reply fleet.Reply, err error) {
 		c.deliver(request.answer(), func() { once(reply, err) })
 	}
-	c.Clock.After(order.Wait+orderTimeout, func() { once(fleet.Reply{}, fleet.ErrOutcomeUnknown) })
+	c.limitCall(order.Wait+orderTimeout, func() { once(fleet.Reply{}, fleet.ErrOutcomeUnknown) })
 	c.deliver(request, func() {
 		w := c.worker(to.ID)
 		// An unreachable worker that has not crashed keeps the connections of its polls.
--- a/internal/simulation/worker.go
+++ b/internal/simulation/worker.go
@@ -45,6 +45,9 @@
 	OrderOutcome func() Outcome
 	// DropPollReply reports whether the reply to a poll is lost.
 	DropPollReply func() bool
+	// OmitRun reports whether a report omits a run, which the protocol does not allow; nil means that
+	// reports are complete.
+	OmitRun func() bool
 	// Unreachable workers refuse connections.
 	Unreachable bool
 	// Unhealthy workers refuse starts as unhealthy.
@@ -269,7 +272,8 @@
 func (w *Worker) status() fleet.Reply {
 	reply := fleet.Reply{StartMillis: w.StartMillis, ClockMillis: w.clockMillis(), Ended: append([]fleet.EndedRun(nil), w.ended...)}
 	for _, r := range w.sortedRuns() {
-		if !r.stopping {
+		omitted := w.OmitRun != nil && w.OmitRun()
+		if !r.stopping && !omitted {
 			reply.Running = append(reply.Running, fleet.ActiveRun{Task: r.name, Run: r.number, Percent: w.percent(r)})
 		}
 	}
