--- a/internal/pool/overtaking_fault_injection_test.go
+++ b/internal/pool/overtaking_fault_injection_test.go
@@ -42,34 +42,34 @@
 	}
 }
 
-// overtakingPlays are the random faults that are played with overtaking messages. Each play requires
-// that all invariants hold and that all jobs end.
-var overtakingPlays = map[string]func(t *testing.T, seed uint64, disabled pool.DisabledSafeguards) *simulation.Cluster{
-	"owners and store": func(t *testing.T, seed uint64, disabled pool.DisabledSafeguards) *simulation.Cluster {
-		return playOwnerFaults(t, seed, disabled, fastStore)
+// faultPlays are the kinds of random faults that are played with delayed messages. Each play requires
+// that all jobs end.
+var faultPlays = map[string]func(t *testing.T, seed uint64, disabled pool.DisabledSafeguards, delays clusterOption) *simulation.Cluster{
+	"owners and store": func(t *testing.T, seed uint64, disabled pool.DisabledSafeguards, delays clusterOption) *simulation.Cluster {
+		return playOwnerFaults(t, seed, disabled, fastStore, delays)
 	},
-	"slow store": func(t *testing.T, seed uint64, disabled pool.DisabledSafeguards) *simulation.Cluster {
-		return playOwnerFaults(t, seed, disabled, slowStore)
+	"slow store": func(t *testing.T, seed uint64, disabled pool.DisabledSafeguards, delays clusterOption) *simulation.Cluster {
+		return playOwnerFaults(t, seed, disabled, slowStore, delays)
 	},
-	"workers": func(t *testing.T, seed uint64, disabled pool.DisabledSafeguards) *simulation.Cluster {
-		f := runWorkerFaultsWithMaxLease(seed, disabled, false, 0, overtaking(seed))
+	"workers": func(t *testing.T, seed uint64, disabled pool.DisabledSafeguards, delays clusterOption) *simulation.Cluster {
+		f := runWorkerFaultsWithMaxLease(seed, disabled, false, 0, delays)
 		f.countRegularJobs(t)
 		return f.Cluster
 	},
-	"long leases": func(t *testing.T, seed uint64, disabled pool.DisabledSafeguards) *simulation.Cluster {
-		f := runWorkerFaultsWithMaxLease(seed, disabled, false, 10*time.Second, overtaking(seed))
+	"long leases": func(t *testing.T, seed uint64, disabled pool.DisabledSafeguards, delays clusterOption) *simulation.Cluster {
+		f := runWorkerFaultsWithMaxLease(seed, disabled, false, 10*time.Second, delays)
 		f.countRegularJobs(t)
 		return f.Cluster
 	},
-	"shared workers": func(t *testing.T, seed uint64, disabled pool.DisabledSafeguards) *simulation.Cluster {
-		f := runSharedWorkerFaults(seed, disabled, overtaking(seed))
+	"shared workers": func(t *testing.T, seed uint64, disabled pool.DisabledSafeguards, delays clusterOption) *simulation.Cluster {
+		f := runSharedWorkerFaults(seed, disabled, delays)
 		f.countRegularJobs(t)
 		return f.Cluster
 	},
 }
 
-func playOwnerFaults(t *testing.T, seed uint64, disabled pool.DisabledSafeguards, store storeSpeed) *simulation.Cluster {
-	w, jobs := randomFaults(seed, disabled, store, overtaking(seed))
+func playOwnerFaults(t *testing.T, seed uint64, disabled pool.DisabledSafeguards, store storeSpeed, delays clusterOption) *simulation.Cluster {
+	w, jobs := randomFaults(seed, disabled, store, delays)
 	for n := range jobs {
 		require.Equal(t, taskgraph.Completed, w.StoredState(jobID(n)), "job %d", n)
 	}
@@ -79,11 +79,11 @@
 // TestRandomFaultsWithOvertakingMessages plays all kinds of random faults while messages between
 // owners and workers overtake each other.
 func TestRandomFaultsWithOvertakingMessages(t *testing.T) {
-	for name, play := range overtakingPlays {
+	for name, play := range faultPlays {
 		for seed := *firstOvertakingSeed; seed < *firstOvertakingSeed+*overtakingSeeds; seed++ {
 			t.Run(fmt.Sprintf("%s/seed %d", name, seed), func(t *testing.T) {
 				t.Parallel()
-				requireInvariants(t, play(t, uint64(seed), pool.DisabledSafeguards{}))
+				requireInvariants(t, play(t, uint64(seed), pool.DisabledSafeguards{}, overtaking(uint64(seed))))
 			})
 		}
 	}
