A simulated worker lists all runs of a task

What callers saw: a task that must run once ran twice at once; the record says that the owner saw no report with the first run after the second had begun. Cause of the gap in the simulated world: a worker kept its runs by task, so a second run of a task hid the first one from its reports and from its usage, and the end of the first removed the second, which then counted as missing too. Now runs are kept by task and number.

--- a/internal/simulation/cluster.go
+++ b/internal/simulation/cluster.go
@@ -127,7 +127,7 @@
 			Pool:        PoolName, Address: id, Zone: zoneOf(rack), Labels: []string{"a", rack}, Capacity: WorkerCapacity,
 		},
 		cluster: c, clock: c.Clock, clockEpoch: c.epoch,
-		runs: map[taskgraph.TaskName]*run{}, supersededRuns: map[taskgraph.TaskName]int{}, endedAt: map[int64]int{},
+		runs: map[runID]*run{}, supersededRuns: map[taskgraph.TaskName]int{}, endedAt: map[int64]int{},
 	}
 	added.recordCapacity()
 	c.Workers = append(c.Workers, added)
--- a/internal/simulation/worker.go
+++ b/internal/simulation/worker.go
@@ -21,7 +21,8 @@
 	token int64
 	// leaseEnd is when the lease expires and the worker ends all runs.
 	leaseEnd time.Time
-	runs     map[taskgraph.TaskName]*run
+	// runs contains the active runs, also if a task has several of them.
+	runs map[runID]*run
 	// supersededRuns contains the highest run number of each task that may no longer start.
 	supersededRuns map[taskgraph.TaskName]int
 	// ended contains the ended runs that no owner has acknowledged.
@@ -63,6 +64,12 @@
 	capacities []capacityChange
 }
 
+// runID identifies a run on a worker.
+type runID struct {
+	task   taskgraph.TaskName
+	number int
+}
+
 // run is one run of a task.
 type run struct {
 	name         taskgraph.TaskName
@@ -80,6 +87,8 @@
 	percent int
 }
 
+func (r *run) id() runID { return runID{task: r.name, number: r.number} }
+
 // StopTime is the default time that a run takes to stop.
 const StopTime = 300 * time.Millisecond
 
@@ -119,7 +128,7 @@
 	if w.Unhealthy {
 		return reply, fleet.ErrUnhealthy
 	}
-	if present := w.runs[order.Task]; present != nil && present.number == order.Run {
+	if w.runs[runID{task: order.Task, number: order.Run}] != nil {
 		return reply, nil
 	}
 	if order.Run <= w.supersededRuns[order.Task] {
@@ -148,7 +157,7 @@
 
 func (w *Worker) begin(order fleet.Start) {
 	r := &run{name: order.Task, number: order.Run, worker: w, startedAt: w.clock.Now(), checkpoint: order.Checkpoint}
-	w.runs[order.Task] = r
+	w.runs[r.id()] = r
 	w.cluster.addToGang(r)
 	w.cluster.Checker.started(r, order)
 	if w.Failing {
@@ -201,7 +210,7 @@
 		return
 	}
 	r.over = true
-	delete(w.runs, r.name)
+	delete(w.runs, r.id())
 	w.cluster.removeFromGang(r)
 	w.supersededRuns[r.name] = max(w.supersededRuns[r.name], r.number)
 	w.lastEndNumber++
@@ -223,9 +232,11 @@
 	}
 	w.token = order.Token
 	w.supersededRuns[order.Task] = max(w.supersededRuns[order.Task], order.Run)
-	if r := w.runs[order.Task]; r != nil && r.number <= order.Run && !r.stopping {
-		r.stopping = true
-		w.clock.After(w.cluster.StopTime, func() { w.end(r, fleet.EndStopped, w.newCheckpoint(r)) })
+	for _, r := range w.sortedRuns() {
+		if r.name == order.Task && r.number <= order.Run && !r.stopping {
+			r.stopping = true
+			w.clock.After(w.cluster.StopTime, func() { w.end(r, fleet.EndStopped, w.newCheckpoint(r)) })
+		}
 	}
 	return reply, nil
 }
@@ -299,7 +310,7 @@
 		w.cluster.Checker.ended(r, fleet.EndLeaseExpired)
 		w.cluster.breakGang(r, fleet.EndLeaseExpired)
 	}
-	w.runs = map[taskgraph.TaskName]*run{}
+	w.runs = map[runID]*run{}
 }
 
 // Runs returns the number of runs on the worker.
@@ -308,8 +319,8 @@
 // RunsOf returns the number of runs of a job on the worker.
 func (w *Worker) RunsOf(job string) int {
 	count := 0
-	for name := range w.runs {
-		if name.Job == job {
+	for id := range w.runs {
+		if id.task.Job == job {
 			count++
 		}
 	}
@@ -317,14 +328,26 @@
 }
 
 // RunsOfTask reports whether the worker has a run of a task.
-func (w *Worker) RunsOfTask(name taskgraph.TaskName) bool { return w.runs[name] != nil }
+func (w *Worker) RunsOfTask(name taskgraph.TaskName) bool {
+	for id := range w.runs {
+		if id.task == name {
+			return true
+		}
+	}
+	return false
+}
 
-// sortedRuns returns the runs sorted by task name.
+// sortedRuns returns the runs sorted by task name and number.
 func (w *Worker) sortedRuns() []*run {
 	sorted := make([]*run, 0, len(w.runs))
 	for _, r := range w.runs {
 		sorted = append(sorted, r)
 	}
-	sort.Slice(sorted, func(i, j int) bool { return sorted[i].name.String() < sorted[j].name.String() })
+	sort.Slice(sorted, func(i, j int) bool {
+		if sorted[i].name != sorted[j].name {
+			return sorted[i].name.String() < sorted[j].name.String()
+		}
+		return sorted[i].number < sorted[j].number
+	})
 	return sorted
 }
