Small clusters: lost orders, partitions and suspended owners

What callers saw: a task that must run once ran twice at once. Random faults of small clusters now draw lost and late orders, partitions of workers and suspensions of owners too, from a random stream of their own.

--- a/internal/pool/small_clusters_fault_injection_test.go
+++ b/internal/pool/small_clusters_fault_injection_test.go
@@ -21,11 +21,16 @@
 )
 
 const (
+	// The random streams of small clusters: the load, the delays and most faults; and lost orders,
+	// partitions and pauses.
 	smallClusterStream = 512
+	lossesStream       = 1024
 	// smallClusterLoad is how long jobs are submitted to a small cluster, and faults are injected.
 	smallClusterLoad = 6 * time.Second
 	// smallClusterRest is how long a small cluster may take to finish its jobs without faults.
 	smallClusterRest = 40 * time.Second
+	// leastInterval is the shortest interval between two partitions or pauses.
+	leastInterval = 50 * time.Millisecond
 )
 
 // smallCluster is a simulation of a few workers with short jobs. The seed draws how often each fault
@@ -47,6 +52,7 @@
 	s.drawDelays()
 	s.drawFaults()
 	s.drawPolls()
+	s.drawLosses(rand.New(rand.NewPCG(seed, lossesStream)))
 	return s
 }
 
@@ -109,6 +115,37 @@
 	}
 }
 
+// drawLosses draws how often orders are lost or late, workers are partitioned, and owners are
+// suspended.
+func (s *smallCluster) drawLosses(random *rand.Rand) {
+	if random.IntN(2) == 0 {
+		outcome := randomFateFrom(random, 0.15*random.Float64())
+		for _, worker := range s.Workers {
+			worker.OrderOutcome = outcome
+		}
+	}
+	if random.IntN(3) == 0 {
+		s.repeat(leastInterval+time.Duration(random.Int64N(int64(2*time.Second))), func() {
+			worker := s.Workers[random.IntN(len(s.Workers))]
+			worker.Partitioned = !worker.Partitioned
+		})
+	}
+	if random.IntN(3) == 0 {
+		started := s.OwnerStarted
+		interval := leastInterval + time.Duration(random.Int64N(int64(2*time.Second)))
+		s.OwnerStarted = func(owner *simulation.Owner) {
+			if started != nil {
+				started(owner)
+			}
+			s.repeat(interval, func() {
+				if now := s.Clock.Now(); now.After(owner.Process.PausedUntil()) {
+					owner.Process.Suspend(now.Add(time.Duration(1 + random.Int64N(int64(time.Second)))))
+				}
+			})
+		}
+	}
+}
+
 // repeat injects a fault at a fixed interval while jobs are submitted.
 func (s *smallCluster) repeat(interval time.Duration, inject func()) {
 	s.Clock.After(interval, func() {
@@ -167,7 +204,7 @@
 	}
 	endAllEvacuations(s.Cluster)
 	for _, worker := range s.RunningWorkers() {
-		worker.Partitioned = false
+		worker.Partitioned, worker.OrderOutcome = false, nil
 		worker.SetCapacity(simulation.WorkerCapacity, 0)
 	}
 	s.AcquirePool()
