Keep: a loss during a takeover is not counted

What callers saw: a task that crashes workers starts a sixth time, after five crashes. The task's first worker restarted 0.16 s after the start, at the moment of a takeover, so no row said that the run was confirmed. The next owners stopped the run as 'start unanswered' in the worker's next incarnation; that end counts no loss, as formerIncarnation is set for confirmed runs only.

--- a/internal/pool/overtaking_fault_injection_test.go
+++ b/internal/pool/overtaking_fault_injection_test.go
@@ -93,7 +93,8 @@
 // invariant, by the kind of faults.
 var keptOvertakingSeeds = map[string][]uint64{
 	"shared workers": {
-		60106, // The first worker that the task crashed was draining, so its loss was not counted.
+		60106,  // The first worker that the task crashed was draining, so its loss was not counted.
+		200441, // The first worker restarted during a takeover, before a row said that it had confirmed the run.
 	},
 }
 
