--- a/internal/pool/overtaken_reports_test.go
+++ b/internal/pool/overtaken_reports_test.go
@@ -87,7 +87,7 @@
 		slow.EstimateMillis = 100_000
 		w.Submit(spec(1, slow), batch)
 		for _, worker := range w.Workers {
-			worker.OmitFromReport = func(name taskgraph.TaskName) bool {
+			worker.OmitRun = func(name taskgraph.TaskName) bool {
 				age := w.Clock.Now().Sub(w.StartedAt())
 				return name.Index == 0 && age > omittedAt && age < omittedAt+simulation.StopTime
 			}
