An answer older than a row's removal doesn't show a planned shutdown

Cause: any answer that is read after a worker's row is gone counted as a sign that the worker shuts down as planned, also one that the worker gave before it crashed; the loss then was no evidence against the task. Why this works: a call that was sent after the owner learned of the removal is answered only by a worker that lives on without its row.

--- a/internal/pool/starts.go
+++ b/internal/pool/starts.go
@@ -72,7 +72,7 @@
 	lost := err != nil && reason == fleet.OutcomeUnknown
 	if err != nil && reply.ClockMillis > 0 {
 		// A refusal also carries the worker's clock, which explains a start refused as late.
-		p.recordReply(m.worker, reply.ClockMillis)
+		p.recordReply(m.worker, reply.ClockMillis, sent.sentAt)
 	}
 	if lost {
 		m.worker.lossyUntil = p.loop.Now().Add(lossyDuration)
@@ -100,7 +100,7 @@
 	latency := now.Sub(sent.sentAt)
 	p.record.Observe("start_order", latency)
 	p.commandLatency += (latency - p.commandLatency) / commandLatencySamples
-	m.incarnationUnknown = p.recordReply(m.worker, reply.ClockMillis)
+	m.incarnationUnknown = p.recordReply(m.worker, reply.ClockMillis, sent.sentAt)
 	m.confirm(confirmedByStart, now, reply.ClockMillis)
 	if m.state == memberStarting || m.state == memberUnconfirmed {
 		m.state = memberRunning
--- a/internal/pool/stops.go
+++ b/internal/pool/stops.go
@@ -51,7 +51,7 @@
 	case sent.answered:
 	case err == nil:
 		sent.answered = true
-		p.recordReply(w, reply.ClockMillis)
+		p.recordReply(w, reply.ClockMillis, sent.sentAt)
 		m.stoppingSince, m.knownFromRows = p.loop.Now(), false
 		if m.state != memberRunning {
 			p.pollNow(w)
--- a/internal/pool/worker.go
+++ b/internal/pool/worker.go
@@ -32,10 +32,11 @@
 	// answered yet, or nil. verifying is true while a poll of the claimed incarnation is in flight.
 	claimedIncarnation *fleet.Worker
 	verifying          bool
-	// hasRow is false once the worker's row is gone.
-	hasRow bool
-	// respondedWithoutRow is true once the worker has answered after its row was deleted. Such a
-	// worker is shutting down as planned and still responds for a while.
+	// hasRow is false once the worker's row is gone, which the owner learned at unlistedAt.
+	hasRow     bool
+	unlistedAt time.Time
+	// respondedWithoutRow is true once the worker has answered a call that was sent after its row was
+	// gone. Such a worker is shutting down as planned and still responds for a while.
 	respondedWithoutRow bool
 	// rowMissing is true while the row is gone but may only have expired during a store outage.
 	rowMissing bool
--- a/internal/pool/worker_replies.go
+++ b/internal/pool/worker_replies.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// recordReply records a reply of a worker. It returns true if the worker's clock deviates from its
-// estimate, in which case another incarnation may have answered.
-func (p *Pool) recordReply(w *worker, clock int64) (jumped bool) {
+// recordReply records a reply of a worker to a call that was sent at sentAt. It returns true if the
+// worker's clock deviates from its estimate, in which case another incarnation may have answered.
+func (p *Pool) recordReply(w *worker, clock int64, sentAt time.Time) (jumped bool) {
 	now := p.loop.Now()
 	jumped = p.checkClockJump(w, clock, now)
 	w.clock, w.clockAt = clock, now
@@ -18,13 +18,15 @@
 		p.record.LogEvent("worker responsive again", "worker", w.ID, "unanswered", w.unansweredCalls)
 	}
 	w.unansweredCalls = 0
-	w.respondedWithoutRow = w.respondedWithoutRow || (!w.hasRow && !w.rowMissing)
+	if !w.hasRow && !w.rowMissing && !w.unlistedAt.After(sentAt) {
+		w.respondedWithoutRow = true
+	}
 	return jumped
 }
 
 // handleReport handles a report of the known incarnation, unless a later one was handled before.
 func (p *Pool) handleReport(w *worker, report workerReport) {
-	if p.recordReply(w, report.ClockMillis) {
+	if p.recordReply(w, report.ClockMillis, report.requestedAt) {
 		w.lastReportMillis = 0
 	}
 	if !p.options.DisabledSafeguards.ReportOrder && w.overtaken(report) {
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -132,6 +132,7 @@
 func (p *Pool) markUnlisted(w *worker) {
 	if w.hasRow {
 		p.record.LogEvent("worker no longer listed", "worker", w.ID, "runs", len(w.members))
+		w.unlistedAt = p.loop.Now()
 	}
 	w.hasRow = false
 	for _, m := range w.members {
