A listing that is older than a job's removal does not run the job again

What callers saw or would see: a completed job runs again from its first step, minutes after its end, when the store forgets its history while expired jobs are being removed. Cause: after a feed's history has expired, the owner lists all job rows. A job that the owner removes while the listing is on its way is no longer known when the listing is read, so its accepted row counts as a new job. Class: an answer that is read later is taken as newer. Why this works: the owner keeps the store version of each removal, and ignores rows of the job up to that version. It drops the entry once the job feed has been read past the removal: every later listing is asked for after that, and announcements up to the feed's version are ignored already. The simulated store can forget its history and delay the answers to scans; without these settings it behaves as before.

--- a/internal/pool/lifecycle.go
+++ b/internal/pool/lifecycle.go
@@ -104,11 +104,12 @@
 func (p *Pool) removeJobRows(id string) {
 	p.removingExpiredJob = true
 	parts := JobPartitions(p.options.Pool, id)
-	pending, failed := len(parts), false
+	pending, failed, removedAt := len(parts), false, rows.Absent
 	for _, part := range parts {
 		removes := []rows.Key{AcceptedKey(part, id), CancelledKey(part, id)}
-		p.ports.Commit(rows.Transaction{Removes: removes}, func(_ rows.Result, err error) {
+		p.ports.Commit(rows.Transaction{Removes: removes}, func(result rows.Result, err error) {
 			failed = failed || err != nil
+			removedAt = max(removedAt, result.Version)
 			if pending--; pending > 0 {
 				return
 			}
@@ -117,6 +118,7 @@
 				return
 			}
 			delete(p.jobs, id)
+			p.removedJobs[id] = removedAt
 			p.writer.remove(id)
 		})
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -78,6 +78,8 @@
 	runTimeSpread speeds.WorkVariance
 	// removingExpiredJob is true while the rows of an expired job are being removed.
 	removingExpiredJob bool
+	// removedJobs holds the jobs whose rows this owner has removed.
+	removedJobs removedJobs
 	// durations holds the learned duration model of each queue; estimatesRefreshedAt is when the
 	// models were last applied to open jobs.
 	durations            map[string]*durationModel
@@ -127,7 +129,7 @@
 		jobs: map[string]*job{}, workers: map[string]*worker{},
 		lastStoreAnswerAt: l.Now(), pendingCancels: map[string]bool{},
 		durations: map[string]*durationModel{}, storeRetries: loop.NewRetries(l), lossTracker: poison.NewLossTracker(), health: health.New(),
-		tenantUse: fairshare.NewLedger(), overdueTurns: overdueTurns{},
+		tenantUse: fairshare.NewLedger(), overdueTurns: overdueTurns{}, removedJobs: removedJobs{},
 		invalidRows: invalidWorkerRows{faults: map[string]fleet.RowFault{}},
 	}
 	p.writer = newWriter(p)
--- a/internal/pool/store_load.go
+++ b/internal/pool/store_load.go
@@ -43,6 +43,7 @@
 func (p *Pool) recordFeedVersion(table string, version int64) {
 	if table == JobTable {
 		p.jobsVersion = version
+		p.removedJobs.forget(version)
 	}
 }
 
@@ -206,11 +207,13 @@
 		return
 	}
 	if id, ok := strings.CutSuffix(row.Name, cancelledSuffix); ok {
-		p.applyCancel(id)
+		if !p.removedJobs.removedAfter(id, &row) {
+			p.applyCancel(id)
+		}
 		return
 	}
 	id, ok := strings.CutSuffix(row.Name, acceptedSuffix)
-	if !ok || p.jobs[id] != nil {
+	if !ok || p.jobs[id] != nil || p.removedJobs.removedAfter(id, &row) {
 		return
 	}
 	var accepted Accepted
--- a/internal/simulation/store.go
+++ b/internal/simulation/store.go
@@ -33,6 +33,10 @@
 	FeedsUnresponsive bool
 	// ScansUnresponsive makes scans time out.
 	ScansUnresponsive bool
+	// ScanDelay returns how long the answer to a scan takes once the rows are read; nil means no time.
+	ScanDelay func(table, part string) time.Duration
+	// historyStart is the version from which the store has the changes.
+	historyStart int64
 	// Latency is the round-trip time of a call.
 	Latency time.Duration
 	// TransactionTime is how long a partition takes for a transaction. A partition carries out its
@@ -186,10 +190,22 @@
 			s.clock.After(responseTimeout, func() { done(rows.Listing{}, rows.ErrOutcomeUnknown) })
 			return
 		}
-		done(s.List(table, part, prefix), nil)
+		listing := s.List(table, part, prefix)
+		if s.ScanDelay == nil {
+			done(listing, nil)
+			return
+		}
+		s.clock.After(s.ScanDelay(table, part), func() { done(listing, nil) })
 	})
 }
 
+// ForgetHistory drops all changes, so that feeds that continue from an earlier version fail.
+func (s *Store) ForgetHistory() {
+	s.version++
+	s.historyStart = s.version
+	s.changes = nil
+}
+
 // List returns the rows of a partition, regardless of faults.
 func (s *Store) List(table, part, prefix string) rows.Listing {
 	listing := rows.Listing{Version: s.version}
@@ -221,6 +237,10 @@
 		s.pollOnChange(table, after, deadline, done)
 		return
 	}
+	if after < s.historyStart {
+		done(rows.Listing{}, rows.ErrHistoryExpired)
+		return
+	}
 	listing := rows.Listing{Version: s.version}
 	for _, row := range s.changes[s.firstAfter(after):] {
 		if row.Table != table {
