A full response of the worker feed does not date what is known of workers

What callers saw or would see: workers that do not guard their capacity are filled beyond it. Cause: the owner dated the worker rows by the request of each feed response. A response holds a limited number of rows, so a full one may leave out changes that were made before the request, such as a worker's smaller capacity. Class: a fact is dated later than the evidence for it. Why this works: a response with fewer rows than workerFeedBurst, which is below the limit of a response, holds all changes up to its request. Any other response dates nothing, and the next request follows it without a delay. Starts wait meanwhile, as they do for any stale capacity. Measured: the test passes with the change.

--- a/internal/pool/capacity_test.go
+++ b/internal/pool/capacity_test.go
@@ -83,12 +83,40 @@
 	return w
 }
 
+// shrinkBehindFullResponse shrinks a worker while its owner is suspended, after more changes of rows
+// than one response of the feed holds. The feed stalls after the first response.
+func shrinkBehindFullResponse(disabled pool.DisabledSafeguards) *simulation.Cluster {
+	const changes = 600
+	w := newUnenforcedCluster(1)
+	w.DisabledSafeguards = disabled
+	w.Work = func(taskgraph.TaskName) time.Duration { return 4 * time.Second }
+	w.Submit(spec(1, singleTaskStep(16)), batch)
+	owner := w.AcquirePool()
+	w.Run(time.Second)
+	owner.Process.Suspend(w.Clock.Now().Add(9 * time.Second))
+	w.Run(2 * time.Second)
+	for range changes {
+		w.PutWorkerRow(w.Workers[0])
+	}
+	w.Workers[0].SetCapacity(shrunkCapacity(), time.Second)
+	requests := w.Store.Feeds[w.WorkerTable]
+	for w.Store.Feeds[w.WorkerTable] < requests+2 {
+		w.Run(time.Millisecond)
+	}
+	w.Store.FeedsUnresponsive = true
+	w.Run(2 * time.Second)
+	w.Store.FeedsUnresponsive = false
+	w.Run(30 * time.Second)
+	return w
+}
+
 // TestStartsWaitForFreshCapacities guards against starts that rely on a stale capacity. After a
 // store outage or suspension, writes succeed before the feed reports the reduced capacity.
 func TestStartsWaitForFreshCapacities(t *testing.T) {
 	for name, shrink := range map[string]func(pool.DisabledSafeguards) *simulation.Cluster{
 		"takeover during a store outage": shrinkDuringStoreOutage,
 		"suspended":                      shrinkWhileSuspended,
+		"feed behind a full response":    shrinkBehindFullResponse,
 	} {
 		t.Run(name, func(t *testing.T) {
 			requireInvariantsNeed(t, shrink, pool.DisabledSafeguards{CapacityAge: true})
--- a/internal/pool/store_load.go
+++ b/internal/pool/store_load.go
@@ -78,7 +78,10 @@
 			for i := range listing.Rows {
 				apply(listing.Rows[i])
 			}
-			p.recordWorkersReadAt(table, requestedAt)
+			if len(listing.Rows) < workerFeedBurst {
+				// A full response may leave out later changes.
+				p.recordWorkersReadAt(table, requestedAt)
+			}
 			p.afterDelay(p.feedDelay(table, listing), func() { p.followFeed(table, listing.Version, retryDelay, apply, reload) })
 		}
 	})
