The answer about an earlier row does not refute a worker's next row

What callers saw or would see: a worker that restarted gets no work any more, until its row changes again. With one worker, jobs wait without end. Cause: while the owner asks whether a row names the truth about a worker's incarnation, another row of the worker may arrive. The answer was applied to whichever row was known when it was read, so the refusal of the first row discarded the second, and the worker counted as no longer listed. Evidence: TestAnswerAboutEarlierRowDoesNotRefuteNextRow, which failed before the change: the second job is never started (state "" in place of "completed"); log "worker no longer listed" after the row of the restarted worker. Why this works: an answer refutes only the row that it was asked for. If another row was read since, the owner asks again about that row. Measured: the test passes with the change.

--- /dev/null
+++ b/internal/pool/claimed_incarnations_test.go
@@ -0,0 +1,44 @@
+package pool_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wheatroad/wheatroad/internal/pool"
+	"github.com/wheatroad/wheatroad/internal/simulation"
+	"github.com/wheatroad/wheatroad/internal/taskgraph"
+)
+
+// delayVerifications delays the answers of workers to polls without a wait.
+func delayVerifications(w *simulation.Cluster, delay time.Duration) {
+	w.MessageDelay = func(message simulation.Message) time.Duration {
+		if message.Kind == simulation.PollMessage && message.Answer && message.Wait == 0 {
+			return delay
+		}
+		return 0
+	}
+}
+
+// TestAnswerAboutEarlierRowDoesNotRefuteNextRow: the known incarnation refutes a false row, then
+// restarts, and its answer is read after the row of the next incarnation.
+func TestAnswerAboutEarlierRowDoesNotRefuteNextRow(t *testing.T) {
+	w, _ := newClusterWithOneWorker(pool.DisabledSafeguards{})
+	w.Submit(spec(1, singleTaskStep(1)), batch)
+	w.Run(500 * time.Millisecond)
+	former := w.Workers[0]
+	falseRow := *former
+	falseRow.StartMillis++
+	delayVerifications(w, 300*time.Millisecond)
+	w.PutWorkerRow(&falseRow)
+	w.Run(250 * time.Millisecond)
+	former.RestartWithoutReset(20*time.Millisecond, farAheadClock)
+	w.Run(400 * time.Millisecond)
+	w.MessageDelay = nil
+	w.Run(30 * time.Second)
+	w.Submit(spec(2, singleTaskStep(1)), batch)
+	w.Run(10 * time.Second)
+	requireInvariants(t, w)
+	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(2)), "the worker's row counts")
+}
--- a/internal/pool/incarnation_verification.go
+++ b/internal/pool/incarnation_verification.go
@@ -36,6 +36,11 @@
 			p.handleRestart(w, report, restartConfirmedByReply)
 			return
 		}
+		if w.claimedIncarnation != claimed {
+			// The answer says nothing about the row that was read since.
+			p.queryClaimedIncarnation(w)
+			return
+		}
 		p.claimedIncarnationUnverified(w, err)
 	})
 }
