The row of a worker's second restart counts although the first one's answer comes later

What callers saw or would see: a worker that restarts twice within the time of one call gets no work any more, until its row changes again. Cause: the answer that confirms the first restart was joined with the row that was known when it was read, which was the row of the second restart. Once the second incarnation answered itself, its row counted as not read yet, and no row followed. Class: an answer is applied to a newer fact. Evidence: TestRowOfSecondRestartCountsAfterFirstAnswers, which failed before the change: the second job is never started (state "" in place of "completed"). Why this works: the answer is handled with the row that it was asked for. The row that was read since is then applied like any row: it replaces the incarnation at once if that has no runs, and is asked for otherwise.

--- a/internal/pool/claimed_incarnations_test.go
+++ b/internal/pool/claimed_incarnations_test.go
@@ -42,3 +42,22 @@
 	requireInvariants(t, w)
 	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(2)), "the worker's row counts")
 }
+
+// TestRowOfSecondRestartCountsAfterFirstAnswers: a worker restarts twice, and the first restart's
+// answer is read after the row of the second.
+func TestRowOfSecondRestartCountsAfterFirstAnswers(t *testing.T) {
+	w, _ := newClusterWithOneWorker(pool.DisabledSafeguards{})
+	w.Submit(spec(1, singleTaskStep(1)), batch)
+	w.Run(500 * time.Millisecond)
+	delayVerifications(w, 300*time.Millisecond)
+	w.Workers[0].RestartWithoutReset(20*time.Millisecond, farAheadClock)
+	w.Run(260 * time.Millisecond)
+	w.Workers[1].RestartWithoutReset(20*time.Millisecond, farAheadClock)
+	w.Run(400 * time.Millisecond)
+	w.MessageDelay = nil
+	w.Run(30 * time.Second)
+	w.Submit(spec(2, singleTaskStep(1)), batch)
+	w.Run(10 * time.Second)
+	requireInvariants(t, w)
+	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(2)))
+}
--- a/internal/pool/incarnation_verification.go
+++ b/internal/pool/incarnation_verification.go
@@ -33,7 +33,7 @@
 		}
 		report := workerReport{Reply: reply, requestedAt: requestedAt}
 		if err == nil && p.isSuccessor(w, report) {
-			p.handleRestart(w, report, restartConfirmedByReply)
+			p.handleVerifiedIncarnation(w, claimed, report)
 			return
 		}
 		if w.claimedIncarnation != claimed {
@@ -45,6 +45,17 @@
 	})
 }
 
+// handleVerifiedIncarnation handles the restart that a worker's answer has confirmed, and then the row
+// that was read since the request, if any.
+func (p *Pool) handleVerifiedIncarnation(w *worker, claimed *fleet.Worker, report workerReport) {
+	newest := w.claimedIncarnation
+	w.claimedIncarnation = claimed
+	p.handleRestart(w, report, restartConfirmedByReply)
+	if newest != claimed && !p.closed {
+		p.applyDescription(p.workers[w.ID], newest)
+	}
+}
+
 // claimedIncarnationUnverified keeps the known incarnation. If the request got no response, the row
 // may still be right, and the owner repeats the request.
 func (p *Pool) claimedIncarnationUnverified(w *worker, err error) {
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -49,6 +49,11 @@
 		p.suspendPlacement(row.Name)
 		return
 	}
+	p.applyDescription(w, described)
+}
+
+// applyDescription applies the content of a worker row of this pool; w is nil if the worker is unknown.
+func (p *Pool) applyDescription(w *worker, described *fleet.Worker) {
 	if w == nil {
 		w = p.addUnlistedWorker(described.Incarnation)
 	}
