A ping confirms an owner as of the owner's earlier reply, not as of its reading

What callers saw or would see: a task that must run once runs twice at once on two workers. Cause: while a node has lost the store, its pings confirm that the owner still holds the pool, and the owner took the time at which it handled the ping. A ping that waits while the owner's process is stopped is handled after another node has acquired the pool. The former owner then extends leases by up to MaxLease from that time, on workers that only it reaches, and its successor has waited for the shorter ones. Class: a fact is dated by the time at which it is read. TestPingConfirmsOwnerAsOfItsEarlierReply fails on the new messages with the old date: "0s" is not greater than or equal to "20s". Why this works: each reply says how long the owner has held the pool, and the next ping repeats it. The ping was sent after that reply, so its sender knew of no other owner at a time that the owner measured itself. Pings of earlier versions carry no such time and confirm as before; earlier versions ignore the fields. Cost: a confirmation is one interval between pings older than before.

--- a/internal/node/ownership.go
+++ b/internal/node/ownership.go
@@ -26,7 +26,9 @@
 	// suspectAfterFailures on.
 	failures    int
 	lastReplyAt time.Time
-	acquiring   bool
+	// heldMillis is how long the owner had held the pool at its latest reply.
+	heldMillis int64
+	acquiring  bool
 	// unresponsive is true from the first ping without a reply until the owner replies again.
 	unresponsive     bool
 	acquireScheduled bool
@@ -56,6 +58,7 @@
 	w.failures = 0
 	w.unresponsive = false
 	w.weakReplies = 0
+	w.heldMillis = 0
 	lease := n.leases[name]
 	switch {
 	case !w.leaseRead || n.owned[name] != nil:
--- a/internal/node/ownership_confirmation_test.go
+++ b/internal/node/ownership_confirmation_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"encoding/json"
+	"net"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/wheatroad/wheatroad/internal/catalog"
+	"github.com/wheatroad/wheatroad/internal/peer"
+	"github.com/wheatroad/wheatroad/internal/peer/peerpb"
 	"github.com/wheatroad/wheatroad/internal/pool"
 	"github.com/wheatroad/wheatroad/internal/rows"
 )
@@ -67,3 +72,55 @@
 	oneOfTwo.confirmIfOnlyNode()
 	require.Greater(t, oneOfTwo.sinceConfirmed(), time.Second)
 }
+
+// TestPingConfirmsOwnerAsOfItsEarlierReply: a ping that waited while the owner's process was stopped
+// must not confirm the ownership at the time at which it is read.
+func TestPingConfirmsOwnerAsOfItsEarlierReply(t *testing.T) {
+	const stopped = 20 * time.Second
+	n := owningNode(t, nil)
+	ping := func(held int64) (reply pingReply) {
+		request := pingRequest{Pool: poolName, Token: 5, StoreLost: true, HeldMillis: &held}
+		n.loop.wait(func() { reply, _ = n.servePing(context.Background(), request) })
+		return reply
+	}
+	first := ping(0)
+	n.loop.now = n.loop.now.Add(stopped)
+	second := ping(first.HeldMillis)
+	require.GreaterOrEqual(t, n.sinceConfirmed(), stopped)
+	n.loop.now = n.loop.now.Add(standbyPingPeriod)
+	ping(second.HeldMillis)
+	require.Equal(t, standbyPingPeriod, n.sinceConfirmed())
+	ping(time.Hour.Milliseconds())
+	require.Zero(t, n.sinceConfirmed(), "a time to come counts as now")
+}
+
+// TestPingRepeatsTimeOfOwnersReply: a ping shows the owner which of its replies came before.
+func TestPingRepeatsTimeOfOwnersReply(t *testing.T) {
+	const held = 700
+	requests := make(chan pingRequest, 3)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	serve := func(_ context.Context, request *peerpb.Request) ([]byte, error) {
+		var ping pingRequest
+		if err := json.Unmarshal(request.GetPoolCall().Document, &ping); err != nil {
+			return nil, err
+		}
+		requests <- ping
+		return json.Marshal(pingReply{Owner: true, HeldMillis: held})
+	}
+	go func() { _ = peer.NewServer(serve).Serve(listener) }()
+	n := newTestNode(t, 1, nil)
+	n.dependencies.Peers = peer.NewClient(nil)
+	n.catalog.Store(&catalog.Catalog{})
+	for version, want := range map[int64][]int64{5: {0, held}, 6: {0}} {
+		n.leases[poolName] = versionedLease{Lease: pool.Lease{Owner: "node-2", Address: listener.Addr().String()}, version: version}
+		n.handleLeaseChange(poolName)
+		for _, held := range want {
+			n.pingOwner(n.watcher)
+			n.loop.awaitPost(t)
+			n.loop.runPosted()
+			require.Equal(t, held, *(<-requests).HeldMillis)
+		}
+	}
+}
--- a/internal/node/ownership_test.go
+++ b/internal/node/ownership_test.go
@@ -83,6 +83,17 @@
 	}
 }
 
+// awaitPost waits until a function is posted, and does not run it.
+func (l *manualLoop) awaitPost(t *testing.T) {
+	t.Helper()
+	posted := func() bool {
+		l.mutex.Lock()
+		defer l.mutex.Unlock()
+		return len(l.posted) > 0
+	}
+	require.Eventually(t, posted, time.Minute, time.Millisecond)
+}
+
 func (l *manualLoop) After(d time.Duration, fn func()) func() {
 	l.timers = append(l.timers, manualTimer{at: l.now.Add(d), run: fn})
 	return func() {}
--- a/internal/node/pings.go
+++ b/internal/node/pings.go
@@ -21,6 +21,9 @@
 	Token int64 `json:"token,omitempty"`
 	// StoreLost is true while the requesting node has lost the store.
 	StoreLost bool `json:"store_lost,omitempty"`
+	// HeldMillis is the HeldMillis of the owner's latest reply, or 0 before the first reply; nil in
+	// requests of versions that do not send it.
+	HeldMillis *int64 `json:"held_ms,omitempty"`
 }
 
 // pingReply is the state of the pinged node.
@@ -36,6 +39,8 @@
 	// StoreLatencyMillis is the minimum latency of the node's recent store calls, or 0 if the node
 	// made none.
 	StoreLatencyMillis int64 `json:"store_latency_ms,omitempty"`
+	// HeldMillis is how long the node had held the pool when it replied.
+	HeldMillis int64 `json:"held_ms,omitempty"`
 	configurationStatus
 }
 
@@ -87,7 +92,8 @@
 		return
 	}
 	requestedAt := uptime.Now()
-	request := pingRequest{Pool: w.pool, From: n.options.Name, Token: lease.version, StoreLost: n.storeLost()}
+	held := w.heldMillis
+	request := pingRequest{Pool: w.pool, From: n.options.Name, Token: lease.version, StoreLost: n.storeLost(), HeldMillis: &held}
 	n.callPeer(lease.Address, methodPing, request, func(document []byte, err error) {
 		if n.leases[w.pool].version != lease.version {
 			return
@@ -100,6 +106,7 @@
 		if json.Unmarshal(document, &reply) == nil {
 			n.handleConfigurationStatus(lease.Address, reply.configurationStatus, requestedAt)
 			n.recordReportedLatency(reply.StoreLatencyMillis)
+			w.heldMillis = max(w.heldMillis, reply.HeldMillis)
 			n.handlePingReply(w, reply)
 		}
 	})
@@ -195,11 +202,25 @@
 		return false
 	}
 	if request.Token == p.Token() && request.StoreLost {
-		p.ConfirmOwnership(n.now())
+		p.ConfirmOwnership(n.requestedAfter(p, request))
 	}
 	return true
 }
 
+// requestedAfter returns a time before which a ping was certainly not sent. The ping may have waited
+// while this process was stopped, and another node may have acquired the pool meanwhile.
+func (n *Node) requestedAfter(p *pool.Pool, request *pingRequest) time.Time {
+	now := n.now()
+	if request.HeldMillis == nil {
+		return now
+	}
+	repliedAt := p.AcquiredAt().Add(time.Duration(*request.HeldMillis) * time.Millisecond)
+	if repliedAt.After(now) {
+		return now
+	}
+	return repliedAt
+}
+
 // confirmIfOnlyNode confirms this node's ownership of its pools while the store is lost and no
 // other node is known that could acquire the pools. Running tasks then continue.
 func (n *Node) confirmIfOnlyNode() {
@@ -223,7 +244,7 @@
 			return
 		}
 		n.pingHistory.record(request.From, n.now())
-		reply.Owner = true
+		reply.Owner, reply.HeldMillis = true, n.now().Sub(p.AcquiredAt()).Milliseconds()
 		if p.Loaded() {
 			reply.Waiting = p.WaitingJobs()
 		}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -125,7 +125,7 @@
 // New returns the state of a pool whose lease row was written at version token.
 func New(options Options, l loop.Loop, ports Ports, record Recorder, token int64) *Pool {
 	p := &Pool{
-		options: options, loop: l, ports: ports, record: record, token: token,
+		options: options, loop: l, ports: ports, record: record, token: token, acquiredAt: l.Now(),
 		jobs: map[string]*job{}, workers: map[string]*worker{},
 		lastStoreAnswerAt: l.Now(), pendingCancels: map[string]bool{},
 		durations: map[string]*durationModel{}, storeRetries: loop.NewRetries(l), lossTracker: poison.NewLossTracker(), health: health.New(),
@@ -149,7 +149,6 @@
 
 // Start reads the pool's rows and begins to schedule.
 func (p *Pool) Start() {
-	p.acquiredAt = p.loop.Now()
 	p.record.Count("takeovers", "acquired")
 	p.record.LogEvent("pool acquired", "pool", p.options.Pool, "token", p.token)
 	p.loadWorkers()
@@ -167,6 +166,9 @@
 // Token returns the owner's fencing token.
 func (p *Pool) Token() int64 { return p.token }
 
+// AcquiredAt returns when this owner acquired the pool.
+func (p *Pool) AcquiredAt() time.Time { return p.acquiredAt }
+
 // StoreAnswerAge returns the time since the store's last response to this owner.
 func (p *Pool) StoreAnswerAge() time.Duration { return p.loop.Now().Sub(p.lastStoreAnswerAt) }
 
--- a/internal/simulation/owner.go
+++ b/internal/simulation/owner.go
@@ -52,7 +52,8 @@
 		return
 	}
 	if c.Store.Unavailable && !owner.PartitionedFromStore && c.leaseVersion() == owner.Token() {
-		owner.Process.Post(func() { owner.ConfirmOwnership(c.Clock.Now()) })
+		checkedAt := c.Clock.Now()
+		owner.Process.Post(func() { owner.ConfirmOwnership(checkedAt) })
 	}
 	c.Clock.After(peerCheckPeriod, func() { c.confirmOwnership(owner) })
 }
