An acquisition that is answered after a later owner's lease owns nothing

What callers saw or would see: for a while two nodes count themselves as the owner of a pool. The former one answers pings as the owner and confirms indirect checks. Cause: a node that acquires a pool may read the lease of the next owner, on another connection, before the answer to its own write. It then began to own the pool under a token that it knew to be replaced, and nothing told it again. Evidence: TestAcquisitionOlderThanKnownLeaseOwnsNothing, which failed before the change: "Expected nil, but got: &pool.Pool{... token:1 ...}" with a known lease of version 9. Why this works: the store's versions order both. A token below the version of the known lease is replaced for good, and the pool is abandoned before it starts. Measured: the test passes with the change.

--- a/internal/node/ownership.go
+++ b/internal/node/ownership.go
@@ -240,6 +240,11 @@
 		n.leases[name] = versionedLease{Lease: lease, version: token}
 	}
 	p := pool.New(options, n.dependencies.Loop, n.ports, n.dependencies.Recorder, token)
+	if lease := n.leases[name]; lease.version > token {
+		// The answer to this acquisition arrived after the lease of a later owner.
+		p.Abandon("lease now held by " + lease.Owner)
+		return
+	}
 	n.owned[name] = p
 	n.publishSnapshot()
 	n.startDelaySampling()
