A refused acquisition's answer does not replace a newer lease

What callers saw or would see: a node takes itself for the owner of a pool that another node owns, and sends lookups there to itself, until its next acquisition is refused. While the store is away it keeps trying. Cause: an acquisition may be refused by the lease that an earlier attempt of the same process wrote. That lease was taken over without a look at its version, also if the lease feed had delivered a newer one meanwhile. Evidence: TestConflictOlderThanKnownLeaseIsIgnored, which failed before the change: expected "node-2", actual "node-1". Why this works: a lease below the known version is ignored, as everywhere else. The lease of the same version still leads to another attempt. Measured: the test passes with the change.

--- a/internal/node/ownership.go
+++ b/internal/node/ownership.go
@@ -211,7 +211,8 @@
 	for i := range result.Current {
 		row := result.Current[i]
 		var lease pool.Lease
-		if json.Unmarshal(row.Value, &lease) == nil && lease.Incarnation == n.options.Incarnation && row.Version > 0 {
+		known := n.leases[w.pool].version
+		if json.Unmarshal(row.Value, &lease) == nil && lease.Incarnation == n.options.Incarnation && row.Version > 0 && row.Version >= known {
 			// An earlier attempt of this process took effect. Acquire again, on condition of the
 			// lease that the earlier attempt wrote.
 			n.leases[w.pool] = versionedLease{Lease: lease, version: row.Version}
