A sample of members keeps the changes that are newer than it

What callers saw or would see: in a small cluster a node does not know another node, or knows one that left, for up to two minutes. It then places itself wrongly in the takeover order, and relays calls to nodes that are gone. Cause: nodes of small clusters apply changes of member rows from the lease feed. A sample that was read before such a change and arrives after it replaced the members as a whole, and the feed does not repeat the change. Evidence: TestSampleOlderThanMemberChangesKeepsThem, which failed before the change: expected [node-1 node-3], actual [node-1 node-2]. Why this works: changes since the last sample are kept, and those of a higher version than the new sample are applied on top of it. Nodes of large clusters apply no changes and keep none. Measured: the test passes with the change.

--- a/internal/node/answer_order_test.go
+++ b/internal/node/answer_order_test.go
@@ -70,3 +70,22 @@
 	respondedAt := uptime.Now().Add(-2 * storeFreshAge)
 	n.storeRespondedAt.Store(&respondedAt)
 }
+
+// memberRow returns a member row of a node in the lease table.
+func memberRow(name string, version int64) rows.Row {
+	return rows.Row{Key: rows.Key{Table: pool.NodeTable, Name: name}, Value: pool.Encode(member{Name: name, Weight: 1}), Version: version}
+}
+
+// TestSampleOlderThanMemberChangesKeepsThem: the feed delivers changes of member rows while an older
+// sample is on its way.
+func TestSampleOlderThanMemberChangesKeepsThem(t *testing.T) {
+	n := newTestNode(t, 1, nil)
+	gone := memberRow("node-2", 9)
+	gone.Gone, gone.Value = true, nil
+	n.applyLeaseTableRow(memberRow("node-3", 8))
+	n.applyLeaseTableRow(gone)
+	n.applySample(rows.Listing{Version: 7, Rows: []rows.Row{memberRow("node-1", 1), memberRow("node-2", 2)}})
+	require.Equal(t, []string{"node-1", "node-3"}, sortedKeys(n.memberSample.members))
+	n.applySample(rows.Listing{Version: 12, Rows: []rows.Row{memberRow("node-1", 1), memberRow("node-2", 11)}})
+	require.Equal(t, []string{"node-1", "node-2"}, sortedKeys(n.memberSample.members), "a newer sample replaces the changes")
+}
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -74,6 +74,8 @@
 	partial    bool
 	// version is the version of the store that the sample reflects.
 	version int64
+	// changes are the changes of member rows that were applied since the sample was last read.
+	changes []rows.Row
 	// reading is true while a read of the sample is in flight. readAt is when the sample was last
 	// read.
 	reading bool
@@ -204,6 +206,9 @@
 		// All other nodes run a version without memberTable. Keep the nodes of the previous sample.
 		maps.Copy(next.members, n.memberSample.members)
 	}
+	if !next.partial {
+		next.applyLater(n.memberSample.changes)
+	}
 	ownRow, listed := next.members[n.options.Name]
 	missing := !listed || ownRow.Incarnation != n.options.Incarnation
 	n.memberSample = next
@@ -227,8 +232,18 @@
 	return m, true
 }
 
+// applyLater applies the changes that are later than the sample.
+func (s *memberSample) applyLater(changes []rows.Row) {
+	for i := range changes {
+		if changes[i].Version > s.version {
+			s.apply(&changes[i])
+		}
+	}
+}
+
 // apply applies a change of a member row.
 func (s *memberSample) apply(row *rows.Row) {
+	s.changes = append(s.changes, *row)
 	if row.Gone {
 		delete(s.members, row.Name)
 		return
