--- a/internal/pool/listing_order_test.go
+++ b/internal/pool/listing_order_test.go
@@ -18,8 +18,8 @@
 	w := simulation.NewCluster(1, 2)
 	w.AcquirePool()
 	w.Run(time.Second)
-	w.Store.ScanDelay = func(table, _ string) time.Duration {
-		if table == w.WorkerTable {
+	w.Store.AnswerDelay = func(call simulation.StoreCall) time.Duration {
+		if call.Kind == simulation.ScanCall && call.Table == w.WorkerTable {
 			return 2 * time.Second
 		}
 		return 0
--- a/internal/pool/removed_jobs_test.go
+++ b/internal/pool/removed_jobs_test.go
@@ -22,8 +22,8 @@
 	stored := func() int { return len(w.Store.List(pool.JobTable, row.Part, jobID(1)).Rows) }
 	w.Run(w.Bounds.StatusRetention + time.Minute - listedBefore)
 	require.Equal(t, 1, stored())
-	w.Store.ScanDelay = func(table, _ string) time.Duration {
-		if table == pool.JobTable {
+	w.Store.AnswerDelay = func(call simulation.StoreCall) time.Duration {
+		if call.Kind == simulation.ScanCall && call.Table == pool.JobTable {
 			return 3 * listedBefore
 		}
 		return 0
--- a/internal/simulation/store.go
+++ b/internal/simulation/store.go
@@ -33,8 +33,9 @@
 	FeedsUnresponsive bool
 	// ScansUnresponsive makes scans time out.
 	ScansUnresponsive bool
-	// ScanDelay returns how long the answer to a scan takes once the rows are read; nil means no time.
-	ScanDelay func(table, part string) time.Duration
+	// AnswerDelay returns how long the answer to a call takes beyond Latency once the store has carried
+	// out the call; nil means no time.
+	AnswerDelay func(StoreCall) time.Duration
 	// historyStart is the version from which the store has the changes.
 	historyStart int64
 	// Latency is the round-trip time of a call.
@@ -98,7 +99,8 @@
 		switch outcome {
 		case Acknowledged:
 			result := s.Apply(transaction)
-			s.clock.After(s.Latency/2, func() { done(result, nil) })
+			call := StoreCall{Kind: CommitCall, Table: tableOf(transaction)}
+			s.afterAnswerDelay(call, func() { s.clock.After(s.Latency/2, func() { done(result, nil) }) })
 			return
 		case AppliedUnacknowledged:
 			s.Apply(transaction)
@@ -131,16 +133,21 @@
 	return choose()
 }
 
-func partitionOf(transaction rows.Transaction) string {
+func partitionOf(transaction rows.Transaction) string { return firstKey(transaction).Part }
+
+func tableOf(transaction rows.Transaction) string { return firstKey(transaction).Table }
+
+// firstKey returns a key of the transaction's partition.
+func firstKey(transaction rows.Transaction) rows.Key {
 	switch {
 	case len(transaction.Conditions) > 0:
-		return transaction.Conditions[0].Part
+		return transaction.Conditions[0].Key
 	case len(transaction.Puts) > 0:
-		return transaction.Puts[0].Part
+		return transaction.Puts[0].Key
 	case len(transaction.Removes) > 0:
-		return transaction.Removes[0].Part
+		return transaction.Removes[0]
 	}
-	return ""
+	return rows.Key{}
 }
 
 // Apply applies a transaction immediately, regardless of faults.
@@ -191,11 +198,7 @@
 			return
 		}
 		listing := s.List(table, part, prefix)
-		if s.ScanDelay == nil {
-			done(listing, nil)
-			return
-		}
-		s.clock.After(s.ScanDelay(table, part), func() { done(listing, nil) })
+		s.afterAnswerDelay(StoreCall{Kind: ScanCall, Table: table}, func() { done(listing, nil) })
 	})
 }
 
@@ -253,7 +256,7 @@
 		listing.Rows = append(listing.Rows, row)
 	}
 	if len(listing.Rows) > 0 || !s.clock.Now().Before(deadline) {
-		done(listing, nil)
+		s.afterAnswerDelay(StoreCall{Kind: FeedCall, Table: table}, func() { done(listing, nil) })
 		return
 	}
 	s.pollOnChange(table, after, deadline, done)
