--- a/internal/node/ownership.go
+++ b/internal/node/ownership.go
@@ -26,7 +26,9 @@
 	// suspectAfterFailures on.
 	failures    int
 	lastReplyAt time.Time
-	acquiring   bool
+	// heldMillis is how long the owner had held the pool at its latest reply.
+	heldMillis int64
+	acquiring  bool
 	// unresponsive is true from the first ping without a reply until the owner replies again.
 	unresponsive     bool
 	acquireScheduled bool
@@ -56,6 +58,7 @@
 	w.failures = 0
 	w.unresponsive = false
 	w.weakReplies = 0
+	w.heldMillis = 0
 	lease := n.leases[name]
 	switch {
 	case !w.leaseRead || n.owned[name] != nil:
@@ -208,7 +211,8 @@
 	for i := range result.Current {
 		row := result.Current[i]
 		var lease pool.Lease
-		if json.Unmarshal(row.Value, &lease) == nil && lease.Incarnation == n.options.Incarnation && row.Version > 0 {
+		known := n.leases[w.pool].version
+		if json.Unmarshal(row.Value, &lease) == nil && lease.Incarnation == n.options.Incarnation && row.Version > 0 && row.Version >= known {
 			// An earlier attempt of this process took effect. Acquire again, on condition of the
 			// lease that the earlier attempt wrote.
 			n.leases[w.pool] = versionedLease{Lease: lease, version: row.Version}
@@ -237,6 +241,11 @@
 		n.leases[name] = versionedLease{Lease: lease, version: token}
 	}
 	p := pool.New(options, n.dependencies.Loop, n.ports, n.dependencies.Recorder, token)
+	if lease := n.leases[name]; lease.version > token {
+		// The answer to this acquisition arrived after the lease of a later owner.
+		p.Abandon("lease now held by " + lease.Owner)
+		return
+	}
 	n.owned[name] = p
 	n.publishSnapshot()
 	n.startDelaySampling()
--- a/internal/node/pings.go
+++ b/internal/node/pings.go
@@ -21,6 +21,9 @@
 	Token int64 `json:"token,omitempty"`
 	// StoreLost is true while the requesting node has lost the store.
 	StoreLost bool `json:"store_lost,omitempty"`
+	// HeldMillis is the HeldMillis of the owner's latest reply, or 0 before the first reply; nil in
+	// requests of versions that do not send it.
+	HeldMillis *int64 `json:"held_ms,omitempty"`
 }
 
 // pingReply is the state of the pinged node.
@@ -36,6 +39,8 @@
 	// StoreLatencyMillis is the minimum latency of the node's recent store calls, or 0 if the node
 	// made none.
 	StoreLatencyMillis int64 `json:"store_latency_ms,omitempty"`
+	// HeldMillis is how long the node had held the pool when it replied.
+	HeldMillis int64 `json:"held_ms,omitempty"`
 	configurationStatus
 }
 
@@ -87,7 +92,8 @@
 		return
 	}
 	requestedAt := uptime.Now()
-	request := pingRequest{Pool: w.pool, From: n.options.Name, Token: lease.version, StoreLost: n.storeLost()}
+	held := w.heldMillis
+	request := pingRequest{Pool: w.pool, From: n.options.Name, Token: lease.version, StoreLost: n.storeLost(), HeldMillis: &held}
 	n.callPeer(lease.Address, methodPing, request, func(document []byte, err error) {
 		if n.leases[w.pool].version != lease.version {
 			return
@@ -100,6 +106,7 @@
 		if json.Unmarshal(document, &reply) == nil {
 			n.handleConfigurationStatus(lease.Address, reply.configurationStatus, requestedAt)
 			n.recordReportedLatency(reply.StoreLatencyMillis)
+			w.heldMillis = max(w.heldMillis, reply.HeldMillis)
 			n.handlePingReply(w, reply)
 		}
 	})
@@ -115,10 +122,10 @@
 		n.refreshLease(w)
 		n.replaceSuspectedOwner(w, "owner "+owner+" no longer owns the pool")
 	case ownerLostStore(reply):
-		n.ifStoreReachable(func() {
+		n.ifStoreReachable(n.unlessSuperseded(w, func() {
 			w.failures = suspectAfterFailures
 			n.replaceSuspectedOwner(w, "owner "+owner+" lost the store")
-		})
+		}))
 	default:
 		w.failures = 0
 		n.replaceWeakOwner(w)
@@ -133,6 +140,17 @@
 	}
 }
 
+// unlessSuperseded returns a function that calls fn unless the pool has another owner by then, or the
+// owner has replied since that it is healthy.
+func (n *Node) unlessSuperseded(w *poolWatcher, fn func()) func() {
+	version, lastReplyAt := n.leases[w.pool].version, w.lastReplyAt
+	return func() {
+		if n.leases[w.pool].version == version && w.lastReplyAt.Equal(lastReplyAt) {
+			fn()
+		}
+	}
+}
+
 // ownerLostStore reports whether an owner has lost the store: the store has not responded to the
 // owner for too long, neither directly nor through other nodes.
 func ownerLostStore(owner pingReply) bool {
@@ -195,11 +213,25 @@
 		return false
 	}
 	if request.Token == p.Token() && request.StoreLost {
-		p.ConfirmOwnership(n.now())
+		p.ConfirmOwnership(n.requestedAfter(p, request))
 	}
 	return true
 }
 
+// requestedAfter returns a time before which a ping was certainly not sent. The ping may have waited
+// while this process was stopped, and another node may have acquired the pool meanwhile.
+func (n *Node) requestedAfter(p *pool.Pool, request *pingRequest) time.Time {
+	now := n.now()
+	if request.HeldMillis == nil {
+		return now
+	}
+	repliedAt := p.AcquiredAt().Add(time.Duration(*request.HeldMillis) * time.Millisecond)
+	if repliedAt.After(now) {
+		return now
+	}
+	return repliedAt
+}
+
 // confirmIfOnlyNode confirms this node's ownership of its pools while the store is lost and no
 // other node is known that could acquire the pools. Running tasks then continue.
 func (n *Node) confirmIfOnlyNode() {
@@ -223,7 +255,7 @@
 			return
 		}
 		n.pingHistory.record(request.From, n.now())
-		reply.Owner = true
+		reply.Owner, reply.HeldMillis = true, n.now().Sub(p.AcquiredAt()).Milliseconds()
 		if p.Loaded() {
 			reply.Waiting = p.WaitingJobs()
 		}
--- a/internal/pool/store_load.go
+++ b/internal/pool/store_load.go
@@ -43,6 +43,7 @@
 func (p *Pool) recordFeedVersion(table string, version int64) {
 	if table == JobTable {
 		p.jobsVersion = version
+		p.removedJobs.forget(version)
 	}
 }
 
@@ -77,7 +78,10 @@
 			for i := range listing.Rows {
 				apply(listing.Rows[i])
 			}
-			p.recordWorkersReadAt(table, requestedAt)
+			if len(listing.Rows) < workerFeedBurst {
+				// A full response may leave out later changes.
+				p.recordWorkersReadAt(table, requestedAt)
+			}
 			p.afterDelay(p.feedDelay(table, listing), func() { p.followFeed(table, listing.Version, retryDelay, apply, reload) })
 		}
 	})
@@ -206,11 +210,13 @@
 		return
 	}
 	if id, ok := strings.CutSuffix(row.Name, cancelledSuffix); ok {
-		p.applyCancel(id)
+		if !p.removedJobs.removedAfter(id, &row) {
+			p.applyCancel(id)
+		}
 		return
 	}
 	id, ok := strings.CutSuffix(row.Name, acceptedSuffix)
-	if !ok || p.jobs[id] != nil {
+	if !ok || p.jobs[id] != nil || p.removedJobs.removedAfter(id, &row) {
 		return
 	}
 	var accepted Accepted
