Messages between daemons and workers overtake each other in the soak

The report names the delays (message_delays) and counts the messages that were overtaken, by direction (overtaken). Why: a task ran twice because a report that was older than a run was read after a newer one (docs/incidents/2026-12-04-two-runs-of-a-task-on-one-worker.md). The stand-in answered at once and in order, and the soak's proxies lie before the store only, so that no play could show it. Evidence: TestAnswerOvertakesEarlierAnswer, TestRequestOvertakesEarlierRequest, TestRandomDelaysReorderAnswers; TestShortSoakOfMessageDelays plays daemon processes.

--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -51,6 +51,10 @@
 	Workers WorkerFaults `json:"workers"`
 	// InstanceFaults are the restarts of workers and the invalid worker rows.
 	InstanceFaults InstanceFaults `json:"lives"`
+	// MessageDelays are the delays of single messages between daemons and workers.
+	MessageDelays MessageDelays `json:"message_delays,omitempty"`
+	// Overtaken counts the messages between daemons and workers that later ones overtook.
+	Overtaken standin.Overtaken `json:"overtaken"`
 	// Answers counts the responses to callers by call and status.
 	Answers map[string]int `json:"answers"`
 	// States counts accepted jobs by final state.
@@ -169,6 +173,8 @@
 	r.applyWorkerFaults(began, &pending)
 	report.InstanceFaults = NewInstanceFaults(r.options.Seed, r.options.FaultDuration, r.options.InstanceFaults)
 	r.applyInstanceFaults(report.InstanceFaults, began, &pending)
+	report.MessageDelays = NewMessageDelays(r.options.Seed)
+	r.applyMessageDelays(report.MessageDelays, began, &pending)
 	for _, fault := range NewPlan(r.options.Seed, r.options.FaultDuration) {
 		time.Sleep(time.Until(began.Add(fault.At)))
 		report.Faults[fault.Kind]++
@@ -246,6 +252,7 @@
 		d.mutex.Unlock()
 	}
 	report.Answers = r.observations.answers
+	report.Overtaken = r.platform.Overtaken()
 }
 
 // checkJob compares the final state of a job with what its caller was told.
