--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -52,7 +52,7 @@
 	// InstanceFaults are the restarts of workers and the invalid worker rows.
 	InstanceFaults InstanceFaults `json:"lives"`
 	// MessageDelays are the delays of single messages between daemons and workers.
-	MessageDelays MessageDelays `json:"message_delays,omitempty"`
+	MessageDelays MessageDelays `json:"message_delays"`
 	// Overtaken counts the messages between daemons and workers that later ones overtook.
 	Overtaken standin.Overtaken `json:"overtaken"`
 	// Answers counts the responses to callers by call and status.
