--- a/internal/soak/message_delays_test.go
+++ b/internal/soak/message_delays_test.go
@@ -83,7 +83,7 @@
 
 // TestShortSoakOfMessageDelays runs a seed in which reports overtake starts.
 func TestShortSoakOfMessageDelays(t *testing.T) {
-	report := runShortSoak(t, 960004)
+	report := runShortSoak(t, 970020)
 	require.Equal(t, slowStarts, report.MessageDelays)
 	require.Positive(t, report.Overtaken.Requests)
 	require.Positive(t, report.Overtaken.Answers)
