The next owner waits out leases of an order to another incarnation

What callers would see: a task that must run once runs twice at once, on a platform whose workers start again under their identifiers: an order that was meant for the former incarnation, whose clock was far ahead, grants the longest lease in the next one; the owner that saw this waits it out, the next owner waited only for the leases of its own polls. Why this works: from its first report to a new owner a worker refuses the orders of earlier owners, so no lease lasts longer than MaxLease from there. Where workers have no start time, their identifiers are not used again and orders to a former incarnation are refused; nothing changes there. Cost: within MaxLease of a takeover, the runs of a worker that goes silent count as lost up to MaxLease less the lease of a poll later.

--- a/internal/pool/incarnations.go
+++ b/internal/pool/incarnations.go
@@ -82,13 +82,18 @@
 		// The row may name an incarnation later than the one that answered.
 		replacement.StartMillis = report.StartMillis
 	}
-	if !p.options.DisabledSafeguards.RestartLease {
-		// Commands to the former incarnation carried lease deadlines on its clock.
-		replacement.deadline = report.ClockMillis + p.options.Bounds.MaxLease.Milliseconds()
-	}
+	p.assumeLongestLease(replacement, report)
 	p.handlePollReply(replacement, report)
 }
 
+// assumeLongestLease assumes that orders to a former incarnation of the worker, or of an earlier owner
+// to one, have granted the longest lease: they carried lease deadlines on another clock.
+func (p *Pool) assumeLongestLease(w *worker, report workerReport) {
+	if report.StartMillis > 0 && !p.options.DisabledSafeguards.RestartLease {
+		w.deadline = max(w.deadline, report.ClockMillis+p.options.Bounds.MaxLease.Milliseconds())
+	}
+}
+
 // recordRestart counts and logs a worker's restart.
 func (p *Pool) recordRestart(w *worker, next fleet.Incarnation, evidence restartEvidence, runs int) {
 	p.record.Count("worker_restarts", string(evidence))
--- a/internal/pool/options.go
+++ b/internal/pool/options.go
@@ -98,8 +98,8 @@
 	ZoneRecheckAtStart bool
 	// Incarnations: the incarnations of a worker are not distinguished.
 	Incarnations bool
-	// RestartLease: commands to a worker's former incarnation do not count as leases in the next
-	// one.
+	// RestartLease: commands to a worker's former incarnation, by any owner, do not count as leases
+	// in the next one.
 	RestartLease bool
 	// UnansweredStarts: unanswered starts are assumed not to reach a worker's next incarnation.
 	UnansweredStarts bool
--- a/internal/pool/worker_replies.go
+++ b/internal/pool/worker_replies.go
@@ -88,6 +88,7 @@
 	first := !w.contacted
 	if first {
 		w.contacted, w.contactedAt = true, p.loop.Now()
+		p.assumeLongestLease(w, report)
 	}
 	p.handleReport(w, report)
 	if first {
