A late order after a restart may grant the longest lease again

Evidence: TestLateOrderExtendsLeaseAfterRestart, on the code before: '11.758s: run 3 starts on w-0-1 while another run of the task is active'. Why this works: while an order to the former incarnation may still be carried out, the lease that is waited out is counted from the end of that time.

--- a/internal/pool/incarnations.go
+++ b/internal/pool/incarnations.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/fleet"
@@ -74,6 +75,7 @@
 	}
 	next.StartMillis = report.StartMillis
 	p.recordRestart(w, next.Incarnation, evidence, len(w.members))
+	lateOrders := w.expectsLateOrders(p.loop.Now())
 	p.markFormerRunsLost(w, report)
 	replacement := p.replaceIncarnation(w, next)
 	replacement.contacted, replacement.contactedAt = true, p.loop.Now()
@@ -83,6 +85,10 @@
 		replacement.StartMillis = report.StartMillis
 	}
 	p.assumeLongestLease(replacement, report)
+	if lateOrders && !p.options.DisabledSafeguards.RestartLease {
+		// Until then, such an order may grant the longest lease again.
+		replacement.deadline += lateStartWindow.Milliseconds()
+	}
 	p.handlePollReply(replacement, report)
 }
 
@@ -94,6 +100,13 @@
 	}
 }
 
+// expectsLateOrders reports whether an order to the worker may still be carried out although its
+// answer is late or lost.
+func (w *worker) expectsLateOrders(now time.Time) bool {
+	pending := slices.ContainsFunc(w.members, (*member).startPending)
+	return pending || now.Before(w.lossyUntil) || w.expectsLateStarts(now)
+}
+
 // recordRestart counts and logs a worker's restart.
 func (p *Pool) recordRestart(w *worker, next fleet.Incarnation, evidence restartEvidence, runs int) {
 	p.record.Count("worker_restarts", string(evidence))
--- a/internal/pool/restart_leases_test.go
+++ b/internal/pool/restart_leases_test.go
@@ -22,6 +22,31 @@
 	return w, w.Workers[2], other
 }
 
+// TestLateOrderExtendsLeaseAfterRestart: a start whose deadline counts on the clock of the former
+// incarnation is carried out seconds after the next incarnation's first report. It extends the lease
+// of all runs there beyond what the owner waits for.
+func TestLateOrderExtendsLeaseAfterRestart(t *testing.T) {
+	w, former, other := newLongLeaseCluster()
+	w.LateOrdersReachRestartedWorkers, w.OrderDelay = true, 3*time.Second
+	w.AcquirePool()
+	w.Run(time.Second)
+	other.Unhealthy = true
+	former.OrderOutcome = func() simulation.Outcome { return simulation.AppliedLate }
+	w.Submit(spec(1, singleTaskStep(1)), batch)
+	w.Run(100 * time.Millisecond)
+	former.Restart(50*time.Millisecond, 0)
+	w.Run(51 * time.Millisecond)
+	next := w.Workers[3]
+	next.OrderOutcome = nil
+	w.Run(500 * time.Millisecond)
+	w.Submit(spec(2, singleTaskStep(1)), batch)
+	w.Run(2600 * time.Millisecond)
+	require.Positive(t, next.RunsOf(jobID(2)))
+	next.Partitioned, other.Unhealthy = true, false
+	w.Run(60 * time.Second)
+	requireInvariants(t, w)
+}
+
 // TestLeaseAfterRestartIsWaitedOutAfterTakeover: a start that was sent before a restart grants the
 // longest lease, as in TestLeaseAfterRestartIsWaitedOut, and another owner follows.
 func TestLeaseAfterRestartIsWaitedOutAfterTakeover(t *testing.T) {
