Known red: a start that is answered by the next incarnation with a near clock

What callers would see: a task that must run once runs twice at once, if a worker starts again under its identifier, its clock is within 10 s of the former one, and its reports are lost for a while. Answers to starts do not name the incarnation; the owner tells by the clock only if it jumps by more than clockJumpThreshold. Not mended: to distrust every answer to a start until a report lists the run would take away the evidence against tasks that crash workers at once.

--- a/internal/pool/incarnations_test.go
+++ b/internal/pool/incarnations_test.go
@@ -434,3 +434,38 @@
 
 // clockJumpThreshold is the least clock jump that the owner detects.
 const clockJumpThreshold = 10 * time.Second
+
+// TestStartAnsweredByUnknownIncarnationWithNearClock is TestStartAnsweredByUnknownIncarnation with a
+// former incarnation whose clock is less than the owner's threshold ahead of the next one's.
+func TestStartAnsweredByUnknownIncarnationWithNearClock(t *testing.T) {
+	w := newGangCluster(1, 2)
+	w.StopTime, w.Bounds.StopTimeout = 1500*time.Millisecond, 2*time.Second
+	answersLost := false
+	w.Workers[0].DropPollReply = func() bool { return answersLost }
+	owner := w.AcquirePool()
+	w.Run(clockJumpThreshold / 4)
+	w.Store.FeedsUnresponsive = true
+	w.Workers[1].CrashAndRestart()
+	w.Run(4 * time.Second)
+	w.Workers[0].Restart(50*time.Millisecond, 0)
+	w.Run(100 * time.Millisecond)
+	answersLost = true
+	step := gangStep(2)
+	step.GPUs, step.CPU, step.MaxPerWorker = 4, 4000, 1
+	w.Submit(spec(1, step), batch)
+	row := acceptedRow(w, jobID(1))
+	owner.Process.Post(func() { owner.HandleJobAnnouncement(row) })
+	for range 200 {
+		if w.Checker.DecisionCounts["stopped"] > 0 {
+			break
+		}
+		w.Run(time.Millisecond)
+	}
+	require.Positive(t, w.Checker.DecisionCounts["stopped"])
+	w.Run(800 * time.Millisecond)
+	w.Store.FeedsUnresponsive, answersLost = false, false
+	w.AcquirePool()
+	w.Run(20 * time.Second)
+	requireInvariants(t, w)
+	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
+}
