Tests of a reviewer: the order of requests alone, equal clocks, another incarnation, a finishing run

A reviewer who had not seen the work found that both cases of TestReportOlderThanRunDoesNotEndIt hold by passing over overtaken reports alone. TestFinishingRunIsNotPlacedAgain: a worker that leaves a run out of one report shortly before it lists its end would leave the traces of the record as well; the stop before a second start covers it.

--- a/internal/pool/overtaken_reports_test.go
+++ b/internal/pool/overtaken_reports_test.go
@@ -130,3 +130,165 @@
 	require.Equal(t, 1, w.Checker.Starts(taskOf(2, 0, 0)))
 	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(2)))
 }
+
+// TestOnlyReportOlderThanRunDoesNotEndIt is TestReportOlderThanRunDoesNotEndIt where no other report is
+// read between the confirmation of the run and the older report, so that only the order of requests
+// tells that the report is older.
+func TestOnlyReportOlderThanRunDoesNotEndIt(t *testing.T) {
+	const submittedAt = 1240 * time.Millisecond
+	w := simulation.NewCluster(1, 1)
+	w.Work = func(taskgraph.TaskName) time.Duration { return 100 * time.Second }
+	w.MessageDelay = func(message simulation.Message) time.Duration {
+		switch {
+		case w.Clock.Now().Sub(w.StartedAt()) < submittedAt:
+			return 0
+		case message.Kind == simulation.StartMessage && !message.Answer:
+			return 100 * time.Millisecond
+		case message.Kind == simulation.PollMessage && message.Answer:
+			return 300 * time.Millisecond
+		}
+		return 0
+	}
+	slow := singleTaskStep(1)
+	slow.EstimateMillis = 100_000
+	w.AcquirePool()
+	w.Submit(spec(1, slow), batch)
+	w.Run(submittedAt)
+	w.Submit(spec(3, slow), batch)
+	w.Run(10 * time.Second)
+	requireInvariants(t, w)
+	require.Equal(t, 1, w.Checker.Starts(taskOf(3, 0, 0)))
+	require.Zero(t, w.Checker.DecisionCounts["run missing from reports"])
+}
+
+// TestReportOfTheSameMillisecondDoesNotEndIt: a worker writes a report, carries out a start and writes
+// another report within one millisecond of its clock. The later report, which lists the run, is read
+// first, so the earlier one doesn't count as overtaken.
+func TestReportOfTheSameMillisecondDoesNotEndIt(t *testing.T) {
+	const (
+		submittedAt = 1240 * time.Millisecond
+		halfLatency = time.Millisecond
+		reportAt    = 1400*time.Millisecond + 300*time.Microsecond
+		startAt     = 1400*time.Millisecond + 600*time.Microsecond
+		endAt       = 1400*time.Millisecond + 900*time.Microsecond
+	)
+	w := simulation.NewCluster(1, 1)
+	until := func(sinceStart time.Duration) time.Duration {
+		return w.StartedAt().Add(sinceStart).Sub(w.Clock.Now())
+	}
+	w.Work = func(name taskgraph.TaskName) time.Duration {
+		if name.Job == jobID(2) {
+			return until(endAt)
+		}
+		return 100 * time.Second
+	}
+	w.MessageDelay = func(message simulation.Message) time.Duration {
+		switch {
+		case w.Clock.Now().Sub(w.StartedAt()) < submittedAt:
+			return 0
+		case message.Kind == simulation.StartMessage && message.Answer:
+			return 500 * time.Millisecond
+		case message.Kind == simulation.StartMessage:
+			return max(0, until(startAt)-halfLatency)
+		case message.Kind == simulation.PollMessage && message.Wait == 0 && message.Answer:
+			return 300 * time.Millisecond
+		case message.Kind == simulation.PollMessage && message.Wait == 0:
+			return max(0, until(reportAt)-halfLatency)
+		}
+		return 0
+	}
+	slow := singleTaskStep(1)
+	slow.EstimateMillis = 100_000
+	w.AcquirePool()
+	w.Submit(spec(1, slow), batch)
+	w.Submit(spec(2, singleTaskStep(1)), batch)
+	w.Run(submittedAt)
+	w.Submit(spec(3, slow), batch)
+	w.Run(2 * time.Second)
+	requireInvariants(t, w)
+	require.Equal(t, 1, w.Checker.Starts(taskOf(3, 0, 0)))
+	require.Zero(t, w.Checker.DecisionCounts["run missing from reports"])
+	require.Zero(t, w.Checker.Metrics["refusals/worker_report_overtaken"], "the play is of reports with equal clocks")
+}
+
+// TestReportOfNextIncarnationOlderThanRunDoesNotEndIt: a worker has restarted unnoticed. Its first report
+// is written before a start is carried out and read after the answer to the start.
+func TestReportOfNextIncarnationOlderThanRunDoesNotEndIt(t *testing.T) {
+	w := simulation.NewCluster(1, 1)
+	w.Work = func(name taskgraph.TaskName) time.Duration {
+		if name.Job == jobID(1) {
+			return 300 * time.Millisecond
+		}
+		return 5 * time.Second
+	}
+	delayed := false
+	w.MessageDelay = func(message simulation.Message) time.Duration {
+		switch {
+		case !delayed:
+			return 0
+		case message.Kind == simulation.StartMessage && !message.Answer:
+			return 150 * time.Millisecond
+		case message.Kind == simulation.PollMessage && message.Answer:
+			return 300 * time.Millisecond
+		}
+		return 0
+	}
+	owner := w.AcquirePool()
+	w.Run(time.Second)
+	w.Store.FeedsUnresponsive = true
+	w.Workers[0].Restart(50*time.Millisecond, 0)
+	w.Run(100 * time.Millisecond)
+	announce := func(job int) {
+		w.Submit(spec(job, singleTaskStep(1)), batch)
+		row := acceptedRow(w, jobID(job))
+		owner.Process.Post(func() { owner.HandleJobAnnouncement(row) })
+	}
+	announce(1)
+	w.Run(200 * time.Millisecond)
+	delayed = true
+	announce(3)
+	w.Run(800 * time.Millisecond)
+	delayed, w.Store.FeedsUnresponsive = false, false
+	w.Run(20 * time.Second)
+	requireInvariants(t, w)
+	require.Equal(t, 1, w.Checker.DecisionCounts["worker restarted"])
+	require.Equal(t, 1, w.Checker.Starts(taskOf(3, 0, 0)))
+}
+
+// finishingRunOmitted plays a worker that leaves a run out of its reports shortly before the run's end
+// is listed, as it does for runs that are being stopped. Another run ends in that time and so lets a
+// waiting poll be answered.
+func finishingRunOmitted(disabled pool.DisabledSafeguards) *simulation.Cluster {
+	const otherEnd, finishing = 1900 * time.Millisecond, 2 * time.Second
+	w := simulation.NewCluster(1, 1)
+	w.DisabledSafeguards = disabled
+	w.Work = func(name taskgraph.TaskName) time.Duration {
+		if name.Job == jobID(2) {
+			return otherEnd
+		}
+		return finishing
+	}
+	w.Workers[0].OmitRun = func(name taskgraph.TaskName) bool {
+		age := w.Clock.Now().Sub(w.StartedAt())
+		return name.Job == jobID(1) && age > otherEnd && age < otherEnd+45*time.Millisecond
+	}
+	w.AcquirePool()
+	w.Submit(spec(1, singleTaskStep(1)), batch)
+	w.Submit(spec(2, singleTaskStep(1)), batch)
+	w.Run(20 * time.Second)
+	return w
+}
+
+// TestFinishingRunIsNotPlacedAgain: a run that is missing from one report shortly before its end isn't
+// placed again beside itself. Without both safeguards a second run starts on the same worker, and the
+// first is never told to stop (docs/incidents/2026-12-04-two-runs-of-a-task-on-one-worker.md).
+func TestFinishingRunIsNotPlacedAgain(t *testing.T) {
+	w := finishingRunOmitted(pool.DisabledSafeguards{})
+	requireInvariants(t, w)
+	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
+
+	without := finishingRunOmitted(pool.DisabledSafeguards{ReportOrder: true, UnlistedRunStop: true})
+	require.NotEmpty(t, without.Checker.Violations)
+	require.Zero(t, without.Checker.DecisionCounts["stopping unexpected run"])
+	require.Zero(t, without.Checker.DecisionCounts["stopped"])
+}
