A refusal meant for a former incarnation keeps the next one

What callers would see: runs on a worker that has started again are watched by nobody, until the owner changes. Cause: a stop of an unexpected run or of a late start may be answered that another instance is at the address after the owner knows the next incarnation; the owner then dropped whichever worker it knows by that identifier. Evidence: TestRefusalMeantForAFormerIncarnationKeepsTheNext; on the code before the worker is gone. Why this works: the answer counts only for the incarnation that was asked.

--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -169,7 +169,10 @@
 		p.Abandon("worker has a newer token: " + w.ID)
 		return true
 	case fleet.OtherInstance:
-		p.handleWorkerReplaced(w, "another instance responds")
+		// The answer may concern an incarnation that the owner has replaced since.
+		if p.workers[w.ID] == w {
+			p.handleWorkerReplaced(w, "another instance responds")
+		}
 		return true
 	case fleet.OutcomeUnknown, fleet.Unreachable:
 		p.recordNoReply(w)
