The time of a stop is waited out with the slowness of the worker's clock

What callers would see: a task that must run once runs twice for up to 18 ms, if a stop takes the whole time that the platform allows on a worker whose clock is slow, and a report is requested in between. Cause: a stopped run that is not listed counted as gone after Bounds.StopTimeout to the millisecond; two other places added a margin. Found by the reviewer, by reading. Why this works: one function, longestStop, adds the drift of clocks and the margin in all four places.

--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -89,7 +89,7 @@
 	case !m.stoppingSince.IsZero():
 		// The worker reports a completed stop as an ended run. If it reported none in time, there
 		// was no run.
-		if report.requestedAt.Sub(m.stoppingSince) > p.options.Bounds.StopTimeout {
+		if report.requestedAt.Sub(m.stoppingSince) > p.longestStop() {
 			m.recordUnexplainedLoss()
 			p.memberEnded(m, fleet.EndStopped)
 		}
--- a/internal/pool/unexpected_runs.go
+++ b/internal/pool/unexpected_runs.go
@@ -63,7 +63,7 @@
 		switch {
 		case listed[name], run.listedAt.After(report.requestedAt):
 		case run.endedBy.IsZero():
-			run.endedBy = now.Add(p.options.Bounds.StopTimeout + stopMargin)
+			run.endedBy = now.Add(p.longestStop())
 			w.unexpected[name] = run
 		case now.After(run.endedBy):
 			delete(w.unexpected, name)
@@ -89,7 +89,7 @@
 	if p.options.DisabledSafeguards.CapacityAge || p.workersEnforceCapacity() {
 		return true
 	}
-	return w.contactedAt.After(p.formerRunsEndedBy()) || now.Sub(w.contactedAt) > p.options.Bounds.StopTimeout+stopMargin
+	return w.contactedAt.After(p.formerRunsEndedBy()) || now.Sub(w.contactedAt) > p.longestStop()
 }
 
 // formerRunsEndedBy returns when all runs of former owners that this owner does not know have
--- a/internal/pool/unexpected_runs_test.go
+++ b/internal/pool/unexpected_runs_test.go
@@ -21,7 +21,7 @@
 	requestedAt := l.Now()
 	l.advance(time.Second)
 	w.unexpected[runID{task: name, run: 1}] = unexpectedRun{resources: taskgraph.Resources{GPUs: 3}, listedAt: l.Now()}
-	afterStop := l.Now().Add(p.options.Bounds.StopTimeout + 2*stopMargin)
+	afterStop := l.Now().Add(p.longestStop() + stopMargin)
 
 	p.updateUnexpected(w, workerReport{requestedAt: requestedAt})
 	require.Equal(t, 5, w.subtractUnexpected(capacity, afterStop).GPUs)
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -197,7 +197,7 @@
 	now := p.loop.Now()
 	for _, w := range p.sortedWorkers() {
 		for _, m := range w.members {
-			if !m.stoppingSince.IsZero() && now.Sub(m.stoppingSince) > p.options.Bounds.StopTimeout+stopMargin {
+			if !m.stoppingSince.IsZero() && now.Sub(m.stoppingSince) > p.longestStop() {
 				p.pollNow(w)
 				break
 			}
@@ -207,3 +207,9 @@
 
 // stopMargin is added to the time that a stop may take.
 const stopMargin = 50 * time.Millisecond
+
+// longestStop returns the time after which a worker has certainly carried out a stop. The platform's
+// bound is measured on the worker's clock, which may be slow.
+func (p *Pool) longestStop() time.Duration {
+	return time.Duration(float64(p.options.Bounds.StopTimeout)*(1+clockDrift)) + stopMargin
+}
