--- a/internal/pool/overtaken_reports_test.go
+++ b/internal/pool/overtaken_reports_test.go
@@ -292,3 +292,48 @@
 	require.Zero(t, without.Checker.DecisionCounts["stopping unexpected run"])
 	require.Zero(t, without.Checker.DecisionCounts["stopped"])
 }
+
+// TestReportOlderThanRunDoesNotTellOfItsStop: a report that is older than a run is read while the run is
+// being stopped and the stop has not arrived. The time of a stop must not count from that report, as the
+// stop that is carried out later gets no answer.
+func TestReportOlderThanRunDoesNotTellOfItsStop(t *testing.T) {
+	const submittedAt = 1240 * time.Millisecond
+	w := simulation.NewCluster(1, 2)
+	w.Work = func(taskgraph.TaskName) time.Duration { return 100 * time.Second }
+	age := func() time.Duration { return w.Clock.Now().Sub(w.StartedAt()) }
+	w.MessageDelay = func(message simulation.Message) time.Duration {
+		switch {
+		case age() < submittedAt || age() > 1450*time.Millisecond:
+			return 0
+		case message.Kind == simulation.StartMessage && !message.Answer:
+			return 100 * time.Millisecond
+		case message.Kind == simulation.PollMessage && message.Answer:
+			return 300 * time.Millisecond
+		}
+		return 0
+	}
+	slow := singleTaskStep(1)
+	slow.EstimateMillis = 100_000
+	w.AcquirePool()
+	w.Submit(spec(1, slow), batch)
+	w.Run(submittedAt)
+	on := busyWorker(w)
+	w.Submit(spec(3, slow), batch)
+	for age() < 1600*time.Millisecond && !on.RunsOfTask(taskOf(3, 0, 0)) {
+		w.Run(time.Millisecond)
+	}
+	require.True(t, on.RunsOfTask(taskOf(3, 0, 0)))
+	w.Run(3 * time.Millisecond)
+	stops := 0
+	on.OrderOutcome = func() simulation.Outcome {
+		// The second copy of the start, and two copies of the stops of two runs.
+		if stops++; stops <= 5 {
+			return simulation.Dropped
+		}
+		return simulation.AppliedUnacknowledged
+	}
+	on.Draining, on.RemainingMillis = true, 9000
+	w.PutWorkerRow(on)
+	w.Run(20 * time.Second)
+	requireInvariants(t, w)
+}
