The longest lease is assumed only of workers that run something

Now a new owner assumes the longest lease of an order to another incarnation only where the worker lists runs.

--- a/internal/cli/trace.go
+++ b/internal/cli/trace.go
@@ -54,8 +54,11 @@
 		return ""
 	}
 	order := "the report is the later one"
-	if u.ReportClock < u.ConfirmedClock {
+	switch {
+	case u.ReportClock < u.ConfirmedClock:
 		order = "the report is the earlier one, so it proves nothing"
+	case u.ReportClock == u.ConfirmedClock:
+		order = "both are of one millisecond"
 	}
 	return fmt.Sprintf("; confirmed by a %s %d ms before, at %d of the worker's clock; report requested %d ms before, written at %d: %s; %d other reports in flight, start unanswered: %t",
 		u.ConfirmedBy, u.ConfirmedAgo, u.ConfirmedClock, u.ReportRequested, u.ReportClock, order, u.ReportsInFlight, u.StartUnanswered)
--- a/internal/pool/worker_replies.go
+++ b/internal/pool/worker_replies.go
@@ -88,7 +88,9 @@
 	first := !w.contacted
 	if first {
 		w.contacted, w.contactedAt = true, p.loop.Now()
-		p.assumeLongestLease(w, report)
+		if len(report.Running) > 0 {
+			p.assumeLongestLease(w, report)
+		}
 	}
 	p.handleReport(w, report)
 	if first {
