Comments: reasons that the wording of the code had dropped

The constants and rules were looked up in today's code. Changed comments only, no code.

Taken over from the old comments, as nothing that was looked at in the repository confirms them: the store's limits of a transaction (100 entries, 1 MB; the limits of a batch, 80 rows and 700 KiB, fit them), some 200 writes per second of a partition, the usual latency of the store, the time for which it queues calls (up to 1 s), the notice of a drain (2 s), the contact bound (3 s), the shortest lease of a platform (6 s), the longest wait beside free resources (3 s).

--- a/internal/health/record.go
+++ b/internal/health/record.go
@@ -19,7 +19,8 @@
 	earlyFailureLimit = 500 * time.Millisecond
 )
 
-// RestoreAllowance is the assumed time that a run takes to restore its checkpoint.
+// RestoreAllowance is the assumed time that a run takes to restore its checkpoint. Workers take up
+// to 0.6 s.
 const RestoreAllowance = 700 * time.Millisecond
 
 // FailsEarly reports whether a run that failed after runTime failed soon after its start.
--- a/internal/node/configuration_transfer.go
+++ b/internal/node/configuration_transfer.go
@@ -15,13 +15,14 @@
 // Limits of the transfer of a configuration from another node.
 const (
 	// maxChunkBytes is the maximum size of a chunk. Pings queued behind a chunk on a slow link must
-	// not time out.
+	// not time out. At 10 Mbit/s an encoded chunk takes 35 ms.
 	maxChunkBytes = 32 << 10
-	// chunkTimeout bounds the call for one chunk. It is many times the transmission time of a chunk
-	// on a slow link.
+	// chunkTimeout bounds the call for one chunk. It is some 30 times the transmission time of a
+	// chunk at 10 Mbit/s.
 	chunkTimeout = time.Second
 	// storeTransferGrace is how long the store may take to send the configuration before this node
-	// also downloads it from another node. It must be below MaxConfigurationAge.
+	// also downloads it from another node. It must be below MaxConfigurationAge, which is at least
+	// 2 s. At 10 Mbit/s the store sends 1.8 MB in this time.
 	storeTransferGrace = 1500 * time.Millisecond
 	// servedRetention is how long a node keeps a replaced version after the last request for that
 	// version. Without it, frequent changes would make downloads start over.
@@ -54,7 +55,8 @@
 
 // download is a transfer of a configuration from other nodes. A node runs one download at a time.
 // It requests the configuration in chunks, so that the download completes on slow links, and keeps
-// the received content when a call fails.
+// the received content when a call fails. A whole configuration in each response to a ping could
+// fill a slow link and miss the ping's timeout.
 type download struct {
 	document
 	active bool
--- a/internal/node/feeds.go
+++ b/internal/node/feeds.go
@@ -25,7 +25,8 @@
 	// immediateFeedWait is for a feed that should return at once, with or without changes.
 	immediateFeedWait = 20 * time.Millisecond
 	// staleConfirmationAge is the age from which the configuration's confirmation is stale. The
-	// node then queries the store itself. It must be well below MaxConfigurationAge.
+	// node then queries the store itself. It must be well below MaxConfigurationAge, which is at
+	// least 2 s.
 	staleConfirmationAge = 900 * time.Millisecond
 	// confirmationCheckInterval is the minimum interval between checks for a stale confirmation.
 	confirmationCheckInterval = 150 * time.Millisecond
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -134,7 +134,8 @@
 }
 
 // partitionHedgeDelay is how long a partition of the store may take before the write is also sent
-// to the next partition. It is longer than a commit to a very slow store takes.
+// to the next partition. It is longer than a commit to a very slow store takes: some 0.5 s if the
+// store is fifty times slower than usual.
 const partitionHedgeDelay = 600 * time.Millisecond
 
 // commitJob writes an accepted job into one of the job's partitions. It tries the next partition
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -39,7 +39,8 @@
 	legacyMemberCount = 4
 	// initialJoinBackoff is the backoff after the first failed write of a node's rows. The backoff
 	// doubles with each failure, up to maxJoinBackoff, and has jitter. All member rows are in one
-	// partition of the store, whose write rate is limited, and many nodes may start at once.
+	// partition of the store, which carries out some 200 writes per second, and hundreds of nodes
+	// may start at once.
 	initialJoinBackoff = 500 * time.Millisecond
 	maxJoinBackoff     = 16 * time.Second
 	// sampleRefreshInterval is the interval between reads of the member sample. startupRefreshDelay
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -80,18 +80,20 @@
 	maxFeedGrace = 3200 * time.Millisecond
 	// storeTimeout bounds the wait for the first byte of a scan. It also bounds the wait for the
 	// result of an owner's transaction, in addition to the time that the transaction takes to send.
-	// It exceeds the time for which an overloaded store queues a call before refusing it.
+	// It exceeds the time for which an overloaded store queues a call before refusing it, which is
+	// up to a second. A slow store takes 0.5 s for a transaction.
 	storeTimeout = 1500 * time.Millisecond
 	// submitTimeout bounds the store calls of one request. It is shorter than the timeout of
 	// callers and longer than a write to a very slow store takes.
 	submitTimeout = 1200 * time.Millisecond
-	// orderTimeout bounds an order that starts or stops a task's run on a worker.
+	// orderTimeout bounds an order that starts or stops a task's run on a worker. A worker usually
+	// responds within a few milliseconds.
 	orderTimeout = 350 * time.Millisecond
 	// pollGrace is how long a worker may take to reply after a poll's wait.
 	pollGrace = 400 * time.Millisecond
 	// pingPeriod is the interval between a node's pings of an owner, standbyPingPeriod the shorter
 	// interval of a standby. With pingTimeout a standby suspects an unresponsive owner within a
-	// second, which is much longer than throttling by a processor quota stops a process.
+	// second, which is much longer than throttling by a processor quota stops a process: 0.1 s.
 	pingPeriod        = 500 * time.Millisecond
 	standbyPingPeriod = 250 * time.Millisecond
 	pingTimeout       = 400 * time.Millisecond
@@ -107,7 +109,7 @@
 	// than a retransmission, and than throttling by a processor quota stops a process.
 	responseStallTimeout = 1500 * time.Millisecond
 	// responseTimeout bounds a response as a whole. The largest response must arrive in this time
-	// over a slow link that other transfers share.
+	// over a slow link that other transfers share: 16 MiB take 14 s at 10 Mbit/s.
 	responseTimeout = 60 * time.Second
 	// takeoverRankDelay is how much later a node tries to acquire a pool than the node before it in
 	// the takeover order.
--- a/internal/node/probe.go
+++ b/internal/node/probe.go
@@ -9,10 +9,11 @@
 )
 
 // probeTimeout bounds a probe, which is a small read that tests whether the store responds to this
-// node. It is longer than a read of a very slow store takes.
+// node. It is longer than a read of a store takes that is fifty times slower than usual.
 const probeTimeout = 400 * time.Millisecond
 
-// slowProbeTimeout bounds a probe while the store is slow for all calls.
+// slowProbeTimeout bounds a probe while the store is slow for all calls. It is longer than a read
+// of a store takes that is two hundred times slower than usual.
 const slowProbeTimeout = 1200 * time.Millisecond
 
 // currentProbeTimeout returns the timeout for the next probe.
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -27,7 +27,8 @@
 	relayTimeout = 500 * time.Millisecond
 	relayHops    = 2
 	// relayScanTimeout replaces relayTimeout for a relayed scan of all job rows in a partition. The
-	// relaying node reads all rows before it sends the first byte.
+	// relaying node reads all rows before it sends the first byte. At 10 Mbit/s it reads 3.7 MB in
+	// this time.
 	relayScanTimeout = 3 * time.Second
 	// relayBackoff is how long a node relays no calls after all attempts for a call have failed.
 	// The store is then probably unavailable to all nodes.
--- a/internal/node/store_latency.go
+++ b/internal/node/store_latency.go
@@ -9,7 +9,7 @@
 
 const (
 	// slowStoreLatency is the latency above which the store counts as slow. It is many times the
-	// usual latency.
+	// usual latency of 4 to 15 ms.
 	slowStoreLatency = 100 * time.Millisecond
 	// latencyPeriod is the length of one period of a latencyWindow.
 	latencyPeriod = time.Second
--- a/internal/poison/loss_tracker.go
+++ b/internal/poison/loss_tracker.go
@@ -8,7 +8,8 @@
 const (
 	// recentWindow is how long later losses can still change the evidence of a loss.
 	recentWindow = 30 * time.Second
-	// maxRecentLosses limits the number of losses whose evidence can still change.
+	// maxRecentLosses limits the number of losses whose evidence can still change. Each loss has
+	// some ten suspects, whose evidence is recomputed with every new loss.
 	maxRecentLosses = 256
 	// estimateIterations is the number of fixed-point iterations that estimate the odds of the tasks
 	// and the rates of chance losses, which depend on each other. A chance loss is a loss that no
@@ -42,7 +43,8 @@
 	history *History
 }
 
-// maxSettledLosses limits the number of settled losses that WithdrawLoss can still withdraw.
+// maxSettledLosses limits the number of settled losses that WithdrawLoss can still withdraw. A pool
+// of 13,000 workers has some 1,300 losses a day.
 const maxSettledLosses = 2048
 
 // workerLoss is one lost worker and the tasks that ran on it.
--- a/internal/poison/model.go
+++ b/internal/poison/model.go
@@ -11,7 +11,8 @@
 	// The next three constants are the minimum rates of chance losses per worker and second. A
 	// chance loss is a loss that no task on the worker caused.
 
-	// replacedLossRate applies to lost workers that another instance has replaced.
+	// replacedLossRate applies to lost workers that another instance has replaced. It means one
+	// loss in 200 s among 48 workers.
 	replacedLossRate = 1e-4
 	// unreachableLossRate applies to workers that only stopped responding. Network partitions and
 	// stalls have the same symptom.
@@ -23,9 +24,10 @@
 	// A task is poison if its odds reach poisonOdds and at least minEvidence losses are evidence. With
 	// just minEvidence losses that other suspects may have caused, the odds must reach
 	// inconclusiveOdds.
-	// A task with maxLosses losses is rejected whatever its odds. For a task with one loss less, of
-	// which one is conclusive, the odds of nearLimitRatio times the prior odds are sufficient instead
-	// of poisonOdds, in case one loss was not detected.
+	// A task with maxLosses losses is rejected whatever its odds, because the platform allows only
+	// two more starts after three losses. For a task with one loss less, of which one is
+	// conclusive, the odds of nearLimitRatio times the prior odds are sufficient instead of
+	// poisonOdds, in case one loss was not detected.
 	poisonOdds       = 10
 	inconclusiveOdds = 1000
 	minEvidence      = 2
@@ -39,13 +41,14 @@
 	// rate of chance losses.
 	rateWindow = 10 * time.Second
 	// burstWindow is the time before and after a loss within which other losses count as one burst.
-	// Workers behind one network partition are detected as lost within this time.
+	// Workers behind one network partition are detected as lost within 2 s, the wait of a poll.
 	burstWindow = 1500 * time.Millisecond
 	// minBurstLosses is subtracted from the number of other losses within burstWindow, so that few
 	// losses do not count as a burst.
 	minBurstLosses = 4
 	// ageOffset and ageHorizon define the probability density of the age at which poison tasks crash
-	// their workers. The density is proportional to 1/(age + ageOffset) up to ageHorizon. A task
+	// their workers. The density is proportional to 1/(age + ageOffset) up to ageHorizon, because
+	// most poison tasks crash their workers at once and some after a while of work. A task
 	// whose run is older than ageHorizon is not a suspect.
 	ageOffset  = 100 * time.Millisecond
 	ageHorizon = 60 * time.Second
--- a/internal/pool/acknowledgements.go
+++ b/internal/pool/acknowledgements.go
@@ -7,7 +7,8 @@
 
 // maxReportAge is the maximum age of the last report of a worker's incarnation for acknowledging
 // its ended runs. A worker needs longer than maxReportAge to crash, restart, and start and end a
-// run. While acknowledgements are pending, the owner polls often enough to stay below maxReportAge.
+// run. While acknowledgements are pending, the owner polls often enough to stay below maxReportAge: a
+// poll is in flight, or the next one follows after pollRetryDelay.
 const maxReportAge = 500 * time.Millisecond
 
 // endAcknowledgements tracks which ended runs of a worker are being written, are stored, and are
--- a/internal/pool/capacity.go
+++ b/internal/pool/capacity.go
@@ -3,7 +3,9 @@
 import "time"
 
 // maxCapacityAge is the maximum age of the workers' rows for a start on workers that do not enforce
-// their capacity. Feeds are polled each second.
+// their capacity. Feeds are polled each second. The platform requires that a reduced capacity is
+// respected from its contact bound, at least 3 s, and a heartbeat on. The row shows the reduction
+// within that heartbeat.
 const maxCapacityAge = 2500 * time.Millisecond
 
 // capacitiesFresh reports whether the workers' capacities are fresh enough for placement; always
--- a/internal/pool/durations.go
+++ b/internal/pool/durations.go
@@ -16,7 +16,7 @@
 	maxDurationWeight = 60.0
 	// priorLevelWeight is the weight, in jobs, of the prior that estimates are right on average.
 	// priorSlopeWeight is the weight of the prior that durations are proportional to estimates, in
-	// squared logarithms.
+	// squared logarithms. It is the weight of eight jobs whose estimates vary by half.
 	priorLevelWeight = 3.0
 	priorSlopeWeight = 2.0
 	// priorVariance is the prior variance of the prediction error. Its weight is priorLevelWeight.
--- a/internal/pool/evacuations.go
+++ b/internal/pool/evacuations.go
@@ -13,9 +13,10 @@
 // maxStartDelay later, which is still within EvacuationTimeout.
 const (
 	// maxEvacuationAge bounds evacuationAgeLimit. A node's feed responds several times within this
-	// period.
+	// period, as it waits for 0.3 s at most.
 	maxEvacuationAge = 2 * time.Second
-	// evacuationMargin is subtracted from the bound for late timers and a clock drift of 2%.
+	// evacuationMargin is subtracted from the bound for late timers and a clock drift of 2%, which
+	// is 0.1 s in five seconds.
 	evacuationMargin = 250 * time.Millisecond
 	// maxEvacuationReadAge bounds the age of the set from which the owner reads the rows itself.
 	// The set grows old, for example, if the node's feed is unresponsive or the store refuses the
--- a/internal/pool/explore.go
+++ b/internal/pool/explore.go
@@ -9,7 +9,7 @@
 
 // If many workers are too slow for urgent units, deferrable tasks run first on idle workers of
 // unknown speed, which measures these workers. Otherwise the headroom for urgent units would
-// consist of unmeasured workers.
+// consist of unmeasured workers, and an urgent gang placed there would probably get a slow one.
 
 // minSlowShareToExplore is the share of measured workers that must be too slow for urgent units
 // before deferrable tasks explore the unmeasured workers.
--- a/internal/pool/feed_rate_test.go
+++ b/internal/pool/feed_rate_test.go
@@ -63,7 +63,8 @@
 }
 
 // TestWorkerFeedOfLargePoolKeepsUp checks that the owner's worker list stays up to date when many
-// workers write their rows often.
+// workers write their rows often. 4,500 workers write 3,000 rows per second, more than responses of
+// 500 rows bring with a delay after each.
 func TestWorkerFeedOfLargePoolKeepsUp(t *testing.T) {
 	w := simulation.NewCluster(45, 100)
 	w.Checker.Quiet = true
--- a/internal/pool/hedging.go
+++ b/internal/pool/hedging.go
@@ -8,7 +8,9 @@
 
 // Commands to workers are hedged: if a worker does not respond in time, the owner sends a second
 // copy while the first is pending. The delay is minHedgeDelay or hedgeDelayRatio times the recent
-// average latency, whichever is longer. Workers handle starts and stops idempotently.
+// average latency, whichever is longer. A worker usually responds within a few milliseconds, and
+// waiting for the timeout of the first copy would delay a whole gang. Workers handle starts and
+// stops idempotently.
 const (
 	minHedgeDelay   = 60 * time.Millisecond
 	hedgeDelayRatio = 4
--- a/internal/pool/isolation.go
+++ b/internal/pool/isolation.go
@@ -12,8 +12,8 @@
 // isolated, so that another loss can be attributed to the unit and affects few other runs.
 
 // isolationLosses is the number of lost workers from which a unit with unexplained losses needs empty
-// workers, whatever its odds. The platform limits further starts of a task that crashes its workers,
-// so each start must be conclusive.
+// workers, whatever its odds. The platform allows a task that crashes its workers two more starts
+// after three losses, so each of these starts must be conclusive.
 const isolationLosses = 3
 
 // hasVerdict reports whether the verdict on any member of the unit is one of verdicts.
--- a/internal/pool/ownership_confirmation.go
+++ b/internal/pool/ownership_confirmation.go
@@ -7,8 +7,8 @@
 )
 
 // ownershipCheckInterval is the maximum age of the last confirmation of ownership. When it is
-// exceeded, the owner reads the lease row again. It is well below the shortest lease of a worker.
-// Each committed write confirms ownership too.
+// exceeded, the owner reads the lease row again. It is well below the shortest lease that a
+// platform sets, 6 s. Each committed write confirms ownership too.
 const ownershipCheckInterval = time.Second
 
 // ConfirmOwnership records that this owner held the pool at a given time. Leases of runs may extend
--- a/internal/pool/policy.go
+++ b/internal/pool/policy.go
@@ -7,7 +7,8 @@
 	// reservationLimit is the number of units that may reserve resources in one cycle.
 	reservationLimit = 16
 	// A unit is placed on any workers once it has waited for starvationTimeout and the utilization
-	// of the most used resource is below idleUtilization.
+	// of the most used resource is below idleUtilization. The platform limits such a wait to 3 s
+	// once half of the resources are free.
 	idleUtilization   = 0.55
 	starvationTimeout = 1800 * time.Millisecond
 	// deferrableSlackShare is the slack, as a share of the objective, above which a unit is
--- a/internal/pool/poll.go
+++ b/internal/pool/poll.go
@@ -73,7 +73,8 @@
 
 // A worker that left a call unanswered may do so again. If the lost reply contains the end of a
 // run, the owner learns of the end only from the next poll. Polls therefore wait only for
-// lossyPollWait during lossyDuration after an unanswered call.
+// lossyPollWait during lossyDuration after an unanswered call, which is about as long as such faults
+// of a worker last.
 const (
 	lossyDuration = 6 * time.Second
 	lossyPollWait = 400 * time.Millisecond
--- a/internal/pool/progress_batch.go
+++ b/internal/pool/progress_batch.go
@@ -12,7 +12,7 @@
 	"github.com/wheatroad/wheatroad/internal/writequeue"
 )
 
-// Limits of one batch, below the store's limits for a transaction.
+// Limits of one batch, below the store's limits for a transaction: 100 entries and, encoded, 1 MB.
 const (
 	maxBatchRows  = 80
 	maxBatchBytes = 700 << 10
@@ -89,7 +89,8 @@
 }
 
 // partitionTimeout is how long the owner waits for a response before it also sends a batch to the
-// next partition, while the store is fast. The time that sending takes is added.
+// next partition, while the store is fast. The time that sending takes is added. A store that is
+// fifty times slower than usual takes some 0.5 s for a transaction.
 const partitionTimeout = 600 * time.Millisecond
 
 // send sends a batch to a partition.
--- a/internal/pool/progress_record.go
+++ b/internal/pool/progress_record.go
@@ -25,7 +25,8 @@
 	return p.Serial > other.Serial
 }
 
-// maxRunNumber is the largest run number or failure count of a valid row.
+// maxRunNumber is the largest run number or failure count of a valid row. It is far more than the
+// number of times that any task is started.
 const maxRunNumber = 1 << 30
 
 // validFor reports whether the row is consistent with the job's spec. Otherwise the row is corrupt
--- a/internal/pool/reliability.go
+++ b/internal/pool/reliability.go
@@ -14,7 +14,8 @@
 // two it was and which workers an attempt may use; this file gathers the evidence and carries the
 // decisions out.
 
-// exclusionPeriod is how long a worker that failed or stalled gets no new work.
+// exclusionPeriod is how long a worker that failed or stalled gets no new work. It is about as long
+// as such a fault of a worker lasts.
 const exclusionPeriod = 6 * time.Second
 
 // machine identifies the worker in the record of health.
--- a/internal/pool/stalls.go
+++ b/internal/pool/stalls.go
@@ -23,7 +23,8 @@
 	maxStallTimeout      = 8 * time.Second
 	maxStallTimeoutShare = 0.4
 	// maxStallDoublings bounds the doublings of these times. Each stall of the unit doubles them,
-	// since work that takes far longer than its estimate looks stalled on any worker.
+	// since work that takes far longer than its estimate looks stalled on any worker. After the
+	// last doubling, maxStallTimeout is 34 minutes, in which a percent of two days' work is done.
 	maxStallDoublings = 8
 	// slowWorkStalls is the number of stalls from which the unit's own work counts as slow.
 	slowWorkStalls = 2
--- a/internal/pool/starts.go
+++ b/internal/pool/starts.go
@@ -8,7 +8,8 @@
 
 const (
 	// startTimeout is the time from sending a start to its deadline on the worker's clock. A worker
-	// does not start the run after the deadline. The poll after a reply renews the lease.
+	// does not start the run after the deadline, so a worker that has not answered by then cannot carry
+	// the start out any more. The poll after a reply renews the lease.
 	startTimeout = 2 * time.Second
 	// startRetryDelay is the delay before an unanswered start is sent again.
 	startRetryDelay = 50 * time.Millisecond
--- a/internal/pool/store_load.go
+++ b/internal/pool/store_load.go
@@ -89,12 +89,13 @@
 
 // workerFeedInterval is the delay between a response of the worker feed and the next request. Every
 // heartbeat completes a request, so without the delay the feed would dominate the calls to the
-// store. The delay is short compared with the notice of a drain.
+// store. The delay is short compared with the notice of a drain, which is at least 2 s.
 const workerFeedInterval = 200 * time.Millisecond
 
 // workerFeedBurst is the number of rows in a response from which the next request follows without
-// delay, so that the feed keeps up in a large pool. It is below the maximum number of rows in a
-// response.
+// delay, so that the feed keeps up in a large pool. It is half of the maximum number of rows in a
+// response. Full responses with a delay after each would be slower than the heartbeats of a pool
+// of more than some 3,000 workers.
 const workerFeedBurst = 250
 
 // afterDelay calls next after a delay, or immediately if the delay is 0.
--- a/internal/pool/stragglers.go
+++ b/internal/pool/stragglers.go
@@ -14,10 +14,11 @@
 	// run, divided by the duration to expect at the worker's known speed.
 	stragglerRatio = 2.5
 	// maxMedianSlowness bounds the median duration while most speeds are unknown. It is a multiple
-	// of the lower quartile.
+	// of the lower quartile. The fast workers of a pool say little about its median worker, except
+	// that it is at most this much slower.
 	maxMedianSlowness = 2
-	// restartOverhead is the time that a restart takes besides the repeated work: the stop and the
-	// start.
+	// restartOverhead is the time that a restart takes besides the repeated work: the stop, which
+	// takes up to 0.9 s, and the start.
 	restartOverhead = 1200 * time.Millisecond
 	// restartRatio is how many times longer than a restart the rest of the run must take for the
 	// gang to be restarted.
@@ -69,8 +70,8 @@
 // medianWorkerDuration returns the projected duration of a member on the median worker. It returns
 // false while fewer than two members, or less than half of them, have a projection. If most speeds
 // are known, the result is the lower quartile of the durations corrected for speed, which is robust
-// against many stragglers. Otherwise it is the median of all projections, at most maxMedianSlowness
-// times their lower quartile.
+// even if more than half of the members are stragglers. Otherwise it is the median of all
+// projections, at most maxMedianSlowness times their lower quartile.
 func (p *Pool) medianWorkerDuration(u *unit, now time.Time) (time.Duration, bool) {
 	var projections, corrected []time.Duration
 	for _, m := range u.members {
--- a/internal/progress/timeouts.go
+++ b/internal/progress/timeouts.go
@@ -18,7 +18,7 @@
 }
 
 // minProgressBytes is the minimum number of bytes that extends the deadline. A response that
-// arrives too slowly therefore times out.
+// arrives too slowly therefore times out. A link of 10 Mbit/s transmits them in 3 ms.
 const minProgressBytes = 4 << 10
 
 // firstByteDeadlineKey is the context key of the deadline for the first byte of the response.
