--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -117,7 +117,7 @@
 
 // stopUnlistedRun stops a run that its worker no longer lists for an unknown reason. The task is
 // placed again once the worker has answered the stop and the time that a stop may take has passed,
-// so that no second run starts beside the first, whatever the report was worth.
+// so that no second run starts beside the first even if the report was wrong.
 func (p *Pool) stopUnlistedRun(m *member) {
 	if p.options.DisabledSafeguards.UnlistedRunStop {
 		p.memberEnded(m, fleet.EndLeaseExpired)
--- a/internal/simulation/worker.go
+++ b/internal/simulation/worker.go
@@ -46,8 +46,8 @@
 	OrderOutcome func() Outcome
 	// DropPollReply reports whether the reply to a poll is lost.
 	DropPollReply func() bool
-	// OmitRun reports whether a report omits the run of a task, which the protocol does not allow; nil
-	// means that reports are complete.
+	// OmitRun reports whether a report omits the run of a task, which the protocol does not provide for;
+	// nil means that reports are complete.
 	OmitRun func(taskgraph.TaskName) bool
 	// Unreachable workers refuse connections.
 	Unreachable bool
