--- a/internal/pool/incarnations_test.go
+++ b/internal/pool/incarnations_test.go
@@ -395,16 +395,16 @@
 // before the reply, the next owner must not consider the run lost with the former incarnation.
 // Otherwise the task runs twice.
 
-// TestStartAnsweredByUnknownIncarnation: the next owner looks for the run in the new incarnation,
-// too.
-func TestStartAnsweredByUnknownIncarnation(t *testing.T) {
+// startAnsweredByUnknownIncarnation lets the next incarnation of a worker answer the starts of a gang.
+// The clock of the former incarnation, of the given age, is ahead of the next one's. The run is being
+// stopped when another owner takes over.
+func startAnsweredByUnknownIncarnation(t *testing.T, formerAge time.Duration) *simulation.Cluster {
 	w := newGangCluster(1, 2)
 	w.StopTime, w.Bounds.StopTimeout = 1500*time.Millisecond, 2*time.Second
 	answersLost := false
 	w.Workers[0].DropPollReply = func() bool { return answersLost }
 	owner := w.AcquirePool()
-	// The clock of the former incarnation is far ahead of that of the next one.
-	w.Run(2 * clockJumpThreshold)
+	w.Run(formerAge)
 	w.Store.FeedsUnresponsive = true
 	w.Workers[1].CrashAndRestart()
 	w.Run(4 * time.Second)
@@ -428,44 +428,24 @@
 	w.Store.FeedsUnresponsive, answersLost = false, false
 	w.AcquirePool()
 	w.Run(20 * time.Second)
+	return w
+}
+
+// TestStartAnsweredByUnknownIncarnation: the next owner looks for the run in the new incarnation,
+// too.
+func TestStartAnsweredByUnknownIncarnation(t *testing.T) {
+	w := startAnsweredByUnknownIncarnation(t, 2*clockJumpThreshold)
 	requireInvariants(t, w)
 	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
 }
 
-// clockJumpThreshold is the least clock jump that the owner detects.
-const clockJumpThreshold = 10 * time.Second
-
 // TestStartAnsweredByUnknownIncarnationWithNearClock is TestStartAnsweredByUnknownIncarnation with a
 // former incarnation whose clock is less than the owner's threshold ahead of the next one's.
 func TestStartAnsweredByUnknownIncarnationWithNearClock(t *testing.T) {
-	w := newGangCluster(1, 2)
-	w.StopTime, w.Bounds.StopTimeout = 1500*time.Millisecond, 2*time.Second
-	answersLost := false
-	w.Workers[0].DropPollReply = func() bool { return answersLost }
-	owner := w.AcquirePool()
-	w.Run(clockJumpThreshold / 4)
-	w.Store.FeedsUnresponsive = true
-	w.Workers[1].CrashAndRestart()
-	w.Run(4 * time.Second)
-	w.Workers[0].Restart(50*time.Millisecond, 0)
-	w.Run(100 * time.Millisecond)
-	answersLost = true
-	step := gangStep(2)
-	step.GPUs, step.CPU, step.MaxPerWorker = 4, 4000, 1
-	w.Submit(spec(1, step), batch)
-	row := acceptedRow(w, jobID(1))
-	owner.Process.Post(func() { owner.HandleJobAnnouncement(row) })
-	for range 200 {
-		if w.Checker.DecisionCounts["stopped"] > 0 {
-			break
-		}
-		w.Run(time.Millisecond)
-	}
-	require.Positive(t, w.Checker.DecisionCounts["stopped"])
-	w.Run(800 * time.Millisecond)
-	w.Store.FeedsUnresponsive, answersLost = false, false
-	w.AcquirePool()
-	w.Run(20 * time.Second)
+	w := startAnsweredByUnknownIncarnation(t, clockJumpThreshold/4)
 	requireInvariants(t, w)
 	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
 }
+
+// clockJumpThreshold is the least clock jump that the owner detects.
+const clockJumpThreshold = 10 * time.Second
