--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Builds the stand-in that the scripts start. The system itself is built by the deploy file.
+set -eu
+cd "$(dirname "$0")/.."
+go build -tags review -o review/bin/drill ./review/drill
