--- a/review/drill/clients.go
+++ b/review/drill/clients.go
@@ -14,14 +14,18 @@
 	"time"
 )
 
-// What the operator's configuration says of the one route that clients use.
+// What the operator's configuration says of the routes and tenants.
 const (
-	host        = "jobs.example"
-	pathPrefix  = "/q/"
-	apiKey      = "key-1"
-	deadline    = 3 * time.Second
-	callTimeout = deadline + 500*time.Millisecond
-	maxAttempts = 4
+	host         = "jobs.example"
+	pathPrefix   = "/q/"
+	urgentPrefix = "/urgent/"
+	apiKey       = "key-1"
+	otherKey     = "key-2"
+	deadline     = 3 * time.Second
+	callTimeout  = deadline + 500*time.Millisecond
+	maxAttempts  = 4
+	// guaranteed is how many GPUs each tenant holds, as in the examples of the sheet.
+	guaranteed = 72
 )
 
 // step is a step of a job as clients send it.
@@ -35,6 +39,8 @@
 	Gang          bool   `json:"gang_scheduled,omitempty"`
 	SameRack      bool   `json:"same_rack,omitempty"`
 	Affinity      string `json:"affinity,omitempty"`
+	LongRunning   bool   `json:"long_running,omitempty"`
+	MissAllowed   int    `json:"miss_allowed,omitempty"`
 }
 
 // job is a submitted job.
@@ -46,6 +52,8 @@
 	sentAt   time.Time
 	// shortest and longest bound the tasks' durations.
 	shortest, longest time.Duration
+	// prefix is that of the job's route, and key that of its tenant.
+	prefix, key string
 }
 
 // duration returns how long a task takes. Tasks of one step are uneven.
@@ -55,7 +63,7 @@
 }
 
 func newJob(shortest, longest time.Duration, steps ...step) *job {
-	return &job{id: fmt.Sprintf("%016x", rand.Uint64()), Payload: "work", Steps: steps, shortest: shortest, longest: longest}
+	return &job{id: fmt.Sprintf("%016x", rand.Uint64()), Payload: "work", Steps: steps, shortest: shortest, longest: longest, prefix: pathPrefix, key: apiKey}
 }
 
 var client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
@@ -76,7 +84,7 @@
 	return strconv.Itoa(a.status)
 }
 
-func call(method, address, id string, body any) answer {
+func call(method, address string, j *job, body any) answer {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	var content io.Reader
@@ -84,12 +92,12 @@
 		encoded, _ := json.Marshal(body)
 		content = bytes.NewReader(encoded)
 	}
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+pathPrefix+id, content)
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+j.prefix+j.id, content)
 	if err != nil {
 		return answer{}
 	}
 	request.Host = host
-	request.Header.Set("Api-Key", apiKey)
+	request.Header.Set("Api-Key", j.key)
 	request.Header.Set("Wheatroad-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
 	request.Header.Set("Content-Type", "application/json")
 	response, err := client.Do(request)
@@ -131,7 +139,7 @@
 	if j.sentAt.IsZero() {
 		j.sentAt = time.Now()
 	}
-	got := call(http.MethodPost, to.callers, j.id, j)
+	got := call(http.MethodPost, to.callers, j, j)
 	j.accepted = j.accepted || got.status/100 == 2
 	w.record.add("POST %s to %s: %s", j.id, to.name, got)
 	return got
@@ -139,7 +147,7 @@
 
 // state asks for a job's state.
 func (w *world) state(of *node, j *job) answer {
-	got := call(http.MethodGet, of.callers, j.id, nil)
+	got := call(http.MethodGet, of.callers, j, nil)
 	w.record.add("GET %s from %s: %s", j.id, of.name, got)
 	return got
 }
@@ -154,20 +162,28 @@
 	return false
 }
 
-// configure writes a version of the configuration, in which the route leads to a service.
+// configure writes a version of the configuration, in which the routes lead to a service.
 func (w *world) configure(version int, service string, services ...string) {
 	var listed []map[string]any
 	for _, name := range services {
 		listed = append(listed, map[string]any{"name": name, "enforces_capacity": true, "max_connections": 64, "protocol": "h1"})
 	}
-	route := map[string]any{
-		"name": "route-1", "host": host, "path_prefix": pathPrefix, "service": service, "priority": 2,
-		"kind": "unsafe", "timeout_ms": 3000, "max_attempts": maxAttempts, "stretch": 3.0, "target_latency_ms": 3000,
-	}
 	w.store.put("op", "config", map[string]any{
-		"version": version, "routes": []any{route}, "services": listed,
-		"tenants": []any{map[string]any{"name": "tenant-1", "api_keys": []string{apiKey}, "guaranteed": map[string]int{"gpus": 8}}},
+		"version": version, "services": listed,
+		"routes":  []any{route("route-1", pathPrefix, service, 2), route("route-2", urgentPrefix, service, 0)},
+		"tenants": []any{tenant("tenant-1", apiKey), tenant("tenant-2", otherKey)},
 		"limits":  map[string]int{"max_body_bytes": 262144, "max_header_bytes": 16384},
 	})
-	w.record.add("configuration %d is acknowledged: the route leads to service %s", version, service)
+	w.record.add("configuration %d is acknowledged: the routes lead to service %s", version, service)
+}
+
+func route(name, prefix, service string, priority int) map[string]any {
+	return map[string]any{
+		"name": name, "host": host, "path_prefix": prefix, "service": service, "priority": priority,
+		"kind": "unsafe", "timeout_ms": 3000, "max_attempts": maxAttempts, "stretch": 3.0, "target_latency_ms": 3000,
+	}
+}
+
+func tenant(name, key string) map[string]any {
+	return map[string]any{"name": name, "api_keys": []string{key}, "guaranteed": map[string]int{"gpus": guaranteed}}
 }
--- a/review/drill/main.go
+++ b/review/drill/main.go
@@ -45,6 +45,7 @@
 	"route-moves": {prepareRouteMoves, playRouteMoves},
 	"late-order":  {prepareLateOrder, playLateOrder},
 	"gang-fails":  {prepareGangFails, playGangFails},
+	"guarantee":   {prepareGuarantee, playGuarantee},
 }
 
 func main() {
--- a/review/drill/worker.go
+++ b/review/drill/worker.go
@@ -38,6 +38,8 @@
 	checkpointing bool
 	// gangSize is 0 unless the task is a member of a gang.
 	gangSize int
+	// lasts is true if the task runs until it is stopped.
+	lasts bool
 }
 
 // activeRun is a run on a worker.
@@ -200,6 +202,9 @@
 }
 
 func (r *activeRun) percent() int {
+	if r.work.lasts {
+		return 100
+	}
 	return min(99, int(100*time.Since(r.began)/r.work.duration))
 }
 
@@ -304,7 +309,7 @@
 	switch {
 	case w.failing:
 		time.AfterFunc(failTime, func() { member.end("failed") })
-	case work.gangSize == 0:
+	case work.gangSize == 0 && !work.lasts:
 		time.AfterFunc(work.duration, func() { member.end("done") })
 	}
 	if work.gangSize > 0 {
--- a/review/drill/world.go
+++ b/review/drill/world.go
@@ -89,6 +89,7 @@
 	if s.Gang {
 		work.gangSize = s.Count
 	}
+	work.lasts = s.LongRunning
 	return work
 }
 
