Review case 2: the route is removed and added again

Seen, order of events and code at fault as before: 410 for a running job from every node, and after the client's second POST all its tasks run a second time on the other service.

--- a/review/drill/clients.go
+++ b/review/drill/clients.go
@@ -162,19 +162,24 @@
 	return false
 }
 
-// configure writes a version of the configuration, in which the routes lead to a service.
+// configure writes a version of the configuration, in which the routes lead to a service. It has no
+// routes if the service is empty.
 func (w *world) configure(version int, service string, services ...string) {
+	routes := []any{}
+	if service != "" {
+		routes = append(routes, route("route-1", pathPrefix, service, 2), route("route-2", urgentPrefix, service, 0))
+	}
 	var listed []map[string]any
 	for _, name := range services {
 		listed = append(listed, map[string]any{"name": name, "enforces_capacity": true, "max_connections": 64, "protocol": "h1"})
 	}
 	w.store.put("op", "config", map[string]any{
 		"version": version, "services": listed,
-		"routes":  []any{route("route-1", pathPrefix, service, 2), route("route-2", urgentPrefix, service, 0)},
+		"routes":  routes,
 		"tenants": []any{tenant("tenant-1", apiKey), tenant("tenant-2", otherKey)},
 		"limits":  map[string]int{"max_body_bytes": 262144, "max_header_bytes": 16384},
 	})
-	w.record.add("configuration %d is acknowledged: the routes lead to service %s", version, service)
+	w.record.add("configuration %d is acknowledged: %d routes, to service %q", version, len(routes), service)
 }
 
 func route(name, prefix, service string, priority int) map[string]any {
--- a/review/drill/routemoves.go
+++ b/review/drill/routemoves.go
@@ -4,9 +4,9 @@
 
 import "time"
 
-// The case of a route whose service changes. A client hands a job in, and again seconds after its
-// 2xx, to another node. With the disruption, a new configuration sends the route to another service
-// between the two.
+// The case of a route that moves to another service. A client hands a job in, and again seconds after
+// its 2xx, to another node. With the disruption, a configuration without the route and one that adds it
+// again, for another service, come between the two.
 const (
 	oldService   = "turbine-watch"
 	newService   = "turbine-watch-2"
@@ -43,7 +43,11 @@
 		return couldNot
 	}
 	if p.trouble {
-		p.configure(2, newService, oldService, newService)
+		p.configure(2, "", oldService, newService)
+	}
+	time.Sleep(configApply + time.Second)
+	if p.trouble {
+		p.configure(3, newService, oldService, newService)
 	}
 	time.Sleep(configApply + time.Second)
 	gone := 0
