Review case 1: failing workers beside a backlog stop a pool for good

Seen: 8,000 urgent jobs wait, and 7 of 48 workers fail what they start for 6.5 s. From then on nothing begins any more, also long after the workers are sound again: all workers are idle, and nothing of some 7,950 accepted jobs runs (rule LOST).

Order of events: a run fails, and the owner watches for failures. Its cycles take seconds; it answers no pings and renews no leases. Another node takes the pool over, reads that a task has failed, and its first cycle takes as long, before any worker has answered. The pool goes from node to node every second or two. All that ran lapses.

The stand-in is a test binary, as the boundary test wants names of the platform in platform/ and in tests only.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../run-case.sh" guarantee 3
+exec "$(dirname "$0")/../run-case.sh" route-moves 3
--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-in that the scripts start. The system itself is built by the deploy file.
 set -eu
 cd "$(dirname "$0")/.."
-go build -tags review -o review/bin/drill ./review/drill
+go test -c -tags review -o review/bin/drill ./review/drill
--- a/review/drill/lateorder.go
+++ b/review/drill/lateorder_test.go
@@ -1,6 +1,6 @@
 //go:build review
 
-package main
+package drill
 
 import (
 	"encoding/json"
--- a/review/drill/main.go
+++ b/review/drill/main_test.go
@@ -1,8 +1,9 @@
 //go:build review
 
-// Command drill plays one case of the review: it starts a stand-in of the platform and real nodes,
-// and applies a rule to what clients and workers have seen.
-package main
+// Package drill plays one case of the review: it starts a stand-in of the platform and real nodes, and
+// applies a rule to what clients and workers have seen. It is a test binary that TestMain runs as a
+// program.
+package drill
 
 import (
 	"flag"
@@ -10,6 +11,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"testing"
 	"time"
 )
 
@@ -46,9 +48,11 @@
 	"late-order":  {prepareLateOrder, playLateOrder},
 	"gang-fails":  {prepareGangFails, playGangFails},
 	"guarantee":   {prepareGuarantee, playGuarantee},
+	"backlog":     {prepareBacklog, playBacklog},
 }
 
-func main() {
+// TestMain plays the case that the flags name. Its exit code is that of the case.
+func TestMain(*testing.M) {
 	name := flag.String("case", "", "case to play")
 	path := flag.String("record", "record.txt", "file of what was sent, answered and run")
 	trouble := flag.Bool("trouble", true, "play with the disruption")
--- a/review/drill/store.go
+++ b/review/drill/store_test.go
@@ -1,6 +1,6 @@
 //go:build review
 
-package main
+package drill
 
 import (
 	"encoding/json"
@@ -74,13 +74,6 @@
 	s.apply([]storedRow{{Table: table, Name: name, Value: document}}, nil)
 }
 
-// remove removes a row as a worker that leaves does.
-func (s *store) remove(table, name string) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.apply(nil, []storedRow{{Table: table, Name: name}})
-}
-
 func (s *store) apply(puts, removes []storedRow) {
 	s.version++
 	for _, row := range puts {
--- a/review/drill/worker.go
+++ b/review/drill/worker_test.go
@@ -1,6 +1,6 @@
 //go:build review
 
-package main
+package drill
 
 import (
 	"encoding/json"
@@ -62,14 +62,13 @@
 
 // incarnation is the state of a worker that a crash discards.
 type incarnation struct {
-	born     time.Time
-	token    int64
-	lease    int64
-	running  map[string]*activeRun
-	ended    []endedRun
-	lastEnd  int64
-	highest  map[string]int
-	lastSeen int64
+	born    time.Time
+	token   int64
+	lease   int64
+	running map[string]*activeRun
+	ended   []endedRun
+	lastEnd int64
+	highest map[string]int
 }
 
 // worker is a stand-in of a worker.
--- a/review/drill/world.go
+++ b/review/drill/world_test.go
@@ -1,6 +1,6 @@
 //go:build review
 
-package main
+package drill
 
 import (
 	"fmt"
@@ -12,14 +12,13 @@
 
 // run is one run of a task as the workers saw it.
 type run struct {
-	task    string
-	number  int
-	worker  *worker
-	began   time.Time
-	ended   time.Time
-	how     string
-	noted   bool
-	overlap bool
+	task   string
+	number int
+	worker *worker
+	began  time.Time
+	ended  time.Time
+	how    string
+	noted  bool
 }
 
 // world is the platform of one case: its store, workers and what happened.
