--- /dev/null
+++ b/internal/node/cancellation.go
@@ -0,0 +1,58 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/wheatroad/wheatroad/internal/fault"
+	"github.com/wheatroad/wheatroad/internal/pool"
+	"github.com/wheatroad/wheatroad/internal/rows"
+	"github.com/wheatroad/wheatroad/internal/taskgraph"
+)
+
+// Cancel cancels a job. When Cancel succeeds, the cancellation is in the store.
+func (g *Gateway) Cancel(ctx context.Context, access Access, id string) error {
+	if !taskgraph.ValidID(id) {
+		return g.countRefusal(fault.New(fault.UnknownJob, "no such job"))
+	}
+	err := withTimeout(ctx, submitTimeout, func(ctx context.Context) error {
+		return g.commitCancel(ctx, access.Queue.Pool, id)
+	})
+	if err != nil {
+		g.node.dependencies.Recorder.LogEvent("cancellation refused", "job", id, "reason", string(fault.From(err).Kind))
+		return g.countRefusal(err)
+	}
+	g.node.dependencies.Recorder.LogEvent("cancellation accepted", "job", id)
+	return nil
+}
+
+// cancellation is the row of a canceled job.
+type cancellation struct {
+	AtMillis int64 `json:"at_ms"`
+}
+
+// commitCancel writes a cancellation to the partition that holds the job's accepted row. If that
+// partition is unavailable, commitCancel tries the job's other partitions.
+func (g *Gateway) commitCancel(ctx context.Context, poolName, id string) error {
+	accepted, cancelled, err := g.storedJob(ctx, poolName, id)
+	if err != nil {
+		return err
+	}
+	if accepted == "" {
+		return fault.New(fault.UnknownJob, "no such job")
+	}
+	if cancelled {
+		return nil
+	}
+	value := pool.Encode(cancellation{AtMillis: time.Now().UnixMilli()})
+	parts := append([]string{accepted}, pool.JobPartitions(poolName, id)...)
+	var failure error
+	for _, part := range parts {
+		_, err := g.node.ports.commit(ctx, rows.Transaction{Puts: []rows.Put{{Key: pool.CancelledKey(part, id), Value: value}}})
+		if err == nil {
+			return nil
+		}
+		failure = lessCertainFault(failure, storeWriteFault(err))
+	}
+	return failure
+}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"strings"
 	"time"
 
@@ -10,7 +9,6 @@
 
 	"github.com/wheatroad/wheatroad/internal/catalog"
 	"github.com/wheatroad/wheatroad/internal/fault"
-	"github.com/wheatroad/wheatroad/internal/pool"
 	"github.com/wheatroad/wheatroad/internal/rows"
 	"github.com/wheatroad/wheatroad/internal/taskgraph"
 )
@@ -89,27 +87,6 @@
 	return err
 }
 
-// Submit accepts a job. When Submit succeeds, the job is in the store.
-func (g *Gateway) Submit(ctx context.Context, access Access, spec *taskgraph.Spec) error {
-	if err := spec.Validate(); err != nil {
-		return g.countRefusal(err)
-	}
-	receivedAt := time.Now()
-	job := &pool.Accepted{Spec: *spec, Tenant: access.Tenant, Queue: access.Queue, AcceptedMillis: receivedAt.UnixMilli()}
-	err := withTimeout(ctx, submitTimeout, func(ctx context.Context) error {
-		return g.commitJob(ctx, access.Queue.Pool, job)
-	})
-	if err != nil {
-		g.node.dependencies.Recorder.LogEvent("job not accepted", "job", spec.ID, "queue", access.Queue.Name, "reason", string(fault.From(err).Kind),
-			"detail", fault.From(err).Detail, "store_answered_ms_ago", g.node.storeAge().Milliseconds())
-		return g.countRefusal(err)
-	}
-	g.node.dependencies.Recorder.Count("job_transitions", "accepted")
-	g.node.dependencies.Recorder.Observe("acceptance", time.Since(receivedAt))
-	g.node.dependencies.Recorder.LogEvent("job accepted", "job", spec.ID, "queue", access.Queue.Name, "tenant", access.Tenant)
-	return nil
-}
-
 // lessCertainFault returns the fault whose outcome is less certain: a if its outcome is unknown,
 // else b.
 func lessCertainFault(a, b error) error {
@@ -132,124 +109,3 @@
 	}
 	return fault.New(fault.OutcomeUnknown, "store outcome unknown; a write may have taken effect")
 }
-
-// partitionHedgeDelay is how long a partition of the store may take before the write is also sent
-// to the next partition. It is longer than a commit to a very slow store takes: some 0.5 s if the
-// store is fifty times slower than usual.
-const partitionHedgeDelay = 600 * time.Millisecond
-
-// commitJob writes an accepted job into one of the job's partitions. It tries the next partition
-// when a write fails, and each partitionHedgeDelay unless the store as a whole is slow. Writing the
-// job to several partitions is harmless.
-func (g *Gateway) commitJob(ctx context.Context, poolName string, job *pool.Accepted) error {
-	value := pool.Encode(job)
-	parts := pool.JobPartitions(poolName, job.Spec.ID)
-	results := make(chan error, len(parts))
-	inFlight := 0
-	startAttempt := func() {
-		key := pool.AcceptedKey(parts[0], job.Spec.ID)
-		parts = parts[1:]
-		inFlight++
-		go func() { results <- g.commitJobRow(ctx, key, value, job) }()
-	}
-	startAttempt()
-	hedge := time.NewTicker(partitionHedgeDelay)
-	defer hedge.Stop()
-	var failure error
-	for inFlight > 0 {
-		select {
-		case err := <-results:
-			inFlight--
-			if err == nil || fault.IsKind(err, fault.DuplicateID) {
-				return err
-			}
-			failure = lessCertainFault(failure, err)
-		case <-hedge.C:
-			if g.node.storeSlow() {
-				continue
-			}
-		}
-		if len(parts) > 0 && ctx.Err() == nil {
-			startAttempt()
-		}
-	}
-	return failure
-}
-
-// commitJobRow writes an accepted job into one partition.
-func (g *Gateway) commitJobRow(ctx context.Context, key rows.Key, value []byte, job *pool.Accepted) error {
-	result, err := g.node.ports.commit(ctx, rows.Transaction{
-		Conditions: []rows.Condition{{Key: key, Version: rows.Absent}},
-		Puts:       []rows.Put{{Key: key, Value: value}},
-	})
-	switch {
-	case err != nil:
-		return storeWriteFault(err)
-	case result.Committed:
-		g.node.announce(job.Queue.Pool, rows.Row{Key: key, Value: value, Version: result.Version})
-		return nil
-	}
-	return checkDuplicate(result, job)
-}
-
-// checkDuplicate compares a job with the stored job of the same identifier. It returns nil if both
-// are the same job, submitted twice, and a fault otherwise.
-func checkDuplicate(result rows.Result, job *pool.Accepted) error {
-	for i := range result.Current {
-		var known pool.Accepted
-		if err := json.Unmarshal(result.Current[i].Value, &known); err != nil {
-			continue
-		}
-		if known.Tenant == job.Tenant && string(pool.Encode(known.Spec)) == string(pool.Encode(job.Spec)) {
-			return nil
-		}
-	}
-	return fault.NewField(fault.DuplicateID, "id", "a different job with this identifier exists")
-}
-
-// Cancel cancels a job. When Cancel succeeds, the cancellation is in the store.
-func (g *Gateway) Cancel(ctx context.Context, access Access, id string) error {
-	if !taskgraph.ValidID(id) {
-		return g.countRefusal(fault.New(fault.UnknownJob, "no such job"))
-	}
-	err := withTimeout(ctx, submitTimeout, func(ctx context.Context) error {
-		return g.commitCancel(ctx, access.Queue.Pool, id)
-	})
-	if err != nil {
-		g.node.dependencies.Recorder.LogEvent("cancellation refused", "job", id, "reason", string(fault.From(err).Kind))
-		return g.countRefusal(err)
-	}
-	g.node.dependencies.Recorder.LogEvent("cancellation accepted", "job", id)
-	return nil
-}
-
-// cancellation is the row of a canceled job.
-type cancellation struct {
-	AtMillis int64 `json:"at_ms"`
-}
-
-// commitCancel writes a cancellation to the partition that holds the job's accepted row. If that
-// partition is unavailable, commitCancel tries the job's other partitions.
-func (g *Gateway) commitCancel(ctx context.Context, poolName, id string) error {
-	accepted, cancelled, err := g.storedJob(ctx, poolName, id)
-	if err != nil {
-		return err
-	}
-	if accepted == "" {
-		return fault.New(fault.UnknownJob, "no such job")
-	}
-	if cancelled {
-		return nil
-	}
-	value := pool.Encode(cancellation{AtMillis: time.Now().UnixMilli()})
-	parts := append([]string{accepted}, pool.JobPartitions(poolName, id)...)
-	var failure error
-	for _, part := range parts {
-		_, err := g.node.ports.commit(ctx, rows.Transaction{Puts: []rows.Put{{Key: pool.CancelledKey(part, id), Value: value}}})
-		if err == nil {
-			return nil
-		}
-		failure = lessCertainFault(failure, storeWriteFault(err))
-	}
-	return failure
-}
