Acceptance, look-up and cancellation say pool, partition, revision and configuration

A second POST of a known job logged the same line as a first one.

'job accepted' now names the partition (which begins with the pool), the row's version, whether an earlier submission wrote it, and the version of the configuration that led there. 'lookup refused', 'job not accepted' and the cancellation's lines name pool and configuration. One line each as before, a few fields longer.

--- a/internal/node/cancellation.go
+++ b/internal/node/cancellation.go
@@ -15,14 +15,17 @@
 	if !taskgraph.ValidID(id) {
 		return g.countRefusal(fault.New(fault.UnknownJob, "no such job"))
 	}
-	err := withTimeout(ctx, submitTimeout, func(ctx context.Context) error {
-		return g.commitCancel(ctx, access.Queue.Pool, id)
+	var part string
+	err := withTimeout(ctx, submitTimeout, func(ctx context.Context) (err error) {
+		part, err = g.commitCancel(ctx, access.Queue.Pool, id)
+		return err
 	})
 	if err != nil {
-		g.node.dependencies.Recorder.LogEvent("cancellation refused", "job", id, "reason", string(fault.From(err).Kind))
+		g.node.dependencies.Recorder.LogEvent("cancellation refused", "job", id, "reason", string(fault.From(err).Kind),
+			"pool", access.Queue.Pool, "configuration", access.ConfigurationVersion)
 		return g.countRefusal(err)
 	}
-	g.node.dependencies.Recorder.LogEvent("cancellation accepted", "job", id)
+	g.node.dependencies.Recorder.LogEvent("cancellation accepted", "job", id, "part", part, "configuration", access.ConfigurationVersion)
 	return nil
 }
 
@@ -32,17 +35,18 @@
 }
 
 // commitCancel writes a cancellation to the partition that holds the job's accepted row. If that
-// partition is unavailable, commitCancel tries the job's other partitions.
-func (g *Gateway) commitCancel(ctx context.Context, poolName, id string) error {
+// partition is unavailable, commitCancel tries the job's other partitions. It returns the partition
+// of the cancellation.
+func (g *Gateway) commitCancel(ctx context.Context, poolName, id string) (string, error) {
 	accepted, cancelled, err := g.storedJob(ctx, poolName, id)
 	if err != nil {
-		return err
+		return "", err
 	}
 	if accepted == "" {
-		return fault.New(fault.UnknownJob, "no such job")
+		return "", fault.New(fault.UnknownJob, "no such job")
 	}
 	if cancelled {
-		return nil
+		return accepted, nil
 	}
 	value := pool.Encode(cancellation{AtMillis: time.Now().UnixMilli()})
 	parts := append([]string{accepted}, pool.JobPartitions(poolName, id)...)
@@ -50,9 +54,9 @@
 	for _, part := range parts {
 		_, err := g.node.ports.commit(ctx, rows.Transaction{Puts: []rows.Put{{Key: pool.CancelledKey(part, id), Value: value}}})
 		if err == nil {
-			return nil
+			return part, nil
 		}
 		failure = lessCertainFault(failure, storeWriteFault(err))
 	}
-	return failure
+	return "", failure
 }
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -24,6 +24,8 @@
 type Access struct {
 	Queue  catalog.Queue
 	Tenant string
+	// ConfigurationVersion is the version of the configuration that led the request to the queue.
+	ConfigurationVersion int64
 }
 
 // Ready reports whether the node should receive new connections.
@@ -48,7 +50,7 @@
 	if queue == nil {
 		return Access{}, "", g.refuseBeforeReadingBody(host, path, confirmedAge, fault.New(fault.NotFound, "no queue matches this host and path"))
 	}
-	access := Access{Queue: *queue}
+	access := Access{Queue: *queue, ConfigurationVersion: current.Version}
 	tenant, known := current.TenantOf(key)
 	if !known && !queue.Public {
 		return Access{}, "", g.refuseBeforeReadingBody(host, path, confirmedAge, fault.New(fault.Unauthenticated, "the API key is unknown and the queue is not public"))
--- a/internal/node/lookup.go
+++ b/internal/node/lookup.go
@@ -20,7 +20,8 @@
 	}
 	state, err := g.lookupFromOwner(ctx, access.Queue.Pool, id)
 	if err != nil {
-		g.node.dependencies.Recorder.LogEvent("lookup refused", "job", id, "queue", access.Queue.Name, "reason", string(fault.From(err).Kind), "detail", fault.From(err).Detail)
+		g.node.dependencies.Recorder.LogEvent("lookup refused", "job", id, "queue", access.Queue.Name, "pool", access.Queue.Pool,
+			"reason", string(fault.From(err).Kind), "detail", fault.From(err).Detail, "configuration", access.ConfigurationVersion)
 		return "", g.countRefusal(err)
 	}
 	return state, nil
--- a/internal/node/submission.go
+++ b/internal/node/submission.go
@@ -18,20 +18,38 @@
 	}
 	receivedAt := time.Now()
 	job := &pool.Accepted{Spec: *spec, Tenant: access.Tenant, Queue: access.Queue, AcceptedMillis: receivedAt.UnixMilli()}
-	err := withTimeout(ctx, submitTimeout, func(ctx context.Context) error {
-		return g.commitJob(ctx, access.Queue.Pool, job)
+	var stored acceptedRow
+	err := withTimeout(ctx, submitTimeout, func(ctx context.Context) (err error) {
+		stored, err = g.commitJob(ctx, access.Queue.Pool, job)
+		return err
 	})
 	if err != nil {
-		g.node.dependencies.Recorder.LogEvent("job not accepted", "job", spec.ID, "queue", access.Queue.Name, "reason", string(fault.From(err).Kind),
-			"detail", fault.From(err).Detail, "store_answered_ms_ago", g.node.storeAge().Milliseconds())
+		g.node.dependencies.Recorder.LogEvent("job not accepted", "job", spec.ID, "queue", access.Queue.Name, "pool", access.Queue.Pool, "reason", string(fault.From(err).Kind),
+			"detail", fault.From(err).Detail, "store_answered_ms_ago", g.node.storeAge().Milliseconds(), "configuration", access.ConfigurationVersion)
 		return g.countRefusal(err)
 	}
 	g.node.dependencies.Recorder.Count("job_transitions", "accepted")
 	g.node.dependencies.Recorder.Observe("acceptance", time.Since(receivedAt))
-	g.node.dependencies.Recorder.LogEvent("job accepted", "job", spec.ID, "queue", access.Queue.Name, "tenant", access.Tenant)
+	g.node.dependencies.Recorder.LogEvent("job accepted", "job", spec.ID, "queue", access.Queue.Name, "tenant", access.Tenant,
+		"part", stored.part, "revision", stored.version, "known", stored.known, "configuration", access.ConfigurationVersion)
 	return nil
 }
 
+// acceptedRow is the accepted row of a submitted job.
+type acceptedRow struct {
+	part string
+	// version is the row's version in the store.
+	version int64
+	// known is true if an earlier submission of the job wrote the row.
+	known bool
+}
+
+// commitOutcome is the outcome of a write of an accepted row into one partition.
+type commitOutcome struct {
+	stored acceptedRow
+	err    error
+}
+
 // partitionHedgeDelay is how long a partition of the store may take before the write is also sent
 // to the next partition. It is longer than a commit to a very slow store takes: some 0.5 s if the
 // store is fifty times slower than usual.
@@ -40,16 +58,19 @@
 // commitJob writes an accepted job into one of the job's partitions. It tries the next partition
 // when a write fails, and each partitionHedgeDelay unless the store as a whole is slow. Writing the
 // job to several partitions is harmless.
-func (g *Gateway) commitJob(ctx context.Context, poolName string, job *pool.Accepted) error {
+func (g *Gateway) commitJob(ctx context.Context, poolName string, job *pool.Accepted) (acceptedRow, error) {
 	value := pool.Encode(job)
 	parts := pool.JobPartitions(poolName, job.Spec.ID)
-	results := make(chan error, len(parts))
+	results := make(chan commitOutcome, len(parts))
 	inFlight := 0
 	startAttempt := func() {
 		key := pool.AcceptedKey(parts[0], job.Spec.ID)
 		parts = parts[1:]
 		inFlight++
-		go func() { results <- g.commitJobRow(ctx, key, value, job) }()
+		go func() {
+			stored, err := g.commitJobRow(ctx, key, value, job)
+			results <- commitOutcome{stored, err}
+		}()
 	}
 	startAttempt()
 	hedge := time.NewTicker(partitionHedgeDelay)
@@ -57,12 +78,12 @@
 	var failure error
 	for inFlight > 0 {
 		select {
-		case err := <-results:
+		case outcome := <-results:
 			inFlight--
-			if err == nil || fault.IsKind(err, fault.DuplicateID) {
-				return err
+			if outcome.err == nil || fault.IsKind(outcome.err, fault.DuplicateID) {
+				return outcome.stored, outcome.err
 			}
-			failure = lessCertainFault(failure, err)
+			failure = lessCertainFault(failure, outcome.err)
 		case <-hedge.C:
 			if g.node.storeSlow() {
 				continue
@@ -72,36 +93,37 @@
 			startAttempt()
 		}
 	}
-	return failure
+	return acceptedRow{}, failure
 }
 
 // commitJobRow writes an accepted job into one partition.
-func (g *Gateway) commitJobRow(ctx context.Context, key rows.Key, value []byte, job *pool.Accepted) error {
+func (g *Gateway) commitJobRow(ctx context.Context, key rows.Key, value []byte, job *pool.Accepted) (acceptedRow, error) {
 	result, err := g.node.ports.commit(ctx, rows.Transaction{
 		Conditions: []rows.Condition{{Key: key, Version: rows.Absent}},
 		Puts:       []rows.Put{{Key: key, Value: value}},
 	})
 	switch {
 	case err != nil:
-		return storeWriteFault(err)
+		return acceptedRow{}, storeWriteFault(err)
 	case result.Committed:
 		g.node.announce(job.Queue.Pool, rows.Row{Key: key, Value: value, Version: result.Version})
-		return nil
+		return acceptedRow{part: key.Part, version: result.Version}, nil
 	}
 	return checkDuplicate(result, job)
 }
 
-// checkDuplicate compares a job with the stored job of the same identifier. It returns nil if both
-// are the same job, submitted twice, and a fault otherwise.
-func checkDuplicate(result rows.Result, job *pool.Accepted) error {
+// checkDuplicate compares a job with the stored job of the same identifier. It returns the stored
+// row if both are the same job, submitted twice, and a fault otherwise.
+func checkDuplicate(result rows.Result, job *pool.Accepted) (acceptedRow, error) {
 	for i := range result.Current {
+		row := &result.Current[i]
 		var known pool.Accepted
-		if err := json.Unmarshal(result.Current[i].Value, &known); err != nil {
+		if err := json.Unmarshal(row.Value, &known); err != nil {
 			continue
 		}
 		if known.Tenant == job.Tenant && string(pool.Encode(known.Spec)) == string(pool.Encode(job.Spec)) {
-			return nil
+			return acceptedRow{part: row.Part, version: row.Version, known: true}, nil
 		}
 	}
-	return fault.NewField(fault.DuplicateID, "id", "a different job with this identifier exists")
+	return acceptedRow{}, fault.NewField(fault.DuplicateID, "id", "a different job with this identifier exists")
 }
