--- a/internal/simulation/cluster.go
+++ b/internal/simulation/cluster.go
@@ -16,7 +16,7 @@
 	"github.com/wheatroad/wheatroad/internal/taskgraph"
 )
 
-// PoolName is the name of the simulated pool.
+// PoolName is the name of the pool of all workers that are added without a pool.
 const PoolName = "workers"
 
 // Cluster simulates a store and workers in virtual time.
@@ -119,12 +119,15 @@
 // WorkerCapacity is the default capacity of a worker.
 var WorkerCapacity = taskgraph.Resources{CPU: 64000, MemoryMB: 262144, GPUs: 8}
 
-// AddWorker adds a worker and writes its row.
-func (c *Cluster) AddWorker(id, rack string) *Worker {
+// AddWorker adds a worker of the pool PoolName and writes its row.
+func (c *Cluster) AddWorker(id, rack string) *Worker { return c.AddWorkerTo(PoolName, id, rack) }
+
+// AddWorkerTo adds a worker of a pool and writes its row.
+func (c *Cluster) AddWorkerTo(poolName, id, rack string) *Worker {
 	added := &Worker{
 		Worker: fleet.Worker{
 			Incarnation: fleet.Incarnation{ID: id, StartMillis: c.Clock.Now().UnixMilli()},
-			Pool:        PoolName, Address: id, Zone: zoneOf(rack), Labels: []string{"a", rack}, Capacity: WorkerCapacity,
+			Pool:        poolName, Address: id, Zone: zoneOf(rack), Labels: []string{"a", rack}, Capacity: WorkerCapacity,
 		},
 		cluster: c, clock: c.Clock, clockEpoch: c.epoch,
 		runs: map[runID]*run{}, supersededRuns: map[taskgraph.TaskName]int{}, endedAt: map[int64]int{},
@@ -219,9 +222,18 @@
 func (c *Cluster) SubmitOf(tenant string, spec taskgraph.Spec, queue catalog.Queue) {
 	queue.Pool = PoolName
 	c.RegisterJob(spec, queue)
+	c.Store.Apply(c.Acceptance(tenant, spec, queue, 0))
+}
+
+// Acceptance returns the transaction by which a node accepts a job in the given one of the job's
+// partitions in the queue's pool.
+func (c *Cluster) Acceptance(tenant string, spec taskgraph.Spec, queue catalog.Queue, choice int) rows.Transaction {
 	accepted := pool.Accepted{Spec: spec, Tenant: tenant, Queue: queue, AcceptedMillis: c.Clock.Now().UnixMilli()}
-	key := pool.AcceptedKey(pool.JobPartitions(PoolName, spec.ID)[0], spec.ID)
-	c.Store.Apply(rows.Transaction{Puts: []rows.Put{{Key: key, Value: pool.Encode(accepted)}}})
+	key := pool.AcceptedKey(pool.JobPartitions(queue.Pool, spec.ID)[choice], spec.ID)
+	return rows.Transaction{
+		Conditions: []rows.Condition{{Key: key, Version: rows.Absent}},
+		Puts:       []rows.Put{{Key: key, Value: pool.Encode(accepted)}},
+	}
 }
 
 // RegisterJob registers a job with the workers and the checker before it is accepted.
@@ -240,10 +252,11 @@
 	c.Checker.cancelled(id)
 }
 
-// StoredState returns the state of a job according to the newest progress row in the store.
+// StoredState returns the state of a job according to the newest progress row of any pool in the
+// store.
 func (c *Cluster) StoredState(id string) taskgraph.State {
 	var newest pool.Progress
-	for _, part := range pool.ProgressPartitions(PoolName) {
+	for _, part := range c.Store.ListPartitions(pool.ProgressTable) {
 		for _, row := range c.Store.List(pool.ProgressTable, part, id).Rows {
 			var record pool.Progress
 			if err := json.Unmarshal(row.Value, &record); err != nil {
--- a/internal/simulation/crash.go
+++ b/internal/simulation/crash.go
@@ -56,7 +56,7 @@
 		w.Unreachable, w.Replaced = false, true
 		w.cluster.restarts++
 		id := fmt.Sprintf("%s+%d", w.Address, w.cluster.restarts)
-		successor := w.cluster.AddWorker(id, w.Rack())
+		successor := w.cluster.AddWorkerTo(w.Pool, id, w.Rack())
 		successor.Address = w.Address
 		successor.OrderOutcome, successor.DropPollReply = w.OrderOutcome, w.DropPollReply
 		w.cluster.PutWorkerRow(successor)
--- a/internal/simulation/owner.go
+++ b/internal/simulation/owner.go
@@ -10,12 +10,13 @@
 	"github.com/wheatroad/wheatroad/internal/rows"
 )
 
-// Owner is a process that owns the pool.
+// Owner is a process that owns a pool.
 type Owner struct {
 	*pool.Pool
-	// Name identifies the owner's process.
-	Name    string
-	Process *emulator.Process
+	// Name identifies the owner's process, and PoolName the pool.
+	Name     string
+	PoolName string
+	Process  *emulator.Process
 	// Ended is the reason why the ownership ended; empty while the process owns the pool.
 	Ended string
 	// PartitionedFromStore partitions the owner from the store.
@@ -25,18 +26,21 @@
 	cluster         *Cluster
 }
 
-// AcquirePool starts a new process that acquires the pool.
-func (c *Cluster) AcquirePool() *Owner {
+// AcquirePool starts a new process that acquires the pool PoolName.
+func (c *Cluster) AcquirePool() *Owner { return c.Acquire(PoolName) }
+
+// Acquire starts a new process that acquires a pool.
+func (c *Cluster) Acquire(poolName string) *Owner {
 	c.owners++
 	name := fmt.Sprintf("node-%d", c.owners)
-	owner := &Owner{cluster: c, Name: name, Process: emulator.NewProcess(c.Clock), PartitionedFrom: map[string]bool{}}
+	owner := &Owner{cluster: c, Name: name, PoolName: poolName, Process: emulator.NewProcess(c.Clock), PartitionedFrom: map[string]bool{}}
 	owner.Process.SteadyTime = c.SuspendedClock
 	options := pool.Options{
-		Pool: PoolName, Node: name, Incarnation: name, Address: name, Bounds: c.Bounds, Features: c.Features, DisabledSafeguards: c.DisabledSafeguards, DisabledMechanisms: c.DisabledMechanisms,
+		Pool: poolName, Node: name, Incarnation: name, Address: name, Bounds: c.Bounds, Features: c.Features, DisabledSafeguards: c.DisabledSafeguards, DisabledMechanisms: c.DisabledMechanisms,
 		Catalog:          func() *catalog.Catalog { return c.Catalog },
 		OnOwnershipEnded: func(reason string) { owner.Ended = reason },
 	}
-	result := c.Store.Apply(pool.Acquire(options, c.leaseVersion(), name))
+	result := c.Store.Apply(pool.Acquire(options, c.leaseVersion(poolName), name))
 	c.ownerOf[result.Version] = owner
 	owner.Pool = pool.New(options, owner.Process, &ports{cluster: c, owner: owner, process: owner.Process}, c.Checker, result.Version)
 	owner.Process.Post(owner.Pool.Start)
@@ -56,15 +60,15 @@
 	if owner.Ended != "" {
 		return
 	}
-	if c.Store.Unavailable && !owner.PartitionedFromStore && c.leaseVersion() == owner.Token() {
+	if c.Store.Unavailable && !owner.PartitionedFromStore && c.leaseVersion(owner.PoolName) == owner.Token() {
 		checkedAt := c.Clock.Now()
 		owner.Process.Post(func() { owner.ConfirmOwnership(checkedAt) })
 	}
 	c.Clock.After(peerCheckPeriod, func() { c.confirmOwnership(owner) })
 }
 
-func (c *Cluster) leaseVersion() int64 {
-	listing := c.Store.List(pool.NodeTable, PoolName, pool.LeaseRow)
+func (c *Cluster) leaseVersion(poolName string) int64 {
+	listing := c.Store.List(pool.NodeTable, poolName, pool.LeaseRow)
 	if len(listing.Rows) == 0 {
 		return rows.Absent
 	}
--- a/internal/simulation/restart.go
+++ b/internal/simulation/restart.go
@@ -33,7 +33,7 @@
 		c.Clock.After(rowExpiry, func() { c.RemoveWorkerRow(former) })
 	}
 	c.Clock.After(after, func() {
-		next := c.AddWorker(former.ID, former.Rack())
+		next := c.AddWorkerTo(former.Pool, former.ID, former.Rack())
 		next.Address = former.Address
 		next.clockEpoch = c.Clock.Now().Add(-time.Duration(clockMillis) * time.Millisecond)
 		next.OrderOutcome, next.DropPollReply = former.OrderOutcome, former.DropPollReply
--- a/internal/simulation/store.go
+++ b/internal/simulation/store.go
@@ -3,6 +3,8 @@
 package simulation
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -202,6 +204,30 @@
 	})
 }
 
+// Partitions passes the names of the partitions of a table that have rows to done.
+func (s *Store) Partitions(table string, done func([]string, error)) {
+	s.clock.After(s.Latency, func() {
+		if s.Unavailable {
+			s.lastFaultAt = s.clock.Now()
+			done(nil, rows.ErrNoEffect)
+			return
+		}
+		done(s.ListPartitions(table), nil)
+	})
+}
+
+// ListPartitions returns the sorted names of the partitions of a table that have rows, regardless of
+// faults.
+func (s *Store) ListPartitions(table string) []string {
+	found := map[string]bool{}
+	for key := range s.rows {
+		if key.Table == table {
+			found[key.Part] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(found))
+}
+
 // ForgetHistory drops all changes, so that feeds that continue from an earlier version fail.
 func (s *Store) ForgetHistory() {
 	s.version++
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -167,5 +167,5 @@
 	worker.Crash()
 	cluster.RemoveWorkerRow(worker)
 	r.replaced++
-	cluster.AddWorker("w-new-"+strconv.Itoa(r.replaced), worker.Rack())
+	cluster.AddWorkerTo(worker.Pool, "w-new-"+strconv.Itoa(r.replaced), worker.Rack())
 }
