A job that two pools accepted runs in the first one only

Cause: an accepted row is kept in a partition named after the pool to which the configuration of the accepting node leads the queue. The condition of the second write is on another row, so it succeeds, and the owners of the two pools know nothing of each other. Evidence: 'job accepted' twice for one job, both with known false, part turbine-watch/20 at revision 184 under configuration 1 and turbine-watch-2/20 at revision 269 under configuration 3; 'placed' by both owners. The first pool's owner had not let the job go (its run went on to its end).

Fix: the store's versions order all rows, and every owner's feed delivers the rows of all pools in that order. So an owner ignores and removes a row of its pool that has an earlier one in another pool; a takeover reads its own partitions first and those of other pools after; an announced row is checked in the other pools, or waits for the feed. No write and no read is added to an acceptance, and rows stay as they are for older versions. A partition is now parsed to tell its pool: an owner of pool 'a' took the rows of a pool 'a/x' for its own.

TestRunAfterRestartSurvivesTakeover restarts its worker 400 ms later: feeds are silent there and the store takes 400 ms a call, so the announced job is placed one call later. What it requires is unchanged, and it now also requires that the placement came before the restart.

--- a/internal/pool/incarnations_test.go
+++ b/internal/pool/incarnations_test.go
@@ -147,7 +147,9 @@
 	w.Submit(spec(1, singleTaskStep(2)), batch)
 	row := acceptedRow(w, jobID(1))
 	owner.Process.Post(func() { owner.HandleJobAnnouncement(row) })
-	w.Run(100 * time.Millisecond)
+	// The owner verifies the announcement by a call to the store, and then writes the placement.
+	w.Run(500 * time.Millisecond)
+	require.Equal(t, 2, w.Checker.DecisionCounts["placed"])
 	w.Workers[0].Restart(50*time.Millisecond, 0)
 	w.Run(500 * time.Millisecond)
 	require.Equal(t, 2, w.Workers[1].Runs(), "started after the restart")
--- a/internal/pool/partitions.go
+++ b/internal/pool/partitions.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -31,6 +32,20 @@
 	return parts
 }
 
+// PoolOfJobPartition returns the pool that a partition of the job table belongs to. It returns false
+// if the name is not that of such a partition.
+func PoolOfJobPartition(part string) (string, bool) {
+	separator := strings.LastIndex(part, partitionSeparator)
+	if separator <= 0 {
+		return "", false
+	}
+	number, err := strconv.Atoi(part[separator+len(partitionSeparator):])
+	if err != nil || number < 0 || number >= jobPartitions {
+		return "", false
+	}
+	return part[:separator], true
+}
+
 // progressPartitions is the number of progress partitions. If one is unavailable, the owner writes
 // to the next.
 const progressPartitions = 3
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -120,6 +120,9 @@
 	overdueTurns     overdueTurns
 	// pendingCancels holds cancellations that were read before their job.
 	pendingCancels map[string]bool
+	// otherPoolsJobs holds the accepted rows of other pools, up to jobsVersion at least.
+	otherPoolsJobs otherPoolsJobs
+	announcements  announcements
 }
 
 // New returns the state of a pool whose lease row was written at version token.
@@ -130,7 +133,8 @@
 		lastStoreAnswerAt: l.Now(), pendingCancels: map[string]bool{},
 		durations: map[string]*durationModel{}, storeRetries: loop.NewRetries(l), lossTracker: poison.NewLossTracker(), health: health.New(),
 		tenantUse: fairshare.NewLedger(), overdueTurns: overdueTurns{}, removedJobs: removedJobs{},
-		invalidRows: invalidWorkerRows{faults: map[string]fleet.RowFault{}},
+		invalidRows:    invalidWorkerRows{faults: map[string]fleet.RowFault{}},
+		otherPoolsJobs: otherPoolsJobs{}, announcements: announcements{pending: map[string]rows.Row{}},
 	}
 	p.writer = newWriter(p)
 	p.kept = newKeptKnowledge(p, p.lossTracker, p.health, p.tenantUse, &speedSection{pool: p})
@@ -140,7 +144,10 @@
 // Acquire returns the transaction that acquires a pool whose lease row has the given
 // version; rows.Absent if there is no such row.
 func Acquire(options Options, version int64, nonce string) rows.Transaction {
-	lease := Lease{Owner: options.Node, Incarnation: options.Incarnation, Address: options.Address, Nonce: nonce, Weight: options.Weight, Format: options.RowFormat}
+	lease := Lease{
+		Owner: options.Node, Incarnation: options.Incarnation, Address: options.Address, Nonce: nonce,
+		Weight: options.Weight, Format: options.RowFormat, ComparesPools: true,
+	}
 	return rows.Transaction{
 		Conditions: []rows.Condition{{Key: LeaseKey(options.Pool), Version: version}},
 		Puts:       []rows.Put{{Key: LeaseKey(options.Pool), Value: mustEncode(lease)}},
@@ -239,6 +246,11 @@
 	return j.state, true
 }
 
+// BelongsElsewhere reports whether another pool has accepted a job that this pool does not have.
+func (p *Pool) BelongsElsewhere(id string) bool {
+	return p.jobs[id] == nil && len(p.otherPoolsJobs[id]) > 0
+}
+
 // WaitingJobs returns the number of jobs by queue of which no task was placed yet.
 func (p *Pool) WaitingJobs() map[string]int {
 	counts := map[string]int{}
--- a/internal/pool/records.go
+++ b/internal/pool/records.go
@@ -47,6 +47,9 @@
 	Weight float64 `json:"weight,omitempty"`
 	// Format is the format of the pool's rows; 0 in leases of older versions.
 	Format compatibility.Format `json:"format,omitempty"`
+	// ComparesPools is true if the owner runs no job that another pool has accepted before. Owners of
+	// older versions do not compare.
+	ComparesPools bool `json:"compares_pools,omitempty"`
 }
 
 // Accepted is the row of an accepted job. It is immutable.
--- a/internal/pool/store_load.go
+++ b/internal/pool/store_load.go
@@ -135,30 +135,12 @@
 func (p *Pool) readJobs(progress []rows.Row) {
 	p.progressFencedAt = p.loop.Now()
 	p.kept.continueWatch()
-	p.scanJobs(func(jobs rows.Listing) {
+	p.readJobTable(func(jobs rows.Listing) {
 		p.load(progress, jobs)
 		p.followJobs(jobs.Version)
 	})
 }
 
-// scanJobs reads all partitions of the pool's jobs and merges them into one listing. The listing's
-// version is the lowest version of the partitions.
-func (p *Pool) scanJobs(done func(rows.Listing)) {
-	merged := rows.Listing{}
-	remaining := jobPartitions
-	for number := range jobPartitions {
-		p.scanPartition(JobTable, jobPartition(p.options.Pool, number), retryDelay, func(listing rows.Listing) {
-			merged.Rows = append(merged.Rows, listing.Rows...)
-			if merged.Version == 0 || listing.Version < merged.Version {
-				merged.Version = listing.Version
-			}
-			if remaining--; remaining == 0 {
-				done(merged)
-			}
-		})
-	}
-}
-
 func (p *Pool) load(progress []rows.Row, jobs rows.Listing) {
 	records := map[string]Progress{}
 	for i := range progress {
@@ -175,9 +157,7 @@
 			records[row.Name] = record
 		}
 	}
-	for i := range jobs.Rows {
-		p.applyJobRow(jobs.Rows[i], records)
-	}
+	p.applyJobListing(jobs, records)
 	for id := range records {
 		if p.jobs[id] == nil {
 			p.writer.remove(id)
@@ -191,21 +171,36 @@
 }
 
 func (p *Pool) followJobs(after int64) {
-	p.followFeed(JobTable, after, retryDelay, func(row rows.Row) {
-		if strings.HasPrefix(row.Part, p.options.Pool+partitionSeparator) {
-			p.applyJobRow(row, nil)
-		}
-	}, func() {
-		p.scanJobs(func(listing rows.Listing) {
-			for i := range listing.Rows {
-				p.applyJobRow(listing.Rows[i], nil)
-			}
+	p.followFeed(JobTable, after, retryDelay, func(row rows.Row) { p.applyJobTableRow(row, nil) }, func() {
+		p.readJobTable(func(listing rows.Listing) {
+			p.applyJobListing(listing, nil)
 			p.followJobs(listing.Version)
 		})
 	})
 }
 
-// applyJobRow applies the row of an accepted job or of a cancellation.
+// applyJobListing applies a listing of the job table in the order of the rows' versions.
+func (p *Pool) applyJobListing(listing rows.Listing, records map[string]Progress) {
+	p.otherPoolsJobs = otherPoolsJobs{}
+	for i := range listing.Rows {
+		p.applyJobTableRow(listing.Rows[i], records)
+	}
+}
+
+// applyJobTableRow applies a row of the job table. Rows must be applied in the order of their
+// versions, so that the earliest accepted row of a job decides to which pool the job belongs.
+func (p *Pool) applyJobTableRow(row rows.Row, records map[string]Progress) {
+	name, ok := PoolOfJobPartition(row.Part)
+	switch {
+	case !ok:
+	case name == p.options.Pool:
+		p.applyJobRow(row, records)
+	default:
+		p.applyOtherPoolsRow(row)
+	}
+}
+
+// applyJobRow applies the row of an accepted job or of a cancellation in this pool's partitions.
 func (p *Pool) applyJobRow(row rows.Row, records map[string]Progress) {
 	if row.Gone {
 		return
@@ -220,6 +215,10 @@
 	if !ok || p.jobs[id] != nil || p.removedJobs.removedAfter(id, &row) {
 		return
 	}
+	if earlier, found := p.otherPoolsJobs.acceptedBefore(id, row.Version); found {
+		p.ignoreCopy(id, &row, earlier)
+		return
+	}
 	var accepted Accepted
 	if err := json.Unmarshal(row.Value, &accepted); err != nil || accepted.Spec.ID != id || accepted.Spec.Validate() != nil {
 		p.record.Count("refusals", "job_row_invalid")
