Tests of daemons take ports outside the ephemeral range, as the soak does

Two of 30 plays of a new test with 18 daemons failed with 'condition not met in time: ready'. The test's addresses were of the ephemeral range, and a connection of another process took the port between the test's look and the daemon's start.

--- a/internal/soak/ports_test.go
+++ b/internal/freeport/freeport_test.go
@@ -1,4 +1,4 @@
-package soak
+package freeport
 
 import (
 	"net"
@@ -7,13 +7,13 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestFreeAddressesAreOutsideEphemeralRange guards against ports of the ephemeral range, which the
+// TestAddressesAreOutsideEphemeralRange guards against ports of the ephemeral range, which the
 // system may assign to another process before the daemon listens.
-func TestFreeAddressesAreOutsideEphemeralRange(t *testing.T) {
+func TestAddressesAreOutsideEphemeralRange(t *testing.T) {
 	const most = 32768
 	given := map[string]bool{}
 	for range 50 {
-		address, err := freeAddress()
+		address, err := Address()
 		require.NoError(t, err)
 		require.False(t, given[address])
 		given[address] = true
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -2,16 +2,15 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/faultproxy"
+	"github.com/wheatroad/wheatroad/internal/freeport"
 	"github.com/wheatroad/wheatroad/internal/simulation"
 )
 
@@ -51,7 +50,7 @@
 	d := &daemon{number: number, programs: programs, directory: folder, proxy: proxy}
 	var peers string
 	for _, address := range []*string{&d.callerAddress, &d.readinessAddress, &peers} {
-		if *address, err = freeAddress(); err != nil {
+		if *address, err = freeport.Address(); err != nil {
 			return nil, err
 		}
 	}
@@ -65,34 +64,6 @@
 	return d, err
 }
 
-// Daemons listen on ports below the ephemeral range, which starts at 32768 on Linux. Once
-// freeAddress has closed its listener, the system could assign an ephemeral port to another process.
-const (
-	firstPort = 10000
-	portCount = 22000
-	// portSpread is the distance between the first ports of processes with successive process IDs.
-	portSpread = 611
-)
-
-// portCounter counts the ports tried.
-var portCounter atomic.Int64
-
-// freeAddress returns an unused loopback address, a different one on each call.
-func freeAddress() (string, error) {
-	var failure error
-	for range portCount {
-		port := firstPort + (int64(os.Getpid())*portSpread+portCounter.Add(1))%portCount
-		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err != nil {
-			failure = err
-			continue
-		}
-		address := listener.Addr().String()
-		return address, listener.Close()
-	}
-	return "", failure
-}
-
 // start starts the process unless it is running.
 func (d *daemon) start() error {
 	d.mutex.Lock()
