A job is found and canceled after its queue has moved to another pool

Cause: look-ups, cancellations and submissions ask only the pool to which the newest configuration leads the queue. Evidence: 'lookup refused' with pool turbine-watch-2 and configuration 3, for a job that was accepted into turbine-watch/20 under configuration 1.

Fix: if the queue's pool does not know a job, the gateway lists the partitions of the job table, which names the pools that have jobs whatever the configuration lists, and looks into these. The listing is made anew for each such call, so 410 is said only after the store has shown that no pool has the job; if the store can't be read, the answer is 503. An owner that ignores a copy no longer tells its state. Only jobs of the caller's tenant are found this way, so that a move opens no tenant's jobs to others.

Versions side by side: owners of older versions would run a copy. A lease now says whether its owner compares pools; where it does not, this node looks into the other pools before it accepts a job.

--- a/internal/node/cancellation.go
+++ b/internal/node/cancellation.go
@@ -17,7 +17,7 @@
 	}
 	var part string
 	err := withTimeout(ctx, submitTimeout, func(ctx context.Context) (err error) {
-		part, err = g.commitCancel(ctx, access.Queue.Pool, id)
+		part, err = g.commitCancel(ctx, access, id)
 		return err
 	})
 	if err != nil {
@@ -37,13 +37,21 @@
 // commitCancel writes a cancellation to the partition that holds the job's accepted row. If that
 // partition is unavailable, commitCancel tries the job's other partitions. It returns the partition
 // of the cancellation.
-func (g *Gateway) commitCancel(ctx context.Context, poolName, id string) (string, error) {
+func (g *Gateway) commitCancel(ctx context.Context, access Access, id string) (string, error) {
+	poolName := access.Queue.Pool
 	accepted, cancelled, err := g.storedJob(ctx, poolName, id)
 	if err != nil {
 		return "", err
 	}
 	if accepted == "" {
-		return "", fault.New(fault.UnknownJob, "no such job")
+		found, err := g.findMovedJob(ctx, access, id)
+		if err != nil {
+			return "", err
+		}
+		if found == nil {
+			return "", fault.New(fault.UnknownJob, "no such job")
+		}
+		poolName, accepted, cancelled = found.pool, found.part, found.cancelled
 	}
 	if cancelled {
 		return accepted, nil
--- a/internal/node/lookup.go
+++ b/internal/node/lookup.go
@@ -18,7 +18,10 @@
 	if !taskgraph.ValidID(id) {
 		return "", g.countRefusal(fault.New(fault.UnknownJob, "no such job"))
 	}
-	state, err := g.lookupFromOwner(ctx, access.Queue.Pool, id)
+	state, err := g.lookupInPool(ctx, access.Queue.Pool, id)
+	if fault.IsKind(err, fault.UnknownJob) {
+		state, err = g.lookupMovedJob(ctx, access, id)
+	}
 	if err != nil {
 		g.node.dependencies.Recorder.LogEvent("lookup refused", "job", id, "queue", access.Queue.Name, "pool", access.Queue.Pool,
 			"reason", string(fault.From(err).Kind), "detail", fault.From(err).Detail, "configuration", access.ConfigurationVersion)
@@ -27,7 +30,9 @@
 	return state, nil
 }
 
-func (g *Gateway) lookupFromOwner(ctx context.Context, poolName, id string) (taskgraph.State, error) {
+// lookupInPool returns the state of a job in a pool. It asks the pool's owner, and reads the store if
+// the owner is unresponsive.
+func (g *Gateway) lookupInPool(ctx context.Context, poolName, id string) (taskgraph.State, error) {
 	n := g.node
 	current := n.snapshot.Load()
 	lease := current.leases[poolName]
@@ -52,12 +57,19 @@
 	n := g.node
 	if p := n.snapshot.Load().owned[poolName]; p != nil {
 		var state taskgraph.State
-		known := false
+		known, elsewhere := false, false
 		err := withTimeout(ctx, loopCallTimeout, func(ctx context.Context) error {
-			return loop.Call(ctx, n.dependencies.Loop, func() { state, known = p.State(id) })
+			return loop.Call(ctx, n.dependencies.Loop, func() {
+				state, known = p.State(id)
+				elsewhere = p.BelongsElsewhere(id)
+			})
 		})
-		if err == nil && known {
+		switch {
+		case err != nil:
+		case known:
 			return state, nil
+		case elsewhere:
+			return "", fault.New(fault.UnknownJob, "another pool accepted the job before")
 		}
 	}
 	return g.lookupStored(ctx, poolName, id)
--- a/internal/node/submission.go
+++ b/internal/node/submission.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"time"
@@ -20,7 +21,7 @@
 	job := &pool.Accepted{Spec: *spec, Tenant: access.Tenant, Queue: access.Queue, AcceptedMillis: receivedAt.UnixMilli()}
 	var stored acceptedRow
 	err := withTimeout(ctx, submitTimeout, func(ctx context.Context) (err error) {
-		stored, err = g.commitJob(ctx, access.Queue.Pool, job)
+		stored, err = g.acceptJob(ctx, access, job)
 		return err
 	})
 	if err != nil {
@@ -44,6 +45,19 @@
 	known bool
 }
 
+// acceptJob writes an accepted job into the pool of its queue, unless another pool has accepted the
+// job before and only this node can tell.
+func (g *Gateway) acceptJob(ctx context.Context, access Access, job *pool.Accepted) (acceptedRow, error) {
+	elsewhere, err := g.findAcceptedElsewhere(ctx, access, job)
+	switch {
+	case err != nil:
+		return acceptedRow{}, err
+	case elsewhere != nil:
+		return *elsewhere, nil
+	}
+	return g.commitJob(ctx, access.Queue.Pool, job)
+}
+
 // commitOutcome is the outcome of a write of an accepted row into one partition.
 type commitOutcome struct {
 	stored acceptedRow
@@ -121,9 +135,18 @@
 		if err := json.Unmarshal(row.Value, &known); err != nil {
 			continue
 		}
-		if known.Tenant == job.Tenant && string(pool.Encode(known.Spec)) == string(pool.Encode(job.Spec)) {
+		if sameJob(&known, job) {
 			return acceptedRow{part: row.Part, version: row.Version, known: true}, nil
 		}
 	}
-	return acceptedRow{}, fault.NewField(fault.DuplicateID, "id", "a different job with this identifier exists")
+	return acceptedRow{}, duplicateIDFault()
+}
+
+// sameJob reports whether two submissions with one identifier are of the same job.
+func sameJob(a, b *pool.Accepted) bool {
+	return a.Tenant == b.Tenant && bytes.Equal(pool.Encode(a.Spec), pool.Encode(b.Spec))
+}
+
+func duplicateIDFault() error {
+	return fault.NewField(fault.DuplicateID, "id", "a different job with this identifier exists")
 }
