Pools with jobs keep an owner when the configuration no longer lists them

What callers would see: a service is removed from the configuration, or turned into a reserve, while its jobs run; all nodes restart (a kill of all processes, an upgrade); the jobs are accepted and never end.

Cause: a node watches the pools that its configuration lists. Nodes that run keep the pools of earlier versions, nodes that start again don't know them.

Fix: a node that starts, and each node every two minutes, lists the partitions of the job table and watches the pools that have rows there; owners and standbys watch a pool whose lease they read.

With it: a node looks before an acceptance (owner of an older version) only into the other pools that it knows, without a listing.

--- a/internal/node/job_pools.go
+++ b/internal/node/job_pools.go
@@ -37,8 +37,8 @@
 	return slices.Compact(names)
 }
 
-// knownPools returns the sorted names of the pools in the configuration, and of those with a lease
-// that this node has read.
+// knownPools returns the sorted names of the pools in the configuration, and of those that this node
+// watches. It may be called from any goroutine.
 func (n *Node) knownPools() []string {
 	var names []string
 	if current := n.catalog.Load(); current != nil {
@@ -46,12 +46,30 @@
 			names = append(names, current.Pools[i].Name)
 		}
 	}
-	names = append(names, sortedKeys(n.snapshot.Load().leases)...)
+	names = append(names, n.snapshot.Load().watched...)
 	slices.Sort(names)
 	return slices.Compact(names)
 }
 
-// watchPools starts watching the leases and owners of pools.
+// discoverPools starts watching the pools that have jobs, whether or not the configuration lists
+// them. Their jobs need an owner.
+func (n *Node) discoverPools() {
+	if n.discoveringPools {
+		return
+	}
+	n.discoveringPools = true
+	n.ports.Partitions(pool.JobTable, func(partitions []string, err error) {
+		n.discoveringPools = false
+		switch {
+		case errors.Is(err, rows.ErrUnsupported):
+		case err != nil:
+			n.storeRetries.After(retryPause, n.discoverPools)
+		default:
+			n.watchPools(poolsOfPartitions(partitions))
+		}
+	})
+}
+
 func (n *Node) watchPools(names []string) {
 	for _, name := range names {
 		n.watchPool(name)
--- a/internal/node/leases.go
+++ b/internal/node/leases.go
@@ -135,6 +135,10 @@
 		}
 	}
 	n.leases[row.Part] = lease
+	if !row.Gone {
+		// The configuration may have listed the pool while this node held another version.
+		n.watchPool(row.Part)
+	}
 	if p := n.owned[row.Part]; p != nil && p.Token() < row.Version {
 		p.Abandon("lease now held by " + lease.Owner)
 	}
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -138,11 +138,13 @@
 	return time.Duration((0.5 + rand.Float64()) * float64(period))
 }
 
-// refreshMembersPeriodically refreshes the sample each sampleRefreshInterval.
-func (n *Node) refreshMembersPeriodically() {
+// refreshPeriodically refreshes the sample, and the pools that have jobs, each
+// sampleRefreshInterval.
+func (n *Node) refreshPeriodically() {
 	n.dependencies.Loop.After(jitter(sampleRefreshInterval), func() {
 		n.refreshMembers()
-		n.refreshMembersPeriodically()
+		n.discoverPools()
+		n.refreshPeriodically()
 	})
 }
 
--- a/internal/node/moved_jobs.go
+++ b/internal/node/moved_jobs.go
@@ -116,21 +116,18 @@
 	return g.lookupInPool(ctx, found.pool, id)
 }
 
-// findAcceptedElsewhere returns the row by which another pool accepted a job, and a fault if that is
-// a different job. An owner of the queue's pool that compares pools ignores a copy of the job, so it
-// needs no search; owners of older versions would run the copy.
-func (g *Gateway) findAcceptedElsewhere(ctx context.Context, access Access, job *pool.Accepted) (*acceptedRow, error) {
-	if g.ownerComparesPools(access.Queue.Pool) {
+// findAcceptedElsewhere returns the row by which another known pool accepted a job, and a fault if
+// that is a different job. An owner of the queue's pool that compares pools ignores a copy of the
+// job, so it needs no search; owners of older versions would run the copy.
+func (g *Gateway) findAcceptedElsewhere(ctx context.Context, poolName string, job *pool.Accepted) (*acceptedRow, error) {
+	if g.ownerComparesPools(poolName) {
 		return nil, nil
 	}
-	found, err := g.findMovedJob(ctx, access, job.Spec.ID)
-	if err != nil && len(g.node.otherKnownPools(access.Queue.Pool)) > 0 {
+	found, err := g.findInPools(ctx, g.node.otherKnownPools(poolName), job.Spec.ID)
+	switch {
+	case err != nil || found == nil:
 		return nil, err
-	}
-	if found == nil {
-		return nil, nil
-	}
-	if !sameJob(&found.accepted, job) {
+	case !sameJob(&found.accepted, job):
 		return nil, duplicateIDFault()
 	}
 	return &found.acceptedRow, nil
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,6 +27,8 @@
 	members []member
 	leases  map[string]versionedLease
 	owned   map[string]*pool.Pool
+	// watched are the names of the watched pools.
+	watched []string
 	// waiting holds the last counts of waiting jobs that each pool's owner reported.
 	waiting map[string]waitingCounts
 }
@@ -102,8 +104,10 @@
 	pingHistory pingHistory
 	pruning     bool
 	watchers    map[string]*poolWatcher
-	owned       map[string]*pool.Pool
-	waiting     map[string]waitingCounts
+	// discoveringPools is true while this node lists the pools that have jobs.
+	discoveringPools bool
+	owned            map[string]*pool.Pool
+	waiting          map[string]waitingCounts
 	// evacuated are the zones that operators have evacuated.
 	evacuated  evacuation.Set
 	onReleased func()
@@ -131,8 +135,9 @@
 	n.join()
 	n.startedAt = n.now()
 	n.readMembers()
+	n.discoverPools()
 	n.updateConfigurationFeed()
-	n.refreshMembersPeriodically()
+	n.refreshPeriodically()
 	n.dependencies.Loop.After(jitter(startupRefreshDelay), n.refreshMembers)
 	n.pingOwners()
 	n.pollConfiguration()
@@ -143,7 +148,7 @@
 func (n *Node) now() time.Time { return n.dependencies.Loop.Now() }
 
 func (n *Node) publishSnapshot() {
-	next := &snapshot{leases: map[string]versionedLease{}, owned: map[string]*pool.Pool{}, waiting: map[string]waitingCounts{}}
+	next := &snapshot{leases: map[string]versionedLease{}, owned: map[string]*pool.Pool{}, waiting: map[string]waitingCounts{}, watched: sortedKeys(n.watchers)}
 	for _, name := range sortedKeys(n.memberSample.members) {
 		if name != n.options.Name {
 			next.members = append(next.members, n.memberSample.members[name])
--- a/internal/node/ownership.go
+++ b/internal/node/ownership.go
@@ -45,6 +45,7 @@
 		return
 	}
 	n.watchers[name] = &poolWatcher{pool: name, lastReplyAt: n.now()}
+	n.publishSnapshot()
 	n.readLease(name, func(int64) { n.followLeases() })
 }
 
--- a/internal/node/partial_answers_test.go
+++ b/internal/node/partial_answers_test.go
@@ -52,6 +52,11 @@
 	return s.respond(ctx, table)
 }
 
+func (s *partialResponseStore) Partitions(ctx context.Context, table string) ([]string, error) {
+	_, err := s.respond(ctx, table)
+	return nil, err
+}
+
 func (s *partialResponseStore) Feed(ctx context.Context, table string, _ int64, _ time.Duration) (rows.Listing, error) {
 	return s.respond(ctx, table)
 }
@@ -143,6 +148,11 @@
 	return s.respond(ctx, storeTimeout+200*time.Millisecond)
 }
 
+func (s slowResponseStore) Partitions(ctx context.Context, _ string) ([]string, error) {
+	_, err := s.Scan(ctx, "", "", "")
+	return nil, err
+}
+
 func (s slowResponseStore) Feed(ctx context.Context, _ string, _ int64, wait time.Duration) (rows.Listing, error) {
 	return s.respond(ctx, wait+feedGrace+200*time.Millisecond)
 }
@@ -190,6 +200,8 @@
 	}
 }
 
+func (slowCommitStore) Partitions(context.Context, string) ([]string, error) { return nil, nil }
+
 // Scan responds to probes.
 func (slowCommitStore) Scan(context.Context, string, string, string) (rows.Listing, error) {
 	return rows.Listing{}, nil
@@ -279,6 +291,8 @@
 	return s.listing, nil
 }
 
+func (s *fixedStore) Partitions(context.Context, string) ([]string, error) { return nil, nil }
+
 func (s *fixedStore) Feed(context.Context, string, int64, time.Duration) (rows.Listing, error) {
 	return s.listing, nil
 }
--- a/internal/node/relay_test.go
+++ b/internal/node/relay_test.go
@@ -29,6 +29,11 @@
 	return rows.Listing{}, errors.Mark(ctx.Err(), rows.ErrOutcomeUnknown)
 }
 
+func (s hangingStore) Partitions(ctx context.Context, _ string) ([]string, error) {
+	_, err := s.Scan(ctx, "", "", "")
+	return nil, err
+}
+
 func (s hangingStore) Page(ctx context.Context, _, _, _ string, _ int) (rows.Listing, error) {
 	return s.Scan(ctx, "", "", "")
 }
@@ -44,6 +49,10 @@
 	return rows.Listing{}, rows.ErrNoEffect
 }
 
+func (refusingStore) Partitions(context.Context, string) ([]string, error) {
+	return nil, rows.ErrNoEffect
+}
+
 func (refusingStore) Page(context.Context, string, string, string, int) (rows.Listing, error) {
 	return rows.Listing{}, rows.ErrNoEffect
 }
--- a/internal/node/submission.go
+++ b/internal/node/submission.go
@@ -46,9 +46,9 @@
 }
 
 // acceptJob writes an accepted job into the pool of its queue, unless another pool has accepted the
-// job before and only this node can tell.
+// job before and the owner of the queue's pool would not notice.
 func (g *Gateway) acceptJob(ctx context.Context, access Access, job *pool.Accepted) (acceptedRow, error) {
-	elsewhere, err := g.findAcceptedElsewhere(ctx, access, job)
+	elsewhere, err := g.findAcceptedElsewhere(ctx, access.Queue.Pool, job)
 	switch {
 	case err != nil:
 		return acceptedRow{}, err
