--- a/internal/node/lookup.go
+++ b/internal/node/lookup.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"encoding/json"
-	"time"
 
 	"github.com/wheatroad/wheatroad/internal/fault"
 	"github.com/wheatroad/wheatroad/internal/loop"
 	"github.com/wheatroad/wheatroad/internal/pool"
 	"github.com/wheatroad/wheatroad/internal/rows"
 	"github.com/wheatroad/wheatroad/internal/taskgraph"
-	"github.com/wheatroad/wheatroad/internal/uptime"
 )
 
 // Lookup returns a job's state.
@@ -150,55 +148,3 @@
 	}
 	return false
 }
-
-// waitingCacheMaxAge is the maximum age of a cached count of waiting jobs.
-const waitingCacheMaxAge = 1500 * time.Millisecond
-
-// WaitingJobs returns how many jobs of a queue have started no task.
-func (g *Gateway) WaitingJobs(ctx context.Context, access Access) (int, error) {
-	n := g.node
-	poolName, queue := access.Queue.Pool, access.Queue.Name
-	current := n.snapshot.Load()
-	lease := current.leases[poolName]
-	if current.owned[poolName] != nil || lease.Address == "" || lease.Owner == n.options.Name {
-		count, err := g.waitingLocal(ctx, poolName, queue)
-		if err != nil {
-			return 0, g.countRefusal(err)
-		}
-		return count, nil
-	}
-	var reply waitingReply
-	err := withTimeout(ctx, pingTimeout, func(ctx context.Context) error {
-		document, err := n.call(ctx, lease.Address, methodWaiting, jobRequest{Pool: poolName, Queue: queue})
-		if err != nil {
-			return err
-		}
-		return json.Unmarshal(document, &reply)
-	})
-	if err == nil {
-		return reply.Waiting, nil
-	}
-	if cached := current.waiting[poolName]; cached.counts != nil && uptime.Since(cached.at) < waitingCacheMaxAge {
-		return cached.counts[queue], nil
-	}
-	return 0, g.countRefusal(fault.New(fault.NoOwner, "the pool's owner is unresponsive"))
-}
-
-func (g *Gateway) waitingLocal(ctx context.Context, poolName, queue string) (int, error) {
-	n := g.node
-	p := n.snapshot.Load().owned[poolName]
-	if p == nil {
-		return 0, fault.New(fault.NoOwner, "this node does not own the pool")
-	}
-	count, loaded := 0, false
-	err := withTimeout(ctx, loopCallTimeout, func(ctx context.Context) error {
-		return loop.Call(ctx, n.dependencies.Loop, func() {
-			loaded = p.Loaded()
-			count = p.WaitingJobs()[queue]
-		})
-	})
-	if err != nil || !loaded {
-		return 0, fault.New(fault.NoOwner, "this node owns the pool but has not loaded its state, or its loop is busy")
-	}
-	return count, nil
-}
--- a/internal/node/pings.go
+++ b/internal/node/pings.go
@@ -34,8 +34,11 @@
 	StoreAgeMillis int64 `json:"store_age_ms"`
 	// StoreLost is true if a feed or a probe of the node has failed since the store's last direct
 	// response.
-	StoreLost bool           `json:"store_lost,omitempty"`
-	Waiting   map[string]int `json:"waiting,omitempty"`
+	StoreLost bool `json:"store_lost,omitempty"`
+	// Waiting is the number of waiting jobs by queue. Loaded is true if the owner has read its rows, so
+	// that an empty Waiting means none; owners of older versions do not say so.
+	Waiting map[string]int `json:"waiting,omitempty"`
+	Loaded  bool           `json:"loaded,omitempty"`
 	// StoreLatencyMillis is the minimum latency of the node's recent store calls, or 0 if the node
 	// made none.
 	StoreLatencyMillis int64 `json:"store_latency_ms,omitempty"`
@@ -135,9 +138,22 @@
 			n.dependencies.Recorder.LogEvent("owner responsive again", "pool", w.pool, "owner", owner)
 			n.refreshMembers()
 		}
-		n.waiting[w.pool] = waitingCounts{counts: reply.Waiting, at: uptime.Now()}
-		n.publishSnapshot()
+		n.recordWaiting(w.pool, &reply)
+	}
+}
+
+// recordWaiting keeps the counts of waiting jobs in an owner's reply, and earlier counts if the owner
+// does not know them yet.
+func (n *Node) recordWaiting(poolName string, reply *pingReply) {
+	counts := reply.Waiting
+	if counts == nil && reply.Loaded {
+		counts = map[string]int{}
+	}
+	if counts == nil {
+		return
 	}
+	n.waiting[poolName] = waitingCounts{counts: counts, at: uptime.Now()}
+	n.publishSnapshot()
 }
 
 // unlessSuperseded returns a function that calls fn unless the pool has another owner by then, or the
@@ -256,7 +272,7 @@
 		}
 		n.pingHistory.record(request.From, n.now())
 		reply.Owner, reply.HeldMillis = true, n.now().Sub(p.AcquiredAt()).Milliseconds()
-		if p.Loaded() {
+		if reply.Loaded = p.Loaded(); reply.Loaded {
 			reply.Waiting = p.WaitingJobs()
 		}
 	})
