soak: the queue moves between pools while callers submit their jobs again

Callers submit a third of their jobs to three daemons within 50 ms, and half of the accepted ones again after up to two seconds.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -74,6 +74,7 @@
 func (r *run) callerLoop(number int) {
 	random := rand.New(rand.NewPCG(r.options.Seed, uint64(100+number)))
 	caller := standin.NewClient(callTimeout)
+	again := newResubmissions(r, number, caller)
 	for serial := 0; !r.closing(); serial++ {
 		s := &submission{spec: r.randomSpec(random, number, serial), refused: true}
 		r.observations.mutex.Lock()
@@ -85,7 +86,12 @@
 				r.platform.Cluster.Crashing[taskgraph.TaskName{Job: s.spec.ID}] = r.workers.Crash
 			}
 		})
-		r.submit(caller, random, s)
+		if !again.submitAtOnce(s) {
+			r.submit(caller, random, s)
+		}
+		if s.accepted {
+			again.submitAgain(s)
+		}
 		if s.accepted && random.Float64() < cancelShare {
 			r.cancel(caller, random, s)
 		}
@@ -150,16 +156,11 @@
 // refusal.
 func (r *run) submit(caller *standin.Client, random *rand.Rand, s *submission) {
 	for range submitAttempts {
-		d := r.randomDaemon(random)
-		answer, err := r.checkedCall(d, "submit", func() (standin.Response, error) { return caller.Submit(d.callerAddress, r.key(), s.spec) })
-		switch {
-		case err == nil && answer.Status == http.StatusOK:
-			s.accepted, s.refused = true, false
-			return
-		case err == nil && (answer.Status == http.StatusServiceUnavailable || answer.Status == http.StatusUnauthorized):
+		outcome := r.submitOnce(caller, r.randomDaemon(random), s)
+		s.record(outcome)
+		if outcome != submitUnknown {
 			return
 		}
-		s.refused = false
 		time.Sleep(submitPause)
 	}
 }
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -271,6 +271,44 @@
 	require.NotEmpty(t, report.InstanceFaults.InvalidRows)
 }
 
+// TestShortSoakOfQueueMoves runs a seed whose queue moves between pools while callers submit their
+// jobs several times.
+func TestShortSoakOfQueueMoves(t *testing.T) {
+	report := runShortSoak(t, 660034)
+	require.Greater(t, len(report.QueueMoves), 2)
+}
+
+func TestQueueMovesAreDeterministicPerSeed(t *testing.T) {
+	const seeds = 200
+	drawn, quick, removed, unlisted := 0, 0, 0, 0
+	for seed := range uint64(seeds) {
+		moves := NewQueueMoves(seed, time.Minute, false)
+		require.Equal(t, moves, NewQueueMoves(seed, time.Minute, false))
+		if len(moves) > 0 {
+			drawn++
+		}
+		for i, move := range moves {
+			if i > 0 && move.At-moves[i-1].At < quickMoveGap {
+				quick++
+			}
+			if move.Pool == "" {
+				removed++
+			}
+			if move.OnlyPool {
+				unlisted++
+			}
+		}
+	}
+	require.InDelta(t, seeds/queueMovesEvery, drawn, seeds/10)
+	require.Positive(t, quick)
+	require.Positive(t, removed)
+	require.Positive(t, unlisted)
+	for _, kept := range seedsWithoutQueueMoves {
+		require.Empty(t, NewQueueMoves(kept, time.Minute, false), "faults of kept seeds must not change")
+		require.NotEmpty(t, NewQueueMoves(kept, time.Minute, true))
+	}
+}
+
 func TestInstanceFaultsAreDeterministicPerSeed(t *testing.T) {
 	const seeds = 200
 	drawn, series, foreign := 0, 0, 0
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -30,6 +30,9 @@
 	Callers       int
 	// InstanceFaults adds worker restarts and invalid worker rows to every seed.
 	InstanceFaults bool
+	// QueueMoves moves the queue in every seed. Without it, the queue of some seeds moves if all daemons
+	// are of one version.
+	QueueMoves bool
 	// Directory contains settings and logs.
 	Directory string
 }
@@ -51,6 +54,8 @@
 	Workers WorkerFaults `json:"workers"`
 	// InstanceFaults are the restarts of workers and the invalid worker rows.
 	InstanceFaults InstanceFaults `json:"lives"`
+	// QueueMoves are the moves of the queue to other pools.
+	QueueMoves []QueueMove `json:"queue_moves,omitempty"`
 	// MessageDelays are the delays of single messages between daemons and workers.
 	MessageDelays MessageDelays `json:"message_delays"`
 	// Overtaken counts the messages between daemons and workers that later ones overtook.
@@ -74,7 +79,8 @@
 	keyMutex   sync.Mutex
 	keyVersion int
 
-	workers WorkerFaults
+	workers    WorkerFaults
+	queueMoves []QueueMove
 
 	// configurationMutex serializes writes of the configuration, so that versions only increase.
 	configurationMutex sync.Mutex
@@ -105,6 +111,12 @@
 	}
 	defer platform.Close()
 	r := &run{options: options, workers: workerFaults, platform: platform, closed: make(chan struct{}), observations: observations{answers: map[string]int{}}}
+	if options.QueueMoves || options.OtherDaemonPath == "" {
+		r.queueMoves = NewQueueMoves(options.Seed, options.FaultDuration, options.QueueMoves)
+	}
+	if len(r.queueMoves) > 0 {
+		r.addQueuePools()
+	}
 	r.putInitialConfiguration()
 	defer r.closeDaemons()
 	if err := r.start(); err != nil {
@@ -173,6 +185,8 @@
 	r.applyWorkerFaults(began, &pending)
 	report.InstanceFaults = NewInstanceFaults(r.options.Seed, r.options.FaultDuration, r.options.InstanceFaults)
 	r.applyInstanceFaults(report.InstanceFaults, began, &pending)
+	report.QueueMoves = r.queueMoves
+	r.applyQueueMoves(r.queueMoves, began, &pending)
 	report.MessageDelays = NewMessageDelays(r.options.Seed)
 	r.applyMessageDelays(report.MessageDelays, began, &pending)
 	for _, fault := range NewPlan(r.options.Seed, r.options.FaultDuration) {
@@ -316,6 +330,9 @@
 func (r *run) putInitialConfiguration() {
 	r.keyVersion = 1
 	r.configuration = standin.Configuration{MaxAttempts: maxAttempts, Priority: 1, IgnoreCapacity: r.workers.Unguarded}
+	if len(r.queueMoves) > 0 {
+		r.configuration.Pools = queuePools
+	}
 	r.putKeys(keyName(r.keyVersion))
 }
 
