--- a/internal/soak/queue_moves.go
+++ b/internal/soak/queue_moves.go
@@ -32,8 +32,10 @@
 	queueMoveGap    = 2 * time.Second
 	quickMovesEvery = 3
 	quickMoveGap    = 150 * time.Millisecond
-	// One in queueRemovedEvery moves leaves the queue out, and one in onlyPoolEvery the other pools.
+	// One in queueRemovedEvery moves leaves the queue out for up to maxQueueAbsence, and one in
+	// onlyPoolEvery leaves the other pools out.
 	queueRemovedEvery = 4
+	maxQueueAbsence   = time.Second
 	onlyPoolEvery     = 4
 	// extraPoolWorkers is the number of workers in each pool but the first.
 	extraPoolWorkers = 6
@@ -57,13 +59,14 @@
 		return nil
 	}
 	var moves []QueueMove
-	at := time.Second
+	at, current := time.Second, 0
 	for range minQueueMoves + random.IntN(maxQueueMoves-minQueueMoves+1) {
-		move := QueueMove{At: at, Pool: queuePools[random.IntN(len(queuePools))], OnlyPool: random.IntN(onlyPoolEvery) == 0}
 		if random.IntN(queueRemovedEvery) == 0 {
-			move.Pool, move.OnlyPool = "", false
+			moves = append(moves, QueueMove{At: at})
+			at += time.Duration(random.Int64N(int64(maxQueueAbsence)))
 		}
-		moves = append(moves, move)
+		current = (current + 1 + random.IntN(len(queuePools)-1)) % len(queuePools)
+		moves = append(moves, QueueMove{At: at, Pool: queuePools[current], OnlyPool: random.IntN(onlyPoolEvery) == 0})
 		gap := time.Duration(random.ExpFloat64() * float64(queueMoveGap))
 		if random.IntN(quickMovesEvery) == 0 {
 			gap = time.Duration(random.Int64N(int64(quickMoveGap)))
