Copies of jobs: three ways in which one could be run or lost

Found by reading again, each with a test that failed before this commit.

A job ran again if its own rows expired while another pool's copy was still there, as when that pool had no owner for minutes: the next owner found the copy alone. A job is now kept until no other pool has a copy (TestJobIsKeptWhileAnotherPoolHasACopy).

A job that was announced while other announcements were verified waited for the feed, which may be silent (TestAnnouncementsDuringAVerificationAreVerifiedToo). Each verification now takes its rows with it.

A new job whose identifier had expired in another pool was taken for a copy and removed, if it was announced before the feed told of the expiry (TestAnnouncedJobIsKeptIfTheOtherPoolsJobHasExpired). The feed now decides.

--- a/internal/pool/benchmark_test.go
+++ b/internal/pool/benchmark_test.go
@@ -35,6 +35,35 @@
 	}
 }
 
+// BenchmarkTakeover measures the processor time until a new owner has read its rows, by the number of
+// jobs that wait in its pool and in another pool.
+func BenchmarkTakeover(b *testing.B) {
+	for _, size := range []struct{ own, other int }{{10_000, 0}, {10_000, 10_000}, {48_000, 0}} {
+		b.Run(fmt.Sprintf("own=%d,other=%d", size.own, size.other), func(b *testing.B) {
+			b.StopTimer()
+			w := simulation.NewCluster(1, 1)
+			w.Checker.Quiet = true
+			for n := range size.own + size.other {
+				poolName := simulation.PoolName
+				if n >= size.own {
+					poolName = otherPool
+				}
+				job := spec(n+1, singleTaskStep(4))
+				w.RegisterJob(job, batch)
+				accept(w, job, poolName, 0)
+			}
+			b.StartTimer()
+			for range b.N {
+				owner := w.AcquirePool()
+				for !owner.Loaded() {
+					w.Run(time.Millisecond)
+				}
+				owner.Process.Kill()
+			}
+		})
+	}
+}
+
 // BenchmarkOwner measures the CPU time per virtual second of a busy pool's owner, by the number
 // of workers.
 func BenchmarkOwner(b *testing.B) {
--- a/internal/pool/job_announcement.go
+++ b/internal/pool/job_announcement.go
@@ -14,8 +14,8 @@
 // accepts writes.
 type announcements struct {
 	pending map[string]rows.Row
-	// verifying is true while a verification is scheduled or in flight.
-	verifying bool
+	// scheduled is true while a verification of the pending rows is scheduled.
+	scheduled bool
 }
 
 // announcementPatience is how long the feed may take to deliver an announced row before the owner
@@ -32,61 +32,53 @@
 	if !ok || p.closed || !p.loaded || row.Version <= p.jobsVersion || p.jobs[id] != nil {
 		return
 	}
-	p.announcements.pending[id] = row
-	p.scheduleAnnouncementVerification(announcementPatience)
+	p.verifyAfter(announcementPatience, id, row)
 }
 
-func (p *Pool) scheduleAnnouncementVerification(pause time.Duration) {
-	if p.announcements.verifying {
-		return
+// verifyAfter schedules the verification of an announced row.
+func (p *Pool) verifyAfter(pause time.Duration, id string, row rows.Row) {
+	p.announcements.pending[id] = row
+	if !p.announcements.scheduled {
+		p.announcements.scheduled = true
+		p.loop.After(pause, p.verifyAnnouncements)
 	}
-	p.announcements.verifying = true
-	p.loop.After(pause, p.verifyAnnouncements)
 }
 
 // verifyAnnouncements applies the announced rows that the feed has not delivered, once it has read
 // whether another pool accepted one of their jobs before. The feed would have delivered such a row
 // first.
 func (p *Pool) verifyAnnouncements() {
-	p.announcements.verifying = false
-	p.dropDeliveredAnnouncements()
-	if p.closed || len(p.announcements.pending) == 0 {
+	p.announcements.scheduled = false
+	announced := p.announcements.pending
+	p.announcements.pending = map[string]rows.Row{}
+	maps.DeleteFunc(announced, func(id string, row rows.Row) bool { return row.Version <= p.jobsVersion || p.jobs[id] != nil })
+	if p.closed || len(announced) == 0 {
 		return
 	}
-	p.announcements.verifying = true
-	announced := slices.Sorted(maps.Keys(p.announcements.pending))
 	p.tryListOtherPartitions(func(others []string, err error) {
-		p.announcements.verifying = false
 		if err != nil {
 			p.record.Count("retries", "list_partitions")
-			p.scheduleAnnouncementVerification(retryDelay)
-			return
 		}
-		for _, id := range announced {
-			p.verifyAnnouncement(id, others)
+		for _, id := range slices.Sorted(maps.Keys(announced)) {
+			if err != nil {
+				p.verifyAfter(retryDelay, id, announced[id])
+				continue
+			}
+			p.verifyAnnouncement(id, announced[id], others)
 		}
 	})
 }
 
-// dropDeliveredAnnouncements drops the announced rows that the feed has delivered since.
-func (p *Pool) dropDeliveredAnnouncements() {
-	for id, row := range p.announcements.pending {
-		if row.Version <= p.jobsVersion || p.jobs[id] != nil {
-			delete(p.announcements.pending, id)
-		}
-	}
-}
-
 // verifyAnnouncement reads a job's rows in the given partitions of other pools, and then applies its
 // announced row. If a read fails, the row is verified again.
-func (p *Pool) verifyAnnouncement(id string, others []string) {
+func (p *Pool) verifyAnnouncement(id string, row rows.Row, others []string) {
 	candidates := slices.DeleteFunc(slices.Clone(others), func(part string) bool {
 		name, _ := PoolOfJobPartition(part)
 		return !slices.Contains(JobPartitions(name, id), part)
 	})
 	remaining, failed := len(candidates), false
 	if remaining == 0 {
-		p.applyAnnouncement(id)
+		p.applyAnnouncement(id, row)
 		return
 	}
 	for _, part := range candidates {
@@ -99,19 +91,18 @@
 			case remaining > 0:
 			case failed:
 				p.record.Count("retries", "scan")
-				p.scheduleAnnouncementVerification(retryDelay)
+				p.verifyAfter(retryDelay, id, row)
 			default:
-				p.applyAnnouncement(id)
+				p.applyAnnouncement(id, row)
 			}
 		})
 	}
 }
 
-// applyAnnouncement applies a verified row unless the feed has delivered it meanwhile.
-func (p *Pool) applyAnnouncement(id string) {
-	row, found := p.announcements.pending[id]
-	delete(p.announcements.pending, id)
-	if !found || p.closed || row.Version <= p.jobsVersion {
+// applyAnnouncement applies a verified row unless the feed has delivered it meanwhile. If another
+// pool accepted the job before, the feed decides, as that pool may have removed its job since.
+func (p *Pool) applyAnnouncement(id string, row rows.Row) {
+	if _, elsewhere := p.otherPoolsJobs.acceptedBefore(id, row.Version); elsewhere || p.closed || row.Version <= p.jobsVersion {
 		return
 	}
 	p.record.Count("announcements", "taken")
--- a/internal/pool/job_copies_test.go
+++ b/internal/pool/job_copies_test.go
@@ -171,6 +171,72 @@
 	requireRunOnce(t, w, first, copied)
 }
 
+// TestJobIsKeptWhileAnotherPoolHasACopy guards against a job that runs again (TWICE) because its rows
+// expired before the owner of another pool could remove a copy.
+func TestJobIsKeptWhileAnotherPoolHasACopy(t *testing.T) {
+	w := newClusterWithTwoPools()
+	w.Acquire(simulation.PoolName)
+	w.Run(time.Second)
+	job := spec(1, singleTaskStep(1))
+	w.RegisterJob(job, batch)
+	first := accept(w, job, simulation.PoolName, 0)
+	copied := accept(w, job, otherPool, 0)
+	w.Run(5 * time.Minute)
+	require.True(t, hasAcceptedRow(w, first), "the other pool has no owner")
+	w.Acquire(otherPool)
+	w.Run(10 * time.Second)
+	require.False(t, hasAcceptedRow(w, copied))
+	w.Run(5 * time.Minute)
+	require.False(t, hasAcceptedRow(w, first))
+	requireInvariants(t, w)
+	require.Equal(t, 1, w.Checker.Starts(taskOf(1, 0, 0)))
+}
+
+// TestAnnouncementsDuringAVerificationAreVerifiedToo guards against a job that does not start while
+// the feed is silent, because it was announced while other announcements were being verified.
+func TestAnnouncementsDuringAVerificationAreVerifiedToo(t *testing.T) {
+	w := newClusterWithTwoPools()
+	owner := w.Acquire(otherPool)
+	w.Run(time.Second)
+	w.Store.FeedsUnresponsive = true
+	for n := range 4 {
+		job := spec(n+1, singleTaskStep(1))
+		w.RegisterJob(job, batch)
+		row := accept(w, job, otherPool, 0)
+		owner.Process.Post(func() { owner.HandleJobAnnouncement(row) })
+		w.Run(42 * time.Millisecond)
+	}
+	w.Run(300 * time.Millisecond)
+	for n := range 4 {
+		require.Equal(t, 1, w.Checker.Starts(taskOf(n+1, 0, 0)), "job %d", n+1)
+	}
+	requireInvariants(t, w)
+}
+
+// TestAnnouncedJobIsKeptIfTheOtherPoolsJobHasExpired guards against a job that is never run (LOST),
+// because a job with its identifier had expired in another pool and the feed has not told so yet.
+func TestAnnouncedJobIsKeptIfTheOtherPoolsJobHasExpired(t *testing.T) {
+	w := newClusterWithTwoPools()
+	w.Acquire(simulation.PoolName)
+	owner := w.Acquire(otherPool)
+	w.Run(time.Second)
+	job := spec(1, singleTaskStep(1))
+	w.RegisterJob(job, batch)
+	expired := accept(w, job, simulation.PoolName, 0)
+	w.Run(5 * time.Second)
+	w.Store.FeedsUnresponsive = true
+	w.Run(2 * time.Second)
+	w.Store.Apply(rows.Transaction{Removes: []rows.Key{expired.Key}})
+	again := accept(w, job, otherPool, 0)
+	owner.Process.Post(func() { owner.HandleJobAnnouncement(again) })
+	w.Run(time.Second)
+	require.True(t, hasAcceptedRow(w, again))
+	w.Store.FeedsUnresponsive = false
+	w.Run(2 * time.Second)
+	require.True(t, hasAcceptedRow(w, again), "a new job")
+	require.Equal(t, 2, w.Checker.Starts(taskOf(1, 0, 0)))
+}
+
 // TestPoolNameIsNoPrefixOfAnother guards against an owner that takes the rows of a pool whose name
 // begins with its own pool's name and a slash.
 func TestPoolNameIsNoPrefixOfAnother(t *testing.T) {
--- a/internal/pool/job_listing.go
+++ b/internal/pool/job_listing.go
@@ -53,7 +53,7 @@
 	if other.Version > 0 {
 		merged.Version = min(own.Version, other.Version)
 	}
-	slices.SortStableFunc(merged.Rows, func(a, b rows.Row) int { return cmp.Compare(a.Version, b.Version) })
+	slices.SortFunc(merged.Rows, func(a, b rows.Row) int { return cmp.Compare(a.Version, b.Version) })
 	return merged
 }
 
--- a/internal/pool/lifecycle.go
+++ b/internal/pool/lifecycle.go
@@ -83,14 +83,15 @@
 }
 
 // removeExpiredJobs deletes the rows of one job whose retention has expired. The progress row is
-// deleted last, so that the job cannot appear to be new.
+// deleted last, so that the job cannot appear to be new. A job of which another pool still has a copy
+// is kept: without this pool's row, the copy would run.
 func (p *Pool) removeExpiredJobs() {
 	if p.removingExpiredJob || p.releasing {
 		return
 	}
 	limit := p.loop.TimeOfDay().Add(-p.options.Bounds.StatusRetention - retentionMargin)
 	for id, j := range p.jobs {
-		if j.state.Final() && j.endedAt.Before(limit) {
+		if j.state.Final() && j.endedAt.Before(limit) && len(p.otherPoolsJobs[id]) == 0 {
 			if p.writer.putsOffCleaning() {
 				p.record.Count("writes_put_off", "expired_job")
 				return
