--- a/internal/pool/job_copies_test.go
+++ b/internal/pool/job_copies_test.go
@@ -39,6 +39,14 @@
 	return rows.Row{Key: put.Key, Value: put.Value, Version: w.Store.Apply(transaction).Version}
 }
 
+// acceptNew registers job n, which has one task, and accepts it into the given one of its partitions
+// in a pool. It returns the job and its row.
+func acceptNew(w *simulation.Cluster, n int, poolName string, choice int) (taskgraph.Spec, rows.Row) {
+	job := spec(n, singleTaskStep(1))
+	w.RegisterJob(job, batch)
+	return job, accept(w, job, poolName, choice)
+}
+
 // hasAcceptedRow reports whether a row is in the store.
 func hasAcceptedRow(w *simulation.Cluster, row rows.Row) bool {
 	return len(w.Store.List(row.Table, row.Part, row.Name).Rows) > 0
@@ -80,9 +88,7 @@
 				w.Acquire(otherPool)
 			}
 			w.Run(c.before)
-			job := spec(1, singleTaskStep(1))
-			w.RegisterJob(job, batch)
-			first := accept(w, job, simulation.PoolName, c.firstChoice)
+			job, first := acceptNew(w, 1, simulation.PoolName, c.firstChoice)
 			w.Run(c.between)
 			copied := accept(w, job, otherPool, c.copyChoice)
 			if c.before == 0 {
@@ -101,9 +107,7 @@
 	w := newClusterWithTwoPools()
 	w.Acquire(simulation.PoolName)
 	w.Run(time.Second)
-	job := spec(1, singleTaskStep(1))
-	w.RegisterJob(job, batch)
-	first := accept(w, job, simulation.PoolName, 0)
+	job, first := acceptNew(w, 1, simulation.PoolName, 0)
 	w.Run(time.Second)
 	copied := accept(w, job, otherPool, 0)
 	w.Acquire(otherPool)
@@ -118,9 +122,7 @@
 	firstOwner, otherOwner := w.Acquire(simulation.PoolName), w.Acquire(otherPool)
 	w.Run(time.Second)
 	w.Store.FeedsUnresponsive = true
-	job := spec(1, singleTaskStep(1))
-	w.RegisterJob(job, batch)
-	first := accept(w, job, simulation.PoolName, 1)
+	job, first := acceptNew(w, 1, simulation.PoolName, 1)
 	copied := accept(w, job, otherPool, 0)
 	otherOwner.Process.Post(func() { otherOwner.HandleJobAnnouncement(copied) })
 	w.Run(500 * time.Millisecond)
@@ -139,9 +141,7 @@
 	w := newClusterWithTwoPools()
 	w.Acquire(simulation.PoolName)
 	w.Run(time.Second)
-	job := spec(1, singleTaskStep(1))
-	w.RegisterJob(job, batch)
-	accept(w, job, simulation.PoolName, 0)
+	job, _ := acceptNew(w, 1, simulation.PoolName, 0)
 	w.Run(time.Second)
 	copied := accept(w, job, otherPool, 0)
 	key := pool.CancelledKey(copied.Part, jobID(1))
@@ -159,9 +159,7 @@
 	w.Acquire(simulation.PoolName)
 	w.Acquire(otherPool)
 	w.Run(time.Second)
-	job := spec(1, singleTaskStep(1))
-	w.RegisterJob(job, batch)
-	first := accept(w, job, simulation.PoolName, 0)
+	job, first := acceptNew(w, 1, simulation.PoolName, 0)
 	copied := accept(w, job, otherPool, 0)
 	w.Store.UnavailablePartitions[copied.Part] = true
 	w.Run(5 * time.Second)
@@ -177,9 +175,7 @@
 	w := newClusterWithTwoPools()
 	w.Acquire(simulation.PoolName)
 	w.Run(time.Second)
-	job := spec(1, singleTaskStep(1))
-	w.RegisterJob(job, batch)
-	first := accept(w, job, simulation.PoolName, 0)
+	job, first := acceptNew(w, 1, simulation.PoolName, 0)
 	copied := accept(w, job, otherPool, 0)
 	w.Run(5 * time.Minute)
 	require.True(t, hasAcceptedRow(w, first), "the other pool has no owner")
@@ -200,9 +196,7 @@
 	w.Run(time.Second)
 	w.Store.FeedsUnresponsive = true
 	for n := range 4 {
-		job := spec(n+1, singleTaskStep(1))
-		w.RegisterJob(job, batch)
-		row := accept(w, job, otherPool, 0)
+		_, row := acceptNew(w, n+1, otherPool, 0)
 		owner.Process.Post(func() { owner.HandleJobAnnouncement(row) })
 		w.Run(42 * time.Millisecond)
 	}
@@ -220,9 +214,7 @@
 	w.Acquire(simulation.PoolName)
 	owner := w.Acquire(otherPool)
 	w.Run(time.Second)
-	job := spec(1, singleTaskStep(1))
-	w.RegisterJob(job, batch)
-	expired := accept(w, job, simulation.PoolName, 0)
+	job, expired := acceptNew(w, 1, simulation.PoolName, 0)
 	w.Run(5 * time.Second)
 	w.Store.FeedsUnresponsive = true
 	w.Run(2 * time.Second)
@@ -243,9 +235,7 @@
 	w := simulation.NewCluster(1, 2)
 	w.Acquire(simulation.PoolName)
 	w.Run(time.Second)
-	job := spec(1, singleTaskStep(1))
-	w.RegisterJob(job, batch)
-	accept(w, job, simulation.PoolName+"/x", 0)
+	acceptNew(w, 1, simulation.PoolName+"/x", 0)
 	w.Run(5 * time.Second)
 	require.Zero(t, w.Checker.Starts(taskOf(1, 0, 0)))
 }
