--- a/cmd/wheatroad-bench/faults_command.go
+++ b/cmd/wheatroad-bench/faults_command.go
@@ -26,6 +26,7 @@
 	callers        int
 	workerRestarts bool
 	queueMoves     bool
+	noQueueMoves   bool
 	asJSON         bool
 	list           bool
 }
@@ -60,6 +61,7 @@
 	command.Flags().IntVar(&flags.callers, "callers", 4, "number of concurrent callers")
 	command.Flags().BoolVar(&flags.workerRestarts, "lives", false, "restart workers under the same identifiers and write invalid worker rows, whatever the seed selects")
 	command.Flags().BoolVar(&flags.queueMoves, "moves", false, "move the queue between pools, whatever the seed selects")
+	command.Flags().BoolVar(&flags.noQueueMoves, "no-moves", false, "move the queue in no seed, as the versions before jobs were compared across pools need")
 	command.Flags().BoolVar(&flags.asJSON, "json", false, "print each report as JSON")
 	command.Flags().BoolVar(&flags.list, "list-kinds", false, "list the kinds of faults and exit")
 	return command
@@ -93,7 +95,7 @@
 	report, err := soak.Run(soak.Options{
 		DaemonPath: filepath.Join(flags.binaries, "wheatroadd"), OtherDaemonPath: flags.otherDaemon, Seed: seed, Directory: folder,
 		FaultDuration: time.Duration(flags.seconds * float64(time.Second)), Daemons: flags.processes, Callers: flags.callers, InstanceFaults: flags.workerRestarts,
-		QueueMoves: flags.queueMoves,
+		QueueMoves: flags.queueMoves, WithoutQueueMoves: flags.noQueueMoves,
 	})
 	if err == nil && len(report.Violations) == 0 {
 		err = os.RemoveAll(folder)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -31,8 +31,10 @@
 	// InstanceFaults adds worker restarts and invalid worker rows to every seed.
 	InstanceFaults bool
 	// QueueMoves moves the queue in every seed. Without it, the queue of some seeds moves if all daemons
-	// are of one version.
-	QueueMoves bool
+	// are of one version. WithoutQueueMoves moves it in no seed, for daemons that are launched as those
+	// of several versions.
+	QueueMoves        bool
+	WithoutQueueMoves bool
 	// Directory contains settings and logs.
 	Directory string
 }
@@ -111,7 +113,7 @@
 	}
 	defer platform.Close()
 	r := &run{options: options, workers: workerFaults, platform: platform, closed: make(chan struct{}), observations: observations{answers: map[string]int{}}}
-	if options.QueueMoves || options.OtherDaemonPath == "" {
+	if options.QueueMoves || options.OtherDaemonPath == "" && !options.WithoutQueueMoves {
 		r.queueMoves = NewQueueMoves(options.Seed, options.FaultDuration, options.QueueMoves)
 	}
 	if len(r.queueMoves) > 0 {
