simulation: a store whose scans time out lists no partitions either

The listing of partitions is a read like a scan, so the tests with silent scans now hold it back as well. All tests of internal/pool hold with it.

--- a/internal/simulation/store.go
+++ b/internal/simulation/store.go
@@ -33,7 +33,7 @@
 	KnowledgeWriteOutcome func() Outcome
 	// FeedsUnresponsive withholds the responses of feeds.
 	FeedsUnresponsive bool
-	// ScansUnresponsive makes scans time out.
+	// ScansUnresponsive makes scans and listings of partitions time out.
 	ScansUnresponsive bool
 	// AnswerDelay returns how long the answer to a call takes beyond Latency once the store has carried
 	// out the call; nil means no time.
@@ -212,6 +212,11 @@
 			done(nil, rows.ErrNoEffect)
 			return
 		}
+		if s.ScansUnresponsive {
+			s.lastFaultAt = s.clock.Now()
+			s.clock.After(responseTimeout, func() { done(nil, rows.ErrOutcomeUnknown) })
+			return
+		}
 		done(s.ListPartitions(table), nil)
 	})
 }
