node tests: the listing of partitions in stores that count or slow calls down

Both stores with a lock now take it for the listing, and the slow one takes its time. go test -race ./internal/node passes.

--- a/internal/node/membership_test.go
+++ b/internal/node/membership_test.go
@@ -50,6 +50,12 @@
 	return s.count(s.fakeStore.Page(ctx, table, part, from, limit))
 }
 
+func (s *countingStore) Partitions(ctx context.Context, table string) ([]string, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.fakeStore.Partitions(ctx, table)
+}
+
 func (s *countingStore) Feed(ctx context.Context, table string, after int64, wait time.Duration) (rows.Listing, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
--- a/internal/node/store_latency_test.go
+++ b/internal/node/store_latency_test.go
@@ -57,6 +57,15 @@
 	return s.fakeStore.Scan(ctx, table, part, prefix)
 }
 
+func (s *overloadedStore) Partitions(ctx context.Context, table string) ([]string, error) {
+	if err := s.wait(ctx); err != nil {
+		return nil, err
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.fakeStore.Partitions(ctx, table)
+}
+
 func TestSlowStoreGetsEachJobOnce(t *testing.T) {
 	cases := map[string]time.Duration{
 		"sixty times slower":  320 * time.Millisecond,
