Review finding full node (Fault): clients that move from a lost node end the processes of the others

One node is without power for 3.5 s, six times; its clients connect to the other two. As it returns, the processes of these end by themselves with code 1, though nothing struck their machines: 3 to 6 times each in a play. In 3 of 5 plays all 24 tasks that ran were killed, as their leases lapsed meanwhile.

Order of events: (1) the node is lost; (2) the other two take its clients until their descriptors are used up; the servers of clients wait and go on; (3) the node is back and connects to the owner; (4) the owner's Accept for nodes fails with "too many open files", and its process ends; (5) its clients go to the others, and so on.

Code at fault: Serve in internal/peer/server.go returns at the first failed Accept, and wait in cmd/wheatroadd/serve.go ends the process then. Nothing keeps descriptors back for nodes and store, or limits clients.

The nodes of rowsite have a file of their own now, since they are started again; kept-free and far-rack play as before.

--- a/review/rowsite/main_test.go
+++ b/review/rowsite/main_test.go
@@ -27,6 +27,7 @@
 var plays = map[string]play{
 	"kept-free": playKeptFree,
 	"far-rack":  playFarRack,
+	"full-node": playFullNode,
 }
 
 // TestMain is the program: rowsite PLAY RECORD, from the top of the repository.
--- a/review/rowsite/site_test.go
+++ b/review/rowsite/site_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"sync"
@@ -32,19 +31,15 @@
 	directory string
 	workers   []*worker
 	nodes     []*node
+	// descriptors is how many a node may have open, or 0 for as many as this program may.
+	descriptors int
 
 	mutex sync.Mutex
 	kinds map[string][]taskKind
 	// active holds the workers on which each task runs.
 	active map[string]map[*worker]int
-}
-
-// node is one process of the system.
-type node struct {
-	name    string
-	callers string
-	ready   string
-	process *exec.Cmd
+	// ended counts the runs that ended, by how.
+	ended map[string]int
 }
 
 func newSite(r *record) (*site, error) {
@@ -54,7 +49,7 @@
 	}
 	s := &site{
 		record: r, store: newStore(r), directory: directory, kinds: map[string][]taskKind{},
-		active: map[string]map[*worker]int{},
+		active: map[string]map[*worker]int{}, ended: map[string]int{},
 	}
 	s.storeAt, err = s.store.serve()
 	return s, err
@@ -132,22 +127,20 @@
 func (s *site) addNode(number int) error {
 	callers, readiness, peers, metrics := nodeAddresses(number)
 	zone := zones[number%len(zones)]
-	n := &node{name: fmt.Sprintf("frontend-%s-%d", zone, number/len(zones)+1), callers: callers, ready: readiness}
-	path := filepath.Join(s.directory, n.name+".toml")
+	n := &node{name: fmt.Sprintf("frontend-%s-%d", zone, number/len(zones)+1), zone: zone, callers: callers, ready: readiness, descriptors: s.descriptors}
+	n.settings = filepath.Join(s.directory, n.name+".toml")
 	settings := fmt.Sprintf(settingsText, n.name, zone, callers, readiness, peers, metrics, s.storeAt)
-	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+	if err := os.WriteFile(n.settings, []byte(settings), 0o600); err != nil {
 		return err
 	}
 	logs, err := os.Create(filepath.Join(s.directory, n.name+".log"))
 	if err != nil {
 		return err
 	}
-	n.process = exec.Command("target/wheatroadd", "serve")
-	n.process.Env = []string{"WHEATROAD_CONFIG=" + path, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
-	n.process.Stdout, n.process.Stderr = logs, logs
+	n.logs = logs
 	s.nodes = append(s.nodes, n)
 	s.record.line("node %s starts", n.name)
-	return n.process.Start()
+	return n.start()
 }
 
 // awaitReady waits until all nodes answer 200 to the readiness probe.
@@ -167,10 +160,7 @@
 // close ends all processes that the site started.
 func (s *site) close() {
 	for _, n := range s.nodes {
-		if n.process.Process != nil {
-			_ = n.process.Process.Kill()
-			_ = n.process.Wait()
-		}
+		n.close()
 	}
 	if os.Getenv("KEEP_LOGS") == "" {
 		_ = os.RemoveAll(s.directory)
@@ -212,6 +202,7 @@
 	defer s.mutex.Unlock()
 	s.record.line("worker %s ends %s run %d: %s", w.id, r.task, r.number, how)
 	delete(s.active[r.task], w)
+	s.ended[how]++
 }
 
 // running returns how many runs of a job there are.
