node tests: locks in the manual loop and the store stand-in

Two stand-ins of the test are used by more goroutines than they were written for: recordStoreFailure sets a timer from the goroutine of a store call, as the daemon's loop allows, and two store calls of one node may be in flight at once.

manualLoop now guards its time and timers as well as the posted functions; tests that moved its time by hand call skip. fakeStore guards its rows. No check changes.

--- a/internal/node/answer_order_test.go
+++ b/internal/node/answer_order_test.go
@@ -58,7 +58,7 @@
 	n.requireProbes()
 	n.handlePingReply(n.watcher, pingReply{Owner: true, StoreAgeMillis: 2300})
 	n.loop.awaitPost(t)
-	n.loop.now = n.loop.now.Add(standbyPingPeriod)
+	n.loop.skip(standbyPingPeriod)
 	n.handlePingReply(n.watcher, pingReply{Owner: true})
 	n.loop.runPosted()
 	require.Zero(t, n.watcher.failures)
--- a/internal/node/gateway_test.go
+++ b/internal/node/gateway_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -26,6 +27,8 @@
 // fakeStore keeps rows in memory. Calls about the partitions in refuse fail with ErrNoEffect. Calls
 // about the partitions in unresponsive fail with ErrOutcomeUnknown.
 type fakeStore struct {
+	// rowsMutex guards the fields below against the goroutines of store calls.
+	rowsMutex    sync.Mutex
 	rows         map[rows.Key]rows.Row
 	refuse       map[string]bool
 	unresponsive map[string]bool
@@ -47,6 +50,8 @@
 }
 
 func (f *fakeStore) Commit(_ context.Context, transaction rows.Transaction) (rows.Result, error) {
+	f.rowsMutex.Lock()
+	defer f.rowsMutex.Unlock()
 	for _, put := range transaction.Puts {
 		if err := f.failure(put.Part); err != nil {
 			return rows.Result{}, err
@@ -68,6 +73,8 @@
 }
 
 func (f *fakeStore) Scan(_ context.Context, table, part, prefix string) (rows.Listing, error) {
+	f.rowsMutex.Lock()
+	defer f.rowsMutex.Unlock()
 	if err := f.failure(part); err != nil {
 		return rows.Listing{}, err
 	}
@@ -89,6 +96,8 @@
 }
 
 func (f *fakeStore) Partitions(_ context.Context, table string) ([]string, error) {
+	f.rowsMutex.Lock()
+	defer f.rowsMutex.Unlock()
 	names := map[string]bool{}
 	for key := range f.rows {
 		if key.Table == table {
--- a/internal/node/ownership_confirmation_test.go
+++ b/internal/node/ownership_confirmation_test.go
@@ -84,10 +84,10 @@
 		return reply
 	}
 	first := ping(0)
-	n.loop.now = n.loop.now.Add(stopped)
+	n.loop.skip(stopped)
 	second := ping(first.HeldMillis)
 	require.GreaterOrEqual(t, n.sinceConfirmed(), stopped)
-	n.loop.now = n.loop.now.Add(standbyPingPeriod)
+	n.loop.skip(standbyPingPeriod)
 	ping(second.HeldMillis)
 	require.Equal(t, standbyPingPeriod, n.sinceConfirmed())
 	ping(time.Hour.Milliseconds())
--- a/internal/node/ownership_statements_test.go
+++ b/internal/node/ownership_statements_test.go
@@ -35,7 +35,7 @@
 	n := owningNode(t, map[string]float64{"node-2": 1, "node-3": 1})
 	n.ping("node-2", n.heldNow())
 	require.Greater(t, n.sinceConfirmed(), time.Second, "node-3 has stated nothing")
-	n.loop.now = n.loop.now.Add(2 * time.Second)
+	n.loop.skip(2 * time.Second)
 	n.ping("node-3", n.heldNow())
 	require.Equal(t, 2*time.Second, n.sinceConfirmed(), "as of the statement of node-2")
 	n.ping("node-2", n.heldNow())
@@ -122,7 +122,7 @@
 	n.recordStoreFailure(rows.ErrOutcomeUnknown)
 	n.askPossibleSuccessors()
 	n.loop.awaitPost(t)
-	n.loop.now = n.loop.now.Add(stopped)
+	n.loop.skip(stopped)
 	n.loop.runPosted()
 	require.Equal(t, stopped, n.sinceConfirmed())
 }
@@ -142,7 +142,7 @@
 	n.applySample(listing)
 	require.Contains(t, n.possibleSuccessors(), "node-2")
 	require.NotContains(t, n.possibleSuccessors(), "node-3")
-	n.loop.now = n.loop.now.Add(memberRetention + time.Second)
+	n.loop.skip(memberRetention + time.Second)
 	require.Equal(t, []string{"node-4"}, sortedKeys(n.possibleSuccessors()))
 }
 
--- a/internal/node/ownership_test.go
+++ b/internal/node/ownership_test.go
@@ -15,13 +15,14 @@
 )
 
 // manualLoop is an event loop that runs all functions on the test's goroutine, as the daemon's loop
-// runs them on one goroutine. Functions may be posted by the goroutines of store calls. The loop runs
-// them, and the timers that are due, when the test advances the time or waits for a call.
+// runs them on one goroutine. Functions may be posted, and timers set, by the goroutines of store calls.
+// The loop runs the functions, and the timers that are due, when the test advances the time or waits for
+// a call.
 type manualLoop struct {
+	// mutex guards now, timers and posted. wake has an element if posted may be non-empty.
+	mutex  sync.Mutex
 	now    time.Time
 	timers []manualTimer
-	// mutex guards posted. wake has an element if posted may be non-empty.
-	mutex  sync.Mutex
 	posted []func()
 	wake   chan struct{}
 }
@@ -35,8 +36,13 @@
 	run func()
 }
 
-func (l *manualLoop) Now() time.Time       { return l.now }
-func (l *manualLoop) TimeOfDay() time.Time { return l.now }
+func (l *manualLoop) TimeOfDay() time.Time { return l.Now() }
+
+func (l *manualLoop) Now() time.Time {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.now
+}
 
 // Post implements loop.Loop.
 func (l *manualLoop) Post(fn func()) {
@@ -95,6 +101,8 @@
 }
 
 func (l *manualLoop) After(d time.Duration, fn func()) func() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
 	l.timers = append(l.timers, manualTimer{at: l.now.Add(d), run: fn})
 	return func() {}
 }
@@ -102,17 +110,34 @@
 // advance moves the time forward and runs the posted functions and the timers that are due.
 func (l *manualLoop) advance(d time.Duration) {
 	l.runPosted()
+	for _, timer := range l.takeDue(d) {
+		timer.run()
+	}
+	l.runPosted()
+}
+
+// skip moves the time forward and runs nothing.
+func (l *manualLoop) skip(d time.Duration) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
 	l.now = l.now.Add(d)
-	due := l.timers
-	l.timers = nil
-	for _, timer := range due {
+}
+
+// takeDue moves the time forward and removes the timers that are due then.
+func (l *manualLoop) takeDue(d time.Duration) []manualTimer {
+	l.skip(d)
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	var due, later []manualTimer
+	for _, timer := range l.timers {
 		if timer.at.After(l.now) {
-			l.timers = append(l.timers, timer)
-			continue
+			later = append(later, timer)
+		} else {
+			due = append(due, timer)
 		}
-		timer.run()
 	}
-	l.runPosted()
+	l.timers = later
+	return due
 }
 
 // testNode is a node that watches the pool poolName on a manualLoop.
