--- a/internal/poison/history.go
+++ b/internal/poison/history.go
@@ -30,6 +30,9 @@
 	ratio float64
 	// unexplained losses count toward maxLosses but are not evidence.
 	unexplained bool
+	// unplanned is true if the worker is known not to have shut down as planned. It is set for
+	// unexplained losses only.
+	unplanned bool
 	// conclusive losses can't be blamed on another task, as no other had a run of such an age there,
 	// or may have had one. The age of the task's own run is known.
 	conclusive bool
@@ -50,6 +53,15 @@
 	Unexplained bool `json:"u,omitempty"`
 	// Conclusive losses can't be blamed on another suspect. It is false in records of earlier versions.
 	Conclusive bool `json:"c,omitempty"`
+	// Unplanned is true for unexplained losses of this version, which leaves out workers that shut down
+	// as planned. Earlier versions counted some of these too.
+	Unplanned bool `json:"x,omitempty"`
+}
+
+// WithoutPossibleShutdowns returns the records without those of workers that may have shut down as
+// planned.
+func WithoutPossibleShutdowns(records []Record) []Record {
+	return slices.DeleteFunc(slices.Clone(records), func(record Record) bool { return record.Unexplained && !record.Unplanned })
 }
 
 // NewGroup returns an empty group.
@@ -61,17 +73,18 @@
 	for _, record := range records {
 		h.losses = append(h.losses, taskLoss{
 			worker: record.Worker, age: record.age(), ratio: record.Ratio,
-			unexplained: record.Unexplained, conclusive: record.Conclusive,
+			unexplained: record.Unexplained, conclusive: record.Conclusive, unplanned: record.Unplanned,
 		})
 	}
 	return h
 }
 
 // AddUnexplained adds the loss of a worker that counts toward maxLosses but is not evidence. The
-// worker may have been lost for a known other reason, or before the task started on the worker.
+// worker may have been lost before the task started on it. Workers that shut down as planned are no
+// losses.
 func (h *History) AddUnexplained(worker string) {
 	if !h.has(worker) {
-		h.losses = append(h.losses, taskLoss{worker: worker, age: unknownAge, ratio: 1, unexplained: true})
+		h.losses = append(h.losses, taskLoss{worker: worker, age: unknownAge, ratio: 1, unexplained: true, unplanned: true})
 	}
 }
 
@@ -101,7 +114,7 @@
 		loss := &h.losses[i]
 		records = append(records, Record{
 			Worker: loss.worker, Ratio: loss.ratio, AgeMillis: ageMillis(loss.age),
-			Unexplained: loss.unexplained, Conclusive: loss.conclusive,
+			Unexplained: loss.unexplained, Conclusive: loss.conclusive, Unplanned: loss.unplanned,
 		})
 	}
 	return records
--- a/internal/pool/assignment.go
+++ b/internal/pool/assignment.go
@@ -19,7 +19,7 @@
 	m.stopAttempted, m.stopSent, m.stoppingSince, m.startUnanswered = false, false, time.Time{}, false
 	m.startCall, m.startSentAt, m.earlierStartPending = nil, time.Time{}, false
 	m.confirmation = confirmation{}
-	m.confirmedToEarlierOwner, m.formerIncarnation = false, fleet.Incarnation{}
+	m.confirmedToEarlierOwner, m.formerIncarnation, m.formerShutDownAsPlanned = false, fleet.Incarnation{}, false
 	m.percent, m.percentChangedAt, m.reportedAt = 0, time.Time{}, time.Time{}
 	m.unconfirmedSince, m.knownFromRows = time.Time{}, false
 	m.startDeadline = 0
--- a/internal/pool/draining.go
+++ b/internal/pool/draining.go
@@ -17,6 +17,20 @@
 	}
 }
 
+// recordDrain records how long a worker that has begun to drain stays at least. The row was written
+// after the worker rows were last read, so the stated time counts from then. It is unknown to an owner
+// that has not read the rows before.
+func (p *Pool) recordDrain(w *worker) {
+	w.staysUntil = p.workersReadAt.Add(time.Duration(w.RemainingMillis) * time.Millisecond)
+	p.record.LogEvent("worker draining", "worker", w.ID, "remaining_ms", w.RemainingMillis, "runs", len(w.members))
+}
+
+// shutDownAsPlanned reports whether a lost worker that last responded at a given time has shut down as
+// planned: it was draining and had no time left, or it responded without a row.
+func (w *worker) shutDownAsPlanned(lastResponse time.Time) bool {
+	return w.respondedWithoutRow || w.Draining && !lastResponse.Before(w.staysUntil)
+}
+
 // drainWorker stops the runs that will not end before a draining worker shuts down. Long-running
 // tasks move a few at a time, so that the number of a step's tasks that are down stays within the
 // limit in its spec.
--- a/internal/pool/formerruns.go
+++ b/internal/pool/formerruns.go
@@ -84,9 +84,10 @@
 }
 
 // recordUnexplainedLoss adds the end of the worker's former incarnation to the member's loss
-// history. The loss is unexplained, since the time at which the run ended is unknown.
+// history, unless it shut down as planned. The loss is unexplained, since the time at which the run
+// ended is unknown.
 func (m *member) recordUnexplainedLoss() {
-	if m.formerIncarnation.ID == "" {
+	if m.formerIncarnation.ID == "" || m.formerShutDownAsPlanned {
 		return
 	}
 	if history := m.lossHistory(); history != nil {
--- a/internal/pool/incarnations.go
+++ b/internal/pool/incarnations.go
@@ -144,7 +144,9 @@
 // placed again, because the start or its copy may still arrive. Responses to requests in flight are
 // ignored from now on.
 func (p *Pool) moveToIncarnation(m *member, replacement *worker) {
-	m.leaveIncarnation(m.worker.Incarnation)
+	former := m.worker
+	m.leaveIncarnation(former.Incarnation)
+	m.formerShutDownAsPlanned = former.shutDownAsPlanned(former.lastResponsive(p.loop.Now()))
 	// The results of copies that are pending now are ignored.
 	m.startUnanswered = m.startUnanswered || m.startCall != nil && m.startCall.pending > 0
 	m.worker = replacement
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -165,6 +165,8 @@
 	// formerIncarnation is the worker's incarnation in which the present run was last known, if the
 	// worker has restarted since.
 	formerIncarnation fleet.Incarnation
+	// formerShutDownAsPlanned is true if that incarnation is known to have shut down as planned.
+	formerShutDownAsPlanned bool
 	// confirmation is the worker's latest confirmation of the present run to this owner.
 	confirmation confirmation
 	// startCall is the state of the present run's latest start; nil before the first.
--- a/internal/pool/losshistory.go
+++ b/internal/pool/losshistory.go
@@ -56,9 +56,14 @@
 	}
 	u.lossGroup = poison.NewGroup()
 	for _, losses := range kept {
+		records := losses.Records
+		if u.spec().LongRunning {
+			// Long-running tasks run on draining workers to the end, which earlier versions counted.
+			records = poison.WithoutPossibleShutdowns(records)
+		}
 		for _, m := range u.members {
 			if m.index == losses.Member {
-				m.losses = u.lossGroup.NewHistory(losses.Records)
+				m.losses = u.lossGroup.NewHistory(records)
 				p.lossTracker.Restore(m.losses)
 			}
 		}
--- a/internal/pool/lostruns.go
+++ b/internal/pool/lostruns.go
@@ -66,16 +66,14 @@
 // recordWorkerLoss records a lost worker against the tasks that ran there. A task that crashes its
 // workers is never reported as failed, so without this record it would be restarted forever.
 func (p *Pool) recordWorkerLoss(w *worker, reason lossReason) {
-	if w.Draining || w.respondedWithoutRow {
-		// The worker shut down as planned. These runs had not ended in time.
-		for _, m := range w.members {
-			if m.losses.LossCount() > 0 {
-				m.losses.AddUnexplained(w.Incarnation.String())
-			}
-		}
+	at := w.lastResponsive(p.loop.Now())
+	if w.shutDownAsPlanned(at) {
+		return
+	}
+	if w.Draining {
+		p.recordCrashWhileDraining(w, at)
 		return
 	}
-	at := w.lastResponsive(p.loop.Now())
 	loss := poison.Loss{
 		Worker: w.Incarnation.String(), Address: w.Address, At: at,
 		Unobserved: !w.contacted,
@@ -89,6 +87,19 @@
 	p.kept.recordLoss()
 }
 
+// recordCrashWhileDraining records the loss of a draining worker that had more time left by its own
+// statement. The loss counts, but is no evidence: the worker may have shut down early.
+func (p *Pool) recordCrashWhileDraining(w *worker, at time.Time) {
+	for _, m := range w.members {
+		if m.runPresenceAt(at) == notStarted {
+			continue
+		}
+		if history := m.lossHistory(); history != nil {
+			history.AddUnexplained(w.Incarnation.String())
+		}
+	}
+}
+
 // addSuspect adds the member to the suspects of a loss if its run was on the worker.
 func (m *member) addSuspect(loss *poison.Loss, ran runPresence) {
 	if ran == notStarted {
--- a/internal/pool/worker.go
+++ b/internal/pool/worker.go
@@ -50,6 +50,9 @@
 	// respondedWithoutRow is true once the worker has answered a call that was sent after its row was
 	// gone. Such a worker is shutting down as planned and still responds for a while.
 	respondedWithoutRow bool
+	// staysUntil is the earliest time at which a draining worker shuts down by its own statement; in the
+	// past if unknown.
+	staysUntil time.Time
 	// rowMissing is true while the row is gone but may only have expired during a store outage.
 	rowMissing bool
 	// contacted is true once the worker has answered a request with this owner's token.
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -88,7 +88,7 @@
 	w.hasRow, w.rowMissing, w.respondedWithoutRow = true, false, false
 	w.coldStartUntil = p.loop.Now().Add(time.Duration(described.ColdMillis) * time.Millisecond)
 	if w.Draining && !wasDraining {
-		p.record.LogEvent("worker draining", "worker", w.ID, "remaining_ms", w.RemainingMillis, "runs", len(w.members))
+		p.recordDrain(w)
 		p.drainWorker(w)
 	}
 	p.enqueueFirstContact(w)
