--- a/internal/pool/assignment.go
+++ b/internal/pool/assignment.go
@@ -18,7 +18,7 @@
 	m.state = memberWithoutRun
 	m.stopAttempted, m.stopSent, m.stoppingSince, m.startUnanswered = false, false, time.Time{}, false
 	m.startCall, m.startSentAt, m.earlierStartPending = nil, time.Time{}, false
-	m.confirmation = confirmation{}
+	m.confirmation, m.survival = confirmation{}, runSurvival{}
 	m.confirmedToEarlierOwner, m.formerIncarnation, m.formerShutDownAsPlanned = false, fleet.Incarnation{}, false
 	m.percent, m.percentChangedAt, m.reportedAt = 0, time.Time{}, time.Time{}
 	m.unconfirmedSince, m.knownFromRows = time.Time{}, false
--- a/internal/pool/cycle.go
+++ b/internal/pool/cycle.go
@@ -195,6 +195,6 @@
 	p.commitPlacement(u, workers)
 	p.updateWorkerHealth(s, places)
 	if u.isolated() {
-		s.excludeWorkers(places)
+		s.isolateWorkers(places)
 	}
 }
--- a/internal/pool/find_placement.go
+++ b/internal/pool/find_placement.go
@@ -10,8 +10,18 @@
 	"github.com/wheatroad/wheatroad/internal/taskgraph"
 )
 
-// findPlacement returns workers with free resources for a unit, or nil.
+// findPlacement returns workers with free resources for a unit, or nil. A unit that may not wait for
+// the end of a suspect's run shares workers with suspects if there are no others.
 func (p *Pool) findPlacement(s *snapshot, u *unit, request *placement.Request) []int {
+	places := p.findUsablePlacement(s, u, request)
+	if places == nil && p.mayJoinSuspects(s, u) {
+		places = p.findBesideSuspects(s, u, request)
+	}
+	return places
+}
+
+// findUsablePlacement returns usable workers with free resources for a unit, or nil.
+func (p *Pool) findUsablePlacement(s *snapshot, u *unit, request *placement.Request) []int {
 	if s.starved(u) && !u.needsEmptyWorkers() {
 		return p.findStarvedPlacement(s, u, request)
 	}
--- a/internal/pool/incarnations.go
+++ b/internal/pool/incarnations.go
@@ -149,7 +149,7 @@
 	m.formerShutDownAsPlanned = former.shutDownAsPlanned(former.lastResponsive(p.loop.Now()))
 	// The results of copies that are pending now are ignored.
 	m.startUnanswered = m.startUnanswered || m.startCall != nil && m.startCall.pending > 0
-	m.worker = replacement
+	m.worker, m.survival = replacement, runSurvival{}
 	replacement.members = append(replacement.members, m)
 	m.stopSent, m.stoppingSince = false, time.Time{}
 	if m.stopTimer != nil {
--- a/internal/pool/isolation.go
+++ b/internal/pool/isolation.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/wheatroad/wheatroad/internal/placement"
 	"github.com/wheatroad/wheatroad/internal/poison"
@@ -59,9 +60,9 @@
 }
 
 // isolated reports whether no other unit may be placed on the unit's workers, because its present run
-// must show whether it crashes them.
+// must show whether it crashes them. A run that has outlived the losses has shown that.
 func (u *unit) isolated() bool {
-	return (u.state == unitCommitting || u.state == unitActive) && u.needsEmptyWorkers()
+	return (u.state == unitCommitting || u.state == unitActive) && u.needsEmptyWorkers() && u.timeToSurvival() > 0
 }
 
 // findIsolatedPlacement returns workers for a unit with unexplained worker losses, as isolated as
@@ -109,9 +110,65 @@
 	return s.reserve(u, request, future)
 }
 
-// excludeWorkers marks workers as unusable for the rest of the cycle.
-func (s *snapshot) excludeWorkers(places []int) {
+// isolateWorkers keeps other units from workers for the rest of the cycle.
+func (s *snapshot) isolateWorkers(places []int) {
 	for _, place := range places {
-		s.workers[place].Usable = false
+		s.workers[place].Usable, s.isolated[place] = false, true
 	}
 }
+
+// mayJoinSuspects reports whether a unit may share workers with suspects: it is starved, or its tenant's
+// guarantee is due. A suspect shares workers with nobody.
+func (p *Pool) mayJoinSuspects(s *snapshot, u *unit) bool {
+	return len(s.isolated) > 0 && !u.needsEmptyWorkers() && (s.starved(u) || p.guaranteeDue(s, u))
+}
+
+// findBesideSuspects returns workers for a unit, also among those that suspects keep to themselves for
+// longer than the unit may wait. The loss of a shared worker proves less, and a suspect may crash what
+// joins it.
+func (p *Pool) findBesideSuspects(s *snapshot, u *unit, request *placement.Request) []int {
+	patience := max(0, overdueTimeout-s.now.Sub(u.readyAt))
+	var opened []int
+	for i := range s.isolated {
+		if p.isolatedFor(s.poolWorkers[i], s.now) > patience {
+			opened = append(opened, i)
+			s.workers[i].Usable = true
+		}
+	}
+	if len(opened) == 0 {
+		return nil
+	}
+	places := p.findUsablePlacement(s, u, request)
+	for _, i := range opened {
+		s.workers[i].Usable = false
+	}
+	return places
+}
+
+// shortRemaining is the expected time to the end of a suspect's run for which others wait.
+const shortRemaining = 3 * time.Second
+
+// isolatedFor returns for how long the suspects on a worker will keep it to themselves, until they have
+// outlived their losses. It is 0 if they are expected to end soon.
+func (p *Pool) isolatedFor(w *worker, now time.Time) time.Duration {
+	longest := time.Duration(0)
+	for _, m := range w.members {
+		u := m.unit
+		if !u.isolated() {
+			continue
+		}
+		if u.spec().LongRunning || p.remaining(u, now) > shortRemaining {
+			longest = max(longest, u.timeToSurvival())
+		}
+	}
+	return longest
+}
+
+// timeToSurvival returns how much longer the unit's present run must last to outlive its losses.
+func (u *unit) timeToSurvival() time.Duration {
+	longest := time.Duration(0)
+	for _, m := range u.suspects() {
+		longest = max(longest, m.losses.SurvivalAge()-m.workedFor())
+	}
+	return longest
+}
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -169,6 +169,8 @@
 	formerShutDownAsPlanned bool
 	// confirmation is the worker's latest confirmation of the present run to this owner.
 	confirmation confirmation
+	// survival measures for how long the present run has been at work.
+	survival runSurvival
 	// startCall is the state of the present run's latest start; nil before the first.
 	startCall *hedgedCall
 	// unconfirmedSince is since when the worker may have the present run without having confirmed it.
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -71,6 +71,7 @@
 	}
 	m.reportedAt = now
 	m.incarnationUnknown, m.knownFromRows = false, false
+	m.measureSurvival(p.options.Bounds.GangTimeout)
 	if entry.Percent > 0 && !m.unit.fromCheckpoint {
 		p.recordRunProgress(m.worker, m.unit)
 	}
--- a/internal/pool/snapshot.go
+++ b/internal/pool/snapshot.go
@@ -20,6 +20,9 @@
 	running     []*unit
 	// utilization is the utilization of the pool's most used resource.
 	utilization float64
+	// isolated holds the workers that could take new work, if they were not kept to the suspects of
+	// crashes that run there.
+	isolated map[int]bool
 	// workerHealth holds the workers' states of health; nil until they are needed.
 	workerHealth []health.WorkerState
 	// proofExpected is what Pool.proofExpected has found, and presentUtilization the utilization with
@@ -73,7 +76,7 @@
 	buffers := &p.snapshotBuffers
 	buffers.generation++
 	s := &snapshot{
-		now: p.loop.Now(), reservationsLeft: reservationLimit, reservations: map[int]reservation{}, guaranteed: map[*job]bool{}, headroomWorkers: make([][]bool, len(headroomShares)),
+		now: p.loop.Now(), reservationsLeft: reservationLimit, reservations: map[int]reservation{}, isolated: map[int]bool{}, guaranteed: map[*job]bool{}, headroomWorkers: make([][]bool, len(headroomShares)),
 		workers: buffers.workers[:0], poolWorkers: buffers.poolWorkers[:0], units: buffers.units[:0], running: buffers.running[:0],
 	}
 	zones, fresh := p.evacuatedZones(), p.evacuationsFresh(s.now)
@@ -81,7 +84,7 @@
 		p.addWorker(s, w, zones, fresh)
 	}
 	buffers.workers, buffers.poolWorkers, buffers.units, buffers.running = s.workers, s.poolWorkers, s.units, s.running
-	s.utilization = utilizationOf(s.poolWorkers, s.workers)
+	s.utilization = s.measureUtilization()
 	if buffers.racks == nil {
 		buffers.racks = placement.NewRacks(s.workers)
 	}
@@ -102,8 +105,8 @@
 		entry.Usable = false
 	}
 	for _, m := range w.members {
-		if m.unit.isolated() {
-			entry.Usable = false
+		if m.unit.isolated() && entry.Usable {
+			entry.Usable, s.isolated[workerIndex] = false, true
 		}
 		requirements := m.unit.spec().Requirements()
 		entry.Free = entry.Free.Minus(requirements)
@@ -146,13 +149,14 @@
 	return u.snapshotIndex
 }
 
-// utilizationOf returns the utilization of the most used resource on usable workers.
-func utilizationOf(poolWorkers []*worker, workers []placement.Worker) float64 {
+// measureUtilization returns the utilization of the most used resource, with the placements of this
+// cycle, on workers that are usable or isolated.
+func (s *snapshot) measureUtilization() float64 {
 	var total, free taskgraph.Resources
-	for i := range workers {
-		if workers[i].Usable {
-			total = total.Plus(poolWorkers[i].Capacity)
-			free = free.Plus(workers[i].Free)
+	for i := range s.workers {
+		if s.workers[i].Usable || s.isolated[i] {
+			total = total.Plus(s.poolWorkers[i].Capacity)
+			free = free.Plus(s.workers[i].Free)
 		}
 	}
 	return max(usedShare(total.CPU, free.CPU), usedShare(total.MemoryMB, free.MemoryMB), usedShare(total.GPUs, free.GPUs))
--- a/internal/pool/stalls.go
+++ b/internal/pool/stalls.go
@@ -52,6 +52,7 @@
 				p.checkProgress(m, now)
 				if m == u.members[0] && u.state == unitActive {
 					p.checkStragglers(u, now)
+					p.forgetOutlivedLosses(u)
 				}
 			}
 		}
--- a/internal/pool/starts.go
+++ b/internal/pool/starts.go
@@ -114,6 +114,7 @@
 		m.unit.updateRunningSince(now)
 		p.scheduleConfirmationWrite(m.unit)
 	}
+	m.measureSurvival(p.options.Bounds.GangTimeout)
 	p.poll(m.worker)
 }
 
--- a/internal/pool/worker_health.go
+++ b/internal/pool/worker_health.go
@@ -83,7 +83,7 @@
 // cycle.
 func (s *snapshot) utilizationNow() float64 {
 	if s.presentUtilization == nil {
-		utilization := utilizationOf(s.poolWorkers, s.workers)
+		utilization := s.measureUtilization()
 		s.presentUtilization = &utilization
 	}
 	return *s.presentUtilization
