--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -16,6 +16,8 @@
 	Capacity taskgraph.Resources
 	// Free is the unallocated part of Capacity, less the reservations made in this scheduling cycle.
 	Free taskgraph.Resources
+	// Indefinite is the part of Capacity that runs without an expected end occupy.
+	Indefinite taskgraph.Resources
 	// RackFree is the sum of Free, in cores, over the usable workers of the rack.
 	RackFree float64
 	// Slow is true if the worker is slower than most workers.
@@ -142,13 +144,13 @@
 	return total >= request.Count
 }
 
-// FitsWhenEmpty reports whether the request would fit if no task ran on the workers. It assumes
-// that all workers are usable except cordoned ones.
-func FitsWhenEmpty(workers []Worker, indexes []int, request *Request) bool {
+// FitsEventually reports whether the request would fit once all runs with an expected end have ended.
+// It assumes that all workers are usable except cordoned ones.
+func FitsEventually(workers []Worker, indexes []int, request *Request) bool {
 	total := 0
 	for _, i := range indexes {
 		if !workers[i].Cordoned && (request.Allowed == nil || request.Allowed(i)) {
-			total += request.taskCapacity(i, workers[i].Capacity)
+			total += request.taskCapacity(i, workers[i].Capacity.Minus(workers[i].Indefinite))
 		}
 		if total >= request.Count {
 			return true
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -91,3 +92,22 @@
 		}
 	}
 }
+
+// TestRequestsDoNotWaitForIndefiniteUnits guards against a reservation of workers that long-running units
+// never leave.
+func TestRequestsDoNotWaitForIndefiniteUnits(t *testing.T) {
+	workers, racks := newTestWorkers(6, 0)
+	workers[0].Indefinite = gpus(2)
+	units := []Unit{
+		{Workers: []int{0}, Resources: gpus(2), Remaining: NeverEnds, PreemptionCost: -1},
+		{Workers: []int{1}, Resources: gpus(8), Remaining: time.Second},
+	}
+	workers[0].Allocations = []Allocation{{Unit: 0, Resources: gpus(2)}}
+	workers[1].Allocations = []Allocation{{Unit: 1, Resources: gpus(8)}}
+	const unlimited = time.Duration(math.MaxInt64)
+	require.Nil(t, EarliestFit(workers, racks.All, units, &Request{Resources: gpus(8), Count: 2}, unlimited))
+	require.False(t, FitsEventually(workers, racks.All, &Request{Resources: gpus(8), Count: 2}))
+	require.True(t, FitsEventually(workers, racks.All, &Request{Resources: gpus(2), Count: 7}))
+	future := EarliestFit(workers, racks.All, units, &Request{Resources: gpus(8), Count: 1}, unlimited)
+	require.Equal(t, []int{1}, future.Workers)
+}
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/taskgraph"
@@ -11,7 +12,8 @@
 	// Workers lists the workers of the unit's runs.
 	Workers   []int
 	Resources taskgraph.Resources
-	// Remaining is the expected time until the unit releases its resources.
+	// Remaining is the expected time until the unit releases its resources. It is NeverEnds for a unit
+	// without an expected end.
 	Remaining time.Duration
 	// PreemptionCost is the cost of preempting the unit now. It is 0 if the unit is already
 	// stopping, and negative if the unit must not be preempted.
@@ -20,6 +22,9 @@
 	Priority int
 }
 
+// NeverEnds is the value of Unit.Remaining for a unit without an expected end.
+const NeverEnds = time.Duration(math.MaxInt64)
+
 // FuturePlacement is a placement that becomes possible once running units have ended.
 type FuturePlacement struct {
 	Workers []int
@@ -31,9 +36,10 @@
 }
 
 // EarliestFit returns the earliest placement of the request. It assumes that running units end as
-// expected and that no unit starts. It returns nil if the wait would reach limit.
+// expected and that no unit starts. It returns nil if the wait would reach limit, or if the request
+// must wait for a unit without an expected end.
 func EarliestFit(workers []Worker, indexes []int, units []Unit, request *Request, limit time.Duration) *FuturePlacement {
-	if !FitsWhenEmpty(workers, indexes, request) {
+	if !FitsEventually(workers, indexes, request) {
 		return nil
 	}
 	s := newSimulation(workers, indexes, units, request)
@@ -43,7 +49,7 @@
 	}
 	for _, ranked := range s.rankUnits(func(index int) float64 { return max(0, float64(units[index].Remaining)) }) {
 		wait := units[ranked.unit].Remaining
-		if wait >= limit {
+		if wait >= limit || wait == NeverEnds {
 			return nil
 		}
 		s.evict(ranked.unit)
--- a/internal/pool/find_placement.go
+++ b/internal/pool/find_placement.go
@@ -108,18 +108,18 @@
 	return s.now.Sub(u.readyAt) < time.Duration(maxWait)
 }
 
-// hasLocalPlacement reports whether empty workers would have the capacity to run the unit with its
-// locality.
+// hasLocalPlacement reports whether the unit could run with its locality once all runs with an expected
+// end have ended.
 func (s *snapshot) hasLocalPlacement(u *unit, request *placement.Request) bool {
 	spec := u.spec()
 	if members := s.racks.Members[spec.PreferredRack]; spec.PreferredRack != "" && len(members) > 0 {
-		return placement.FitsWhenEmpty(s.workers, members, request)
+		return placement.FitsEventually(s.workers, members, request)
 	}
 	if !spec.SameRack || len(u.members) < 2 {
 		return false
 	}
 	for _, name := range s.racks.Names {
-		if placement.FitsWhenEmpty(s.workers, s.racks.Members[name], request) {
+		if placement.FitsEventually(s.workers, s.racks.Members[name], request) {
 			return true
 		}
 	}
--- a/internal/pool/isolation.go
+++ b/internal/pool/isolation.go
@@ -157,7 +157,7 @@
 		if !u.isolated() {
 			continue
 		}
-		if u.spec().LongRunning || p.remaining(u, now) > shortRemaining {
+		if p.remaining(u, now) > shortRemaining {
 			longest = max(longest, u.timeToSurvival())
 		}
 	}
--- a/internal/pool/snapshot.go
+++ b/internal/pool/snapshot.go
@@ -110,6 +110,9 @@
 		}
 		requirements := m.unit.spec().Requirements()
 		entry.Free = entry.Free.Minus(requirements)
+		if m.unit.runsIndefinitely() {
+			entry.Indefinite = entry.Indefinite.Plus(requirements)
+		}
 		index := p.unitIndex(s, m.unit)
 		s.units[index].Workers = append(s.units[index].Workers, workerIndex)
 		entry.Allocations = append(entry.Allocations, placement.Allocation{Unit: index, Resources: requirements})
@@ -187,16 +190,21 @@
 	return described
 }
 
-// request returns the placement request of a unit.
+// request returns the placement request of a unit, without the workers that are excluded for it.
 func (s *snapshot) request(u *unit) *placement.Request {
+	request := s.requestOnAny(u)
+	if s.exclusionApplies(u) {
+		return restrict(request, s.notExcluded(u))
+	}
+	return request
+}
+
+// requestOnAny returns the placement request of a unit that may use any worker with its label.
+func (s *snapshot) requestOnAny(u *unit) *placement.Request {
 	spec := u.spec()
 	request := &placement.Request{Resources: spec.Requirements(), Count: len(u.members), Priority: u.job.Queue.Priority, MaxPerWorker: spec.MaxPerWorker}
-	excluding := s.exclusionApplies(u)
-	if excluding || spec.RequiredLabel != "" {
-		request.Allowed = func(i int) bool {
-			w := s.poolWorkers[i]
-			return (!excluding || !u.excludedWorkers[w.ID]) && w.HasLabel(spec.RequiredLabel)
-		}
+	if spec.RequiredLabel != "" {
+		request.Allowed = func(i int) bool { return s.poolWorkers[i].HasLabel(spec.RequiredLabel) }
 	}
 	if spec.MaxPerWorker > 0 {
 		request.Present = func(i int) int {
--- a/internal/pool/suspect_isolation_test.go
+++ b/internal/pool/suspect_isolation_test.go
@@ -95,12 +95,7 @@
 	t.Helper()
 	w := simulation.NewCluster(2, 4)
 	c.prepare(w)
-	w.Work = func(name taskgraph.TaskName) time.Duration {
-		if name.Job == jobID(1) {
-			return runForDays(name)
-		}
-		return time.Second
-	}
+	w.Work = longRunningJobs(1)
 	w.AcquirePool()
 	w.Run(time.Second)
 	w.Submit(spec(1, c.lasting), batch)
--- a/internal/pool/unit.go
+++ b/internal/pool/unit.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/fleet"
+	"github.com/wheatroad/wheatroad/internal/placement"
 	"github.com/wheatroad/wheatroad/internal/taskgraph"
 )
 
@@ -72,6 +73,11 @@
 	p.finishJob(j, taskgraph.Completed)
 }
 
+// runsIndefinitely reports whether the unit occupies its workers without an expected end.
+func (u *unit) runsIndefinitely() bool {
+	return u.spec().LongRunning && (u.state == unitCommitting || u.state == unitActive)
+}
+
 // recordUnitFailure counts a failed run, excludes its worker for the unit, and fails the job if no
 // attempts are left.
 func (p *Pool) recordUnitFailure(u *unit, w *worker) {
@@ -90,8 +96,11 @@
 	}
 }
 
-// remaining returns the estimated time until a running unit ends.
+// remaining returns the estimated time until a running unit ends. Long-running units never do.
 func (p *Pool) remaining(u *unit, now time.Time) time.Duration {
+	if u.spec().LongRunning {
+		return placement.NeverEnds
+	}
 	estimate := u.estimate()
 	elapsed := now.Sub(u.startedAt)
 	m := u.members[0]
--- a/internal/pool/worker_health.go
+++ b/internal/pool/worker_health.go
@@ -184,9 +184,20 @@
 	return nil
 }
 
-// findStarvedPlacement returns workers for a starved unit, ignoring reservations and headroom. While
-// workers fail, the unit takes the best of them.
+// findStarvedPlacement returns workers for a starved unit, ignoring reservations and headroom. The unit
+// takes workers on which it has failed only if there are no others.
 func (p *Pool) findStarvedPlacement(s *snapshot, u *unit, request *placement.Request) []int {
+	if len(u.excludedWorkers) > 0 {
+		if places := p.findHealthiestPlacement(s, u, restrict(request, s.notExcluded(u))); places != nil {
+			return places
+		}
+	}
+	return p.findHealthiestPlacement(s, u, request)
+}
+
+// findHealthiestPlacement returns workers for a starved unit. While workers fail, the unit takes the best
+// of them.
+func (p *Pool) findHealthiestPlacement(s *snapshot, u *unit, request *placement.Request) []int {
 	anyPlaces := p.findAnyPlacement(s, u, request)
 	if anyPlaces == nil || !p.cautious(s.now) {
 		return anyPlaces
--- a/internal/simulation/worker.go
+++ b/internal/simulation/worker.go
@@ -357,3 +357,10 @@
 	})
 	return sorted
 }
+
+// FailRuns ends all runs on the worker as failed.
+func (w *Worker) FailRuns() {
+	for _, r := range w.sortedRuns() {
+		w.end(r, fleet.EndFailed, "")
+	}
+}
