A run of a gang counts as one failed attempt (gangs that fail together)

What callers saw: several members of one run of a gang ended failed together, and the job was shown as failed although it had attempts left.

Cause: recordUnitFailure counted each end failed of a member.

Fix: countFailure counts a run of a unit at most once, and the progress row of a gang names the run that was counted last, so that the next owner doesn't count its other members. From rows of earlier versions, which hold counts of members, no more failures are taken than runs have ended.

Why it works: the number of a run identifies it for all owners. A gang that can't succeed is shown as failed after exactly max_attempts runs, also with takeovers, and isn't started again.

--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -97,8 +97,10 @@
 	index      int
 	state      unitState
 	// run numbers the runs from 1; 0 before the first.
-	run        int
+	run int
+	// failures counts the runs that have failed, and failedRun is the latest of them.
 	failures   int
+	failedRun  int
 	checkpoint string
 	members    []*member
 	readyAt    time.Time
--- a/internal/pool/progress.go
+++ b/internal/pool/progress.go
@@ -55,6 +55,9 @@
 
 func (u *unit) progress() unitProgress {
 	record := unitProgress{Index: u.index, Run: u.run, Failures: u.failures, Checkpoint: u.checkpoint, Losses: u.encodeLosses()}
+	if len(u.members) > 1 {
+		record.FailedRun = u.failedRun
+	}
 	if u.activeMembers() > 0 {
 		record.Workers = make([]string, len(u.members))
 		for i, m := range u.members {
--- a/internal/pool/progress_record.go
+++ b/internal/pool/progress_record.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 
@@ -106,7 +107,13 @@
 
 func (r *unitProgress) validFor(step *taskgraph.Step) bool {
 	numbered := r.Index >= 0 && r.Index < step.Count && r.Run >= 0 && r.Run <= maxRunNumber
-	return numbered && r.Failures >= 0 && r.Failures <= maxRunNumber && len(r.Workers) <= step.Count
+	failed := r.Failures >= 0 && r.Failures <= maxRunNumber && r.FailedRun >= 0 && r.FailedRun <= r.Run
+	return numbered && failed && len(r.Workers) <= step.Count
+}
+
+// hasEndedMember reports whether the unit's present run has ended for a member.
+func (r *unitProgress) hasEndedMember() bool {
+	return len(r.Workers) == 0 || slices.Contains(r.Workers, "")
 }
 
 // stepProgress is the progress of one step of a repetition.
@@ -121,9 +128,12 @@
 
 // unitProgress is the progress of a unit that was started at least once.
 type unitProgress struct {
-	Index      int    `json:"i"`
-	Run        int    `json:"r"`
-	Failures   int    `json:"f,omitempty"`
+	Index    int `json:"i"`
+	Run      int `json:"r"`
+	Failures int `json:"f,omitempty"`
+	// FailedRun is the latest run of a gang that is counted in Failures; 0 if none is, and in rows of
+	// older versions.
+	FailedRun  int    `json:"g,omitempty"`
 	Checkpoint string `json:"p,omitempty"`
 	// Workers holds the worker of each member that may be running, and otherwise "".
 	Workers []string `json:"w,omitempty"`
--- a/internal/pool/progress_restore.go
+++ b/internal/pool/progress_restore.go
@@ -67,7 +67,8 @@
 // restoreUnit assumes that the unit's members run on the workers in the unit's row, until these
 // workers report their runs.
 func (p *Pool) restoreUnit(u *unit, saved unitProgress) {
-	u.run, u.failures, u.checkpoint = saved.Run, saved.Failures, saved.Checkpoint
+	u.run, u.checkpoint = saved.Run, saved.Checkpoint
+	u.restoreFailures(&saved)
 	if u.failures > 0 {
 		p.health.AssumeFailures(p.loop.Now())
 	}
--- a/internal/pool/unit.go
+++ b/internal/pool/unit.go
@@ -78,24 +78,6 @@
 	return u.spec().LongRunning && (u.state == unitCommitting || u.state == unitActive)
 }
 
-// recordUnitFailure counts a failed run, excludes its worker for the unit, and fails the job if no
-// attempts are left.
-func (p *Pool) recordUnitFailure(u *unit, w *worker) {
-	if u.state == unitEnded || u.job.pendingState.Final() {
-		return
-	}
-	u.failures++
-	if u.excludedWorkers == nil {
-		u.excludedWorkers = map[string]bool{}
-	}
-	u.excludedWorkers[w.ID] = true
-	p.recordRunFailure(w, u)
-	p.persistEnd(u.job)
-	if u.failures >= max(1, u.job.Queue.MaxAttempts) && !u.spec().LongRunning {
-		p.finishJob(u.job, taskgraph.Failed)
-	}
-}
-
 // remaining returns the estimated time until a running unit ends. Long-running units never do.
 func (p *Pool) remaining(u *unit, now time.Time) time.Duration {
 	if u.spec().LongRunning {
--- a/internal/simulation/checker_test.go
+++ b/internal/simulation/checker_test.go
@@ -52,6 +52,12 @@
 		"before an earlier step": {func(cluster *Cluster) {
 			_, _ = cluster.Workers[0].start(startOrder(1, 1))
 		}, "before"},
+		"a job that failed with attempts left": {func(cluster *Cluster) {
+			cluster.Workers[0].Failing = true
+			_, _ = cluster.Workers[0].start(startOrder(0, 1))
+			cluster.Run(time.Second)
+			cluster.Checker.LogEvent("job ended", "job", testJobID, "state", string(taskgraph.Failed))
+		}, "is shown as failed after 1 failed runs of 2"},
 		"after all attempts": {func(cluster *Cluster) {
 			cluster.Workers[0].Failing = true
 			for number := range 3 {
