Restarts of tasks that last wait for no better place (kept free, far rack)

What callers saw: a task that lasts lost its worker for good and was not started again in the 60 s watched, with idle workers in another rack.

Cause: both waits go by the estimate of a task that has no end. Units with slack leave the emptiest racks to urgent jobs unless under 55% of the pool is used; and a unit waited for its rack for twice its estimate if the rack could hold it "when empty".

Fix: a unit that lasts and has run before counts as starved after 1.8 s in any pool. It then passes over headroom, locality, reservations and exclusions. First starts wait as before.

Why it works: the bound depends on nothing that others run. The platform's rule for such tasks holds however full the service is, so this does too.

TestLongRunningTaskIsRestartedInHeadroom fails on the code before.

--- a/internal/pool/find_placement.go
+++ b/internal/pool/find_placement.go
@@ -88,10 +88,12 @@
 	return placement.Fit(s.workers, s.racks.All, request)
 }
 
-// starved reports whether a unit has waited too long while much of the pool is free. A starved unit
-// is placed on any workers.
+// starved reports whether a unit has waited too long for better workers: any unit while much of the pool
+// is free, and a long-running unit that has run before in any pool, since its estimate says nothing
+// about its wait. A starved unit is placed on any workers.
 func (s *snapshot) starved(u *unit) bool {
-	return s.utilization < idleUtilization && s.now.Sub(u.readyAt) > starvationTimeout
+	restart := u.spec().LongRunning && u.run > 0
+	return s.now.Sub(u.readyAt) > starvationTimeout && (restart || s.utilization < idleUtilization)
 }
 
 // waitsForLocality reports whether a unit still waits for locality. A unit waits no longer than the
--- a/internal/pool/long_running_restart_test.go
+++ b/internal/pool/long_running_restart_test.go
@@ -42,3 +42,58 @@
 	require.Len(t, workersOf(w, jobID(1)), workers)
 	requireInvariants(t, w)
 }
+
+// TestLongRunningTaskIsRestartedInHeadroom guards against a long-running task that loses its worker for good
+// and is kept out of the only rack with room, which units with slack leave to urgent jobs.
+func TestLongRunningTaskIsRestartedInHeadroom(t *testing.T) {
+	const racks, perRack = 6, 4
+	w := simulation.NewCluster(racks, perRack)
+	w.Work = runForDays
+	w.AcquirePool()
+	w.Run(time.Second)
+	step := longRunningStep((racks - 1) * perRack)
+	step.GPUs, step.EstimateMillis = 8, (15 * time.Minute).Milliseconds()
+	queue := batch
+	queue.Priority = 1
+	w.Submit(spec(1, step), queue)
+	w.Run(15 * time.Second)
+	require.Len(t, workersOf(w, jobID(1)), step.Count)
+	loseForGood(w, workersOf(w, jobID(1))[0])
+	w.Run(restartBound)
+	require.Len(t, workersOf(w, jobID(1)), step.Count)
+	requireInvariants(t, w)
+}
+
+// restartBound is the time from the loss of a worker for good to the next start of its long-running tasks: 6 s
+// after their last run, and idleWaitBound.
+const restartBound = 6*time.Second + idleWaitBound
+
+// loseForGood crashes a worker that does not come back. Another instance answers at its address.
+func loseForGood(w *simulation.Cluster, worker *simulation.Worker) {
+	worker.Crash()
+	worker.Replaced = true
+	w.RemoveWorkerRow(worker)
+}
+
+// TestLongRunningTaskIsRestartedInAnotherRack guards against a long-running task that loses its worker for good
+// and waits for a place in the rack of its data, which other long-running tasks fill.
+func TestLongRunningTaskIsRestartedInAnotherRack(t *testing.T) {
+	const perRack = 8
+	w := simulation.NewCluster(2, perRack)
+	w.Work = runForDays
+	w.AcquirePool()
+	w.Run(time.Second)
+	near := longRunningStep(perRack)
+	near.GPUs, near.PreferredRack, near.EstimateMillis = 8, "r-0", time.Minute.Milliseconds()
+	w.Submit(spec(1, near), batch)
+	w.Run(3 * time.Second)
+	other := longRunningStep(perRack / 2)
+	other.GPUs, other.PreferredRack = 8, "r-1"
+	w.Submit(spec(2, other), batch)
+	w.Run(3 * time.Second)
+	require.Len(t, workersOf(w, jobID(1)), perRack)
+	loseForGood(w, workersOf(w, jobID(1))[0])
+	w.Run(restartBound)
+	require.Len(t, workersOf(w, jobID(1)), perRack)
+	requireInvariants(t, w)
+}
--- a/internal/pool/policy.go
+++ b/internal/pool/policy.go
@@ -8,7 +8,7 @@
 	reservationLimit = 16
 	// A unit is placed on any workers once it has waited for starvationTimeout and the utilization
 	// of the most used resource is below idleUtilization. The platform limits such a wait to 3 s
-	// once half of the resources are free.
+	// once half of the resources are free, and for restarts of long-running units always.
 	idleUtilization   = 0.55
 	starvationTimeout = 1800 * time.Millisecond
 	// deferrableSlackShare is the slack, as a share of the objective, above which a unit is
