A suspect does not wait for an empty worker that never comes (crash under task)

What callers saw: a task whose worker crashed 0.3 s after its start was never started again, with 3% of the cores in use, as each worker had a task that lasts.

Cause: a suspect's next run must be alone on its worker. findPlacement passed suspects over where other units count as starved, and reserved the workers that become empty first, which one under a task that lasts never does.

Why it works: the wait ends by the clock, not by what others run.

TestSuspectIsTriedAgainWithoutEmptyWorker (2 of 2 cases) and TestCrashingTaskIsFoundWithoutEmptyWorker fail on the code before.

--- a/internal/poison/survival.go
+++ b/internal/poison/survival.go
@@ -6,6 +6,9 @@
 // the ages at which workers were lost is therefore hardly one that crashes its worker, and a run that
 // reaches ageHorizon shows that the task is healthy.
 
+// MayCrash reports whether a run of the given age may still crash its worker.
+func MayCrash(age time.Duration) bool { return age < ageHorizon }
+
 // SurvivalAge returns the age from which a run of the task is no longer expected to crash its worker. It
 // is 0 if no loss is evidence about the task.
 func (h *History) SurvivalAge() time.Duration {
--- a/internal/pool/find_placement.go
+++ b/internal/pool/find_placement.go
@@ -22,7 +22,10 @@
 
 // findUsablePlacement returns usable workers with free resources for a unit, or nil.
 func (p *Pool) findUsablePlacement(s *snapshot, u *unit, request *placement.Request) []int {
-	if s.starved(u) && !u.needsEmptyWorkers() {
+	switch {
+	case s.starved(u) && u.needsEmptyWorkers():
+		return p.findStarvedSuspectPlacement(s, u, request)
+	case s.starved(u):
 		return p.findStarvedPlacement(s, u, request)
 	}
 	visible := *request
--- a/internal/pool/isolation.go
+++ b/internal/pool/isolation.go
@@ -77,6 +77,30 @@
 	return p.fitWithLocality(s, u, visible, visible)
 }
 
+// findStarvedSuspectPlacement returns workers for a starved unit that needs empty workers, ignoring
+// reservations and headroom. If no worker is expected to become empty soon, the unit shares workers,
+// preferably with runs that are too old to crash their workers: the loss of such a worker proves as much
+// as that of an empty one.
+func (p *Pool) findStarvedSuspectPlacement(s *snapshot, u *unit, request *placement.Request) []int {
+	empty := s.restrictToEmpty(request)
+	if places := placement.Fit(s.workers, s.racks.All, empty); places != nil {
+		return places
+	}
+	patience := overdueTimeout - s.now.Sub(u.readyAt)
+	if patience > 0 && placement.EarliestFit(s.workers, s.racks.All, s.units, empty, patience) != nil {
+		return nil
+	}
+	if places := p.findStarvedPlacement(s, u, restrict(request, s.withoutSuspects)); places != nil {
+		return places
+	}
+	return p.findStarvedPlacement(s, u, restrict(request, s.withoutDoubtfulUnits))
+}
+
+// withoutSuspects reports whether all runs on a worker are too old to crash it.
+func (s *snapshot) withoutSuspects(i int) bool {
+	return !slices.ContainsFunc(s.poolWorkers[i].members, func(m *member) bool { return poison.MayCrash(m.workedFor()) })
+}
+
 // withoutDoubtfulUnits reports whether no unit with unexplained losses runs on a worker.
 func (s *snapshot) withoutDoubtfulUnits(i int) bool {
 	return !slices.ContainsFunc(s.poolWorkers[i].members, func(m *member) bool { return m.unit.hasUnexplainedLosses() })
--- a/internal/pool/suspect_isolation_test.go
+++ b/internal/pool/suspect_isolation_test.go
@@ -160,3 +160,63 @@
 		})
 	}
 }
+
+// clusterWithRunOnEachWorker returns a cluster with a run of job 1 on each worker. Each takes work.
+func clusterWithRunOnEachWorker(t *testing.T, step taskgraph.Step, work time.Duration) *simulation.Cluster {
+	t.Helper()
+	w := simulation.NewCluster(2, 4)
+	w.Work = func(name taskgraph.TaskName) time.Duration {
+		if name.Job == jobID(1) {
+			return work
+		}
+		return time.Second
+	}
+	w.AcquirePool()
+	w.Run(time.Second)
+	step.MaxPerWorker = 1
+	w.Submit(spec(1, step), urgent)
+	w.Run(4 * time.Second)
+	require.Len(t, workersOf(w, jobID(1)), 8)
+	return w
+}
+
+// TestSuspectIsTriedAgainWithoutEmptyWorker guards against a task that waits for an empty worker for good
+// after its worker was lost, while each worker has a run that does not end.
+func TestSuspectIsTriedAgainWithoutEmptyWorker(t *testing.T) {
+	overrunning := smallLongRunningStep(8)
+	overrunning.LongRunning = false
+	cases := map[string]struct {
+		step taskgraph.Step
+		work time.Duration
+	}{
+		"long-running":                 {smallLongRunningStep(8), 48 * time.Hour},
+		"far longer than its estimate": {overrunning, time.Minute},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := clusterWithRunOnEachWorker(t, c.step, c.work)
+			w.Submit(spec(2, singleTaskStep(1)), batch)
+			w.Run(300 * time.Millisecond)
+			workersOf(w, jobID(2))[0].CrashAndRestart()
+			w.Run(4*time.Second + idleWaitBound)
+			require.Equal(t, 2, w.Checker.JobStarts(jobID(2)), "once more within the bound after its worker is known to be lost")
+			w.Run(10 * time.Second)
+			requireInvariants(t, w)
+			require.Equal(t, taskgraph.Completed, w.StoredState(jobID(2)))
+		})
+	}
+}
+
+// TestCrashingTaskIsFoundWithoutEmptyWorker checks that a task which crashes its workers is still found by
+// few of them if all workers have long-running tasks, and that these go on.
+func TestCrashingTaskIsFoundWithoutEmptyWorker(t *testing.T) {
+	w := clusterWithRunOnEachWorker(t, smallLongRunningStep(8), 48*time.Hour)
+	w.Run(time.Minute)
+	crashing := taskOf(2, 0, 0)
+	w.Crashing[crashing] = simulation.Crash{After: 300 * time.Millisecond}
+	w.Submit(spec(2, singleTaskStep(1)), batch)
+	w.Run(time.Minute)
+	requireJobFailed(t, w, crashing, 2)
+	require.Len(t, workersOf(w, jobID(1)), 8)
+	require.Equal(t, taskgraph.Running, w.StoredState(jobID(1)))
+}
