--- a/internal/pool/isolation.go
+++ b/internal/pool/isolation.go
@@ -90,10 +90,12 @@
 	if patience > 0 && placement.EarliestFit(s.workers, s.racks.All, s.units, empty, patience) != nil {
 		return nil
 	}
-	if places := p.findStarvedPlacement(s, u, restrict(request, s.withoutSuspects)); places != nil {
-		return places
+	for _, preferred := range []func(i int) bool{s.withoutSuspects, s.withoutDoubtfulUnits} {
+		if places := p.findStarvedPlacement(s, u, restrict(request, preferred)); places != nil {
+			return places
+		}
 	}
-	return p.findStarvedPlacement(s, u, restrict(request, s.withoutDoubtfulUnits))
+	return p.findStarvedPlacement(s, u, request)
 }
 
 // withoutSuspects reports whether all runs on a worker are too old to crash it.
@@ -142,9 +144,9 @@
 }
 
 // mayJoinSuspects reports whether a unit may share workers with suspects: it is starved, or its tenant's
-// guarantee is due. A suspect shares workers with nobody.
+// guarantee is due.
 func (p *Pool) mayJoinSuspects(s *snapshot, u *unit) bool {
-	return len(s.isolated) > 0 && !u.needsEmptyWorkers() && (s.starved(u) || p.guaranteeDue(s, u))
+	return len(s.isolated) > 0 && (s.starved(u) || p.guaranteeDue(s, u))
 }
 
 // findBesideSuspects returns workers for a unit, also among those that suspects keep to themselves for
--- a/internal/pool/suspect_isolation_test.go
+++ b/internal/pool/suspect_isolation_test.go
@@ -76,19 +76,15 @@
 	}
 }
 
-// crashWorkerOfFirstJob crashes a worker of job 1 when the job's run has reached an age. The instance that
-// follows has the same labels.
+// crashWorkerOfFirstJob crashes a worker of job 1 when the job's run has reached an age, and waits for the
+// instance that follows.
 func crashWorkerOfFirstJob(t *testing.T, w *simulation.Cluster, age time.Duration) {
 	t.Helper()
 	w.Run(100 * time.Millisecond)
 	require.NotEmpty(t, workersOf(w, jobID(1)))
 	w.Run(age)
-	crashed := workersOf(w, jobID(1))[0]
-	crashed.CrashAndRestart()
+	workersOf(w, jobID(1))[0].CrashAndRestart()
 	w.Run(4 * time.Second)
-	successor := w.Workers[len(w.Workers)-1]
-	successor.Labels = crashed.Labels
-	w.PutWorkerRow(successor)
 }
 
 func requireOthersBeginBesideSuspect(t *testing.T, c isolationCase, crashAge time.Duration, takeover bool) {
--- a/internal/pool/worker_fault_injection_test.go
+++ b/internal/pool/worker_fault_injection_test.go
@@ -365,6 +365,12 @@
 
 // clearFaultsAndFinish clears all faults, kills the owner and lets a new one finish the jobs.
 func (f *workerFaults) clearFaultsAndFinish() {
+	f.clearFaults()
+	f.Run(110 * time.Second)
+}
+
+// clearFaults clears all faults, kills the owner and lets a new one take the pool over.
+func (f *workerFaults) clearFaults() {
 	f.Store.Unavailable = false
 	clear(f.Store.UnresponsivePartitions)
 	f.Store.WriteOutcome, f.Store.KnowledgeWriteOutcome = nil, nil
@@ -377,6 +383,5 @@
 	}
 	f.owner.Process.Kill()
 	f.Run(time.Second)
-	f.AcquirePool()
-	f.Run(110 * time.Second)
+	f.owner = f.AcquirePool()
 }
--- a/internal/simulation/checker.go
+++ b/internal/simulation/checker.go
@@ -41,7 +41,9 @@
 
 type taskRecord struct {
 	running map[*run]bool
-	done    bool
+	// lastEndAt is when the last run ended; zero before.
+	lastEndAt time.Time
+	done      bool
 	// doneRuns contains the numbers of the completed runs.
 	doneRuns map[int]bool
 	// acknowledged is set once an owner has acknowledged a completion.
@@ -266,6 +268,7 @@
 func (c *Checker) ended(r *run, reason fleet.EndReason) {
 	t := c.task(r.name)
 	delete(t.running, r)
+	t.lastEndAt = c.cluster.Clock.Now()
 	c.LogEvent("over", "task", r.name.String(), "run", r.number, "worker", r.worker.ID, "how", reason)
 	switch reason {
 	case fleet.EndDone:
--- a/internal/simulation/cluster.go
+++ b/internal/simulation/cluster.go
@@ -78,6 +78,8 @@
 	OperatorTable string
 	// evacuatedAt contains the evacuated zones and the times of their evacuations.
 	evacuatedAt map[string]time.Time
+	// lastCrashAt is when a worker last crashed.
+	lastCrashAt time.Time
 	// restarts counts the identifiers that were made up for workers.
 	restarts int
 	// newAddresses counts the addresses that were made up for workers or for their rows.
--- a/internal/simulation/worker.go
+++ b/internal/simulation/worker.go
@@ -309,6 +309,7 @@
 // Crash ends the worker process; its runs are lost.
 func (w *Worker) Crash() {
 	w.Crashed, w.crashedAt = true, w.clock.Now()
+	w.cluster.lastCrashAt = w.clock.Now()
 	for _, r := range w.sortedRuns() {
 		r.over = true
 		w.cluster.Checker.crashed(r)
