Starved suspects wait for doubtful units that end soon

A starved suspect now shares a worker with a doubtful unit only if that one isn't expected to end within 3 s.

--- a/internal/pool/isolation.go
+++ b/internal/pool/isolation.go
@@ -90,12 +90,21 @@
 	if patience > 0 && placement.EarliestFit(s.workers, s.racks.All, s.units, empty, patience) != nil {
 		return nil
 	}
-	for _, preferred := range []func(i int) bool{s.withoutSuspects, s.withoutDoubtfulUnits} {
-		if places := p.findStarvedPlacement(s, u, restrict(request, preferred)); places != nil {
+	withoutShortDoubtfulUnits := func(i int) bool { return !p.runsShortDoubtfulUnit(s.poolWorkers[i], s.now) }
+	for _, allowed := range []func(i int) bool{s.withoutSuspects, s.withoutDoubtfulUnits, withoutShortDoubtfulUnits} {
+		if places := p.findStarvedPlacement(s, u, restrict(request, allowed)); places != nil {
 			return places
 		}
 	}
-	return p.findStarvedPlacement(s, u, request)
+	return nil
+}
+
+// runsShortDoubtfulUnit reports whether a worker runs a unit with unexplained losses that is expected to end
+// soon.
+func (p *Pool) runsShortDoubtfulUnit(w *worker, now time.Time) bool {
+	return slices.ContainsFunc(w.members, func(m *member) bool {
+		return m.unit.hasUnexplainedLosses() && p.remaining(m.unit, now) <= shortRemaining
+	})
 }
 
 // withoutSuspects reports whether all runs on a worker are too old to crash it.
