Starved and lasting units do not reserve fast workers in place of starting

What callers see: two tasks of priority 0 that last waited for 17 s beside idle workers. Found in virtual time by the check for waiting work.

Cause: an urgent unit that would miss its objective on the workers found for it has others stopped on fast workers. A starved unit is placed on any workers; a free fast one then costs nothing and was reserved in each cycle, never used. A task that lasts has no end to be late with.

Evidence: seed 994 of TestRandomFaultsBesideLongRunningTasks; a trial that printed each cycle showed the unit starved, the workers usable, and no placement. The kept seed fails before and passes now.

Fix: missesObjectiveOn is false for starved units and for units that last. They are then placed on what was found.

--- a/internal/pool/long_running_fault_injection_test.go
+++ b/internal/pool/long_running_fault_injection_test.go
@@ -59,6 +59,7 @@
 // keptLongRunningSeeds are seeds in which work has waited that had somewhere to go.
 var keptLongRunningSeeds = []uint64{
 	21, 36, 59, // Suspects waited for workers that other suspects kept to themselves.
+	994, // An urgent unit reserved fast workers in each cycle, and was never placed.
 }
 
 // TestRandomFaultsBesideLongRunningTasksOfKeptSeeds plays the seeds in which work has waited.
--- a/internal/pool/preempt.go
+++ b/internal/pool/preempt.go
@@ -180,9 +180,10 @@
 }
 
 // missesObjectiveOn reports whether an urgent unit that can still meet its objective would miss it
-// on the given workers because of their speed.
+// on the given workers because of their speed. Long-running units have no end to be late with, and
+// starved units take what there is.
 func (p *Pool) missesObjectiveOn(s *snapshot, u *unit, places []int) bool {
-	if u.job.Queue.Priority > 0 || u.likelyPoison() || u.needsEmptyWorkers() {
+	if u.job.Queue.Priority > 0 || u.spec().LongRunning || s.starved(u) || u.likelyPoison() || u.needsEmptyWorkers() {
 		return false
 	}
 	slack, slowest := u.slack(s.now), 1.0
