--- a/internal/pool/long_running_restart_test.go
+++ b/internal/pool/long_running_restart_test.go
@@ -97,3 +97,50 @@
 	require.Len(t, workersOf(w, jobID(1)), perRack)
 	requireInvariants(t, w)
 }
+
+// restartAfterShutdown returns how long a long-running task of the only worker with a label is down after that
+// worker has shut down as planned, while another one with the label is idle. With crashBefore, the worker has
+// crashed under the task and come back under its identifier some seconds before.
+func restartAfterShutdown(t *testing.T, crashBefore bool) time.Duration {
+	t.Helper()
+	w := simulation.NewCluster(2, 4)
+	w.Bounds.MaxLease = 10 * time.Second
+	w.Work = runForDays
+	w.AcquirePool()
+	worker := addLabeledWorker(w, "labeled", "r-0")
+	w.Run(time.Second)
+	step := smallLongRunningStep(1)
+	step.RequiredLabel = specialLabel
+	w.Submit(spec(1, step), batch)
+	w.Run(time.Second)
+	if crashBefore {
+		worker.Restart(2*time.Second, 0)
+		w.Run(4 * time.Second)
+		worker = workerOfTask(w, taskOf(1, 0, 0))
+	}
+	require.Equal(t, 1, worker.RunsOf(jobID(1)))
+	addLabeledWorker(w, "other", "r-1")
+	beginDrain(w, worker)
+	w.Run(drainTime + shutdownDelay)
+	worker.Crash()
+	worker.Unreachable = true
+	w.RemoveWorkerRow(worker)
+	shutdownAt := w.Clock.Now()
+	for len(workersOf(w, jobID(1))) == 0 && w.Clock.Now().Sub(shutdownAt) < time.Minute {
+		w.Run(10 * time.Millisecond)
+	}
+	requireInvariants(t, w)
+	return w.Clock.Now().Sub(shutdownAt)
+}
+
+// TestLongRunningTaskIsRestartedAfterShutdown guards against a long-running task that stays down after its
+// worker has left as planned.
+func TestLongRunningTaskIsRestartedAfterShutdown(t *testing.T) {
+	require.LessOrEqual(t, restartAfterShutdown(t, false), restartBound)
+}
+
+// TestLongRunningTaskIsRestartedAfterShutdownOfReturnedWorker is like TestLongRunningTaskIsRestartedAfterShutdown,
+// for a worker that had come back after a crash some seconds before.
+func TestLongRunningTaskIsRestartedAfterShutdownOfReturnedWorker(t *testing.T) {
+	require.LessOrEqual(t, restartAfterShutdown(t, true), restartBound)
+}
