pool: reservations, starved units and shared suspects in files of their own

find_placement.go, worker_health.go and isolation.go had grown to hold several matters each. Two tests of reports that are read late share the delays that they wrote out twice.

The tests of the package pass as before, but for the known ones.

--- a/internal/pool/find_placement.go
+++ b/internal/pool/find_placement.go
@@ -7,7 +7,6 @@
 	"github.com/wheatroad/wheatroad/internal/health"
 	"github.com/wheatroad/wheatroad/internal/mechanism"
 	"github.com/wheatroad/wheatroad/internal/placement"
-	"github.com/wheatroad/wheatroad/internal/taskgraph"
 )
 
 // findPlacement returns workers with free resources for a unit, or nil. A unit that may not wait for
@@ -78,27 +77,6 @@
 	return placement.Fit(s.workers, s.racks.All, visible)
 }
 
-// findAnyPlacement returns workers with free resources, ignoring reservations and headroom.
-func (p *Pool) findAnyPlacement(s *snapshot, u *unit, request *placement.Request) []int {
-	for _, scope := range s.localityGroups(u) {
-		if places := placement.Fit(s.workers, scope, request); places != nil {
-			return places
-		}
-	}
-	if places := placement.FitOneRack(s.workers, s.racks, request); places != nil {
-		return places
-	}
-	return placement.Fit(s.workers, s.racks.All, request)
-}
-
-// starved reports whether a unit has waited too long for better workers: any unit while much of the pool
-// is free, and a long-running unit that has run before in any pool, since its estimate says nothing
-// about its wait. A starved unit is placed on any workers.
-func (s *snapshot) starved(u *unit) bool {
-	restart := u.spec().LongRunning && u.run > 0
-	return s.now.Sub(u.readyAt) > starvationTimeout && (restart || s.utilization < idleUtilization)
-}
-
 // waitsForLocality reports whether a unit still waits for locality. A unit waits no longer than the
 // extra time that a run outside its rack takes. Workers that are kept from the unit only for their
 // health count as local.
@@ -168,21 +146,6 @@
 	return excluded
 }
 
-// reservationLimiter returns a limit that hides reserved resources from units whose estimate
-// exceeds the time until the reservation starts; nil if nothing is reserved.
-func (s *snapshot) reservationLimiter(estimate time.Duration) func(int, taskgraph.Resources) taskgraph.Resources {
-	if len(s.reservations) == 0 {
-		return nil
-	}
-	return func(i int, free taskgraph.Resources) taskgraph.Resources {
-		reserved, found := s.reservations[i]
-		if !found || estimate <= reserved.startsIn {
-			return free
-		}
-		return free.Min(reserved.unreserved)
-	}
-}
-
 // localityGroups returns the groups of workers of which one should hold the whole unit.
 func (s *snapshot) localityGroups(u *unit) [][]int {
 	spec := u.spec()
@@ -198,41 +161,3 @@
 	}
 	return [][]int{s.racks.All}
 }
-
-// earliestPlacement returns the earliest future placement of a unit; nil if there is none, or if
-// the cycle has no reservations left and the unit's priority is not 0.
-func (s *snapshot) earliestPlacement(u *unit, request *placement.Request) *placement.FuturePlacement {
-	if s.reservationsLeft == 0 && u.job.Queue.Priority > 0 {
-		return nil
-	}
-	var best *placement.FuturePlacement
-	limit := time.Duration(math.MaxInt64)
-	for _, scope := range s.localityGroups(u) {
-		if found := placement.EarliestFit(s.workers, scope, s.units, request, limit); found != nil {
-			best = found
-			limit = found.Wait
-		}
-	}
-	return best
-}
-
-// reserve reserves the resources of a future placement for a unit, unless future is nil.
-func (s *snapshot) reserve(u *unit, request *placement.Request, future *placement.FuturePlacement) placeResult {
-	if future == nil {
-		return unitNotPlaced
-	}
-	if u.job.Queue.Priority > 0 {
-		s.reservationsLeft--
-	}
-	for i, spare := range future.Unreserved {
-		existing, found := s.reservations[i]
-		if found {
-			spare = spare.Min(existing.unreserved)
-		}
-		if !found || future.Wait < existing.startsIn {
-			existing.startsIn = future.Wait
-		}
-		s.reservations[i] = reservation{startsIn: existing.startsIn, unreserved: spare}
-	}
-	return unitReserved
-}
--- a/internal/pool/overtaken_reports_test.go
+++ b/internal/pool/overtaken_reports_test.go
@@ -138,17 +138,7 @@
 	const submittedAt = 1240 * time.Millisecond
 	w := simulation.NewCluster(1, 1)
 	w.Work = func(taskgraph.TaskName) time.Duration { return 100 * time.Second }
-	w.MessageDelay = func(message simulation.Message) time.Duration {
-		switch {
-		case w.Clock.Now().Sub(w.StartedAt()) < submittedAt:
-			return 0
-		case message.Kind == simulation.StartMessage && !message.Answer:
-			return 100 * time.Millisecond
-		case message.Kind == simulation.PollMessage && message.Answer:
-			return 300 * time.Millisecond
-		}
-		return 0
-	}
+	w.MessageDelay = lateReportsBetween(w, submittedAt, time.Hour)
 	slow := singleTaskStep(1)
 	slow.EstimateMillis = 100_000
 	w.AcquirePool()
@@ -161,6 +151,23 @@
 	require.Zero(t, w.Checker.DecisionCounts["run missing from reports"])
 }
 
+// lateReportsBetween delays reports more than starts between two times since the beginning of a simulation, so
+// that reports from before a run are read after its start.
+func lateReportsBetween(w *simulation.Cluster, from, until time.Duration) func(simulation.Message) time.Duration {
+	return func(message simulation.Message) time.Duration {
+		age := w.Clock.Now().Sub(w.StartedAt())
+		switch {
+		case age < from || age > until:
+			return 0
+		case message.Kind == simulation.StartMessage && !message.Answer:
+			return 100 * time.Millisecond
+		case message.Kind == simulation.PollMessage && message.Answer:
+			return 300 * time.Millisecond
+		}
+		return 0
+	}
+}
+
 // TestReportOfTheSameMillisecondDoesNotEndIt: a worker writes a report, carries out a start and writes
 // another report within one millisecond of its clock. The later report, which lists the run, is read
 // first, so the earlier one doesn't count as overtaken.
@@ -301,17 +308,7 @@
 	w := simulation.NewCluster(1, 2)
 	w.Work = func(taskgraph.TaskName) time.Duration { return 100 * time.Second }
 	age := func() time.Duration { return w.Clock.Now().Sub(w.StartedAt()) }
-	w.MessageDelay = func(message simulation.Message) time.Duration {
-		switch {
-		case age() < submittedAt || age() > 1450*time.Millisecond:
-			return 0
-		case message.Kind == simulation.StartMessage && !message.Answer:
-			return 100 * time.Millisecond
-		case message.Kind == simulation.PollMessage && message.Answer:
-			return 300 * time.Millisecond
-		}
-		return 0
-	}
+	w.MessageDelay = lateReportsBetween(w, submittedAt, 1450*time.Millisecond)
 	slow := singleTaskStep(1)
 	slow.EstimateMillis = 100_000
 	w.AcquirePool()
--- a/internal/pool/snapshot.go
+++ b/internal/pool/snapshot.go
@@ -39,13 +39,6 @@
 	reservations map[int]reservation
 }
 
-// reservation is a reservation of resources on one worker. It starts after startsIn.
-type reservation struct {
-	startsIn time.Duration
-	// unreserved holds the resources that other units may use after the reservation has started.
-	unreserved taskgraph.Resources
-}
-
 // equivalenceClass identifies units with the same requirements, also of their workers' health. If a cycle cannot place one unit of
 // a class, it cannot place the others either.
 type equivalenceClass struct {
--- a/internal/pool/worker_health.go
+++ b/internal/pool/worker_health.go
@@ -184,53 +184,6 @@
 	return nil
 }
 
-// findStarvedPlacement returns workers for a starved unit, ignoring reservations and headroom. The unit
-// takes workers on which it has failed only if there are no others.
-func (p *Pool) findStarvedPlacement(s *snapshot, u *unit, request *placement.Request) []int {
-	if len(u.excludedWorkers) > 0 {
-		if places := p.findHealthiestPlacement(s, u, restrict(request, s.notExcluded(u))); places != nil {
-			return places
-		}
-	}
-	return p.findHealthiestPlacement(s, u, request)
-}
-
-// findHealthiestPlacement returns workers for a starved unit. While workers fail, the unit takes the best
-// of them.
-func (p *Pool) findHealthiestPlacement(s *snapshot, u *unit, request *placement.Request) []int {
-	anyPlaces := p.findAnyPlacement(s, u, request)
-	if anyPlaces == nil || !p.cautious(s.now) {
-		return anyPlaces
-	}
-	for _, preferred := range p.starvedPreferences(s, u) {
-		if places := p.findAnyPlacement(s, u, restrict(request, preferred)); places != nil {
-			return places
-		}
-	}
-	return anyPlaces
-}
-
-// starvedPreferences returns the preferred workers of a starved unit, the narrowest choice first. A
-// last attempt that may use any worker prefers proven workers, then those without failures, and among each the ones with the
-// fewest pending last attempts.
-func (p *Pool) starvedPreferences(s *snapshot, u *unit) []func(i int) bool {
-	if !u.lastAttempt() || p.healthRequirement(s, u) != health.AnyWorker {
-		return p.workerPreferences(s, u)
-	}
-	states := p.workerStates(s)
-	proven := func(i int) bool { return states[i].Proven }
-	trusted := func(i int) bool { return states[i].Trusted }
-	notFailing := func(i int) bool { return !states[i].Suspected }
-	anyWorker := func(int) bool { return true }
-	preferences := []func(i int) bool{proven}
-	for _, preferred := range []func(i int) bool{trusted, notFailing, anyWorker} {
-		for limit := range mostPendingLastAttempts(states) + 1 {
-			preferences = append(preferences, func(i int) bool { return preferred(i) && states[i].PendingLastAttempts <= limit })
-		}
-	}
-	return preferences
-}
-
 // mostPendingLastAttempts returns the highest number of pending last attempts on one worker.
 func mostPendingLastAttempts(states []health.WorkerState) int {
 	most := 0
