Survival of runs: measured anew after a jump of the worker's clock

Read through as a newcomer would: the age that clears a suspect is measured on the worker's clock, and a clock that is set forward cleared a task at once. TestClockJumpOutlivesNoLosses fails on the commit before and passes now: the measurement begins anew when a reply shows a jump. A row of another writer with failures but no run can no longer make the count of a gang negative.

--- a/internal/pool/suspect_isolation_test.go
+++ b/internal/pool/suspect_isolation_test.go
@@ -216,3 +216,20 @@
 	require.Len(t, workersOf(w, jobID(1)), 8)
 	require.Equal(t, taskgraph.Running, w.StoredState(jobID(1)))
 }
+
+// TestClockJumpOutlivesNoLosses guards against a suspect that is cleared because its worker's clock was set
+// forward while it ran.
+func TestClockJumpOutlivesNoLosses(t *testing.T) {
+	w := simulation.NewCluster(2, 4)
+	w.Work = runForDays
+	w.AcquirePool()
+	w.Run(time.Second)
+	w.Submit(spec(1, longRunningStep(1)), batch)
+	crashWorkerOfFirstJob(t, w, time.Second)
+	w.Run(5 * time.Second)
+	workersOf(w, jobID(1))[0].AdvanceClock(2 * time.Minute)
+	w.Run(20 * time.Second)
+	requireInvariants(t, w)
+	require.NotZero(t, w.Checker.DecisionCounts["worker clock jumped"])
+	require.Len(t, storedLosses(t, w, jobID(1)), 1)
+}
--- a/internal/pool/unit_failures.go
+++ b/internal/pool/unit_failures.go
@@ -43,5 +43,5 @@
 		u.failures, u.failedRun = min(u.failures, u.run), u.run
 		return
 	}
-	u.failures = min(u.failures, u.run-1)
+	u.failures = min(u.failures, max(0, u.run-1))
 }
--- a/internal/pool/worker_replies.go
+++ b/internal/pool/worker_replies.go
@@ -13,6 +13,9 @@
 		// Earlier deadlines were on another clock, and another incarnation may have replied. A poll
 		// identifies the incarnation; the reply to a start does not.
 		w.deadline = clock + p.options.Bounds.MaxLease.Milliseconds()
+		for _, m := range w.members {
+			m.survival = runSurvival{}
+		}
 		p.pollNow(w)
 	}
 	if w.unansweredCalls > 0 {
--- a/internal/simulation/worker.go
+++ b/internal/simulation/worker.go
@@ -365,3 +365,6 @@
 		w.end(r, fleet.EndFailed, "")
 	}
 }
+
+// AdvanceClock sets the worker's own clock forward.
+func (w *Worker) AdvanceClock(by time.Duration) { w.clockEpoch = w.clockEpoch.Add(-by) }
