Stand-ins of the store reject what the platform's store rejects

The simulated store, the fake platform of the soak and the node tests' store took rows of any size, any number of entries, transactions over several partitions and writes to the tables of workers and operators.

A rejected transaction is a violation in every test of the simulation unless the test expects it. The largest row of each kind is a figure of the simulated store.

Two tests of the writer wrote rows of 178 KB, 700 KB that no store takes. They use rows of 59 KB now and check the same bound of a batch, with more rows in it; the check of a single row above the size of a batch stays, on a store without limits.

--- a/internal/node/gateway_test.go
+++ b/internal/node/gateway_test.go
@@ -57,6 +57,9 @@
 			return rows.Result{}, err
 		}
 	}
+	if err := rows.DefaultLimits().Check(&transaction); err != nil {
+		return rows.Result{}, err
+	}
 	for _, condition := range transaction.Conditions {
 		if row := f.rows[condition.Key]; row.Version != condition.Version {
 			return rows.Result{Current: []rows.Row{row}}, nil
--- a/internal/pool/partitions.go
+++ b/internal/pool/partitions.go
@@ -98,3 +98,20 @@
 func headKey(part string) rows.Key {
 	return rows.Key{Table: ProgressTable, Part: part, Name: headRow}
 }
+
+// KindOf names the kind of a row that owners and nodes write, for logs, metrics and tests.
+func KindOf(key rows.Key) string {
+	switch {
+	case key.Table == ProgressTable && key.Name == headRow:
+		return "head"
+	case key.Table == NodeTable && key.Name == LeaseRow && key.Part != "":
+		return "lease"
+	case key.Table == NodeTable:
+		return "member"
+	case strings.HasSuffix(key.Name, acceptedSuffix):
+		return "accepted"
+	case strings.HasSuffix(key.Name, cancelledSuffix):
+		return "cancelled"
+	}
+	return key.Table
+}
--- a/internal/pool/writer_test.go
+++ b/internal/pool/writer_test.go
@@ -53,6 +53,8 @@
 	Ports
 	inFlight []pendingCommit
 	sent     int
+	// takesAnyRow is true if the store has no limits.
+	takesAnyRow bool
 }
 
 type pendingCommit struct {
@@ -60,7 +62,11 @@
 	done        func(rows.Result, error)
 }
 
+// Commit implements Ports. It panics if a real store would reject the transaction.
 func (p *commitPorts) Commit(transaction rows.Transaction, done func(rows.Result, error)) {
+	if err := rows.DefaultLimits().Check(&transaction); err != nil && !p.takesAnyRow {
+		panic(err)
+	}
 	p.sent++
 	p.inFlight = append(p.inFlight, pendingCommit{transaction, done})
 }
@@ -95,14 +101,15 @@
 
 func TestBatchesStayWithinTheirSize(t *testing.T) {
 	p, _, ports := newWriterPool()
-	const row = maxBatchBytes/4 - 1<<10
-	for number := range 9 {
+	const row = maxBatchBytes/12 - 1<<10
+	for number := range 25 {
 		p.persist(jobOfBytes(number, row))
 	}
 	require.Equal(t, 1, ports.answer(), "the first row is sent immediately")
-	require.Equal(t, 4, ports.answer(), "a fifth row would exceed the size limit")
-	require.Equal(t, 4, ports.answer())
+	require.Equal(t, 12, ports.answer(), "a thirteenth row would exceed the size limit")
+	require.Equal(t, 12, ports.answer())
 	require.Empty(t, ports.inFlight)
+	ports.takesAnyRow = true
 	p.persist(jobOfBytes(10, 2*maxBatchBytes))
 	require.Equal(t, 1, ports.answer(), "a row above the size limit is sent alone")
 }
@@ -146,7 +153,11 @@
 // copies for other partitions slow the first transfer down further.
 func TestLargeBatchGetsTheTimeItTakesToSend(t *testing.T) {
 	p, l, ports := newWriterPool()
-	p.persist(jobOfBytes(0, maxBatchBytes))
+	for number := range 13 {
+		p.persist(jobOfBytes(number, maxBatchBytes/12-1<<10))
+	}
+	ports.answer()
+	require.Len(t, ports.inFlight[0].transaction.Puts, 13, "twelve rows and the head row")
 	l.advance(partitionTimeout)
 	require.Len(t, ports.inFlight, 1)
 	l.advance(rows.SendTime(ports.inFlight[0].transaction))
--- a/internal/simulation/checker.go
+++ b/internal/simulation/checker.go
@@ -22,6 +22,9 @@
 	DecisionCounts map[string]int
 	// LostCoreSeconds is the unsaved work of ended runs.
 	LostCoreSeconds float64
+	// RejectionsExpected is set by tests in which the store rejects transactions. Otherwise a rejected
+	// transaction is a violation, since owners must keep their rows within the store's limits.
+	RejectionsExpected bool
 	// preemptions counts the preemptions of each unit.
 	preemptions map[string]int
 	Metrics     map[string]int
@@ -122,6 +125,14 @@
 	return highest
 }
 
+// rejected records a transaction that the store has rejected for its content.
+func (c *Checker) rejected(reason error) {
+	c.Metrics["rejected_transactions"]++
+	if !c.RejectionsExpected && c.Metrics["rejected_transactions"] == 1 {
+		c.addViolation("store rejected a transaction: %v", reason)
+	}
+}
+
 func (c *Checker) addViolation(format string, args ...any) {
 	at := c.cluster.Clock.Now().Sub(c.cluster.epoch)
 	c.Violations = append(c.Violations, fmt.Sprintf("%v: ", at)+fmt.Sprintf(format, args...))
--- a/internal/simulation/cluster.go
+++ b/internal/simulation/cluster.go
@@ -113,7 +113,9 @@
 		WorkerTable: "workers", EncodeWorker: encodeWorker,
 		Work: func(taskgraph.TaskName) time.Duration { return time.Second },
 	}
+	c.Store.readOnly = func(table string) bool { return table == c.WorkerTable || table == c.OperatorTable }
 	c.Checker = newChecker(c)
+	c.Store.OnRejection = c.Checker.rejected
 	for rack := range racks {
 		for i := range perRack {
 			c.AddWorker(fmt.Sprintf("w-%d-%d", rack, i), fmt.Sprintf("r-%d", rack))
--- a/internal/simulation/store.go
+++ b/internal/simulation/store.go
@@ -9,6 +9,8 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/wheatroad/wheatroad/internal/emulator"
 	"github.com/wheatroad/wheatroad/internal/pool"
 	"github.com/wheatroad/wheatroad/internal/rows"
@@ -40,6 +42,17 @@
 	AnswerDelay func(StoreCall) time.Duration
 	// historyStart is the version from which the store has the changes.
 	historyStart int64
+	// Limits are the limits for transactions. Transactions beyond them are rejected.
+	Limits rows.Limits
+	// readOnly reports whether callers may not write a table; nil if they may write all tables.
+	readOnly func(table string) bool
+	// tables are the tables that have been written.
+	tables map[string]bool
+	// LargestRows holds the size in bytes of the largest row that was written or rejected, by the kind
+	// that pool.KindOf returns.
+	LargestRows map[string]int
+	// OnRejection is called with the reason of each rejected transaction; nil means no call.
+	OnRejection func(error)
 	// Latency is the round-trip time of a call.
 	Latency time.Duration
 	// TransactionTime is how long a partition takes for a transaction. A partition carries out its
@@ -78,7 +91,8 @@
 
 // NewStore returns an empty store.
 func NewStore(clock *emulator.Clock) *Store {
-	return &Store{clock: clock, rows: map[rows.Key]rows.Row{}, UnavailablePartitions: map[string]bool{}, UnresponsivePartitions: map[string]bool{}, Feeds: map[string]int{}, freeAt: map[string]time.Time{}, Latency: 5 * time.Millisecond}
+	return &Store{clock: clock, rows: map[rows.Key]rows.Row{}, UnavailablePartitions: map[string]bool{}, UnresponsivePartitions: map[string]bool{}, Feeds: map[string]int{}, freeAt: map[string]time.Time{}, Latency: 5 * time.Millisecond,
+		Limits: rows.DefaultLimits(), LargestRows: map[string]int{}, tables: map[string]bool{}}
 }
 
 func (s *Store) unavailable(part string) bool { return s.Unavailable || s.UnavailablePartitions[part] }
@@ -91,6 +105,10 @@
 			s.clock.After(s.Latency/2, func() { done(rows.Result{}, rows.ErrNoEffect) })
 			return
 		}
+		if err := s.check(&transaction); err != nil {
+			s.clock.After(s.Latency/2, func() { done(rows.Result{}, err) })
+			return
+		}
 		outcome := s.writeOutcome(transaction)
 		if s.UnresponsivePartitions[partitionOf(transaction)] {
 			outcome = Dropped
@@ -113,6 +131,48 @@
 	})
 }
 
+// check returns an error if a transaction exceeds the store's limits.
+func (s *Store) check(transaction *rows.Transaction) error {
+	for i := range transaction.Puts {
+		put := &transaction.Puts[i]
+		kind := pool.KindOf(put.Key)
+		s.LargestRows[kind] = max(s.LargestRows[kind], len(put.Value))
+	}
+	err := s.Limits.Check(transaction)
+	if err == nil {
+		err = s.checkTables(transaction)
+	}
+	if err != nil && s.OnRejection != nil {
+		s.OnRejection(err)
+	}
+	return err
+}
+
+// ErrReadOnly means that a transaction writes a table that callers may not write.
+var ErrReadOnly = errors.New("simulation: table is read-only")
+
+// maxTables is the number of tables that the store keeps.
+const maxTables = 100
+
+// checkTables returns an error if a transaction writes a table that callers may not write, or more
+// tables than the store keeps.
+func (s *Store) checkTables(transaction *rows.Transaction) error {
+	written := transaction.Removes
+	for i := range transaction.Puts {
+		written = append(written[:len(written):len(written)], transaction.Puts[i].Key)
+	}
+	for _, key := range written {
+		if s.readOnly != nil && s.readOnly(key.Table) {
+			return rows.Rejected(errors.Wrap(ErrReadOnly, key.Table))
+		}
+		s.tables[key.Table] = true
+	}
+	if len(s.tables) > maxTables {
+		return rows.Rejected(errors.Newf("more than %d tables", maxTables))
+	}
+	return nil
+}
+
 // queueTime returns how long a transaction that is sent now waits for earlier ones in its partition.
 func (s *Store) queueTime(part string) time.Duration {
 	now := s.clock.Now()
