--- a/internal/pool/durations_internal_test.go
+++ b/internal/pool/durations_internal_test.go
@@ -21,9 +21,9 @@
 		"shortest": {Weight: 60, Y: -60_000, XX: 1, XY: 1}, "negative spread": {Weight: 3, XX: -priorSlopeWeight},
 	} {
 		t.Run(name, func(t *testing.T) {
-			p := &Pool{durations: map[string]*durationModel{}, record: discardRecorder{}}
-			p.mergeDurations(headRecord{Durations: map[string]*durationModel{"q": &model}})
-			merged := p.durations["q"]
+			p := poolOfModels()
+			p.mergeDurations(map[string]*durationModel{"q": &model})
+			merged := p.durations.of("q")
 			if merged == nil {
 				merged = &durationModel{}
 			}
--- a/internal/pool/durations_test.go
+++ b/internal/pool/durations_test.go
@@ -57,10 +57,10 @@
 // TestTakeoverKeepsDurationModels checks that a new owner keeps the model with the largest weight
 // from several head rows.
 func TestTakeoverKeepsDurationModels(t *testing.T) {
-	p := &Pool{durations: map[string]*durationModel{}}
-	p.mergeDurations(headRecord{Token: 4})
-	p.mergeDurations(headRecord{Token: 4, Durations: map[string]*durationModel{"q": {Weight: 9}, "none": nil}})
-	p.mergeDurations(headRecord{Token: 3, Durations: map[string]*durationModel{"q": {Weight: 2}}})
-	require.Equal(t, 9.0, p.durations["q"].Weight)
-	require.NotContains(t, p.durations, "none")
+	p := poolOfModels()
+	p.mergeDurations(nil)
+	p.mergeDurations(map[string]*durationModel{"q": {Weight: 9}, "none": nil})
+	p.mergeDurations(map[string]*durationModel{"q": {Weight: 2}})
+	require.Equal(t, 9.0, p.durations.of("q").Weight)
+	require.Nil(t, p.durations.of("none"))
 }
--- a/internal/pool/kept_knowledge.go
+++ b/internal/pool/kept_knowledge.go
@@ -11,11 +11,15 @@
 	"github.com/wheatroad/wheatroad/internal/rows"
 )
 
-// keptKnowledge reads the row in which an earlier owner has kept what it had learned, and writes
-// the row for the next owner. No decision waits for either. See docs/design/kept-knowledge.md.
+// keptKnowledge reads a row in which an earlier owner has kept what it had learned, and writes the
+// row for the next owner. No decision waits for either. See docs/design/kept-knowledge.md.
 type keptKnowledge struct {
 	pool     *Pool
+	key      rows.Key
 	composer *knowledge.Composer
+	// optional is true for a row that is written only once something is learned. The other row tells
+	// the next owner from when on losses were watched.
+	optional bool
 	// earlierOwner is the fencing token of the last owner before this one that a head row names; 0 if
 	// none does. unnamedOwner is true if a head row names no owner.
 	earlierOwner int64
@@ -55,31 +59,46 @@
 // newKeptKnowledge returns the kept knowledge of a pool with the given sections, most important
 // first.
 func newKeptKnowledge(p *Pool, sections ...knowledge.Section) *keptKnowledge {
-	return &keptKnowledge{pool: p, composer: knowledge.NewComposer(sections...)}
+	return &keptKnowledge{pool: p, key: KnowledgeKey(p.options.Pool), composer: knowledge.NewComposer(sections...)}
+}
+
+// newKeptDurations returns the kept knowledge of a pool about durations. It has a row of its own, as
+// its size follows the number of queues.
+func newKeptDurations(p *Pool) *keptKnowledge {
+	section := &durationSection{pool: p}
+	return &keptKnowledge{pool: p, key: DurationsKey(p.options.Pool), composer: knowledge.NewComposer(section), optional: true}
 }
 
 func (k *keptKnowledge) disabled() bool {
 	return k.pool.options.DisabledMechanisms[mechanism.KeptKnowledge]
 }
 
-// start reads the row. If the store is away, the row is merged when it comes.
-func (k *keptKnowledge) start() {
-	p := k.pool
-	if k.disabled() {
+// readKnowledge reads the rows of kept knowledge. If the store is away, they are merged when they come.
+func (p *Pool) readKnowledge() {
+	if p.kept.disabled() {
 		return
 	}
 	p.lossTracker.WatchFrom(p.acquiredAt)
+	// The name of the first row is a prefix of the other one's.
 	key := KnowledgeKey(p.options.Pool)
 	p.scanPrefix(key.Table, key.Part, key.Name, func(listing rows.Listing) {
-		k.read = true
-		for i := range listing.Rows {
-			if listing.Rows[i].Name == key.Name {
-				k.handleRow(&listing.Rows[i])
-				return
-			}
+		p.kept.handleListing(&listing)
+		p.keptDurations.handleListing(&listing)
+	})
+}
+
+// handleListing handles the rows that were read at the takeover.
+func (k *keptKnowledge) handleListing(listing *rows.Listing) {
+	k.read = true
+	for i := range listing.Rows {
+		if listing.Rows[i].Key == k.key {
+			k.handleRow(&listing.Rows[i])
+			return
 		}
+	}
+	if !k.optional {
 		k.logRead("absent", &knowledge.Row{}, 0, knowledge.Imported{})
-	})
+	}
 }
 
 // handleRow merges the row that was read at the takeover.
@@ -134,7 +153,7 @@
 	for range imported.Refused {
 		record.Count("knowledge", "section_refused")
 	}
-	record.LogEvent("kept knowledge read", "pool", k.pool.options.Pool, "result", result, "token", row.Token, "bytes", bytes,
+	record.LogEvent("kept knowledge read", "pool", k.pool.options.Pool, "row", k.key.Name, "result", result, "token", row.Token, "bytes", bytes,
 		"sections", strings.Join(imported.Known, " "), "refused", strings.Join(imported.Refused, " "), "age_ms", imported.Age.Milliseconds())
 }
 
@@ -157,7 +176,7 @@
 // a row that the last owner wrote before a loss.
 func (k *keptKnowledge) continueWatch() {
 	switch {
-	case k.disabled(), k.pool.progressFencedAt.IsZero(), k.unnamedOwner:
+	case k.optional, k.disabled(), k.pool.progressFencedAt.IsZero(), k.unnamedOwner:
 	case k.earlierOwner == 0:
 		k.pool.lossTracker.AssumeNoLossesBefore()
 	case k.rowWriter == k.earlierOwner && k.rowSerial > k.earlierLostAfter:
@@ -200,7 +219,7 @@
 func (k *keptKnowledge) writeState(now time.Time) knowledge.WriteState {
 	p := k.pool
 	return knowledge.WriteState{
-		Read: k.read, NewerOwner: k.newerOwner, InFlight: k.inFlight, Written: k.written, Releasing: p.releasing,
+		Read: k.read, NewerOwner: k.newerOwner, InFlight: k.inFlight, Written: k.written || k.optional, Releasing: p.releasing,
 		SinceTakeover: now.Sub(p.acquiredAt), SinceAnswer: now.Sub(p.lastStoreAnswerAt), SinceConfirmation: now.Sub(p.ownershipConfirmedAt),
 		Attempted: k.serial > 0, SinceAttempt: now.Sub(k.attemptedAt), LastWriteTook: k.lastWriteTook,
 	}
@@ -221,10 +240,9 @@
 		return
 	}
 	k.inFlight = true
-	key := KnowledgeKey(p.options.Pool)
 	p.ports.Commit(rows.Transaction{
-		Conditions: []rows.Condition{{Key: key, Version: k.version}},
-		Puts:       []rows.Put{{Key: key, Value: value}},
+		Conditions: []rows.Condition{{Key: k.key, Version: k.version}},
+		Puts:       []rows.Put{{Key: k.key, Value: value}},
 	}, func(result rows.Result, err error) {
 		if p.closed {
 			return
@@ -248,7 +266,15 @@
 	k.written = true
 	k.composer.MarkWritten(snapshot)
 	k.pool.record.Count("knowledge", "written")
-	k.pool.record.Set("knowledge_bytes", int64(bytes))
+	k.pool.record.Set(k.bytesGauge(), int64(bytes))
+}
+
+// bytesGauge returns the name of the gauge of the row's size.
+func (k *keptKnowledge) bytesGauge() string {
+	if k.optional {
+		return "durations_bytes"
+	}
+	return "knowledge_bytes"
 }
 
 // handleReplacedRow handles a failed condition of a write. The row was written by another copy of
--- a/internal/pool/partitions.go
+++ b/internal/pool/partitions.go
@@ -95,6 +95,13 @@
 	return rows.Key{Table: KnowledgeTable, Part: pool + partitionSeparator + knowledgeRow, Name: knowledgeRow}
 }
 
+// DurationsKey returns the key of the row for duration models that do not fit into head rows.
+func DurationsKey(pool string) rows.Key {
+	key := KnowledgeKey(pool)
+	key.Name = durationsRow
+	return key
+}
+
 func headKey(part string) rows.Key {
 	return rows.Key{Table: ProgressTable, Part: part, Name: headRow}
 }
@@ -113,5 +120,8 @@
 	case strings.HasSuffix(key.Name, cancelledSuffix):
 		return "cancelled"
 	}
+	if key.Table == KnowledgeTable {
+		return key.Name
+	}
 	return key.Table
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -80,9 +80,9 @@
 	removingExpiredJob bool
 	// removedJobs holds the jobs whose rows this owner has removed.
 	removedJobs removedJobs
-	// durations holds the learned duration model of each queue; estimatesRefreshedAt is when the
-	// models were last applied to open jobs.
-	durations            map[string]*durationModel
+	// durations holds the learned duration models of queues; estimatesRefreshedAt is when the models
+	// were last applied to open jobs.
+	durations            *durationModels
 	estimatesRefreshedAt time.Time
 	// jobsVersion is the store version up to which the job feed was read.
 	jobsVersion int64
@@ -92,10 +92,10 @@
 	underusedSince time.Time
 	// health records which workers fail their runs.
 	health *health.Record
-	// kept keeps what the owner has learned for the next owner, and keptSpeeds holds the speeds that
-	// an earlier owner kept of machines that this owner has not listed yet.
-	kept       *keptKnowledge
-	keptSpeeds map[string]keptSpeed
+	// kept and keptDurations keep what the owner has learned for the next owner, and keptSpeeds holds
+	// the speeds that an earlier owner kept of machines that this owner has not listed yet.
+	kept, keptDurations *keptKnowledge
+	keptSpeeds          map[string]keptSpeed
 	// keptAddresses holds the addresses at which workers have answered an earlier owner, by worker.
 	keptAddresses map[string]keptAddress
 	// progressFencedAt is when all progress partitions were fenced against former owners.
@@ -136,13 +136,14 @@
 		options: options, loop: l, ports: ports, record: record, token: token, acquiredAt: l.Now(),
 		jobs: map[string]*job{}, workers: map[string]*worker{},
 		lastStoreAnswerAt: l.Now(), pendingCancels: map[string]bool{},
-		durations: map[string]*durationModel{}, storeRetries: loop.NewRetries(l), lossTracker: poison.NewLossTracker(), health: health.New(),
+		durations: newDurationModels(), storeRetries: loop.NewRetries(l), lossTracker: poison.NewLossTracker(), health: health.New(),
 		tenantUse: fairshare.NewLedger(), overdueTurns: overdueTurns{}, removedJobs: removedJobs{},
 		invalidRows:    invalidWorkerRows{faults: map[string]fleet.RowFault{}},
 		otherPoolsJobs: otherPoolsJobs{}, announcements: announcements{pending: map[string]rows.Row{}},
 	}
 	p.writer = newWriter(p)
 	p.kept = newKeptKnowledge(p, p.lossTracker, p.health, p.tenantUse, &addressSection{pool: p}, &speedSection{pool: p})
+	p.keptDurations = newKeptDurations(p)
 	return p
 }
 
@@ -166,7 +167,7 @@
 	p.loadWorkers()
 	p.checkEvacuations()
 	p.readRows()
-	p.kept.start()
+	p.readKnowledge()
 	p.tick()
 }
 
@@ -234,6 +235,7 @@
 	p.refreshEstimates()
 	p.updateTenants()
 	p.kept.writeIfDue()
+	p.keptDurations.writeIfDue()
 	p.scheduleCycle()
 	p.loop.After(tickInterval, p.tick)
 }
@@ -293,6 +295,7 @@
 	}
 	p.releasing = true
 	p.kept.writeIfDue()
+	p.keptDurations.writeIfDue()
 	p.releaseWhenIdle()
 }
 
--- a/internal/pool/progress_batch.go
+++ b/internal/pool/progress_batch.go
@@ -85,7 +85,10 @@
 }
 
 func (p *Pool) encodeHead(nonce string) []byte {
-	return mustEncode(headRecord{Token: p.token, Nonce: p.options.Incarnation + "." + nonce, Durations: p.durations, LostAfterSerial: p.kept.lostAfterSerial})
+	return mustEncode(headRecord{
+		Token: p.token, Nonce: p.options.Incarnation + "." + nonce,
+		Durations: p.durations.forHead(), LostAfterSerial: p.kept.lostAfterSerial,
+	})
 }
 
 // partitionTimeout is how long the owner waits for a response before it also sends a batch to the
--- a/internal/pool/progress_fencing.go
+++ b/internal/pool/progress_fencing.go
@@ -24,7 +24,7 @@
 			version = listing.Rows[i].Version
 			p.hasFormerOwner = p.hasFormerOwner || current.Token != p.token
 			p.kept.recordHead(&current)
-			p.mergeDurations(current)
+			p.mergeDurations(current.Durations)
 		}
 		w.fencePartitionAt(part, version, done)
 	})
--- a/internal/pool/records.go
+++ b/internal/pool/records.go
@@ -29,6 +29,8 @@
 	headRow  = "!head"
 	// knowledgeRow is also the last part of the row's partition name.
 	knowledgeRow = "knowledge"
+	// durationsRow has knowledgeRow as a prefix, so that one scan reads both.
+	durationsRow = knowledgeRow + "-durations"
 	// The suffixes are appended to the job's identifier.
 	acceptedSuffix  = ".accepted"
 	cancelledSuffix = ".cancelled"
@@ -70,7 +72,8 @@
 	// Token is the owner's fencing token; Nonce identifies the transaction.
 	Token int64  `json:"token"`
 	Nonce string `json:"nonce"`
-	// Durations holds the learned duration model of each queue.
+	// Durations holds the learned duration models of queues, within maxHeadModelBytes. Rows of earlier
+	// versions may hold the models of any number of queues.
 	Durations map[string]*durationModel `json:"durations,omitempty"`
 	// LostAfterSerial is the serial of the last row of kept knowledge that does not hold the owner's
 	// last loss of a worker. Versions before the field ignore it.
--- a/internal/pool/speed.go
+++ b/internal/pool/speed.go
@@ -82,7 +82,7 @@
 
 // priorWork returns the prior estimate of the work of a unit's members.
 func (p *Pool) priorWork(u *unit) speeds.ExpectedWork {
-	model := p.durations[u.job.Queue.Name]
+	model := p.durations.of(u.job.Queue.Name)
 	if model == nil || u.spec().Estimate() <= 0 {
 		return speeds.ExpectedWork{}
 	}
