Rejections for good are an error kind; one refused row no longer stops a pool

Cause: 400 counted as "no effect" like 503, and 413 as an unknown outcome. The writer sent the same batch to the three partitions for ever, and all other rows waited behind it.

Rows of a rejected batch return to their places in the queue, and the next batch has half as many, until the row at fault is alone; the head row is then tried alone, so that the right one is blamed. A job's row sheds the losses of workers, then its job ends as failed, which callers see. A head row at fault halves its models. A row over the known limit costs no call.

A submission whose row the store would never take is answered 413 at once (503 and a time to come back before). The limit comes from the settings (store_row_bytes).

--- a/cmd/wheatroadd/serve.go
+++ b/cmd/wheatroadd/serve.go
@@ -124,7 +124,7 @@
 		DisabledMechanisms: disabled, Features: s.Policies.Features(),
 		Name: s.Name, Version: buildinfo.Version(), Incarnation: newIncarnation(), PeerAddress: s.PeerAddress, Weight: s.CPUShare,
 		Region: s.Region, SeveralRegions: s.SeveralRegions(),
-		LinkBytesPerSecond: s.LinkMbps * bytesPerMbit,
+		LinkBytesPerSecond: s.LinkMbps * bytesPerMbit, MaxRowBytes: s.StoreRowBytes,
 		PoolBounds: pool.Bounds{
 			MaxLease: settings.Millis(b.MaxHoldMillis), StopTimeout: settings.Millis(b.StopTimeoutMillis),
 			GangTimeout: settings.Millis(b.GangTimeoutMillis), GuaranteedStartTimeout: settings.Millis(b.ReclaimMillis),
--- a/internal/fault/kind.go
+++ b/internal/fault/kind.go
@@ -19,6 +19,7 @@
 	TenantLimit        Kind = "tenant_limit"
 	Overloaded         Kind = "overloaded"
 	StoreUnavailable   Kind = "store_unavailable"
+	StoreRejected      Kind = "store_rejected"
 	NoOwner            Kind = "no_owner"
 	ConfigurationStale Kind = "configuration_old"
 	PlanStale          Kind = "plan_stale"
@@ -68,6 +69,7 @@
 	Unsatisfiable:      {Status: 422, Outcome: NotRun},
 	TenantLimit:        {Status: 429, Outcome: NotRun, RetryAfter: longRetryDelay},
 	Overloaded:         {Status: 503, Outcome: NotRun, RetryAfter: longRetryDelay},
+	StoreRejected:      {Status: 422, Outcome: NotRun},
 	StoreUnavailable:   {Status: 503, Outcome: NotRun, RetryAfter: longRetryDelay},
 	NoOwner:            {Status: 503, Outcome: NotRun, RetryAfter: shortRetryDelay},
 	ConfigurationStale: {Status: 503, Outcome: NotRun, RetryAfter: shortRetryDelay},
--- a/internal/knowledge/composer.go
+++ b/internal/knowledge/composer.go
@@ -23,6 +23,8 @@
 // was read to its sections.
 type Composer struct {
 	sections []Section
+	// MaxRowBytes bounds the row; it is at most the constant of that name.
+	MaxRowBytes int
 	// exported holds the last successful export of each section, and written the one in the last
 	// written row.
 	exported, written map[string]export
@@ -43,14 +45,14 @@
 
 // NewComposer returns a composer. The sections are listed by importance, most important first.
 func NewComposer(sections ...Section) *Composer {
-	return &Composer{sections: sections, exported: map[string]export{}, written: map[string]export{}}
+	return &Composer{sections: sections, MaxRowBytes: MaxRowBytes, exported: map[string]export{}, written: map[string]export{}}
 }
 
 // Snapshot exports all sections. A section that fails to export keeps its last document. Sections
 // over their budget, or for which the row has no room, are left out.
 func (c *Composer) Snapshot(now time.Time) Snapshot {
 	snapshot := Snapshot{exports: map[string]export{}}
-	room := MaxRowBytes - headerBytes
+	room := min(MaxRowBytes, c.MaxRowBytes) - headerBytes
 	for _, section := range c.sections {
 		name := section.Name()
 		current, ok := c.export(section, now)
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -106,6 +106,9 @@
 
 // storeWriteFault converts an error of a store write into a fault.
 func storeWriteFault(err error) error {
+	if errors.Is(err, rows.ErrRejected) {
+		return fault.New(fault.StoreRejected, "store rejected the request for its content; nothing was changed")
+	}
 	if errors.Is(err, rows.ErrNoEffect) {
 		return fault.New(fault.StoreUnavailable, "store request failed; nothing was changed")
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -171,10 +171,10 @@
 	n.snapshot.Store(next)
 }
 
-// recordStoreResult records a direct response of the store if err is nil, and ignores errors. It
-// may be called from any goroutine.
+// recordStoreResult records a direct response of the store if err is nil or a rejection, and ignores
+// other errors. It may be called from any goroutine.
 func (n *Node) recordStoreResult(err error) {
-	if err != nil {
+	if err != nil && !errors.Is(err, rows.ErrRejected) {
 		return
 	}
 	now := uptime.Now()
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -48,6 +48,9 @@
 	// LinkBytesPerSecond is the bandwidth of the machine's link; 0 disables rate limiting.
 	LinkBytesPerSecond float64
 	PoolBounds         pool.Bounds
+	// MaxRowBytes is the largest value of a row that the store takes; 0 means the default of
+	// rows.DefaultLimits.
+	MaxRowBytes int
 	// MaxConfigurationAge is the maximum age of the configuration's confirmation. The node refuses
 	// requests while the confirmation is older.
 	MaxConfigurationAge time.Duration
--- a/internal/node/ownership.go
+++ b/internal/node/ownership.go
@@ -227,7 +227,7 @@
 func (n *Node) poolOptions(name string) pool.Options {
 	return pool.Options{
 		Pool: name, Node: n.options.Name, Incarnation: n.options.Incarnation,
-		Address: n.options.PeerAddress, Weight: n.options.Weight, RowFormat: n.poolFormat(name), Bounds: n.options.PoolBounds, Features: n.options.Features, DisabledMechanisms: n.options.DisabledMechanisms,
+		Address: n.options.PeerAddress, Weight: n.options.Weight, RowFormat: n.poolFormat(name), Bounds: n.options.PoolBounds, MaxRowBytes: n.options.MaxRowBytes, Features: n.options.Features, DisabledMechanisms: n.options.DisabledMechanisms,
 		Catalog:          func() *catalog.Catalog { return n.catalog.Load() },
 		EvacuatedZones:   func() evacuation.Set { return n.evacuated },
 		SchedulingDelay:  n.schedulingDelay.timeoutExtension,
--- a/internal/node/peer_store.go
+++ b/internal/node/peer_store.go
@@ -114,6 +114,9 @@
 
 // storeErrorFromFault converts another node's fault into an error of the store.
 func storeErrorFromFault(err error) error {
+	if fault.IsKind(err, fault.StoreRejected) {
+		return rows.Rejected(err)
+	}
 	if fault.IsKind(err, fault.StoreUnavailable) || fault.IsKind(err, fault.NoOwner) {
 		return errors.Mark(err, rows.ErrNoEffect)
 	}
@@ -151,7 +154,10 @@
 		return storeReply{Unsupported: true}, nil
 	}
 	n.recordStoreResult(err)
-	if err != nil {
+	switch {
+	case errors.Is(err, rows.ErrRejected):
+		return reply, fault.New(fault.StoreRejected, "%v", err)
+	case err != nil:
 		return reply, storeWriteFault(err)
 	}
 	return reply, nil
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -141,9 +141,9 @@
 }
 
 // hasResponse reports whether the store itself responded: with a result, by reporting that the
-// history has expired, or by not serving the call.
+// history has expired, by not serving the call, or by rejecting it for its content.
 func (a *attempt[T]) hasResponse() bool {
-	return a.err == nil || errors.Is(a.err, rows.ErrHistoryExpired) || errors.Is(a.err, rows.ErrUnsupported)
+	return a.err == nil || errors.IsAny(a.err, rows.ErrHistoryExpired, rows.ErrUnsupported, rows.ErrRejected)
 }
 
 // callTimeouts bound the wait for the first byte of a response.
--- a/internal/node/submission.go
+++ b/internal/node/submission.go
@@ -20,10 +20,13 @@
 	receivedAt := time.Now()
 	job := &pool.Accepted{Spec: *spec, Tenant: access.Tenant, Queue: access.Queue, AcceptedMillis: receivedAt.UnixMilli()}
 	var stored acceptedRow
-	err := withTimeout(ctx, submitTimeout, func(ctx context.Context) (err error) {
-		stored, err = g.acceptJob(ctx, access, job)
-		return err
-	})
+	err := g.checkRowSize(job)
+	if err == nil {
+		err = withTimeout(ctx, submitTimeout, func(ctx context.Context) (err error) {
+			stored, err = g.acceptJob(ctx, access, job)
+			return err
+		})
+	}
 	if err != nil {
 		g.node.dependencies.Recorder.LogEvent("job not accepted", "job", spec.ID, "queue", access.Queue.Name, "pool", access.Queue.Pool, "reason", string(fault.From(err).Kind),
 			"detail", fault.From(err).Detail, "store_answered_ms_ago", g.node.storeAge().Milliseconds(), "configuration", access.ConfigurationVersion)
@@ -36,6 +39,15 @@
 	return nil
 }
 
+// checkRowSize returns a fault if the store does not take the job's accepted row.
+func (g *Gateway) checkRowSize(job *pool.Accepted) error {
+	bytes, limit := len(pool.Encode(job)), rows.RowLimit(g.node.options.MaxRowBytes)
+	if bytes > limit {
+		return fault.NewField(fault.TooLarge, "steps", "the job takes %d bytes to keep; at most %d are allowed", bytes, limit)
+	}
+	return nil
+}
+
 // acceptedRow is the accepted row of a submitted job.
 type acceptedRow struct {
 	part string
@@ -94,7 +106,7 @@
 		select {
 		case outcome := <-results:
 			inFlight--
-			if outcome.err == nil || fault.IsKind(outcome.err, fault.DuplicateID) {
+			if outcome.err == nil || fault.IsKind(outcome.err, fault.DuplicateID) || fault.IsKind(outcome.err, fault.StoreRejected) {
 				return outcome.stored, outcome.err
 			}
 			failure = lessCertainFault(failure, outcome.err)
--- a/internal/pool/duration_models.go
+++ b/internal/pool/duration_models.go
@@ -31,6 +31,8 @@
 // stay that are likeliest to be needed: those of used queues, and then those that learned last.
 type durationModels struct {
 	byQueue map[string]*learnedModel
+	// headBytes bounds the models in a head row.
+	headBytes int
 	// used holds the queues that jobs may come from or that have open jobs.
 	used map[string]bool
 	// chosen caches the queues whose models go into head rows, and left those whose models don't fit,
@@ -39,7 +41,7 @@
 }
 
 func newDurationModels() *durationModels {
-	return &durationModels{byQueue: map[string]*learnedModel{}}
+	return &durationModels{byQueue: map[string]*learnedModel{}, headBytes: maxHeadModelBytes}
 }
 
 // of returns the model of a queue, or nil if there is none.
@@ -127,7 +129,7 @@
 	candidates := d.candidates()
 	slices.SortFunc(candidates, compareNeed)
 	d.chosen, d.left = []string{}, nil
-	room := maxHeadModelBytes
+	room := d.headBytes
 	for _, c := range candidates {
 		if bytes := headBytesOf(c.queue); bytes <= room {
 			room -= bytes
@@ -150,6 +152,13 @@
 	return models
 }
 
+// shrinkHead halves the bound of the models in a head row. It reports whether there were any.
+func (d *durationModels) shrinkHead() bool {
+	shrinks := len(d.forHead()) > 0
+	d.headBytes, d.chosen = d.headBytes/2, nil
+	return shrinks
+}
+
 // leftByHead returns the queues whose models do not fit into a head row, the one that is likeliest to
 // be needed first.
 func (d *durationModels) leftByHead() []string {
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -61,6 +61,11 @@
 	placed bool
 	// startSent is true once a start was sent; it is assumed to be true for restored jobs.
 	startSent bool
+	// nearRowLimit is true once the row's size was logged as near the limit.
+	nearRowLimit bool
+	// withoutLosses and withoutUnits are true if the job's row must not list losses of workers or units,
+	// as the store does not take it otherwise.
+	withoutLosses, withoutUnits bool
 }
 
 // repetition is one repetition of a job.
--- a/internal/pool/job_copies.go
+++ b/internal/pool/job_copies.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/wheatroad/wheatroad/internal/rows"
 )
 
@@ -77,6 +79,10 @@
 
 func (p *Pool) removeCopy(existing rows.Condition) {
 	p.ports.Commit(rows.Transaction{Conditions: []rows.Condition{existing}, Removes: []rows.Key{existing.Key}}, func(_ rows.Result, err error) {
+		if errors.Is(err, rows.ErrRejected) {
+			p.record.Count("refusals", "row_removal_rejected")
+			return
+		}
 		if err != nil && !p.closed {
 			p.record.Count("retries", "remove_copy")
 			p.storeRetries.After(retryDelay, func() { p.removeCopy(existing) })
--- a/internal/pool/kept_knowledge.go
+++ b/internal/pool/kept_knowledge.go
@@ -59,14 +59,17 @@
 // newKeptKnowledge returns the kept knowledge of a pool with the given sections, most important
 // first.
 func newKeptKnowledge(p *Pool, sections ...knowledge.Section) *keptKnowledge {
-	return &keptKnowledge{pool: p, key: KnowledgeKey(p.options.Pool), composer: knowledge.NewComposer(sections...)}
+	k := &keptKnowledge{pool: p, key: KnowledgeKey(p.options.Pool), composer: knowledge.NewComposer(sections...)}
+	k.composer.MaxRowBytes = p.options.rowLimit()
+	return k
 }
 
 // newKeptDurations returns the kept knowledge of a pool about durations. It has a row of its own, as
 // its size follows the number of queues.
 func newKeptDurations(p *Pool) *keptKnowledge {
-	section := &durationSection{pool: p}
-	return &keptKnowledge{pool: p, key: DurationsKey(p.options.Pool), composer: knowledge.NewComposer(section), optional: true}
+	k := newKeptKnowledge(p, &durationSection{pool: p})
+	k.key, k.optional = DurationsKey(p.options.Pool), true
+	return k
 }
 
 func (k *keptKnowledge) disabled() bool {
@@ -235,7 +238,7 @@
 	}
 	row := snapshot.Row(p.token, k.serial, now, p.loop.TimeOfDay())
 	value, err := row.Encode()
-	if err != nil || len(value) > knowledge.MaxRowBytes {
+	if err != nil || len(value) > min(knowledge.MaxRowBytes, p.options.rowLimit()) {
 		p.record.Count("knowledge", "write_too_large")
 		return
 	}
@@ -250,6 +253,8 @@
 		k.inFlight = false
 		k.lastWriteTook = p.loop.Now().Sub(now)
 		switch {
+		case errors.Is(err, rows.ErrRejected):
+			p.record.Count("knowledge", "write_rejected")
 		case err != nil:
 			p.record.Count("knowledge", "write_failed")
 			k.unanswered, k.unansweredSerial = snapshot, row.Serial
--- a/internal/pool/options.go
+++ b/internal/pool/options.go
@@ -45,6 +45,9 @@
 	// RowFormat is the format of the rows that the owner writes.
 	RowFormat compatibility.Format
 	Bounds    Bounds
+	// MaxRowBytes is the largest value of a row that the store takes; 0 means the default of
+	// rows.DefaultLimits.
+	MaxRowBytes int
 	// Catalog returns the current configuration.
 	Catalog func() *catalog.Catalog
 	// EvacuatedZones returns the evacuated zones known to the node; nil if it tracks none.
--- a/internal/pool/progress.go
+++ b/internal/pool/progress.go
@@ -6,6 +6,9 @@
 	if !j.endedAt.IsZero() {
 		record.EndedMillis = j.endedAt.UnixMilli()
 	}
+	if j.withoutUnits {
+		return record
+	}
 	encode := (*step).progress
 	if j.pendingState.Final() {
 		encode = (*step).activeProgress
@@ -54,7 +57,10 @@
 }
 
 func (u *unit) progress() unitProgress {
-	record := unitProgress{Index: u.index, Run: u.run, Failures: u.failures, Checkpoint: u.checkpoint, Losses: u.encodeLosses()}
+	record := unitProgress{Index: u.index, Run: u.run, Failures: u.failures, Checkpoint: u.checkpoint}
+	if !u.job.withoutLosses {
+		record.Losses = u.encodeLosses()
+	}
 	if len(u.members) > 1 {
 		record.FailedRun = u.failedRun
 	}
--- a/internal/pool/progress_batch.go
+++ b/internal/pool/progress_batch.go
@@ -41,12 +41,14 @@
 func (w *writer) nextBatch() *batch {
 	w.serial++
 	b := &batch{serial: w.serial, sentAt: w.pool.loop.Now()}
-	candidates := w.queue.Candidates(w.conditions())
+	candidates, maxRows := w.queue.Candidates(w.conditions()), w.rejections.nextBatchRows()
 	bytes := 0
-	for _, row := range candidates[:min(len(candidates), maxBatchRows)] {
-		progress := row.Value.progress()
-		progress.Token, progress.Serial = w.pool.token, b.serial
-		value := mustEncode(progress)
+	for _, row := range candidates[:min(len(candidates), maxRows)] {
+		progress, value := w.encodeProgress(row.Value)
+		if len(value) > w.pool.options.rowLimit() {
+			w.oversized = append(w.oversized, oversizedRow{row: row, bytes: len(value)})
+			continue
+		}
 		bytes += len(value)
 		if bytes > maxBatchBytes && len(b.rows) > 0 {
 			break
@@ -55,10 +57,10 @@
 		b.progress = append(b.progress, progress)
 		b.values = append(b.values, value)
 	}
-	b.hasRemainder = len(b.rows) < len(candidates)
+	b.hasRemainder = len(b.rows)+len(w.oversized) < len(candidates)
 	spareRows := 0
 	if !b.hasRemainder {
-		spareRows = maxBatchRows - len(b.rows)
+		spareRows = maxRows - len(b.rows)
 	}
 	b.removals = w.queue.Send(b.rows, spareRows)
 	w.pool.record.Set("write_batches", int64(w.queue.Batches()))
@@ -134,6 +136,8 @@
 func (w *writer) handleResult(a *attempt, result rows.Result, err error) {
 	w.failedAt[a.part] = time.Time{}
 	switch {
+	case errors.Is(err, rows.ErrRejected):
+		w.rejected(a.batch, err)
 	case err != nil:
 		w.failedAt[a.part] = w.pool.loop.Now()
 		w.retry(a, err)
@@ -268,6 +272,10 @@
 	now := w.pool.loop.Now()
 	w.pool.record.Observe("store_commit", now.Sub(b.sentAt))
 	w.queue.Finish(b.rows, b.removals)
+	w.rejections.committed(b.entries())
+	if b.entries() == 0 {
+		w.headCommitted()
+	}
 	w.pool.record.Set("write_batches", int64(w.queue.Batches()))
 	for i, row := range b.rows {
 		row.Value.state = b.progress[i].State
--- a/internal/pool/progress_fencing.go
+++ b/internal/pool/progress_fencing.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/wheatroad/wheatroad/internal/rows"
 )
 
@@ -61,6 +63,9 @@
 			w.pool.ConfirmOwnership(sentAt)
 			done()
 		default:
+			if errors.Is(err, rows.ErrRejected) {
+				w.shrinkHead(err)
+			}
 			w.pool.record.Count("retries", "claim")
 			w.pool.storeRetries.After(retryDelay, func() { w.fencePartition(part, done) })
 		}
--- a/internal/pool/writer.go
+++ b/internal/pool/writer.go
@@ -32,6 +32,11 @@
 	callbacks []pendingCallback
 	// flushPosted is true while a flush is posted to the loop.
 	flushPosted bool
+	rejections  rejections
+	// oversized are the rows that the last batch left out for their size.
+	oversized []oversizedRow
+	// largestRow is the size of the largest row that this owner has encoded, in bytes.
+	largestRow int
 	// cancelFlush cancels the scheduled flush; nil if none is.
 	cancelFlush func()
 }
@@ -39,7 +44,7 @@
 func newWriter(p *Pool) writer {
 	queue := writequeue.New[*job](progressPartitions)
 	queue.RowsInSeveralBatches = p.options.DisabledSafeguards.RowInOneBatch
-	return writer{pool: p, queue: queue}
+	return writer{pool: p, queue: queue, rejections: newRejections()}
 }
 
 // endDelay is how long the result of a run may wait to share a transaction with other results.
@@ -177,11 +182,22 @@
 		return
 	}
 	if !due.After(w.pool.loop.Now()) {
-		w.send(w.nextBatch(), part)
+		w.sendNextBatch(part)
 	}
 	w.scheduleFlush()
 }
 
+// sendNextBatch sends the next batch to a partition. It sends none if all of its rows are too large.
+func (w *writer) sendNextBatch(part int) {
+	b := w.nextBatch()
+	if b.entries() == 0 && len(w.oversized) > 0 {
+		w.queue.Return(nil, nil, b.sentAt)
+	} else {
+		w.send(b, part)
+	}
+	w.setAsideOversized()
+}
+
 // partitionForBatch returns the partition for a new batch. While other batches are in flight, it is
 // an idle one; false if there is none.
 func (w *writer) partitionForBatch() (int, bool) {
--- a/internal/rows/limits.go
+++ b/internal/rows/limits.go
@@ -30,6 +30,15 @@
 	return Limits{RowBytes: 65_536, NameBytes: 200, Entries: 100, TransactionBytes: 1_000_000}
 }
 
+// RowLimit returns the largest value of a row that the store takes, in bytes: the configured one, or the
+// default if that is 0.
+func RowLimit(configured int) int {
+	if configured > 0 {
+		return configured
+	}
+	return DefaultLimits().RowBytes
+}
+
 // entryOverheadBytes is the size of an encoded entry without its names and its value.
 const entryOverheadBytes = 80
 
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -9,6 +9,7 @@
 	"github.com/wheatroad/wheatroad/internal/features"
 	"github.com/wheatroad/wheatroad/internal/job"
 	"github.com/wheatroad/wheatroad/internal/mechanism"
+	"github.com/wheatroad/wheatroad/internal/rows"
 )
 
 // Node holds the settings of `wheatroadd serve`, which runs a node on a platform behind an
@@ -32,7 +33,9 @@
 	MetricsAddress string `toml:"metrics"`
 	// StoreAddress is the address of the platform's store.
 	StoreAddress string `toml:"store"`
-	MemoryMB     int    `toml:"memory_mb"`
+	// StoreRowBytes is the largest value of a row that the store takes.
+	StoreRowBytes int `toml:"store_row_bytes"`
+	MemoryMB      int `toml:"memory_mb"`
 	// LinkMbps is the bandwidth of the machine's network link; 0 means unlimited.
 	LinkMbps float64 `toml:"link_mbps"`
 	// CPUShare is the machine's share of a CPU core. Nodes with a larger share acquire pools first.
@@ -73,8 +76,12 @@
 	maxSeconds  = 1e9
 	maxRatio    = 1e6
 	maxMemoryMB = 1 << 30
+	maxRowBytes = 1 << 20
 )
 
+// minRowBytes is the smallest limit of a row with which head rows fit.
+const minRowBytes = 10_000
+
 // Shutdown holds the durations of a graceful shutdown.
 type Shutdown struct {
 	// ServeSeconds is how long the node serves requests after the signal.
@@ -116,7 +123,7 @@
 // DefaultNode returns the defaults. Keys without a sensible default are empty.
 func DefaultNode() Node {
 	return Node{
-		MemoryMB: 256, CPUShare: 1,
+		MemoryMB: 256, CPUShare: 1, StoreRowBytes: rows.DefaultLimits().RowBytes,
 		Periods: PlatformPeriods{
 			MaxHoldMillis: 6000, StopTimeoutMillis: 1000, GangTimeoutMillis: 3000, ReclaimMillis: 3000,
 			CheckpointSeconds: 1, StatusRetentionSeconds: 120, RemoteFactor: 3,
@@ -164,6 +171,7 @@
 		c.address("metrics", s.MetricsAddress)
 	}
 	c.require(s.MemoryMB >= 32 && s.MemoryMB <= maxMemoryMB, "memory_mb", "must be 32 to %d", maxMemoryMB)
+	c.require(s.StoreRowBytes >= minRowBytes && s.StoreRowBytes <= maxRowBytes, "store_row_bytes", "must be %d to %d", minRowBytes, maxRowBytes)
 	c.require(s.LinkMbps >= 0 && s.LinkMbps <= maxRatio, "link_mbps", "must be 0 to %g", maxRatio)
 	c.require(s.CPUShare > 0 && s.CPUShare <= maxRatio, "cpu_share", "must be positive and at most %g", maxRatio)
 	if _, err := mechanism.ParseDisabled(s.DisabledMechanisms); err != nil {
--- a/internal/simulation/checker.go
+++ b/internal/simulation/checker.go
@@ -40,6 +40,8 @@
 	failedRuns map[unitName]map[int]bool
 	// poison is set once an owner has found that a task of the job crashes its workers.
 	poison bool
+	// setAside is set once an owner has set the job's row aside, as the store does not take it.
+	setAside bool
 }
 
 type taskRecord struct {
@@ -87,6 +89,8 @@
 		c.LostCoreSeconds += lost
 	case "poison job failed":
 		c.jobOf(keysAndValues).poison = true
+	case "row set aside":
+		c.jobOf(keysAndValues).setAside = true
 	case "job ended":
 		if fieldsOf(keysAndValues)["state"] == string(taskgraph.Failed) {
 			c.checkFailedJob(c.jobOf(keysAndValues))
--- a/internal/simulation/cluster.go
+++ b/internal/simulation/cluster.go
@@ -59,6 +59,8 @@
 	LateOrdersReachRestartedWorkers bool
 	// StopTime is how long a run takes to stop.
 	StopTime time.Duration
+	// MaxRowBytes is the limit of a row that every owner knows; 0 means the default.
+	MaxRowBytes int
 	// Features is passed to every owner.
 	Features features.Settings
 	// DisabledMechanisms is passed to every owner.
--- a/internal/simulation/owner.go
+++ b/internal/simulation/owner.go
@@ -36,7 +36,7 @@
 	owner := &Owner{cluster: c, Name: name, PoolName: poolName, Process: emulator.NewProcess(c.Clock), PartitionedFrom: map[string]bool{}}
 	owner.Process.SteadyTime = c.SuspendedClock
 	options := pool.Options{
-		Pool: poolName, Node: name, Incarnation: name, Address: name, Bounds: c.Bounds, Features: c.Features, DisabledSafeguards: c.DisabledSafeguards, DisabledMechanisms: c.DisabledMechanisms,
+		Pool: poolName, Node: name, Incarnation: name, Address: name, Bounds: c.Bounds, MaxRowBytes: c.MaxRowBytes, Features: c.Features, DisabledSafeguards: c.DisabledSafeguards, DisabledMechanisms: c.DisabledMechanisms,
 		Catalog:          func() *catalog.Catalog { return c.Catalog },
 		OnOwnershipEnded: func(reason string) { owner.Ended = reason },
 	}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -85,6 +85,7 @@
 		"write_batches":       {Name: "wheatroad.pool.write.batches", Description: "Batches of the owner's rows in flight."},
 		"knowledge_bytes":     {Name: "wheatroad.pool.knowledge.bytes", Description: "Size of the row of kept knowledge that was last written."},
 		"durations_bytes":     {Name: "wheatroad.pool.durations.bytes", Description: "Size of the row of duration models that was last written."},
+		"largest_progress":    {Name: "wheatroad.pool.largest.progress.bytes", Description: "Size of the largest progress row of a job that an owner on this node has written."},
 		"evacuated_zones":     {Name: "wheatroad.pool.evacuated.zones", Description: "Zones in which the pools of this node start nothing, since operators have evacuated them."},
 		"tenant_longest_wait": {Name: "wheatroad.tenant.longest.wait.ms", Description: "Longest present wait of a task or gang, in milliseconds, while tenants share the pool by weight."},
 		"tenant_most_lent":    {Name: "wheatroad.tenant.most.lent.permille", Description: "Largest share of the pool that a tenant has lent, in thousandths."},
--- a/internal/writequeue/queue.go
+++ b/internal/writequeue/queue.go
@@ -78,7 +78,7 @@
 // gets the new value and the more urgent purpose. A waiting removal of the row is dropped, since it
 // would delete the new row. The older row that it leaves has a lower serial and is ignored at load.
 func (q *Queue[T]) Add(row Row[T], priority int, delay time.Duration) {
-	q.dropRemoval(row.ID)
+	q.DropRemoval(row.ID)
 	row.priority, row.waitsSince = priority, row.ChangedAt
 	row.due = row.ChangedAt.Add(delay)
 	waiting := q.byID[row.ID]
@@ -110,8 +110,8 @@
 	q.removals = append(q.removals, removal{id: id, since: now})
 }
 
-// dropRemoval withdraws the waiting deletion of a row.
-func (q *Queue[T]) dropRemoval(id string) {
+// DropRemoval withdraws the waiting deletion of a row.
+func (q *Queue[T]) DropRemoval(id string) {
 	if !q.removalWaits[id] {
 		return
 	}
@@ -307,6 +307,49 @@
 	}
 }
 
+// Return puts the rows and removals of a batch back that is not written and will not be. A row that has
+// changed meanwhile keeps the new value, and gets the place and the purpose of the older change if
+// that is more urgent.
+func (q *Queue[T]) Return(rows []*Row[T], removals []string, now time.Time) {
+	q.batches--
+	for _, row := range rows {
+		delete(q.inFlight, row.ID)
+		if newer := q.byID[row.ID]; newer != nil {
+			newer.precede(row)
+			continue
+		}
+		q.byID[row.ID] = row
+		q.rows = append(q.rows, row)
+	}
+	slices.SortFunc(q.rows, func(a, b *Row[T]) int { return cmp.Compare(a.sequence, b.sequence) })
+	for _, id := range removals {
+		delete(q.removing, id)
+		if q.byID[id] == nil {
+			q.Remove(id, now)
+		}
+	}
+}
+
+// precede gives a row the place of an older change of the same row.
+func (r *Row[T]) precede(older *Row[T]) {
+	r.sequence, r.due, r.waitsSince = older.sequence, older.due, older.waitsSince
+	if older.Purpose <= r.Purpose {
+		r.Purpose, r.ChangedAt, r.priority = older.Purpose, older.ChangedAt, older.priority
+	}
+}
+
+// Row returns the waiting row with an identifier, or nil if there is none.
+func (q *Queue[T]) Row(id string) *Row[T] { return q.byID[id] }
+
+// Drop withdraws a waiting row, which is not written.
+func (q *Queue[T]) Drop(id string) {
+	if q.byID[id] == nil {
+		return
+	}
+	delete(q.byID, id)
+	q.rows = slices.DeleteFunc(q.rows, func(row *Row[T]) bool { return row.ID == id })
+}
+
 // Mark is a point in the order in which rows were added.
 type Mark int64
 
--- a/internal/writequeue/queue_test.go
+++ b/internal/writequeue/queue_test.go
@@ -267,3 +267,31 @@
 	l.Overdue(calm)
 	require.Zero(t, l.Typical(), "the next slow phase is measured anew")
 }
+
+// TestReturnedRows: rows of a batch that is not written keep their place, and what changed meanwhile keeps the
+// newer value.
+func TestReturnedRows(t *testing.T) {
+	q := New[int](partitions)
+	for value, id := range []string{"a", "b", "c"} {
+		q.Add(Row[int]{ID: id, Value: value, Purpose: UrgentPlacement, ChangedAt: start}, 0, 0)
+	}
+	mark := q.Mark()
+	q.Remove("gone", start)
+	sent := append([]*Row[int](nil), q.Candidates(Conditions{Now: start})[:2]...)
+	removals := q.Send(sent, 1)
+	require.Equal(t, []string{"gone"}, removals)
+	q.Add(Row[int]{ID: "a", Value: 7, Purpose: Note, ChangedAt: start}, 1, 0)
+	q.Return(sent, removals, start)
+	require.Zero(t, q.Batches())
+	returned := q.Candidates(Conditions{Now: start})
+	require.Equal(t, []string{"a", "b", "c"}, ids(returned))
+	require.Equal(t, 7, returned[0].Value)
+	require.Equal(t, UrgentPlacement, returned[0].Purpose)
+	require.False(t, q.Written("a", mark), "the older change of the row is not written either")
+	require.False(t, q.AllWritten(mark))
+	require.Equal(t, []string{"gone"}, q.Send(nil, 1), "the removal waits again")
+	q.Drop("b")
+	require.Equal(t, []string{"a", "c"}, ids(q.Candidates(Conditions{Now: start})))
+	require.Nil(t, q.Row("b"))
+	require.True(t, q.Written("b", mark))
+}
