--- a/internal/pool/cycle.go
+++ b/internal/pool/cycle.go
@@ -57,18 +57,20 @@
 	p.updateUnderusedSince(s)
 	order := p.cycleOrder(waiting, s.now)
 	unplaceable := map[equivalenceClass]bool{}
+	budgets := p.newRowBudgets()
 	for u := order.next(); u != nil; u = order.next() {
 		if u.state != unitWaiting || p.failPoisonJob(u) {
 			continue
 		}
 		class := p.classOf(s, u)
-		if unplaceable[class] {
+		if unplaceable[class] || !budgets.allow(u) {
 			order.skipped()
 			continue
 		}
 		result := p.placeUnit(s, u)
 		order.tried(result)
 		if result == unitPlaced {
+			budgets.placed(u)
 			continue
 		}
 		p.hasBacklog = true
