Replies to pings leave out counts of waiting jobs that grow with the queues

The owner answers each node's ping, twice a second or more, with a count for each queue that has waiting jobs: 5,571 bytes at 350 queues, 11 KB/s for each such node of the 17 KB/s that control may use, and 32,971 bytes at 2,000 (TestPingRepliesStaySmall, which failed at 350 and 2,000 before).

Counts of over 1,000 bytes are left out as if the owner had not read its rows, which versions without this bound understand: they keep the counts that they have, which run out after 1.5 and 2 s, and ask the owner when a caller asks them. Up to some 50 queues nothing changes.

--- a/internal/node/pings.go
+++ b/internal/node/pings.go
@@ -37,8 +37,9 @@
 	// StoreLost is true if a feed or a probe of the node has failed since the store's last direct
 	// response.
 	StoreLost bool `json:"store_lost,omitempty"`
-	// Waiting is the number of waiting jobs by queue. Loaded is true if the owner has read its rows, so
-	// that an empty Waiting means none; owners of older versions do not say so.
+	// Waiting is the number of waiting jobs by queue. Loaded is true if Waiting has all queues with
+	// waiting jobs, so that an empty Waiting means none; owners of older versions do not say so. Neither
+	// is set if the owner has not read its rows or the counts exceed maxWaitingBytes.
 	Waiting map[string]int `json:"waiting,omitempty"`
 	Loaded  bool           `json:"loaded,omitempty"`
 	// StoreLatencyMillis is the minimum latency of the node's recent store calls, or 0 if the node
@@ -275,9 +276,28 @@
 		}
 		n.pingHistory.record(request.From, n.now())
 		reply.Owner, reply.HeldMillis = true, n.now().Sub(p.AcquiredAt()).Milliseconds()
-		if reply.Loaded = p.Loaded(); reply.Loaded {
-			reply.Waiting = p.WaitingJobs()
+		if p.Loaded() {
+			reply.setWaiting(p.WaitingJobs())
 		}
 	})
 	return reply, err
 }
+
+const (
+	// maxWaitingBytes bounds the counts of waiting jobs in a reply. Each node pings the owner several
+	// times a second. A node without the counts asks the owner when a caller asks it.
+	maxWaitingBytes = 1000
+	// waitingEntryBytes is the size of a count in a reply without the queue's name.
+	waitingEntryBytes = 10
+)
+
+// setWaiting sets the counts of waiting jobs, unless there are too many for a reply.
+func (r *pingReply) setWaiting(counts map[string]int) {
+	bytes := 0
+	for queue := range counts {
+		bytes += len(queue) + waitingEntryBytes
+	}
+	if bytes <= maxWaitingBytes {
+		r.Waiting, r.Loaded = counts, true
+	}
+}
--- a/internal/node/waiting_test.go
+++ b/internal/node/waiting_test.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
@@ -61,3 +63,30 @@
 	require.True(t, recent)
 	require.Equal(t, 3, count)
 }
+
+// TestPingRepliesStaySmall guards against replies that grow with the number of queues: at 350 queues they took
+// most of the bytes that a node may use for control. Counts that are left out are neither taken for zero
+// nor for new.
+func TestPingRepliesStaySmall(t *testing.T) {
+	for _, queues := range []int{0, 1, 30, 350, 2000} {
+		counts := map[string]int{}
+		for i := range queues {
+			counts[fmt.Sprint("route-", i)] = 100
+		}
+		var reply pingReply
+		reply.setWaiting(counts)
+		document, err := json.Marshal(reply)
+		require.NoError(t, err)
+		unbounded, err := json.Marshal(pingReply{Waiting: counts, Loaded: true})
+		require.NoError(t, err)
+		t.Logf("%d queues: %d bytes, %d without a bound", queues, len(document), len(unbounded))
+		require.LessOrEqual(t, len(document), maxWaitingBytes+200)
+		require.Equal(t, queues <= 30, reply.Loaded)
+	}
+	g := newGateway(t, newFakeStore())
+	g.node.recordWaiting(poolName, &pingReply{Waiting: map[string]int{"q": 3}, Loaded: true})
+	g.node.recordWaiting(poolName, &pingReply{})
+	count, recent := g.cachedWaiting(poolName, "q", waitingCacheMaxAge)
+	require.True(t, recent)
+	require.Equal(t, 3, count)
+}
