--- a/internal/settings/node_test.go
+++ b/internal/settings/node_test.go
@@ -20,6 +20,7 @@
 	s, err := ParseNode(validNode)
 	require.NoError(t, err)
 	require.EqualValues(t, 6000, s.Periods.MaxHoldMillis)
+	require.Equal(t, 65_536, s.StoreRowBytes)
 }
 
 func TestNodeSettingsReportEveryInvalidField(t *testing.T) {
@@ -27,6 +28,7 @@
 name = "not a name"
 callers = "host:1"
 unknown = 1
+store_row_bytes = 100
 [bounds]
 max_hold_ms = -1
 remote_factor = 0.5
@@ -39,7 +41,7 @@
 	for _, problem := range problems {
 		keys[problem.Key] = true
 	}
-	for _, key := range []string{"name", "callers", "readiness", "peers", "store", "unknown", "bounds.max_hold_ms", "bounds.remote_factor", "stop.serve_s"} {
+	for _, key := range []string{"name", "callers", "readiness", "peers", "store", "store_row_bytes", "unknown", "bounds.max_hold_ms", "bounds.remote_factor", "stop.serve_s"} {
 		require.True(t, keys[key], key)
 	}
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"sync"
@@ -64,6 +65,8 @@
 	MessageDelays MessageDelays `json:"message_delays"`
 	// Overtaken counts the messages between daemons and workers that later ones overtook.
 	Overtaken standin.Overtaken `json:"overtaken"`
+	// LargestRows holds the size in bytes of the largest row of each kind that a daemon has written.
+	LargestRows map[string]int `json:"largest_rows"`
 	// Answers counts the responses to callers by call and status.
 	Answers map[string]int `json:"answers"`
 	// States counts accepted jobs by final state.
@@ -276,6 +279,7 @@
 	}
 	report.Answers = r.observations.answers
 	report.Overtaken = r.platform.Overtaken()
+	r.platform.WithLock(func() { report.LargestRows = maps.Clone(r.platform.Cluster.Store.LargestRows) })
 }
 
 // checkJob compares the final state of a job with what its caller was told.
