Head rows hold models of queues in use only

Each transaction of an owner carries the head row. After names had come and gone, it held up to 8,000 bytes of models of queues that are gone. These stand in the row of durations now, which is written only if it changes. Without a configuration all queues count as in use; so does a queue of which a run has just ended.

A batch that is rejected while smaller ones are sent no longer makes the next ones larger again.

--- a/internal/pool/durations.go
+++ b/internal/pool/durations.go
@@ -54,14 +54,17 @@
 	}
 }
 
-// usedQueues returns the queues that lead to this pool in the configuration, and those of open jobs.
+// usedQueues returns the queues that lead to this pool in the configuration, and those of open jobs; nil
+// without a configuration.
 func (p *Pool) usedQueues() map[string]bool {
+	current := p.options.Catalog()
+	if current == nil {
+		return nil
+	}
 	used := map[string]bool{}
-	if current := p.options.Catalog(); current != nil {
-		for i := range current.Queues {
-			if current.Queues[i].Pool == p.options.Pool {
-				used[current.Queues[i].Name] = true
-			}
+	for i := range current.Queues {
+		if current.Queues[i].Pool == p.options.Pool {
+			used[current.Queues[i].Name] = true
 		}
 	}
 	for _, j := range p.jobs {
--- a/internal/pool/kept_durations.go
+++ b/internal/pool/kept_durations.go
@@ -10,8 +10,8 @@
 	"github.com/wheatroad/wheatroad/internal/knowledge"
 )
 
-// durationSection is the section of kept knowledge that holds the duration models for which head rows
-// have no room. Owners of earlier versions read head rows only and learn the other models anew.
+// durationSection is the section of kept knowledge that holds the duration models that are not in head
+// rows. Owners of earlier versions read head rows only and learn the other models anew.
 type durationSection struct{ pool *Pool }
 
 // durationDocument is the stored form of the models.
@@ -51,11 +51,11 @@
 // Name returns the name of the section.
 func (s *durationSection) Name() string { return "durations" }
 
-// Export returns the models that are likeliest to be needed of those that head rows have no room for.
+// Export returns the models that are likeliest to be needed of those that are not in head rows.
 func (s *durationSection) Export(time.Time) (json.RawMessage, error) {
 	document := durationDocument{Queues: map[string]json.RawMessage{}}
 	room := maxDurationsBytes - len(`{"queues":{}}`)
-	for _, queue := range s.pool.durations.leftByHead() {
+	for _, queue := range s.pool.durations.queuesOutsideHead() {
 		model := mustEncode(s.pool.durations.of(queue).compact())
 		if bytes := len(mustEncode(queue)) + len(":,") + len(model); bytes <= room {
 			room -= bytes
--- a/internal/pool/partitions.go
+++ b/internal/pool/partitions.go
@@ -95,7 +95,7 @@
 	return rows.Key{Table: KnowledgeTable, Part: pool + partitionSeparator + knowledgeRow, Name: knowledgeRow}
 }
 
-// DurationsKey returns the key of the row for duration models that do not fit into head rows.
+// DurationsKey returns the key of the row for the duration models that are not in head rows.
 func DurationsKey(pool string) rows.Key {
 	key := KnowledgeKey(pool)
 	key.Name = durationsRow
--- a/internal/pool/rejected_rows.go
+++ b/internal/pool/rejected_rows.go
@@ -54,7 +54,7 @@
 	w.queue.Return(b.rows, b.removals, w.pool.loop.Now())
 	switch entries := b.entries(); {
 	case entries > 1:
-		w.rejections.maxRows = entries / 2
+		w.rejections.maxRows = min(w.rejections.maxRows, entries/2)
 	case entries == 1:
 		w.rejectedAlone(b, err)
 	default:
