--- a/scripts/upgrade-soak.sh
+++ b/scripts/upgrade-soak.sh
@@ -1,8 +1,8 @@
 #!/usr/bin/env bash
 # upgrade-soak.sh [FLAGS]: the fault soak with the production version beside this one. Each start of a daemon draws one of the
 # two. The production version is the commit that deploy/system.toml names; where the history lacks it, nothing runs and the
-# script says so. FLAGS go to `wheatroad-bench faults`; without any, two seeds of 12 s are played, after the test of a queue
-# that moves between pools beside the production version.
+# script says so. FLAGS go to `wheatroad-bench faults`; without any, two seeds of 12 s are played, after the tests of a queue
+# that moves between pools, and of queues that come and go, beside the production version.
 set -eu
 cd "$(dirname "$0")/.."
 commit=$(sed -n 's/^production = "\(.*\)"$/\1/p' deploy/system.toml)
@@ -30,7 +30,7 @@
   play "$@"
   exit 0
 fi
-go test -count=1 ./platform -run '^TestJobsOfMovedQueueBesideAnOlderVersion$' -other-daemon "$folder/wheatroadd-production"
+go test -count=1 ./platform -run '^Test(JobsOfMovedQueue|ChangingRoutes)BesideAnOlderVersion$' -other-daemon "$folder/wheatroadd-production"
 for seed in 1 2; do
   if grep -s "^upgrade soak of CI seed $seed:" KNOWN-RED.txt; then
     echo "upgrade soak: seed $seed is known red and passed over"
