simulation: the configuration lists the queues of submitted jobs

Owners treat queues differently that the configuration does not name: their duration models leave the head rows.

--- a/internal/simulation/cluster.go
+++ b/internal/simulation/cluster.go
@@ -258,10 +258,18 @@
 // SubmitOf writes an accepted job of a tenant to the store.
 func (c *Cluster) SubmitOf(tenant string, spec taskgraph.Spec, queue catalog.Queue) {
 	queue.Pool = PoolName
+	c.addQueue(queue)
 	c.RegisterJob(spec, queue)
 	c.Store.Apply(c.Acceptance(tenant, spec, queue, 0))
 }
 
+// addQueue adds a queue to the configuration unless it has one of that name.
+func (c *Cluster) addQueue(queue catalog.Queue) {
+	if c.Catalog.Queue(queue.Name) == nil {
+		c.Catalog.Queues = append(slices.Clip(c.Catalog.Queues), queue)
+	}
+}
+
 // Acceptance returns the transaction by which a node accepts a job in the given one of the job's
 // partitions in the queue's pool.
 func (c *Cluster) Acceptance(tenant string, spec taskgraph.Spec, queue catalog.Queue, choice int) rows.Transaction {
