Read-through: pacing of cycles beside full rows, a fuzz target, shorter exports

- A cycle that leaves units for their job's full row counts as one with a backlog, so that the next one keeps the usual pause; with thousands of such units each end of a run led to a cycle at once.
- The section of durations stops once it is full instead of encoding all models each second.
- The gauge of batches in flight follows rejected batches.

--- a/internal/knowledge/composer.go
+++ b/internal/knowledge/composer.go
@@ -23,7 +23,7 @@
 // was read to its sections.
 type Composer struct {
 	sections []Section
-	// MaxRowBytes bounds the row; it is at most the constant of that name.
+	// MaxRowBytes bounds the row, in addition to the constant of that name.
 	MaxRowBytes int
 	// exported holds the last successful export of each section, and written the one in the last
 	// written row.
--- a/internal/pool/cycle.go
+++ b/internal/pool/cycle.go
@@ -64,6 +64,7 @@
 		}
 		class := p.classOf(s, u)
 		if unplaceable[class] || !budgets.allow(u) {
+			p.hasBacklog = true
 			order.skipped()
 			continue
 		}
--- a/internal/pool/fuzz_test.go
+++ b/internal/pool/fuzz_test.go
@@ -109,3 +109,16 @@
 		}
 	})
 }
+
+func FuzzDurationsRow(f *testing.F) {
+	const head = `{"format":1,"token":1,"serial":1,"written_ms":1767225600000,"sections":`
+	f.Add([]byte(head + `{"durations":{"age_ms":5,"document":{"queues":{"batch":[60,-1400,1400,30000,-30000,60],"gone":[1,0,0.5,0,0,0.1]}}}}}`))
+	f.Add([]byte(head + `{"durations":{"age_ms":5,"document":{"queues":{"batch":[1,2],"urgent":["a"],"":null}}}}}`))
+	f.Add([]byte(head + `{"durations":{"age_ms":5,"document":[]}}}`))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		w := takeOverWithRow(pool.DurationsKey(simulation.PoolName), value)
+		w.Run(20 * time.Second)
+		requireJobEnds(t, w, jobID(1))
+		requireJobEnds(t, w, jobID(2))
+	})
+}
--- a/internal/pool/kept_durations.go
+++ b/internal/pool/kept_durations.go
@@ -19,8 +19,12 @@
 	Queues map[string]json.RawMessage `json:"queues"`
 }
 
-// maxDurationsBytes bounds the section.
-const maxDurationsBytes = knowledge.MaxSectionBytes
+const (
+	// maxDurationsBytes bounds the section.
+	maxDurationsBytes = knowledge.MaxSectionBytes
+	// leastRoomBytes is the room from which a further model is likely to fit.
+	leastRoomBytes = 100
+)
 
 // compactModel is the short form of a model: its weight, x, y, xx, xy and squared errors.
 type compactModel [6]float64
@@ -56,6 +60,9 @@
 	document := durationDocument{Queues: map[string]json.RawMessage{}}
 	room := maxDurationsBytes - len(`{"queues":{}}`)
 	for _, queue := range s.pool.durations.queuesOutsideHead() {
+		if room < leastRoomBytes {
+			break
+		}
 		model := mustEncode(s.pool.durations.of(queue).compact())
 		if bytes := len(mustEncode(queue)) + len(":,") + len(model); bytes <= room {
 			room -= bytes
--- a/internal/pool/kept_knowledge.go
+++ b/internal/pool/kept_knowledge.go
@@ -219,6 +219,7 @@
 	return now.Sub(k.checkedAt) >= knowledgeCheckInterval
 }
 
+// writeState returns what a decision to write goes by. An optional row needs no first write.
 func (k *keptKnowledge) writeState(now time.Time) knowledge.WriteState {
 	p := k.pool
 	return knowledge.WriteState{
--- a/internal/pool/partitions.go
+++ b/internal/pool/partitions.go
@@ -106,7 +106,7 @@
 	return rows.Key{Table: ProgressTable, Part: part, Name: headRow}
 }
 
-// KindOf names the kind of a row that owners and nodes write, for logs, metrics and tests.
+// KindOf names the kind of a row that owners and nodes write, for reports of their sizes.
 func KindOf(key rows.Key) string {
 	switch {
 	case key.Table == ProgressTable && key.Name == headRow:
@@ -119,8 +119,7 @@
 		return "accepted"
 	case strings.HasSuffix(key.Name, cancelledSuffix):
 		return "cancelled"
-	}
-	if key.Table == KnowledgeTable {
+	case key.Table == KnowledgeTable:
 		return key.Name
 	}
 	return key.Table
--- a/internal/pool/rejected_rows.go
+++ b/internal/pool/rejected_rows.go
@@ -52,6 +52,7 @@
 	// No attempt is in flight, and further ones would be rejected too.
 	b.written = true
 	w.queue.Return(b.rows, b.removals, w.pool.loop.Now())
+	w.pool.record.Set("write_batches", int64(w.queue.Batches()))
 	switch entries := b.entries(); {
 	case entries > 1:
 		w.rejections.maxRows = min(w.rejections.maxRows, entries/2)
@@ -77,18 +78,17 @@
 
 // rejectedAlone handles a batch of a single row, or a single removal, that the store has rejected.
 func (w *writer) rejectedAlone(b *batch, err error) {
-	switch {
-	case len(b.rows) == 0:
-		w.pool.record.Count("refusals", "row_removal_rejected")
-		w.pool.record.LogEvent("row removal dropped", "pool", w.pool.options.Pool, "job", b.removals[0], "reason", err.Error())
-		w.queue.DropRemoval(b.removals[0])
-	default:
+	if len(b.rows) > 0 {
 		w.rejections.suspect, w.rejections.reason = b.rows[0].ID, err.Error()
+		return
 	}
+	w.pool.record.Count("refusals", "row_removal_rejected")
+	w.pool.record.LogEvent("row removal dropped", "pool", w.pool.options.Pool, "job", b.removals[0], "reason", err.Error())
+	w.queue.DropRemoval(b.removals[0])
 }
 
-// headCommitted handles the commit of a batch without rows: the head row is sound, so the suspect is
-// not.
+// headCommitted handles the commit of a batch without rows: the store takes the head row, so it is the
+// suspect that it does not take.
 func (w *writer) headCommitted() {
 	suspect := w.rejections.suspect
 	w.rejections.suspect = ""
