The store's limit of a row reaches the daemon by a variable of the deploy file

WHEATROAD_STORE_ROW_BYTES replaces the key store_row_bytes; versions that don't know the variable ignore it, whereas they would refuse an unknown key.

--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/BurntSushi/toml"
@@ -133,6 +134,9 @@
 	}
 }
 
+// rowBytesVariable is the environment variable that replaces the key store_row_bytes unless it is empty.
+const rowBytesVariable = "WHEATROAD_STORE_ROW_BYTES"
+
 // ReadNode reads and validates a settings file. Invalid settings give an error of type
 // FieldErrors.
 func ReadNode(path string) (*Node, error) {
@@ -140,11 +144,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return ParseNode(string(text))
+	return parseNode(string(text), os.Getenv(rowBytesVariable))
 }
 
 // ParseNode parses and validates settings in TOML.
-func ParseNode(text string) (*Node, error) {
+func ParseNode(text string) (*Node, error) { return parseNode(text, "") }
+
+// parseNode parses and validates settings in TOML and the value of rowBytesVariable.
+func parseNode(text, rowBytes string) (*Node, error) {
 	s := DefaultNode()
 	meta, err := toml.Decode(text, &s)
 	if err != nil {
@@ -154,6 +161,10 @@
 	for _, key := range meta.Undecoded() {
 		c.require(false, key.String(), "unknown key")
 	}
+	if rowBytes != "" {
+		s.StoreRowBytes, err = strconv.Atoi(rowBytes)
+		c.require(err == nil, rowBytesVariable, "must be a number")
+	}
 	s.check(c)
 	if len(c.problems) > 0 {
 		return nil, c.problems
--- a/internal/settings/node_test.go
+++ b/internal/settings/node_test.go
@@ -1,6 +1,8 @@
 package settings
 
 import (
+	"os"
+	"path/filepath"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -108,3 +110,29 @@
 		}
 	}
 }
+
+func TestRowBytesOfEnvironment(t *testing.T) {
+	cases := map[string]struct {
+		value string
+		want  int
+	}{
+		"not set":      {"", 65_536},
+		"set":          {"20000", 20_000},
+		"no number":    {"many", 0},
+		"out of range": {"100", 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "node.toml")
+			require.NoError(t, os.WriteFile(path, []byte(validNode), 0o600))
+			t.Setenv("WHEATROAD_STORE_ROW_BYTES", c.value)
+			s, err := ReadNode(path)
+			if c.want == 0 {
+				require.Error(t, err)
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, c.want, s.StoreRowBytes)
+		})
+	}
+}
