--- a/review/gauge/worker.go
+++ b/review/gauge/worker.go
@@ -87,6 +87,8 @@
 	life           *life
 	server         *http.Server
 	sequence       int
+	// leaving workers write no entries.
+	leaving bool
 	// loseAnswer chooses the orders that get no answer. They are carried out after the returned time, in
 	// whatever life the worker has then.
 	loseAnswer func(kind string, o *order) (late time.Duration, lost bool)
@@ -142,17 +144,33 @@
 
 // crash ends the present life. Its runs are lost, and connections are refused until the next life.
 func (w *worker) crash() {
+	w.record.line("worker %s crashes", w.id)
+	w.endLife("crashed")
+}
+
+// leave takes the worker away as planned, without a word: its entry goes, and it serves on for a while.
+func (w *worker) leave(drain time.Duration) {
+	w.mutex.Lock()
+	w.leaving = true
+	w.mutex.Unlock()
+	w.store.remove("servers", w.id)
+	w.record.line("worker %s leaves: its entry is gone, and it serves on for %.1f s", w.id, drain.Seconds())
+	time.Sleep(drain)
+	w.record.line("worker %s is gone", w.id)
+	w.endLife("left")
+}
+
+func (w *worker) endLife(how string) {
 	w.mutex.Lock()
 	w.life.dead = true
 	for _, r := range w.life.runs {
 		r.over = true
-		w.log.ended(w, r, "crashed")
+		w.log.ended(w, r, how)
 		w.gangs.leave(r)
 	}
 	w.life.runs = map[string]*run{}
 	server := w.server
 	w.mutex.Unlock()
-	w.record.line("worker %s crashes", w.id)
 	_ = server.Close()
 }
 
@@ -172,9 +190,9 @@
 	for {
 		time.Sleep(heartbeat)
 		w.mutex.Lock()
-		dead := w.life.dead
+		silent := w.life.dead || w.leaving
 		w.mutex.Unlock()
-		if !dead {
+		if !silent {
 			w.list()
 		}
 	}
