Hold the end of a run for as long as its start may be late

Cause: an owner held such ends back for 5 s, a figure of its own, while the platform carries out orders without an answer up to 12 s later. And a worker's list of ended runs that was full lifted the hold, so that a longer hold alone would only move the fault to workers with short tasks.

The bound is the platform's now, told by the adapter (Bounds.MaxOrderDelay), with 1 s for the way to the worker. Held ends are kept by number: those before them are acknowledged. An owner gives a worker no more runs than the worker can list (Bounds.MaxListedEnds), so nothing needs to lift a hold. Polls of such workers wait for the next end or the release in place of being sent each 0.3 s, where the worker waits.

Evidence: with the old rules TestEndIsNotAcknowledgedWhileItsStartMayBeLate fails from 5.5 s on, TestLateStartAfterTwoTakeovers and TestEndsBesideAHeldOneAreSeen fail; the last one also with the longer hold and the lift.

--- a/cmd/wheatroadd/serve.go
+++ b/cmd/wheatroadd/serve.go
@@ -131,6 +131,7 @@
 			CheckpointInterval: settings.Seconds(b.CheckpointSeconds),
 			StatusRetention:    settings.Seconds(b.StatusRetentionSeconds), CrossRackSlowdown: b.RemoteFactor,
 			EvacuationTimeout: settings.Millis(b.EvacuationDelayMillis),
+			MaxOrderDelay:     platform.MaxOrderDelay, MaxListedEnds: platform.MaxEndedPerReply,
 		},
 		MaxConfigurationAge: settings.Millis(b.ConfigurationAgeMillis),
 	}
--- a/internal/pool/acknowledgements.go
+++ b/internal/pool/acknowledgements.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -21,14 +22,20 @@
 	writing int64
 	// unwritten holds the jobs of the ended runs being written; their rows precede an acknowledgement.
 	unwritten []*job
-	// due is the number to be acknowledged next; 0 if there is none.
+	// due is the highest number among the stored ended runs; 0 if all are acknowledged.
 	due int64
 	// acknowledged is the highest number that an answered poll has acknowledged.
 	acknowledged int64
 	// reportAt is when the last report of this incarnation was received.
 	reportAt time.Time
-	// heldUntil is until when nothing may be acknowledged.
-	heldUntil time.Time
+	// held are the ended runs that may not be acknowledged yet, by number.
+	held []heldEnd
+}
+
+// heldEnd is an ended run that may not be acknowledged before a time.
+type heldEnd struct {
+	number int64
+	until  time.Time
 }
 
 // pending reports whether ended runs are still to be written or acknowledged.
@@ -60,14 +67,45 @@
 // acknowledgeable returns the number that a poll may acknowledge at the given time; 0 acknowledges
 // nothing.
 func (e *endAcknowledgements) acknowledgeable(now time.Time, disabled DisabledSafeguards) int64 {
-	if e.held(now) || now.Sub(e.reportAt) > maxReportAge && !disabled.FreshReport {
+	if now.Sub(e.reportAt) > maxReportAge && !disabled.FreshReport {
+		return 0
+	}
+	return e.released(now)
+}
+
+// released returns the number up to which ended runs are stored and none is held at the given time; 0 if
+// there is none that is not acknowledged.
+func (e *endAcknowledgements) released(now time.Time) int64 {
+	number := e.due
+	for _, end := range e.held {
+		if now.Before(end.until) {
+			number = min(number, end.number-1)
+		}
+	}
+	if number <= e.acknowledged {
 		return 0
 	}
-	return e.due
+	return number
 }
 
-// held reports whether nothing may be acknowledged at the given time.
-func (e *endAcknowledgements) held(now time.Time) bool { return now.Before(e.heldUntil) }
+// untilRelease returns the time until held ended runs may next be acknowledged; noRelease if none is held.
+func (e *endAcknowledgements) untilRelease(now time.Time) time.Duration {
+	remaining := noRelease
+	for _, end := range e.held {
+		if now.Before(end.until) {
+			remaining = min(remaining, end.until.Sub(now))
+		}
+	}
+	return remaining
+}
+
+// noRelease is the time until the release of an ended run that is not held.
+const noRelease = time.Duration(math.MaxInt64)
+
+// hold delays the acknowledgement of an ended run, and so of those with higher numbers.
+func (e *endAcknowledgements) hold(number int64, until time.Time) {
+	e.held = append(e.held, heldEnd{number: number, until: until})
+}
 
 // acknowledge records the reply to a poll that acknowledged a number.
 func (e *endAcknowledgements) acknowledge(number int64) {
@@ -75,4 +113,5 @@
 	if e.due <= number {
 		e.due = 0
 	}
+	e.held = slices.DeleteFunc(e.held, func(end heldEnd) bool { return end.number <= e.acknowledged })
 }
--- a/internal/pool/cancel_test.go
+++ b/internal/pool/cancel_test.go
@@ -18,7 +18,7 @@
 func TestLateStartOfACancelledJobIsStopped(t *testing.T) {
 	for _, late := range []time.Duration{300 * time.Millisecond, time.Second, 2 * time.Second, 2900 * time.Millisecond} {
 		w := simulation.NewCluster(1, 1)
-		w.OrderDelay = late
+		w.OrderDelay = simulation.FixedDelay(late)
 		w.Work = func(taskgraph.TaskName) time.Duration { return 30 * time.Second }
 		w.Workers[0].OrderOutcome = func() simulation.Outcome { return simulation.AppliedLate }
 		w.AcquirePool()
--- a/internal/pool/cycle.go
+++ b/internal/pool/cycle.go
@@ -200,4 +200,5 @@
 	if u.isolated() {
 		s.isolateWorkers(places)
 	}
+	p.excludeFullReports(s, places)
 }
--- a/internal/pool/incarnations.go
+++ b/internal/pool/incarnations.go
@@ -91,7 +91,7 @@
 	p.assumeLongestLease(replacement, report)
 	if lateOrders && !p.options.DisabledSafeguards.RestartLease {
 		// Until then, such an order may grant the longest lease again.
-		replacement.deadline += lateStartWindow.Milliseconds()
+		replacement.deadline += p.lateOrderWindow().Milliseconds()
 	}
 	p.handlePollReply(replacement, report)
 }
--- a/internal/pool/latestarts.go
+++ b/internal/pool/latestarts.go
@@ -10,12 +10,17 @@
 // A start without a response may still be carried out seconds later. In the incarnation that it was
 // sent to, a stop or the end of the run blocks it. After a restart of the worker nothing does: the
 // next incarnation knows no runs, has seen no fencing token, and compares the start's deadline with
-// a clock that began anew. The owner therefore remembers such starts for lateStartWindow. During
+// a clock that began anew. The owner therefore remembers such starts for Bounds.MaxOrderDelay. During
 // that time it polls the worker to learn of a restart, blocks the starts in the next incarnation, and
 // does not acknowledge that the run has completed or failed.
 
-// lateStartWindow is how long after its sending a start without a response may be carried out.
-const lateStartWindow = 5 * time.Second
+// orderTransferTime is the longest time from the sending of an order to its arrival at the worker.
+const orderTransferTime = time.Second
+
+// lateOrderWindow returns how long after its sending an order without a response may be carried out.
+func (p *Pool) lateOrderWindow() time.Duration {
+	return p.options.Bounds.MaxOrderDelay + orderTransferTime
+}
 
 // lateStart is a start that may be carried out although its run is over.
 type lateStart struct {
@@ -31,20 +36,20 @@
 // lateStartUntil returns until when a copy of the present run's start may be carried out. It returns
 // the zero time if every copy got a response. The first contact with this owner's token makes the
 // worker refuse the starts of earlier owners, so these were sent before the contact.
-func (m *member) lateStartUntil() time.Time {
+func (p *Pool) lateStartUntil(m *member) time.Time {
 	switch {
 	case m.worker == nil || !m.startPending():
 		return time.Time{}
 	case m.earlierStartPending:
-		return m.worker.contactedAt.Add(lateStartWindow)
+		return m.worker.contactedAt.Add(p.lateOrderWindow())
 	}
-	return m.startSentAt.Add(lateStartWindow)
+	return m.startSentAt.Add(p.lateOrderWindow())
 }
 
 // rememberLateStart remembers the start of a member whose run is over. A later incarnation of the
 // worker keeps the record.
 func (p *Pool) rememberLateStart(m *member) {
-	now, until := p.loop.Now(), m.lateStartUntil()
+	now, until := p.loop.Now(), p.lateStartUntil(m)
 	w := p.workers[m.worker.ID]
 	if w == nil || !now.Before(until) || p.options.DisabledSafeguards.UnansweredStarts {
 		return
@@ -84,17 +89,32 @@
 
 // holdAcknowledgement delays the acknowledgement of an end while the run's start may still be
 // carried out. An acknowledged end is final, whereas an end that is lost with its incarnation is
-// not. m is the run's member; nil if this owner does not know the run, as after a takeover.
+// not. m is the run's member; nil if this owner does not know the run, as after a takeover, or has
+// given it up.
 func (p *Pool) holdAcknowledgement(w *worker, m *member, end *fleet.EndedRun) {
 	final := end.Reason == fleet.EndDone || end.Reason == fleet.EndFailed
 	if !final || w.endAcks.handled(end.Number) || p.options.DisabledSafeguards.UnansweredStarts {
 		return
 	}
-	until := w.contactedAt.Add(lateStartWindow)
+	var until time.Time
 	if m != nil {
-		until = m.lateStartUntil()
+		until = p.lateStartUntil(m)
+	} else {
+		until = p.lateStartOfUnknownRun(w, end)
 	}
-	if until.After(w.endAcks.heldUntil) {
-		w.endAcks.heldUntil = until
+	if p.loop.Now().Before(until) {
+		w.endAcks.hold(end.Number, until)
+	}
+}
+
+// lateStartOfUnknownRun returns until when a copy of the start of a run may be carried out that is not
+// a member's present one.
+func (p *Pool) lateStartOfUnknownRun(w *worker, end *fleet.EndedRun) time.Time {
+	until := w.contactedAt.Add(p.lateOrderWindow())
+	for _, start := range w.lateStarts {
+		if start.task == end.Task && start.run == end.Run && start.until.After(until) {
+			until = start.until
+		}
 	}
+	return until
 }
--- a/internal/pool/latestarts_test.go
+++ b/internal/pool/latestarts_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"github.com/wheatroad/wheatroad/internal/pool"
 	"github.com/wheatroad/wheatroad/internal/simulation"
 	"github.com/wheatroad/wheatroad/internal/taskgraph"
@@ -103,3 +105,84 @@
 func TestLateStartIsBlockedAfterItsTaskMoved(t *testing.T) {
 	requireInvariantsNeed(t, lateStartAfterMove, pool.DisabledSafeguards{UnansweredStarts: true})
 }
+
+// delayFirstOrder carries out the worker's first order after a delay, without an answer. It returns a
+// function that restarts the worker so shortly before the order that no stop can reach the next
+// incarnation in time.
+func delayFirstOrder(c *simulation.Cluster, worker *simulation.Worker, delay time.Duration) (restartBeforeOrder func()) {
+	const downTime, timeLeft = 50 * time.Millisecond, time.Millisecond
+	var carriedOutAt time.Time
+	c.OrderDelay = simulation.FixedDelay(delay)
+	first := firstOrders(simulation.AppliedLate)
+	worker.OrderOutcome = func() simulation.Outcome {
+		if carriedOutAt.IsZero() {
+			carriedOutAt = c.Clock.Now().Add(delay)
+		}
+		return first()
+	}
+	return func() {
+		c.Run(carriedOutAt.Add(-downTime - timeLeft).Sub(c.Clock.Now()))
+		worker.Restart(downTime, 0)
+		c.Run(30 * time.Second)
+	}
+}
+
+// TestEndIsNotAcknowledgedWhileItsStartMayBeLate guards against a run that starts again after its
+// acknowledged end, as a copy of its start was late by as much as the platform allows (review case 12).
+func TestEndIsNotAcknowledgedWhileItsStartMayBeLate(t *testing.T) {
+	for delay := shortestOrderDelay; delay <= longestOrderDelay; delay += 500 * time.Millisecond {
+		w, _ := newLateStartCluster(pool.DisabledSafeguards{}, 1, 500*time.Millisecond)
+		restartBeforeOrder := delayFirstOrder(w, w.Workers[0], delay)
+		w.Submit(spec(1, singleTaskStep(1)), batch)
+		w.Run(time.Second)
+		restartBeforeOrder()
+		require.Empty(t, w.Checker.Violations, "late by %v", delay)
+		require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)), "late by %v", delay)
+		require.Equal(t, 2, w.Checker.Starts(taskOf(1, 0, 0)), "the late start is carried out")
+		require.Zero(t, w.Workers[1].Runs(), "late by %v", delay)
+	}
+}
+
+// smallStep returns a step whose tasks need little of a worker.
+func smallStep(count int) taskgraph.Step {
+	return taskgraph.Step{Count: count, Resources: taskgraph.Resources{CPU: 100}, EstimateMillis: 100}
+}
+
+// TestEndsBesideAHeldOneAreSeen guards against an acknowledgement that is not held back as its worker's
+// list of ended runs is full, and against ends beyond the list that the owner doesn't see.
+func TestEndsBesideAHeldOneAreSeen(t *testing.T) {
+	const jobs, tasks, interval = 12, 20, 500 * time.Millisecond
+	w := simulation.NewCluster(1, 1)
+	w.LateOrdersReachRestartedWorkers = true
+	w.Bounds.MaxListedEnds = 60
+	w.Work = func(taskgraph.TaskName) time.Duration { return 100 * time.Millisecond }
+	w.AcquirePool()
+	w.Run(100 * time.Millisecond)
+	restartBeforeOrder := delayFirstOrder(w, w.Workers[0], longestOrderDelay)
+	for n := range jobs {
+		w.Submit(spec(n, smallStep(tasks)), batch)
+		w.Run(interval)
+	}
+	restartBeforeOrder()
+	requireInvariants(t, w)
+	for n := range jobs {
+		require.Equal(t, taskgraph.Completed, w.StoredState(jobID(n)), "job %d", n)
+	}
+}
+
+// TestLateStartAfterTwoTakeovers guards against an owner that acknowledges the end of a run that it
+// knows from rows only, while a copy of the start that its predecessor's predecessor sent may be late.
+func TestLateStartAfterTwoTakeovers(t *testing.T) {
+	w, owner := newLateStartCluster(pool.DisabledSafeguards{}, 1, 500*time.Millisecond)
+	restartBeforeOrder := delayFirstOrder(w, w.Workers[0], longestOrderDelay)
+	w.Submit(spec(1, singleTaskStep(1)), batch)
+	w.Run(300 * time.Millisecond)
+	for range 2 {
+		owner.Process.Kill()
+		owner = w.AcquirePool()
+		w.Run(3 * time.Second)
+	}
+	restartBeforeOrder()
+	requireInvariants(t, w)
+	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
+}
--- a/internal/pool/options.go
+++ b/internal/pool/options.go
@@ -29,6 +29,10 @@
 	// EvacuationTimeout is the delay after the acknowledgement of a zone's evacuation from which no
 	// run may start there; 0 for no limit.
 	EvacuationTimeout time.Duration
+	// MaxOrderDelay is how long after its arrival a worker may carry out an order without a response.
+	MaxOrderDelay time.Duration
+	// MaxListedEnds is the largest number of ended runs in one report of a worker; 0 for no limit.
+	MaxListedEnds int
 	// CrossRackSlowdown is the slowdown of a step outside its preferred rack.
 	CrossRackSlowdown float64
 }
--- a/internal/pool/orders_test.go
+++ b/internal/pool/orders_test.go
@@ -14,7 +14,7 @@
 // the task start elsewhere while the first start may still be carried out.
 func TestRefusedRetryDoesNotHideALateStart(t *testing.T) {
 	w := simulation.NewCluster(1, 2)
-	w.OrderDelay = 1500 * time.Millisecond
+	w.OrderDelay = simulation.FixedDelay(1500 * time.Millisecond)
 	w.Work = func(taskgraph.TaskName) time.Duration { return 4 * time.Second }
 	orders := 0
 	for _, worker := range w.Workers {
@@ -182,7 +182,7 @@
 
 func TestUnconfirmedStartIsBlockedBeforeItsTaskRunsElsewhere(t *testing.T) {
 	w := simulation.NewCluster(1, 2)
-	w.OrderDelay = 2600 * time.Millisecond
+	w.OrderDelay = simulation.FixedDelay(2600 * time.Millisecond)
 	w.Work = func(taskgraph.TaskName) time.Duration { return 4 * time.Second }
 	begun := w.Clock.Now()
 	orders := 0
--- a/internal/pool/poll.go
+++ b/internal/pool/poll.go
@@ -59,17 +59,18 @@
 // report soon. For example, an acknowledgement that this poll does not carry can only be sent after
 // another report.
 func (p *Pool) pollWaitFor(w *worker, acknowledged int64) time.Duration {
-	if w.endAcks.writing > 0 || w.endAcks.due > acknowledged {
+	now := p.loop.Now()
+	if w.endAcks.writing > 0 || w.endAcks.released(now) > acknowledged {
 		return 0
 	}
-	now := p.loop.Now()
 	if w.hasUnconfirmedStart() || len(w.members) == 0 && !w.expectsLateStarts(now) {
 		return 0
 	}
+	longest := pollWait
 	if now.Before(w.lossyUntil) {
-		return lossyPollWait
+		longest = lossyPollWait
 	}
-	return pollWait
+	return min(longest, w.endAcks.untilRelease(now))
 }
 
 // A worker that left a call unanswered may do so again. If the lost reply contains the end of a
@@ -119,16 +120,17 @@
 }
 
 // schedulePoll schedules the next poll while anything runs on the worker or ended runs are to be
-// acknowledged.
-func (p *Pool) schedulePoll(w *worker) {
+// acknowledged. The last poll was sent at requestedAt.
+func (p *Pool) schedulePoll(w *worker, requestedAt time.Time) {
 	now := p.loop.Now()
-	if w.endAcks.due > 0 && !w.endAcks.held(now) {
+	if w.endAcks.released(now) > 0 {
 		p.poll(w)
 		return
 	}
 	if w.endAcks.pending() {
-		// A later poll acknowledges; until then the lease must be renewed.
-		p.pollAfter(w, pollRetryDelay)
+		// A later poll acknowledges; until then the lease must be renewed. A worker that lists ended
+		// runs may answer polls without waiting.
+		p.pollAfter(w, max(0, requestedAt.Add(pollRetryDelay).Sub(now)))
 		return
 	}
 	watched := w.expectsLateStarts(now)
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -14,11 +14,8 @@
 	if p.releasing {
 		return
 	}
+	w.listedEnds = len(report.Ended)
 	p.applyEnds(w, report.Ended)
-	if report.MoreEnded {
-		// The worker lists further ends only after an acknowledgement.
-		w.endAcks.heldUntil = time.Time{}
-	}
 	p.reconcile(w, report)
 }
 
--- a/internal/pool/restart_leases_test.go
+++ b/internal/pool/restart_leases_test.go
@@ -27,7 +27,7 @@
 // of all runs there beyond what the owner waits for.
 func TestLateOrderExtendsLeaseAfterRestart(t *testing.T) {
 	w, former, other := newLongLeaseCluster()
-	w.LateOrdersReachRestartedWorkers, w.OrderDelay = true, 3*time.Second
+	w.LateOrdersReachRestartedWorkers, w.OrderDelay = true, simulation.FixedDelay(3*time.Second)
 	w.AcquirePool()
 	w.Run(time.Second)
 	other.Unhealthy = true
--- a/internal/pool/worker.go
+++ b/internal/pool/worker.go
@@ -76,6 +76,8 @@
 	// incarnation than the one that this owner knew first.
 	firstReportMillis int64
 	endAcks           endAcknowledgements
+	// listedEnds is the number of ended runs in the latest report.
+	listedEnds int
 	// polledAt is when the worker was last polled in addition to a waiting poll.
 	polledAt        time.Time
 	pollInFlight    bool
--- a/internal/pool/worker_fault_injection_test.go
+++ b/internal/pool/worker_fault_injection_test.go
@@ -38,6 +38,8 @@
 	submit        func()
 	jobs          int
 	crashingTasks []taskgraph.TaskName
+	// withoutEvacuations is true if no zone is evacuated.
+	withoutEvacuations bool
 	// cancelled holds the numbers of the cancelled jobs.
 	cancelled map[int]bool
 }
@@ -235,7 +237,9 @@
 func (f *workerFaults) injectFaults() {
 	f.injectWorkerFault()
 	f.injectOwnerFault()
-	changeEvacuationsAtRandom(f.Cluster, f.zones)
+	if !f.withoutEvacuations {
+		changeEvacuationsAtRandom(f.Cluster, f.zones)
+	}
 	f.RestartRandomWorkers(f.restarts)
 	f.InjectInvalidRow(f.invalidRows)
 }
@@ -376,7 +380,7 @@
 	f.Store.WriteOutcome, f.Store.KnowledgeWriteOutcome = nil, nil
 	endAllEvacuations(f.Cluster)
 	for _, worker := range f.Workers {
-		worker.Partitioned, worker.OrderOutcome = false, nil
+		worker.Partitioned, worker.OrderOutcome, worker.PollOutcome = false, nil, nil
 		if !worker.Crashed && worker.Capacity != simulation.WorkerCapacity {
 			worker.SetCapacity(simulation.WorkerCapacity, 0)
 		}
--- a/internal/pool/worker_replies.go
+++ b/internal/pool/worker_replies.go
@@ -104,7 +104,7 @@
 		p.renewLeaseNow(w)
 		p.scheduleCycle()
 	}
-	p.schedulePoll(w)
+	p.schedulePoll(w, report.requestedAt)
 	p.removeIfIdle(w)
 }
 
--- a/internal/simulation/cluster.go
+++ b/internal/simulation/cluster.go
@@ -52,8 +52,8 @@
 	OwnerStarted func(*Owner)
 	// ReportCheckpoints makes workers list the latest checkpoints of their runs.
 	ReportCheckpoints bool
-	// OrderDelay is the delay of an order whose outcome is AppliedLate.
-	OrderDelay time.Duration
+	// OrderDelay returns the delay of an order whose outcome is AppliedLate.
+	OrderDelay func() time.Duration
 	// LateOrdersReachRestartedWorkers delivers delayed orders to the latest instance of a worker
 	// instead of the instance that they were sent to.
 	LateOrdersReachRestartedWorkers bool
@@ -93,6 +93,12 @@
 // orderLatency is the round-trip time of an order.
 const orderLatency = 2 * time.Millisecond
 
+// MaxOrderDelay is the default of the longest delay of an order whose outcome is AppliedLate.
+const MaxOrderDelay = 12 * time.Second
+
+// maxListedEnds is the default number of ended runs that a worker lists in a report.
+const maxListedEnds = 500
+
 // orderTimeout is how long the owner waits for the reply to an order.
 const orderTimeout = 700 * time.Millisecond
 
@@ -107,10 +113,10 @@
 		Bounds: pool.Bounds{
 			MaxLease: 6 * time.Second, StopTimeout: 400 * time.Millisecond, GangTimeout: 3 * time.Second,
 			GuaranteedStartTimeout: 3 * time.Second, CheckpointInterval: time.Second, StatusRetention: 120 * time.Second, CrossRackSlowdown: 3,
-			EvacuationTimeout: EvacuationBound,
+			EvacuationTimeout: EvacuationBound, MaxOrderDelay: MaxOrderDelay, MaxListedEnds: maxListedEnds,
 		},
 		Catalog:     &catalog.Catalog{Version: 1, Pools: []catalog.Pool{{Name: PoolName, EnforcesCapacity: true}}},
-		OrderDelay:  lateWriteDelay,
+		OrderDelay:  FixedDelay(defaultLateDelay),
 		StopTime:    StopTime,
 		WorkerTable: "workers", EncodeWorker: encodeWorker,
 		Work: func(taskgraph.TaskName) time.Duration { return time.Second },
@@ -222,7 +228,7 @@
 	case AppliedUnacknowledged:
 		_, _ = work()
 	case AppliedLate:
-		c.Clock.After(c.OrderDelay, func() {
+		c.Clock.After(c.OrderDelay(), func() {
 			if !worker.Crashed {
 				_, _ = work()
 			}
--- a/internal/simulation/crash.go
+++ b/internal/simulation/crash.go
@@ -55,7 +55,7 @@
 	w.clock.After(restartDelay, func() {
 		w.Unreachable, w.Replaced = false, true
 		successor := w.cluster.addWorkerAt(w.cluster.unusedAddress(w.Address), w.Pool, w.cluster.newWorkerID(w.Address), w.Rack())
-		successor.OrderOutcome, successor.DropPollReply, successor.Labels = w.OrderOutcome, w.DropPollReply, w.Labels
+		successor.OrderOutcome, successor.PollOutcome, successor.DropPollReply, successor.Labels = w.OrderOutcome, w.PollOutcome, w.DropPollReply, w.Labels
 		w.cluster.PutWorkerRow(successor)
 	})
 }
--- a/internal/simulation/ports.go
+++ b/internal/simulation/ports.go
@@ -104,15 +104,20 @@
 		case AppliedUnacknowledged:
 			_, _ = execute(w)
 		case AppliedLate:
-			c.Clock.After(c.OrderDelay, func() {
-				recipient := w
-				if c.LateOrdersReachRestartedWorkers {
-					recipient = c.listener(to.Address)
-				}
-				if !recipient.Crashed && recipient.ID == to.ID {
-					_, _ = execute(recipient)
-				}
-			})
+			c.executeLate(w, &to, func(recipient *Worker) { _, _ = execute(recipient) })
+		}
+	})
+}
+
+// executeLate executes an order that reached a worker after OrderDelay.
+func (c *Cluster) executeLate(w *Worker, meantFor *fleet.Worker, execute func(*Worker)) {
+	c.Clock.After(c.OrderDelay(), func() {
+		recipient := w
+		if c.LateOrdersReachRestartedWorkers {
+			recipient = c.listener(meantFor.Address)
+		}
+		if !recipient.Crashed && recipient.ID == meantFor.ID {
+			execute(recipient)
 		}
 	})
 }
@@ -173,11 +178,23 @@
 		if p.loses(w) {
 			return
 		}
-		w.poll(order, func(reply fleet.Reply, err error) {
-			if w.DropPollReply == nil || !w.DropPollReply() {
-				answer(reply, err)
-			}
-		})
+		outcome := Acknowledged
+		if w.PollOutcome != nil {
+			outcome = w.PollOutcome()
+		}
+		noAnswer := func(fleet.Reply, error) {}
+		switch outcome {
+		case Acknowledged:
+			w.poll(order, func(reply fleet.Reply, err error) {
+				if w.DropPollReply == nil || !w.DropPollReply() {
+					answer(reply, err)
+				}
+			})
+		case AppliedUnacknowledged:
+			w.poll(order, noAnswer)
+		case AppliedLate:
+			c.executeLate(w, &to, func(recipient *Worker) { recipient.poll(order, noAnswer) })
+		}
 	})
 }
 
--- a/internal/simulation/restart.go
+++ b/internal/simulation/restart.go
@@ -52,7 +52,7 @@
 	c.Clock.After(next.after, func() {
 		instance := c.addWorkerAt(c.unusedAddress(next.address), former.Pool, next.id, former.Rack())
 		instance.clockEpoch = c.Clock.Now().Add(-time.Duration(next.clockMillis) * time.Millisecond)
-		instance.OrderOutcome, instance.DropPollReply, instance.Labels = former.OrderOutcome, former.DropPollReply, former.Labels
+		instance.OrderOutcome, instance.PollOutcome, instance.DropPollReply, instance.Labels = former.OrderOutcome, former.PollOutcome, former.DropPollReply, former.Labels
 		c.PutWorkerRow(instance)
 	})
 }
--- a/internal/simulation/store.go
+++ b/internal/simulation/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sort"
 	"strings"
@@ -33,6 +34,8 @@
 	// KnowledgeWriteOutcome chooses the outcome of each write of kept knowledge in place of
 	// WriteOutcome, so that these writes do not change the other faults of a seed.
 	KnowledgeWriteOutcome func() Outcome
+	// LateWriteDelay returns the delay of a write whose outcome is AppliedLate.
+	LateWriteDelay func() time.Duration
 	// FeedsUnresponsive withholds the responses of feeds.
 	FeedsUnresponsive bool
 	// ScansUnresponsive makes scans and listings of partitions time out.
@@ -83,15 +86,25 @@
 	Dropped
 )
 
-// lateWriteDelay is the delay of a write whose outcome is AppliedLate.
-const lateWriteDelay = 3 * time.Second
+// defaultLateDelay is the default delay of writes and orders whose outcome is AppliedLate.
+const defaultLateDelay = 3 * time.Second
+
+// FixedDelay returns a function that always returns the same delay.
+func FixedDelay(delay time.Duration) func() time.Duration {
+	return func() time.Duration { return delay }
+}
+
+// RandomDelay returns a function that draws a delay from shortest to longest.
+func RandomDelay(random *rand.Rand, shortest, longest time.Duration) func() time.Duration {
+	return func() time.Duration { return shortest + time.Duration(random.Int64N(int64(longest-shortest)+1)) }
+}
 
 // responseTimeout is how long a caller waits for the store's response.
 const responseTimeout = 1500 * time.Millisecond
 
 // NewStore returns an empty store.
 func NewStore(clock *emulator.Clock) *Store {
-	return &Store{clock: clock, rows: map[rows.Key]rows.Row{}, UnavailablePartitions: map[string]bool{}, UnresponsivePartitions: map[string]bool{}, Feeds: map[string]int{}, freeAt: map[string]time.Time{}, Latency: 5 * time.Millisecond,
+	return &Store{clock: clock, rows: map[rows.Key]rows.Row{}, UnavailablePartitions: map[string]bool{}, UnresponsivePartitions: map[string]bool{}, Feeds: map[string]int{}, freeAt: map[string]time.Time{}, Latency: 5 * time.Millisecond, LateWriteDelay: FixedDelay(defaultLateDelay),
 		Limits: rows.DefaultLimits(), LargestRows: map[string]int{}, tables: map[string]bool{}}
 }
 
@@ -125,7 +138,7 @@
 		case AppliedUnacknowledged:
 			s.Apply(transaction)
 		case AppliedLate:
-			s.clock.After(lateWriteDelay, func() { s.Apply(transaction) })
+			s.clock.After(s.LateWriteDelay(), func() { s.Apply(transaction) })
 		}
 		s.clock.After(responseTimeout, func() { done(rows.Result{}, rows.ErrOutcomeUnknown) })
 	})
--- a/internal/simulation/worker.go
+++ b/internal/simulation/worker.go
@@ -47,6 +47,8 @@
 	Replaced bool
 	// OrderOutcome chooses the outcome of each order except polls; nil means Acknowledged.
 	OrderOutcome func() Outcome
+	// PollOutcome chooses the outcome of each poll; nil means Acknowledged.
+	PollOutcome func() Outcome
 	// DropPollReply reports whether the reply to a poll is lost.
 	DropPollReply func() bool
 	// OmitRun reports whether a report omits the run of a task, which the protocol does not provide for;
@@ -287,7 +289,11 @@
 }
 
 func (w *Worker) status() fleet.Reply {
-	reply := fleet.Reply{StartMillis: w.StartMillis, ClockMillis: w.clockMillis(), Ended: append([]fleet.EndedRun(nil), w.ended...)}
+	listed := w.ended[:min(len(w.ended), w.cluster.Bounds.MaxListedEnds)]
+	reply := fleet.Reply{
+		StartMillis: w.StartMillis, ClockMillis: w.clockMillis(),
+		Ended: append([]fleet.EndedRun(nil), listed...), MoreEnded: len(listed) == w.cluster.Bounds.MaxListedEnds,
+	}
 	for _, r := range w.sortedRuns() {
 		omitted := w.OmitRun != nil && w.OmitRun(r.name)
 		if !r.stopping && !omitted {
