Fence the orders to a worker's former incarnation

What callers may see: a task starts again after its end, which nobody had read, was acknowledged; or a worker that doesn't guard its capacity goes over it.

Cause: the owner's own late orders pass in the next incarnation of their worker, as they carry the owner's token. A late poll drops the ends of the next incarnation that have the numbers which it acknowledges; a late start takes capacity that was given away; both extend leases. Stops bar starts only.

The owner raises its token after a restart, to the version of a write on condition of its lease row, and places nothing on the worker before it has answered a poll with that token. The next owner's token, a later version of the lease row, is higher, whichever version it runs; nobody reads the row. Refusals of orders with an earlier token of this owner are no sign of another owner. A worker whose row expires meanwhile is remembered for as long as an order may be late.

Evidence: TestLateAcknowledgementOfAFormerIncarnation violates the rule without the fence, in both cases. TestLateStartIsBlockedAfterRestart holds now with either of two safeguards and violates the rule without both, so it checks both alone and together.

--- a/internal/pool/incarnations.go
+++ b/internal/pool/incarnations.go
@@ -79,7 +79,7 @@
 	}
 	next.StartMillis, next.Address = report.StartMillis, report.address
 	p.recordRestart(w, next.Incarnation, evidence, len(w.members))
-	lateOrders := w.expectsLateOrders(p.loop.Now())
+	lateOrders := p.expectsLateOrders(w)
 	p.markFormerRunsLost(w, report)
 	replacement := p.replaceIncarnation(w, next)
 	replacement.contacted, replacement.contactedAt = true, p.loop.Now()
@@ -90,7 +90,7 @@
 	}
 	p.assumeLongestLease(replacement, report)
 	if lateOrders && !p.options.DisabledSafeguards.RestartLease {
-		// Until then, such an order may grant the longest lease again.
+		// Until then, or until the incarnation is fenced, such an order may grant the longest lease again.
 		replacement.deadline += p.lateOrderWindow().Milliseconds()
 	}
 	p.handlePollReply(replacement, report)
@@ -106,9 +106,11 @@
 
 // expectsLateOrders reports whether an order to the worker may still be carried out although its
 // answer is late or lost.
-func (w *worker) expectsLateOrders(now time.Time) bool {
+func (p *Pool) expectsLateOrders(w *worker) bool {
+	now := p.loop.Now()
 	pending := slices.ContainsFunc(w.members, (*member).startPending)
-	return pending || now.Before(w.lossyUntil) || w.expectsLateStarts(now)
+	unanswered := !w.unansweredAt.IsZero() && now.Before(w.unansweredAt.Add(p.lateOrderWindow()))
+	return pending || unanswered || w.expectsLateStarts(now)
 }
 
 // recordRestart counts and logs a worker's restart.
@@ -129,6 +131,9 @@
 	replacement.rowMissing = true
 	replacement.machineState = w.machineState
 	replacement.restarts++
+	if w.called {
+		p.requireFence(replacement, w.token)
+	}
 	moved := w.members
 	w.members = nil
 	for _, m := range moved {
--- a/internal/pool/incarnations_test.go
+++ b/internal/pool/incarnations_test.go
@@ -77,7 +77,8 @@
 }
 
 // TestLateStartIsBlockedAfterRestart: the first copy of a start arrives late and reaches
-// the worker after a restart, although the second copy was answered before it.
+// the worker after a restart, although the second copy was answered before it. A stop or the fence of the
+// next incarnation blocks it.
 func TestLateStartIsBlockedAfterRestart(t *testing.T) {
 	simulate := func(without pool.DisabledSafeguards) *simulation.Cluster {
 		w := simulation.NewCluster(1, 2)
@@ -103,7 +104,9 @@
 		w.Run(40 * time.Second)
 		return w
 	}
-	requireInvariantsNeed(t, simulate, pool.DisabledSafeguards{UnansweredStarts: true})
+	requireInvariants(t, simulate(pool.DisabledSafeguards{UnansweredStarts: true}))
+	requireInvariants(t, simulate(pool.DisabledSafeguards{RestartFence: true}))
+	requireInvariantsNeed(t, simulate, pool.DisabledSafeguards{UnansweredStarts: true, RestartFence: true})
 }
 
 // leaseAfterRestart lets a start that was sent before a restart grant the longest lease, since its
--- a/internal/pool/late_orders_fault_injection_test.go
+++ b/internal/pool/late_orders_fault_injection_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/wheatroad/wheatroad/internal/catalog"
+	"github.com/wheatroad/wheatroad/internal/fleet"
 	"github.com/wheatroad/wheatroad/internal/pool"
 	"github.com/wheatroad/wheatroad/internal/simulation"
 	"github.com/wheatroad/wheatroad/internal/taskgraph"
@@ -42,7 +43,8 @@
 		c.Store.LateWriteDelay = simulation.RandomDelay(random, shortestWriteDelay, longestWriteDelay)
 		c.LateOrdersReachRestartedWorkers = true
 		for _, worker := range c.Workers {
-			worker.PollOutcome = randomFateFrom(random, 0.02)
+			fate := randomFateFrom(random, 0.02)
+			worker.PollOutcome = func(fleet.Poll) simulation.Outcome { return fate() }
 		}
 	}
 }
--- a/internal/pool/latestarts.go
+++ b/internal/pool/latestarts.go
@@ -79,7 +79,7 @@
 	p.record.Count("worker_orders", "stop_late_start")
 	p.record.LogEvent("blocking late start", "task", start.task.String(), "run", start.run, "worker", w.ID, "born", w.StartMillis)
 	call := p.callTo(w)
-	p.ports.Stop(&w.Worker, fleet.Stop{Task: start.task, Run: start.run, Token: p.token}, func(_ fleet.Reply, err error) {
+	p.ports.Stop(&w.Worker, fleet.Stop{Task: start.task, Run: start.run, Token: call.token}, func(_ fleet.Reply, err error) {
 		if p.closed || err == nil || p.handleCommandError(w, call, err) {
 			return
 		}
--- a/internal/pool/options.go
+++ b/internal/pool/options.go
@@ -112,6 +112,8 @@
 	RestartLease bool
 	// UnansweredStarts: unanswered starts are assumed not to reach a worker's next incarnation.
 	UnansweredStarts bool
+	// RestartFence: orders to a worker's former incarnation are assumed to reach the next one only as starts.
+	RestartFence bool
 	// FreshReport: run results are acknowledged however old the worker's last report is.
 	FreshReport bool
 	// AddressConfirmation: another worker's answer at any known address of a worker ends the worker's
--- a/internal/pool/poll.go
+++ b/internal/pool/poll.go
@@ -24,7 +24,7 @@
 	}
 	w.pollInFlight = true
 	now := p.loop.Now()
-	request := fleet.Poll{Token: p.token, AcknowledgedEnd: w.endAcks.acknowledgeable(now, p.options.DisabledSafeguards)}
+	request := fleet.Poll{Token: w.token, AcknowledgedEnd: w.endAcks.acknowledgeable(now, p.options.DisabledSafeguards)}
 	if w.contacted && w.unansweredCalls == 0 {
 		request.Wait = p.pollWaitFor(w, request.AcknowledgedEnd)
 		if extension := min(leaseDuration, p.options.Bounds.MaxLease, p.remainingLease(now)); extension > 0 {
@@ -82,6 +82,12 @@
 	lossyPollWait = 400 * time.Millisecond
 )
 
+// recordUnanswered records that a call to the worker got no response.
+func (w *worker) recordUnanswered(now time.Time) {
+	w.unansweredAt = now
+	w.lossyUntil = now.Add(lossyDuration)
+}
+
 // hasUnconfirmedStart reports whether the start of any member is unanswered.
 func (w *worker) hasUnconfirmedStart() bool {
 	for _, m := range w.members {
@@ -102,7 +108,7 @@
 	call := p.callTo(w)
 	p.record.Count("worker_orders", "look")
 	w.reportsInFlight++
-	p.ports.Poll(&w.Worker, fleet.Poll{Token: p.token}, func(reply fleet.Reply, err error) {
+	p.ports.Poll(&w.Worker, fleet.Poll{Token: call.token}, func(reply fleet.Reply, err error) {
 		w.reportsInFlight--
 		if p.closed || p.workers[w.ID] != w {
 			return
@@ -115,6 +121,7 @@
 		if p.handleOtherIncarnation(w, report) {
 			return
 		}
+		p.confirmFence(w, report)
 		p.handleReport(w, report)
 	})
 }
@@ -133,6 +140,10 @@
 		p.pollAfter(w, max(0, requestedAt.Add(pollRetryDelay).Sub(now)))
 		return
 	}
+	if w.awaitsFence() && w.token > w.fenceAbove {
+		p.pollAfter(w, quickPollDelay)
+		return
+	}
 	watched := w.expectsLateStarts(now)
 	if len(w.members) == 0 && len(w.unexpected) == 0 && !watched {
 		return
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -33,10 +33,16 @@
 	ports   Ports
 	record  Recorder
 	// token is the fencing token: the version of the lease row that this owner wrote.
-	token      int64
-	acquiredAt time.Time
-	jobs       map[string]*job
-	workers    map[string]*worker
+	token int64
+	// orderToken is the highest fencing token of orders to workers: token, or a later version at which the
+	// lease row was in force. raisingToken is true while a transaction that raises it is in flight.
+	orderToken   int64
+	raisingToken bool
+	// removedWorkers holds the workers that were removed lately, by identifier.
+	removedWorkers map[string]removedWorker
+	acquiredAt     time.Time
+	jobs           map[string]*job
+	workers        map[string]*worker
 	// workerOrder caches the workers sorted by name; nil once the set changes.
 	workerOrder     []*worker
 	snapshotBuffers snapshotBuffers
@@ -133,11 +139,11 @@
 // New returns the state of a pool whose lease row was written at version token.
 func New(options Options, l loop.Loop, ports Ports, record Recorder, token int64) *Pool {
 	p := &Pool{
-		options: options, loop: l, ports: ports, record: record, token: token, acquiredAt: l.Now(),
+		options: options, loop: l, ports: ports, record: record, token: token, orderToken: token, acquiredAt: l.Now(),
 		jobs: map[string]*job{}, workers: map[string]*worker{},
 		lastStoreAnswerAt: l.Now(), pendingCancels: map[string]bool{},
 		durations: newDurationModels(), storeRetries: loop.NewRetries(l), lossTracker: poison.NewLossTracker(), health: health.New(),
-		tenantUse: fairshare.NewLedger(), overdueTurns: overdueTurns{}, removedJobs: removedJobs{},
+		tenantUse: fairshare.NewLedger(), overdueTurns: overdueTurns{}, removedJobs: removedJobs{}, removedWorkers: map[string]removedWorker{},
 		invalidRows:    invalidWorkerRows{faults: map[string]fleet.RowFault{}},
 		otherPoolsJobs: otherPoolsJobs{}, announcements: announcements{pending: map[string]rows.Row{}},
 	}
@@ -232,6 +238,7 @@
 	p.checkUnits()
 	p.checkHealth()
 	p.removeExpiredJobs()
+	p.forgetRemovedWorkers()
 	p.refreshEstimates()
 	p.updateTenants()
 	p.kept.writeIfDue()
--- a/internal/pool/records.go
+++ b/internal/pool/records.go
@@ -21,6 +21,9 @@
 	ProgressTable = "progress"
 	// KnowledgeTable holds what the owner of each pool has learned. Only the owner writes it.
 	KnowledgeTable = "knowledge"
+	// FenceTable holds the row that the owner of each pool writes to raise its token, in the partition of
+	// the pool's lease row.
+	FenceTable = "fences"
 )
 
 // Names of rows.
--- a/internal/pool/row_verification.go
+++ b/internal/pool/row_verification.go
@@ -47,9 +47,10 @@
 	}
 	w.verifying = true
 	queried := w.unverifiedRow
-	call := workerCall{address: queried.Address, sentAt: p.loop.Now()}
+	call := p.callTo(w)
+	call.address = queried.Address
 	p.record.Count("worker_orders", "ask_life")
-	p.ports.Poll(queried, fleet.Poll{Token: p.token}, func(reply fleet.Reply, err error) {
+	p.ports.Poll(queried, fleet.Poll{Token: call.token}, func(reply fleet.Reply, err error) {
 		if p.closed || p.workers[w.ID] != w {
 			return
 		}
@@ -67,7 +68,7 @@
 		case err == nil && p.confirmsAddress(w, queried, report):
 			p.handleVerifiedAddress(w, queried, report)
 		default:
-			p.rowUnverified(w, err)
+			p.rowUnverified(w, call, err)
 		}
 	})
 }
@@ -99,13 +100,18 @@
 
 // rowUnverified keeps the known incarnation and address. If the request got no response, the row may
 // still be right, and the owner repeats the request.
-func (p *Pool) rowUnverified(w *worker, err error) {
+func (p *Pool) rowUnverified(w *worker, call workerCall, err error) {
 	if err == nil {
 		// The known incarnation answered at the address in the row.
 		p.rejectRow(w)
 		return
 	}
-	switch fleet.ReasonOf(err) {
+	reason := fleet.ReasonOf(err)
+	if p.refusesEarlierToken(w, call, reason) {
+		p.repeatRowQuery(w)
+		return
+	}
+	switch reason {
 	case fleet.Fenced:
 		p.Abandon("worker has a newer token: " + w.ID)
 	case fleet.OutcomeUnknown, fleet.Unreachable, fleet.Unhealthy:
--- a/internal/pool/snapshot.go
+++ b/internal/pool/snapshot.go
@@ -167,7 +167,7 @@
 
 // usable reports whether a worker may take new work.
 func (p *Pool) usable(w *worker, now time.Time) bool {
-	return w.contacted && w.unansweredCalls == 0 && p.canListRun(w) && w.unverifiedRow == nil && p.usageKnown(w, now) && !w.drainingOrUnlisted() && now.After(w.excludedUntil) && now.After(w.failingUntil)
+	return w.contacted && !w.awaitsFence() && w.unansweredCalls == 0 && p.canListRun(w) && w.unverifiedRow == nil && p.usageKnown(w, now) && !w.drainingOrUnlisted() && now.After(w.excludedUntil) && now.After(w.failingUntil)
 }
 
 // placementUnit describes a unit that uses resources to package placement.
--- a/internal/pool/starts.go
+++ b/internal/pool/starts.go
@@ -50,7 +50,7 @@
 	}
 	order := fleet.Start{
 		Task: m.name(), Run: u.run, Payload: u.job.Spec.Payload,
-		DeadlineMillis: m.startDeadline, Token: p.token, Checkpoint: u.checkpoint,
+		DeadlineMillis: m.startDeadline, Token: w.token, Checkpoint: u.checkpoint,
 	}
 	w.deadline = max(w.deadline, order.DeadlineMillis)
 	m.state = memberStarting
@@ -79,7 +79,7 @@
 		p.recordReply(m.worker, reply.ClockMillis, call)
 	}
 	if lost {
-		m.worker.lossyUntil = p.loop.Now().Add(lossyDuration)
+		m.worker.recordUnanswered(p.loop.Now())
 	}
 	switch {
 	case sent.answered:
@@ -127,7 +127,8 @@
 	if p.handleCommandError(w, call, err) {
 		return
 	}
-	m.startUnanswered = m.startUnanswered || reason == fleet.OutcomeUnknown
+	// Another copy may have been carried out before the worker saw a later token of this owner.
+	m.startUnanswered = m.startUnanswered || reason == fleet.OutcomeUnknown || reason == fleet.Fenced
 	if m.state == memberRunning {
 		// A report has confirmed the run in the meantime.
 		return
--- a/internal/pool/stops.go
+++ b/internal/pool/stops.go
@@ -34,7 +34,7 @@
 	}
 	m.stopAttempted, m.stopSent = true, true
 	u, w, run := m.unit, m.worker, m.unit.run
-	order := fleet.Stop{Task: m.name(), Run: run, Token: p.token}
+	order := fleet.Stop{Task: m.name(), Run: run, Token: w.token}
 	p.sendHedged(&hedgedCommand{
 		worker:      w,
 		name:        "stop",
--- a/internal/pool/unexpected_runs.go
+++ b/internal/pool/unexpected_runs.go
@@ -43,7 +43,7 @@
 	p.record.LogEvent("stopping unexpected run", "job", name.Job, "task", name.String(), "run", run, "worker", w.ID, "born", w.StartMillis,
 		"requested_ms_ago", p.loop.Now().Sub(report.requestedAt).Milliseconds(), "report_clock", report.ClockMillis)
 	call := p.callTo(w)
-	p.ports.Stop(&w.Worker, fleet.Stop{Task: name, Run: run, Token: p.token}, func(_ fleet.Reply, err error) {
+	p.ports.Stop(&w.Worker, fleet.Stop{Task: name, Run: run, Token: call.token}, func(_ fleet.Reply, err error) {
 		if !p.closed && err != nil {
 			p.handleCommandError(w, call, err)
 		}
--- a/internal/pool/worker.go
+++ b/internal/pool/worker.go
@@ -21,6 +21,8 @@
 	restarts int
 	// lateStarts are the starts without a response whose runs are over.
 	lateStarts []lateStart
+	// unansweredAt is when an order last got no response; zero if none did.
+	unansweredAt time.Time
 }
 
 // worker is one incarnation of a worker, with its state as known to this owner.
@@ -59,6 +61,12 @@
 	contacted bool
 	// contactedAt is when the worker first answered such a request.
 	contactedAt time.Time
+	// token is the fencing token of the next orders, and called is true once an order was sent.
+	token  int64
+	called bool
+	// fenceAbove is the highest token of the orders to former incarnations while the worker has answered
+	// no poll with a higher one; 0 otherwise.
+	fenceAbove int64
 	// pollQueued is true while a poll is queued, and queuedPollInFlight while a poll from the queue
 	// is in flight.
 	pollQueued, queuedPollInFlight bool
--- a/internal/pool/worker_addresses.go
+++ b/internal/pool/worker_addresses.go
@@ -12,15 +12,17 @@
 // an earlier one, at that address before: no two workers have one address at a time. Otherwise the
 // address is wrong, and the worker's runs may go on elsewhere until its lease has expired.
 
-// workerCall says where a call to a worker was sent, and when.
+// workerCall says where a call to a worker was sent, when, and with which fencing token.
 type workerCall struct {
 	address string
 	sentAt  time.Time
+	token   int64
 }
 
 // callTo returns a call to a worker's present address that is sent now.
 func (p *Pool) callTo(w *worker) workerCall {
-	return workerCall{address: w.Address, sentAt: p.loop.Now()}
+	w.called = true
+	return workerCall{address: w.Address, sentAt: p.loop.Now(), token: w.token}
 }
 
 // confirmAddress records that the worker has answered a call. The called address replaces one at which
--- a/internal/pool/worker_replies.go
+++ b/internal/pool/worker_replies.go
@@ -82,7 +82,7 @@
 		p.pollIdleWorkers()
 	}
 	w.tryFallbackAddress()
-	w.lossyUntil = p.loop.Now().Add(lossyDuration)
+	w.recordUnanswered(p.loop.Now())
 	// Once the runs of the worker are lost, only this poll contacts the worker again. Without the
 	// poll the worker would stay unused.
 	p.pollAfter(w, quickPollDelay)
@@ -99,6 +99,7 @@
 		}
 		w.firstReportMillis = report.ClockMillis
 	}
+	p.confirmFence(w, report)
 	p.handleReport(w, report)
 	if first {
 		p.renewLeaseNow(w)
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -101,9 +101,11 @@
 		Worker:     fleet.Worker{Incarnation: incarnation},
 		unexpected: map[runID]unexpectedRun{},
 		clockAt:    p.loop.Now(),
+		token:      p.orderToken,
 	}
 	p.workers[incarnation.ID] = w
 	p.restoreKeptSpeed(w)
+	p.restoreRemoved(w)
 	p.invalidateWorkerCaches()
 	return w
 }
@@ -159,6 +161,7 @@
 			w.cancelPollTimer()
 		}
 		delete(p.workers, w.ID)
+		p.rememberRemoved(w)
 		p.invalidateWorkerCaches()
 	}
 }
@@ -166,7 +169,11 @@
 // handleCommandError handles the errors that all requests to workers have in common. It returns
 // true if the worker was replaced or this owner has lost the pool.
 func (p *Pool) handleCommandError(w *worker, call workerCall, err error) bool {
-	switch fleet.ReasonOf(err) {
+	reason := fleet.ReasonOf(err)
+	if p.refusesEarlierToken(w, call, reason) {
+		return false
+	}
+	switch reason {
 	case fleet.Fenced:
 		p.Abandon("worker has a newer token: " + w.ID)
 		return true
--- a/internal/simulation/checker.go
+++ b/internal/simulation/checker.go
@@ -225,7 +225,7 @@
 		c.addViolation("%v run %d starts after the owner acknowledged the task's completion", r.name, r.number)
 	case !c.hasAttemptsLeft(r) && !c.cluster.step(r.name).LongRunning:
 		c.addViolation("%v run %d starts although the task has no attempts left", r.name, r.number)
-	case !job.cancelledAt.IsZero() && c.cluster.Clock.Now().Sub(job.cancelledAt) > cancelBound && c.recentlyFaultFree(order.Token):
+	case !job.cancelledAt.IsZero() && c.cluster.Clock.Now().Sub(job.cancelledAt) > cancelBound && c.recentlyFaultFree(r.worker.Pool, order.Token):
 		c.addViolation("%v run %d starts after the cancellation bound", r.name, r.number)
 	}
 	if order.Payload != job.spec.Payload {
@@ -257,12 +257,12 @@
 // cancelBound applies.
 const faultFreeTime = 3 * time.Second
 
-// recentlyFaultFree reports whether the store and the owner with the given fencing token had no
+// recentlyFaultFree reports whether the store and the pool's owner with the given fencing token had no
 // fault during the last faultFreeTime. Right after a fault, the owner may send starts before it has
 // read the cancellations that were written during the fault.
-func (c *Checker) recentlyFaultFree(token int64) bool {
+func (c *Checker) recentlyFaultFree(pool string, token int64) bool {
 	now := c.cluster.Clock.Now()
-	owner := c.cluster.ownerOf[token]
+	owner := c.cluster.ownerOf[c.cluster.Store.LeaseAt(pool, token)]
 	paused := owner != nil && now.Sub(owner.Process.PausedUntil()) < faultFreeTime
 	return !paused && now.Sub(c.cluster.Store.lastFaultAt) >= faultFreeTime
 }
--- a/internal/simulation/cluster.go
+++ b/internal/simulation/cluster.go
@@ -190,7 +190,7 @@
 		done(fleet.Reply{}, refusal)
 		return
 	}
-	if worker.Crashed || worker.Partitioned || worker.CutOff != nil && worker.CutOff(tokenOf(order)) {
+	if worker.Crashed || worker.Partitioned || worker.CutOff != nil && worker.CutOff(c.Store.LeaseAt(worker.Pool, tokenOf(order))) {
 		return
 	}
 	switch order := order.(type) {
--- a/internal/simulation/ports.go
+++ b/internal/simulation/ports.go
@@ -180,7 +180,7 @@
 		}
 		outcome := Acknowledged
 		if w.PollOutcome != nil {
-			outcome = w.PollOutcome()
+			outcome = w.PollOutcome(order)
 		}
 		noAnswer := func(fleet.Reply, error) {}
 		switch outcome {
--- a/internal/simulation/store.go
+++ b/internal/simulation/store.go
@@ -63,6 +63,8 @@
 	TransactionTime time.Duration
 	// freeAt is when a partition will have carried out the transactions that it has received.
 	freeAt map[string]time.Time
+	// leases holds the versions of each pool's lease row, rising.
+	leases map[string][]int64
 	// waiters are called once at the next change.
 	waiters []func()
 	// Feeds counts the feed calls by table.
@@ -104,7 +106,7 @@
 
 // NewStore returns an empty store.
 func NewStore(clock *emulator.Clock) *Store {
-	return &Store{clock: clock, rows: map[rows.Key]rows.Row{}, UnavailablePartitions: map[string]bool{}, UnresponsivePartitions: map[string]bool{}, Feeds: map[string]int{}, freeAt: map[string]time.Time{}, Latency: 5 * time.Millisecond, LateWriteDelay: FixedDelay(defaultLateDelay),
+	return &Store{clock: clock, rows: map[rows.Key]rows.Row{}, UnavailablePartitions: map[string]bool{}, UnresponsivePartitions: map[string]bool{}, Feeds: map[string]int{}, freeAt: map[string]time.Time{}, leases: map[string][]int64{}, Latency: 5 * time.Millisecond, LateWriteDelay: FixedDelay(defaultLateDelay),
 		Limits: rows.DefaultLimits(), LargestRows: map[string]int{}, tables: map[string]bool{}}
 }
 
@@ -225,6 +227,17 @@
 	return rows.Key{}
 }
 
+// LeaseAt returns the version of a pool's lease row that was in force at a version of the store; 0 if
+// there was none. A fencing token of an owner is a version at which the owner's lease row was in force.
+func (s *Store) LeaseAt(poolName string, version int64) int64 {
+	leases := s.leases[poolName]
+	after := sort.Search(len(leases), func(i int) bool { return leases[i] > version })
+	if after == 0 {
+		return 0
+	}
+	return leases[after-1]
+}
+
 // Apply applies a transaction immediately, regardless of faults.
 func (s *Store) Apply(transaction rows.Transaction) rows.Result {
 	conditionsHold := true
@@ -243,6 +256,9 @@
 	for _, put := range transaction.Puts {
 		row := rows.Row{Key: put.Key, Value: put.Value, Version: s.version}
 		s.rows[put.Key] = row
+		if pool.KindOf(put.Key) == "lease" {
+			s.leases[put.Key.Part] = append(s.leases[put.Key.Part], s.version)
+		}
 		s.changes = append(s.changes, row)
 	}
 	for _, key := range transaction.Removes {
--- a/internal/simulation/worker.go
+++ b/internal/simulation/worker.go
@@ -41,14 +41,15 @@
 	crashedAt time.Time
 	// Partitioned partitions the worker from all owners; its runs continue.
 	Partitioned bool
-	// CutOff reports whether the path from the owner with a fencing token is cut; nil means from none.
-	CutOff func(token int64) bool
+	// CutOff reports whether the path from the owner with a lease row of a version is cut; nil means from
+	// none.
+	CutOff func(leaseVersion int64) bool
 	// Replaced is set once another instance listens at the worker's address.
 	Replaced bool
 	// OrderOutcome chooses the outcome of each order except polls; nil means Acknowledged.
 	OrderOutcome func() Outcome
 	// PollOutcome chooses the outcome of each poll; nil means Acknowledged.
-	PollOutcome func() Outcome
+	PollOutcome func(fleet.Poll) Outcome
 	// DropPollReply reports whether the reply to a poll is lost.
 	DropPollReply func() bool
 	// OmitRun reports whether a report omits the run of a task, which the protocol does not provide for;
