Hold an end while an earlier run of its task may be late, and accept such a run's end

What callers may see: a task that is done runs again.

Cause: an owner knew late starts by worker and run.

A member knows until when the start of any earlier run of its task may be late, and its row says so with the bit that exists (StartPending); the end of its present run is held until then. A unit is done once any of its runs is; its present run is stopped.

Evidence: TestEndOfALateStartCompletesItsTask fails before.

--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -164,6 +164,9 @@
 	// earlierStartPending is true if an earlier owner may have sent a start of the present run that
 	// got no response.
 	earlierStartPending bool
+	// earlierStartsUntil is until when the start of an earlier run of the task may be carried out, on any
+	// worker; zero if none can be.
+	earlierStartsUntil time.Time
 	// incarnationUnknown is true if an unknown incarnation of the worker may have answered the
 	// start. The next report shows which incarnation has the run.
 	incarnationUnknown bool
--- a/internal/pool/latestarts.go
+++ b/internal/pool/latestarts.go
@@ -50,8 +50,12 @@
 // worker keeps the record.
 func (p *Pool) rememberLateStart(m *member) {
 	now, until := p.loop.Now(), p.lateStartUntil(m)
+	if !now.Before(until) || p.options.DisabledSafeguards.UnansweredStarts {
+		return
+	}
+	m.expectEarlierStart(until)
 	w := p.workers[m.worker.ID]
-	if w == nil || !now.Before(until) || p.options.DisabledSafeguards.UnansweredStarts {
+	if w == nil {
 		return
 	}
 	w.lateStarts = slices.DeleteFunc(w.lateStarts, func(start lateStart) bool { return !now.Before(start.until) })
@@ -87,8 +91,8 @@
 	})
 }
 
-// holdAcknowledgement delays the acknowledgement of an end while the run's start may still be
-// carried out. An acknowledged end is final, whereas an end that is lost with its incarnation is
+// holdAcknowledgement delays the acknowledgement of an end while the start of a run of its task may still
+// be carried out, on any worker. An acknowledged end is final, whereas an end that is lost with its incarnation is
 // not. m is the run's member; nil if this owner does not know the run, as after a takeover, or has
 // given it up.
 func (p *Pool) holdAcknowledgement(w *worker, m *member, end *fleet.EndedRun) {
@@ -98,7 +102,7 @@
 	}
 	var until time.Time
 	if m != nil {
-		until = p.lateStartUntil(m)
+		until = laterOf(p.lateStartUntil(m), m.earlierStartsUntil)
 	} else {
 		until = p.lateStartOfUnknownRun(w, end)
 	}
@@ -107,13 +111,27 @@
 	}
 }
 
+// expectEarlierStart records that the start of an earlier run of the member's task may be carried out
+// until a time.
+func (m *member) expectEarlierStart(until time.Time) {
+	m.earlierStartsUntil = laterOf(m.earlierStartsUntil, until)
+}
+
+// laterOf returns the later of two times.
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // lateStartOfUnknownRun returns until when a copy of the start of a run may be carried out that is not
 // a member's present one.
 func (p *Pool) lateStartOfUnknownRun(w *worker, end *fleet.EndedRun) time.Time {
 	until := w.contactedAt.Add(p.lateOrderWindow())
 	for _, start := range w.lateStarts {
-		if start.task == end.Task && start.run == end.Run && start.until.After(until) {
-			until = start.until
+		if start.task == end.Task && start.run == end.Run {
+			until = laterOf(until, start.until)
 		}
 	}
 	return until
--- a/internal/pool/latestarts_test.go
+++ b/internal/pool/latestarts_test.go
@@ -186,3 +186,35 @@
 	requireInvariants(t, w)
 	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
 }
+
+// doneByLateStart delays the start of a run until the next incarnation of its worker, which the owner
+// can't reach. The task waits meanwhile, since all workers refuse it.
+func doneByLateStart() *simulation.Cluster {
+	w, _ := newLateStartCluster(pool.DisabledSafeguards{}, 2, 500*time.Millisecond)
+	w.OrderDelay = simulation.FixedDelay(longestOrderDelay)
+	first := w.Workers[0]
+	first.OrderOutcome = firstOrders(simulation.AppliedLate, simulation.Dropped, simulation.Dropped, simulation.Dropped)
+	w.Workers[1].Unhealthy = true
+	w.Submit(spec(1, singleTaskStep(1)), batch)
+	w.Run(2 * time.Second)
+	first.Unhealthy = true
+	// The deadline of the late start is ahead of the clock after the restart.
+	w.Run(longestOrderDelay - 3*time.Second)
+	first.Restart(50*time.Millisecond, 0)
+	w.Run(50 * time.Millisecond)
+	next := w.Workers[2]
+	next.Partitioned = true
+	w.Run(3 * time.Second)
+	next.Partitioned = false
+	w.Run(20 * time.Second)
+	return w
+}
+
+// TestEndOfALateStartCompletesItsTask guards against a task that starts again after a run of it is done,
+// as that run had been given up and was carried out late.
+func TestEndOfALateStartCompletesItsTask(t *testing.T) {
+	w := doneByLateStart()
+	requireInvariants(t, w)
+	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
+	require.Equal(t, 1, w.Checker.Starts(taskOf(1, 0, 0)))
+}
--- a/internal/pool/progress.go
+++ b/internal/pool/progress.go
@@ -74,7 +74,7 @@
 			if m.wasConfirmed() {
 				record.setConfirmed(i, u.startedAfterMillis)
 			}
-			if m.wasConfirmed() && m.startPending() {
+			if m.wasConfirmed() && (m.startPending() || !m.earlierStartsUntil.IsZero()) {
 				record.setStartPending(i)
 			}
 			if !m.worker.hasRow {
--- a/internal/pool/progress_record.go
+++ b/internal/pool/progress_record.go
@@ -147,7 +147,8 @@
 	// milliseconds; 0 if unknown, as in rows of older versions. In a unit of one member it stands for
 	// the bit in Confirmed, so that the row does not grow.
 	StartedAfterMillis int64 `json:"t,omitempty"`
-	// StartPending is a bit set of the confirmed members of whose starts a copy has no response.
+	// StartPending is a bit set of the confirmed members of whose starts a copy has no response, in this run
+	// or an earlier one.
 	StartPending []byte `json:"d,omitempty"`
 	// Addresses holds the addresses of workers whose own rows are gone. These workers may still
 	// have runs, and the next owner needs the address to contact them.
--- a/internal/pool/progress_restore.go
+++ b/internal/pool/progress_restore.go
@@ -73,6 +73,7 @@
 		p.health.AssumeFailures(p.loop.Now())
 	}
 	p.restoreLosses(u, saved.Losses)
+	p.expectEarlierStarts(u, &saved)
 	for i, id := range saved.Workers {
 		if id == "" || i >= len(u.members) {
 			continue
@@ -93,6 +94,17 @@
 	}
 }
 
+// expectEarlierStarts assumes that starts of earlier runs may still be carried out for the members that
+// have no worker in the unit's row, which tells nothing about them.
+func (p *Pool) expectEarlierStarts(u *unit, saved *unitProgress) {
+	until := p.loop.Now().Add(p.lateOrderWindow())
+	for i, m := range u.members {
+		if i >= len(saved.Workers) || saved.Workers[i] == "" {
+			m.expectEarlierStart(until)
+		}
+	}
+}
+
 // workerFromProgress returns the worker that a progress row names. The address is set only if the
 // worker's own row was gone when the progress row was written. If a later incarnation than the
 // named one is known, workerFromProgress returns the later incarnation: the worker may have
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -150,6 +150,8 @@
 		p.holdAcknowledgement(w, m, end)
 		if m != nil {
 			p.applyEnd(w, m, end)
+		} else if end.Reason == fleet.EndDone {
+			p.applyEarlierDone(end)
 		}
 	}
 	if w.endAcks.handled(highest) {
@@ -168,6 +170,18 @@
 	}, w.endAcks.unwritten...)
 }
 
+// applyEarlierDone completes the task of a run that is done but is not the task's present run. The worker
+// may have carried out its start late, after the task was given up there.
+func (p *Pool) applyEarlierDone(end *fleet.EndedRun) {
+	j := p.jobs[end.Task.Job]
+	if j == nil {
+		return
+	}
+	if m := j.member(end.Task); m != nil && end.Run <= m.unit.run {
+		p.completeByEarlierRun(m.unit)
+	}
+}
+
 // jobsOfEnds returns the known jobs of ended runs.
 func (p *Pool) jobsOfEnds(ends []fleet.EndedRun) []*job {
 	var jobs []*job
--- a/internal/pool/unit.go
+++ b/internal/pool/unit.go
@@ -37,7 +37,7 @@
 }
 
 // completeUnit marks a unit as ended after its work is done, and updates speeds and durations from
-// its run. The last unit of a step or job also completes the step or job.
+// its run.
 func (p *Pool) completeUnit(u *unit) {
 	if u.state == unitEnded || u.job.pendingState.Final() {
 		return
@@ -45,10 +45,32 @@
 	if u.spec().LongRunning {
 		return
 	}
-	u.state = unitEnded
 	p.updateSpeedsFromGang(u)
 	p.updateSpeedFromEndedTask(u)
 	p.updateDurationModel(u)
+	p.endUnit(u)
+}
+
+// completeByEarlierRun marks a unit as ended after an earlier run of it is known to be done, and stops its
+// present run.
+func (p *Pool) completeByEarlierRun(u *unit) {
+	if u.state == unitEnded || u.job.pendingState.Final() || u.spec().LongRunning {
+		return
+	}
+	p.record.Count("attempts", "done_earlier")
+	p.record.LogEvent("earlier run done", "job", u.job.id, "step", u.step.index, "unit", u.index, "run", u.run)
+	if u.state == unitCommitting {
+		p.unassignAll(u)
+	}
+	for _, m := range u.members {
+		p.sendStop(m)
+	}
+	p.endUnit(u)
+}
+
+// endUnit marks a unit as ended. The last unit of a step or job also completes the step or job.
+func (p *Pool) endUnit(u *unit) {
+	u.state = unitEnded
 	s := u.step
 	s.ended++
 	j := u.job
--- a/internal/simulation/checker.go
+++ b/internal/simulation/checker.go
@@ -53,10 +53,10 @@
 	doneRuns map[int]bool
 	// acknowledged is set once an owner has acknowledged a completion.
 	acknowledged bool
-	// repeatedRun is the highest number of a run that started after the task had completed; 0
-	// means none.
-	repeatedRun int
-	starts      int
+	starts       int
+	// lastStartAt is when the last run started, and lastRun its number.
+	lastStartAt time.Time
+	lastRun     int
 	// checkpoint is the checkpoint of the latest start.
 	checkpoint string
 	// crashes counts the workers that crashed while running the task.
@@ -237,9 +237,7 @@
 	if taken, allowed := r.worker.usage(), r.worker.allowedUsage(); !taken.FitsIn(allowed) {
 		c.addViolation("%v run %d raises usage of %s to %+v, over the allowed %+v", r.name, r.number, r.worker.ID, taken, allowed)
 	}
-	if t.done && !c.cluster.step(r.name).LongRunning {
-		t.repeatedRun = max(t.repeatedRun, r.number)
-	}
+	t.lastStartAt, t.lastRun = c.cluster.Clock.Now(), r.number
 	t.running[r] = true
 	c.LogEvent("begun", "task", r.name.String(), "run", r.number, "worker", r.worker.ID)
 }
@@ -309,13 +307,14 @@
 // endAcknowledged records that an owner acknowledged the completion of a run. It ignores
 // completions from before the worker's last lease expiration.
 func (c *Checker) endAcknowledged(w *Worker, entry fleet.EndedRun) {
-	if entry.Reason != fleet.EndDone || w.endedAt[entry.Number] != w.leaseExpirations {
+	ended := w.endedAt[entry.Number]
+	if entry.Reason != fleet.EndDone || ended.leaseExpirations != w.leaseExpirations {
 		return
 	}
 	t := c.task(entry.Task)
 	t.acknowledged = true
-	if t.repeatedRun > entry.Run {
-		c.addViolation("%v run %d started after run %d had completed; the owner acknowledged that completion only now", entry.Task, t.repeatedRun, entry.Run)
+	if t.lastStartAt.After(ended.at) && !c.cluster.step(entry.Task).LongRunning {
+		c.addViolation("%v run %d started after run %d had completed; the owner acknowledged that completion only now", entry.Task, t.lastRun, entry.Run)
 	}
 }
 
--- a/internal/simulation/cluster.go
+++ b/internal/simulation/cluster.go
@@ -151,7 +151,7 @@
 			Pool:        poolName, Address: address, Zone: zoneOf(rack), Labels: []string{"a", rack}, Capacity: WorkerCapacity,
 		},
 		cluster: c, clock: c.Clock, clockEpoch: c.epoch,
-		runs: map[runID]*run{}, supersededRuns: map[taskgraph.TaskName]int{}, endedAt: map[int64]int{},
+		runs: map[runID]*run{}, supersededRuns: map[taskgraph.TaskName]int{}, endedAt: map[int64]endTime{},
 	}
 	added.recordCapacity()
 	c.Workers = append(c.Workers, added)
--- a/internal/simulation/worker.go
+++ b/internal/simulation/worker.go
@@ -30,8 +30,8 @@
 	lastEndNumber int64
 	// leaseExpirations counts expired leases.
 	leaseExpirations int
-	// endedAt contains the value of leaseExpirations at the end of each run, by end number.
-	endedAt map[int64]int
+	// endedAt tells when each run ended, by end number.
+	endedAt map[int64]endTime
 	// waiters answer the pending polls when a run ends.
 	waiters []func()
 	// resets fail the pending polls when the worker process crashes.
@@ -76,6 +76,13 @@
 	number int
 }
 
+// endTime tells when a run ended.
+type endTime struct {
+	at time.Time
+	// leaseExpirations is the number of leases of the worker that had expired by then.
+	leaseExpirations int
+}
+
 // run is one run of a task.
 type run struct {
 	name         taskgraph.TaskName
@@ -223,7 +230,7 @@
 	w.cluster.removeFromGang(r)
 	w.supersededRuns[r.name] = max(w.supersededRuns[r.name], r.number)
 	w.lastEndNumber++
-	w.endedAt[w.lastEndNumber] = w.leaseExpirations
+	w.endedAt[w.lastEndNumber] = endTime{at: w.clock.Now(), leaseExpirations: w.leaseExpirations}
 	w.ended = append(w.ended, fleet.EndedRun{Number: w.lastEndNumber, Task: r.name, Run: r.number, Reason: reason, Checkpoint: checkpoint})
 	w.cluster.Checker.ended(r, reason)
 	w.cluster.breakGang(r, reason)
