List ended repetitions of a job as ranges, and keep only open ones

Cause: a job's progress row listed each complete step of each repetition as long as the job lived, until the row was too large and its job ended. The row's budget counted running units and not that list, so that after an outage the repetitions which are due together overflowed it in one step. Owners kept past repetitions in memory as well, and visited all of them at each end.

Ended repetitions are a set of ranges now, and only open ones are kept. Production would take compact rows for unstarted work; while it is around, the job begins nothing that its row has no room for. A pool returns to the older format when its owner releases it and no open job needs the newer one. The budget counts everything that a row lists, and leaves room for a job's largest unit, so that repetitions whose later steps wait can't fill it.

Acquisitions keep the lease's format in place of raising it to the newest common one: TestPoolFormat and TestPoolFormatFollowsTheOldestMember were about that and became TestCommon, TestCommonFormatFollowsTheOldestMember and TestPoolKeepsTheFormatOfItsLease, with the same cases.

--- a/internal/compatibility/format_test.go
+++ b/internal/compatibility/format_test.go
@@ -6,21 +6,20 @@
 	"github.com/stretchr/testify/require"
 )
 
-func TestPoolFormat(t *testing.T) {
+func TestCommon(t *testing.T) {
 	cases := map[string]struct {
-		existing, own Format
-		members       []Format
-		want          Format
+		own     Format
+		members []Format
+		want    Format
 	}{
-		"nobody states a format":                    {0, 0, []Format{0, 0}, Baseline},
-		"all members read the newest":               {1, 2, []Format{2, 2}, 2},
-		"one member still reads only the older one": {1, 3, []Format{3, 2, 3}, 2},
-		"a member of a version without formats":     {1, 3, []Format{3, 0}, Baseline},
-		"rows are newer than a member that joined":  {2, 2, []Format{1, 2}, 2},
-		"the only member":                           {0, 2, nil, 2},
+		"nobody states a format":                    {0, []Format{0, 0}, Baseline},
+		"all members read the newest":               {2, []Format{2, 2}, 2},
+		"one member still reads only the older one": {3, []Format{3, 2, 3}, 2},
+		"a member of a version without formats":     {3, []Format{3, 0}, Baseline},
+		"the only member":                           {2, nil, 2},
 	}
 	for name, c := range cases {
-		t.Run(name, func(t *testing.T) { require.Equal(t, c.want, PoolFormat(c.existing, c.own, c.members)) })
+		t.Run(name, func(t *testing.T) { require.Equal(t, c.want, Common(c.own, c.members)) })
 	}
 }
 
--- a/internal/node/compatibility_test.go
+++ b/internal/node/compatibility_test.go
@@ -25,10 +25,24 @@
 	}
 }
 
-func TestPoolFormatFollowsTheOldestMember(t *testing.T) {
+func TestCommonFormatFollowsTheOldestMember(t *testing.T) {
 	n := newTestNode(t, 1, map[string]float64{"node-2": 1})
-	require.Equal(t, compatibility.Baseline, n.poolFormat(poolName), "node-2 states no format")
+	require.Equal(t, compatibility.Baseline, n.commonFormat(), "node-2 states no format")
 	require.Equal(t, compatibility.Newest, n.self().Format)
+	alone := newTestNode(t, 1, nil)
+	require.Equal(t, compatibility.Newest, alone.commonFormat())
+}
+
+// TestPoolKeepsTheFormatOfItsLease checks that a node neither raises nor lowers the format of a pool that it
+// acquires, whatever formats the members read.
+func TestPoolKeepsTheFormatOfItsLease(t *testing.T) {
+	for stated, want := range map[compatibility.Format]compatibility.Format{0: compatibility.Baseline, compatibility.Baseline: compatibility.Baseline, compatibility.Newest: compatibility.Newest} {
+		n := newTestNode(t, 1, nil)
+		value, err := json.Marshal(pool.Lease{Format: stated})
+		require.NoError(t, err)
+		n.applyLeaseTableRow(rows.Row{Key: pool.LeaseKey(poolName), Value: value, Version: 5})
+		require.Equal(t, want, n.poolFormat(poolName), "the lease states %d", stated)
+	}
 }
 
 // documents are examples of what a build of the production version writes for other nodes.
--- a/internal/node/ownership.go
+++ b/internal/node/ownership.go
@@ -190,13 +190,18 @@
 	return false
 }
 
-// poolFormat returns the format in which this node would write a pool's rows.
+// poolFormat returns the format in which this node would write a pool's rows: that of the lease.
 func (n *Node) poolFormat(name string) compatibility.Format {
+	return compatibility.Effective(n.leases[name].Format)
+}
+
+// commonFormat returns the newest format that this node and all members that it knows read.
+func (n *Node) commonFormat() compatibility.Format {
 	var members []compatibility.Format
 	for _, other := range n.otherMembersExcept("") {
 		members = append(members, other.Format)
 	}
-	return compatibility.PoolFormat(n.leases[name].Format, compatibility.Newest, members)
+	return compatibility.Common(compatibility.Newest, members)
 }
 
 // acquireAfterFailure retries a failed acquisition if the pool has no owner or this node is the
@@ -227,7 +232,7 @@
 func (n *Node) poolOptions(name string) pool.Options {
 	return pool.Options{
 		Pool: name, Node: n.options.Name, Incarnation: n.options.Incarnation,
-		Address: n.options.PeerAddress, Weight: n.options.Weight, RowFormat: n.poolFormat(name), Bounds: n.options.PoolBounds, MaxRowBytes: n.options.MaxRowBytes, Features: n.options.Features, DisabledMechanisms: n.options.DisabledMechanisms,
+		Address: n.options.PeerAddress, Weight: n.options.Weight, RowFormat: n.poolFormat(name), CommonFormat: n.commonFormat, Bounds: n.options.PoolBounds, MaxRowBytes: n.options.MaxRowBytes, Features: n.options.Features, DisabledMechanisms: n.options.DisabledMechanisms,
 		Catalog:          func() *catalog.Catalog { return n.catalog.Load() },
 		EvacuatedZones:   func() evacuation.Set { return n.evacuated },
 		SchedulingDelay:  n.schedulingDelay.timeoutExtension,
--- a/internal/pool/assignment.go
+++ b/internal/pool/assignment.go
@@ -13,6 +13,7 @@
 func (p *Pool) assign(m *member, w *worker) {
 	if m.worker == nil {
 		p.tenantUse.Take(m.unit.job.Tenant, m.unit.spec().Requirements(), p.loop.Now())
+		m.unit.repetition.activeMembers++
 	}
 	m.worker = w
 	m.state = memberWithoutRun
@@ -37,6 +38,7 @@
 	}
 	if m.worker != nil {
 		p.tenantUse.Release(m.unit.job.Tenant, m.unit.spec().Requirements(), p.loop.Now())
+		m.unit.repetition.activeMembers--
 		p.rememberLateStart(m)
 		m.worker.members = slices.DeleteFunc(slices.Clone(m.worker.members), func(other *member) bool { return other == m })
 	}
--- a/internal/pool/cycle.go
+++ b/internal/pool/cycle.go
@@ -68,10 +68,11 @@
 			order.skipped()
 			continue
 		}
+		runBefore := u.run
 		result := p.placeUnit(s, u)
 		order.tried(result)
 		if result == unitPlaced {
-			budgets.placed(u)
+			budgets.placed(u, runBefore)
 			continue
 		}
 		p.hasBacklog = true
@@ -91,7 +92,7 @@
 			if j.pendingState.Final() {
 				continue
 			}
-			for _, t := range j.repetitions {
+			for _, t := range j.repetitions.open {
 				for _, s := range t.steps {
 					for _, u := range s.units {
 						if !yield(u) {
--- a/internal/pool/due_times_internal_test.go
+++ b/internal/pool/due_times_internal_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -43,7 +44,7 @@
 // openTasks returns the number of a job's tasks that have units.
 func (j *job) openTasks() int {
 	count := 0
-	for _, t := range j.repetitions {
+	for _, t := range j.repetitions.open {
 		for _, s := range t.steps {
 			if !s.complete {
 				count += len(s.units)
@@ -68,16 +69,17 @@
 		p.createReadyUnits(j)
 		for next := 0; next < c.repetitions; {
 			require.LessOrEqual(t, j.openTasks(), maxOpenTasks, "%+v", c)
-			require.Greater(t, len(j.repetitions), next, "%+v: the next repetition can run", c)
-			for _, ending := range j.repetitions[next:] {
+			require.Greater(t, j.repetitions.begun, next, "%+v: the next repetition can run", c)
+			next = j.repetitions.begun
+			for _, ending := range slices.Clone(j.repetitions.open) {
 				for _, s := range ending.steps {
 					s.complete = true
 					ending.ended++
 				}
+				j.repetitions.end(ending)
 			}
-			next = len(j.repetitions)
 			p.createReadyUnits(j)
 		}
-		require.Len(t, j.repetitions, c.repetitions)
+		require.Equal(t, c.repetitions, j.repetitions.begun)
 	}
 }
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -50,7 +50,9 @@
 	objective time.Duration
 	// criticalPaths are the critical-path durations from each step to the end of the job.
 	criticalPaths []time.Duration
-	repetitions   []*repetition
+	repetitions   repetitions
+	// cancelDueTimer cancels the timer for the next repetition; nil if none is set.
+	cancelDueTimer func()
 	// state is the persisted state, and pendingState the state once pending writes are committed.
 	state        taskgraph.State
 	pendingState taskgraph.State
@@ -63,19 +65,13 @@
 	startSent bool
 	// nearRowLimit is true once the row's size was logged as near the limit.
 	nearRowLimit bool
+	// compactRow is true if the job's row has the form of compatibility.CompactProgress.
+	compactRow bool
 	// withoutLosses and withoutUnits are true if the job's row must not list losses of workers or units,
 	// as the store does not take it otherwise.
 	withoutLosses, withoutUnits bool
 }
 
-// repetition is one repetition of a job.
-type repetition struct {
-	number int
-	due    time.Time
-	steps  []*step
-	ended  int
-}
-
 // step is one step of a repetition.
 type step struct {
 	spec  *taskgraph.Step
@@ -249,19 +245,6 @@
 	return u.deadline().Sub(now) - u.job.criticalPaths[u.step.index]
 }
 
-// repetitionAt returns repetition k, creating it and those before it if needed.
-func (j *job) repetitionAt(k int) *repetition {
-	for len(j.repetitions) <= k {
-		number := len(j.repetitions)
-		created := &repetition{number: number, due: j.Spec.DueTime(number)}
-		for i := range j.Spec.Steps {
-			created.steps = append(created.steps, &step{spec: &j.Spec.Steps[i], index: i})
-		}
-		j.repetitions = append(j.repetitions, created)
-	}
-	return j.repetitions[k]
-}
-
 func (s *step) createUnits(j *job, t *repetition, now time.Time) {
 	s.units = make([]*unit, s.spec.UnitCount())
 	for i := range s.units {
@@ -277,12 +260,13 @@
 	}
 }
 
-// member returns the member of a task name, or nil if it does not exist.
+// member returns the member of a task name, or nil if it does not exist or its repetition is not open.
 func (j *job) member(name taskgraph.TaskName) *member {
-	if name.Repetition >= len(j.repetitions) || name.Step >= len(j.Spec.Steps) {
+	t := j.repetitions.find(name.Repetition)
+	if t == nil || name.Step >= len(t.steps) {
 		return nil
 	}
-	s := j.repetitions[name.Repetition].steps[name.Step]
+	s := t.steps[name.Step]
 	if s.units == nil || name.Index >= s.spec.Count {
 		return nil
 	}
--- a/internal/pool/lifecycle.go
+++ b/internal/pool/lifecycle.go
@@ -11,32 +11,52 @@
 // wide repetitions that are due at once. A single repetition never has more.
 const maxOpenTasks = 2 * taskgraph.MaxTasks
 
-// createReadyUnits creates the units of all steps that may start. Further repetitions begin as earlier
-// ones end if the job has maxOpenTasks.
+// createReadyUnits creates the units of all steps that may start.
 func (p *Pool) createReadyUnits(j *job) {
 	if j.pendingState.Final() {
 		return
 	}
-	now := p.loop.Now()
-	openRepetitions, maxOpenRepetitions := 0, maxOpenTasks/max(1, j.Spec.TaskCount())
-	for k := 0; k < j.Spec.RepetitionCount(); k++ {
-		if k >= len(j.repetitions) && openRepetitions >= maxOpenRepetitions {
-			break
-		}
-		due := j.Spec.DueTime(k)
+	for _, t := range j.repetitions.open {
+		t.createReadyUnits(j, p.loop.Now())
+	}
+	p.beginRepetitions(j)
+}
+
+// beginRepetitions begins the repetitions that are due. Further ones begin as earlier ones end if the job
+// has maxOpenTasks.
+func (p *Pool) beginRepetitions(j *job) {
+	if j.cancelDueTimer != nil {
+		j.cancelDueTimer()
+		j.cancelDueTimer = nil
+	}
+	if j.pendingState.Final() {
+		return
+	}
+	maxOpenRepetitions := maxOpenTasks / max(1, j.Spec.TaskCount())
+	for j.repetitions.begun < j.Spec.RepetitionCount() && len(j.repetitions.open) < maxOpenRepetitions {
+		due := j.Spec.DueTime(j.repetitions.begun)
 		if timeOfDay := p.loop.TimeOfDay(); !due.IsZero() && due.After(timeOfDay) {
-			p.loop.After(min(due.Sub(timeOfDay), maxDueTimeWait)+dueTimeMargin, func() { p.createReadyUnits(j); p.scheduleCycle() })
-			break
-		}
-		t := j.repetitionAt(k)
-		if t.ended < len(t.steps) {
-			openRepetitions++
-		}
-		for _, s := range t.steps {
-			if s.units == nil && !s.complete && t.dependenciesComplete(s) {
-				s.createUnits(j, t, now)
-			}
+			p.beginRepetitionsAfter(j, min(due.Sub(timeOfDay), maxDueTimeWait)+dueTimeMargin)
+			return
 		}
+		j.repetitions.begin(&j.Spec).createReadyUnits(j, p.loop.Now())
+	}
+}
+
+// beginRepetitionsAfter begins the repetitions that are due after a delay.
+func (p *Pool) beginRepetitionsAfter(j *job, delay time.Duration) {
+	j.cancelDueTimer = p.loop.After(delay, func() {
+		j.cancelDueTimer = nil
+		p.beginRepetitions(j)
+		p.scheduleCycle()
+	})
+}
+
+// endRepetition forgets a repetition once it is over.
+func (p *Pool) endRepetition(j *job, t *repetition) {
+	if t.over() && !j.pendingState.Final() {
+		j.repetitions.end(t)
+		p.beginRepetitions(j)
 	}
 }
 
@@ -48,15 +68,6 @@
 	maxDueTimeWait = 24 * time.Hour
 )
 
-func (t *repetition) dependenciesComplete(s *step) bool {
-	for _, earlier := range s.spec.After {
-		if !t.steps[earlier].complete {
-			return false
-		}
-	}
-	return true
-}
-
 // applyCancel cancels a job. If the job is unknown, the cancellation is kept until the job is read.
 func (p *Pool) applyCancel(id string) {
 	j := p.jobs[id]
@@ -76,7 +87,7 @@
 func (p *Pool) finishJob(j *job, state taskgraph.State) {
 	j.pendingState = state
 	j.endedAt = p.loop.TimeOfDay()
-	for _, t := range j.repetitions {
+	for _, t := range j.repetitions.open {
 		for _, s := range t.steps {
 			for _, u := range s.units {
 				p.cancelUnit(u, string(state))
--- a/internal/pool/options.go
+++ b/internal/pool/options.go
@@ -46,9 +46,11 @@
 	Address     string
 	// Weight is the CPU share of the owner's node.
 	Weight float64
-	// RowFormat is the format of the rows that the owner writes.
+	// RowFormat is the format of the rows that the owner writes: the one that the lease states.
 	RowFormat compatibility.Format
-	Bounds    Bounds
+	// CommonFormat returns the newest format that all known nodes read; nil if the format can't be raised.
+	CommonFormat func() compatibility.Format
+	Bounds       Bounds
 	// MaxRowBytes is the largest value of a row that the store takes; 0 means the default of
 	// rows.DefaultLimits.
 	MaxRowBytes int
--- a/internal/pool/overdue_turns_test.go
+++ b/internal/pool/overdue_turns_test.go
@@ -26,7 +26,7 @@
 
 // testUnit returns the only unit of a waiting job.
 func testUnit(p *Pool, number int) *unit {
-	return p.jobs[testJobID(number)].repetitions[0].steps[0].units[0]
+	return p.jobs[testJobID(number)].repetitions.open[0].steps[0].units[0]
 }
 
 // TestOverloadLeavesRoomForTimelyWork checks that a long overload of one tenant puts one unit before
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/wheatroad/wheatroad/internal/compatibility"
 	"github.com/wheatroad/wheatroad/internal/evacuation"
 	"github.com/wheatroad/wheatroad/internal/fairshare"
 	"github.com/wheatroad/wheatroad/internal/features"
@@ -38,6 +39,10 @@
 	// lease row was in force. raisingToken is true while a transaction that raises it is in flight.
 	orderToken   int64
 	raisingToken bool
+	// needsCompactRows is true once a job's row has no room in the present format, and raisedFormat is the
+	// format that the next owner is to write; 0 if it is the present one.
+	needsCompactRows bool
+	raisedFormat     compatibility.Format
 	// removedWorkers holds the workers that were removed lately, by identifier.
 	removedWorkers map[string]removedWorker
 	acquiredAt     time.Time
@@ -230,6 +235,7 @@
 		return
 	}
 	p.checkOwnership()
+	p.raiseRowFormatIfNeeded()
 	p.checkEvacuations()
 	p.expireLeases()
 	p.logInvalidWorkerRows()
@@ -317,7 +323,7 @@
 	}
 	p.ports.Commit(rows.Transaction{
 		Conditions: []rows.Condition{{Key: LeaseKey(p.options.Pool), Version: p.token}},
-		Puts:       []rows.Put{{Key: LeaseKey(p.options.Pool), Value: mustEncode(Lease{Format: p.options.RowFormat})}},
+		Puts:       []rows.Put{{Key: LeaseKey(p.options.Pool), Value: mustEncode(Lease{Format: p.releasedFormat()})}},
 	}, func(_ rows.Result, err error) {
 		if p.closed {
 			return
--- a/internal/pool/progress.go
+++ b/internal/pool/progress.go
@@ -6,27 +6,73 @@
 	if !j.endedAt.IsZero() {
 		record.EndedMillis = j.endedAt.UnixMilli()
 	}
-	if j.withoutUnits {
-		return record
+	switch {
+	case j.withoutUnits:
+	case j.pendingState.Final():
+		j.listSteps(&record, (*step).activeProgress)
+	case j.compactRow:
+		record.EndedRepetitions = j.repetitions.ended
+		j.listCompleteSteps(&record)
+		j.listSteps(&record, (*step).unfinishedProgress)
+	default:
+		j.listEndedRepetitions(&record)
+		j.listSteps(&record, (*step).progress)
 	}
-	encode := (*step).progress
-	if j.pendingState.Final() {
-		encode = (*step).activeProgress
-	}
-	for _, t := range j.repetitions {
+	return record
+}
+
+// listSteps adds the steps of open repetitions for which encode returns a record.
+func (j *job) listSteps(record *Progress, encode func(*step, int) (stepProgress, bool)) {
+	for _, t := range j.repetitions.open {
 		for _, s := range t.steps {
 			if encoded, found := encode(s, t.number); found {
 				record.Steps = append(record.Steps, encoded)
 			}
 		}
 	}
-	return record
 }
 
+// listEndedRepetitions adds each step of each ended repetition, as the baseline format does.
+func (j *job) listEndedRepetitions(record *Progress) {
+	ended := j.repetitions.ended
+	for i := 0; i+1 < len(ended); i += 2 {
+		for number := ended[i]; number < ended[i+1]; number++ {
+			for index := range j.Spec.Steps {
+				record.Steps = append(record.Steps, stepProgress{Repetition: number, Step: index, Complete: true})
+			}
+		}
+	}
+}
+
+// listCompleteSteps adds the complete steps of open repetitions.
+func (j *job) listCompleteSteps(record *Progress) {
+	for _, t := range j.repetitions.open {
+		if t.ended == 0 {
+			continue
+		}
+		steps := newBitset(len(t.steps))
+		for _, s := range t.steps {
+			if s.complete {
+				steps.set(s.index)
+			}
+		}
+		record.CompleteSteps = append(record.CompleteSteps, completeSteps{Repetition: t.number, Steps: steps})
+	}
+}
+
+// progress returns the record of a step; false if there is nothing to record.
 func (s *step) progress(number int) (stepProgress, bool) {
-	record := stepProgress{Repetition: number, Step: s.index, Complete: s.complete}
+	if s.complete {
+		return stepProgress{Repetition: number, Step: s.index, Complete: true}, true
+	}
+	return s.unfinishedProgress(number)
+}
+
+// unfinishedProgress returns the record of a step that is not complete; false if there is nothing to record.
+func (s *step) unfinishedProgress(number int) (stepProgress, bool) {
+	record := stepProgress{Repetition: number, Step: s.index}
 	if s.complete || s.units == nil {
-		return record, s.complete
+		return record, false
 	}
 	if s.ended > 0 {
 		record.Ended = newBitset(len(s.units))
--- a/internal/pool/progress_record.go
+++ b/internal/pool/progress_record.go
@@ -19,10 +19,24 @@
 	Serial int             `json:"serial"`
 	State  taskgraph.State `json:"state"`
 	// EndedMillis is the Unix time in milliseconds at which the job ended.
-	EndedMillis int64          `json:"ended_ms,omitempty"`
-	Steps       []stepProgress `json:"steps,omitempty"`
+	EndedMillis int64 `json:"ended_ms,omitempty"`
+	// EndedRepetitions holds the repetitions of which all steps are complete, and CompleteSteps the complete
+	// steps of others. Rows of the baseline format list complete steps in Steps.
+	EndedRepetitions numberRanges    `json:"ended,omitempty"`
+	CompleteSteps    []completeSteps `json:"complete,omitempty"`
+	Steps            []stepProgress  `json:"steps,omitempty"`
 }
 
+// completeSteps holds the complete steps of a repetition that has not ended.
+type completeSteps struct {
+	Repetition int `json:"k,omitempty"`
+	// Steps is a bit set of the steps' indexes.
+	Steps []byte `json:"b"`
+}
+
+// compact reports whether the row has the form of compatibility.CompactProgress.
+func (p *Progress) compact() bool { return len(p.EndedRepetitions) > 0 || len(p.CompleteSteps) > 0 }
+
 // DecodeProgress decodes a progress row. It returns an error for a row that no owner can have written.
 func DecodeProgress(row *rows.Row) (Progress, error) {
 	var record Progress
@@ -53,10 +67,13 @@
 	if !validStates[p.State] {
 		return false
 	}
-	complete := map[stepKey]bool{}
+	complete, ok := p.compactlyComplete(spec)
+	if !ok {
+		return false
+	}
 	for i := range p.Steps {
 		saved := &p.Steps[i]
-		if saved.Repetition < 0 || saved.Repetition >= spec.RepetitionCount() || saved.Step < 0 || saved.Step >= len(spec.Steps) {
+		if !p.openIn(spec, saved.Repetition) || saved.Step < 0 || saved.Step >= len(spec.Steps) {
 			return false
 		}
 		if _, listedBefore := complete[saved.key()]; listedBefore || !saved.validFor(&spec.Steps[saved.Step]) {
@@ -67,6 +84,46 @@
 	return p.State.Final() || p.inOrder(spec, complete)
 }
 
+// openIn reports whether a repetition of the job is none of EndedRepetitions.
+func (p *Progress) openIn(spec *taskgraph.Spec, repetition int) bool {
+	return repetition >= 0 && repetition < spec.RepetitionCount() && !p.EndedRepetitions.contains(repetition)
+}
+
+// compactlyComplete returns the steps in CompleteSteps. The result is false if they, or EndedRepetitions,
+// are not consistent with the job's spec.
+func (p *Progress) compactlyComplete(spec *taskgraph.Spec) (map[stepKey]bool, bool) {
+	complete := map[stepKey]bool{}
+	if !p.EndedRepetitions.valid(spec.RepetitionCount()) {
+		return nil, false
+	}
+	listed := map[int]bool{}
+	for i := range p.CompleteSteps {
+		entry := &p.CompleteSteps[i]
+		if !p.openIn(spec, entry.Repetition) || listed[entry.Repetition] || len(entry.Steps) > len(newBitset(len(spec.Steps))) {
+			return nil, false
+		}
+		listed[entry.Repetition] = true
+		for step := range spec.Steps {
+			if bitset(entry.Steps).has(step) {
+				complete[stepKey{repetition: entry.Repetition, step: step}] = true
+			}
+		}
+	}
+	return complete, true
+}
+
+// begunRepetitions returns how many repetitions have begun, as far as the row tells.
+func (p *Progress) begunRepetitions() int {
+	begun := p.EndedRepetitions.end()
+	for i := range p.CompleteSteps {
+		begun = max(begun, p.CompleteSteps[i].Repetition+1)
+	}
+	for i := range p.Steps {
+		begun = max(begun, p.Steps[i].Repetition+1)
+	}
+	return begun
+}
+
 // validStates are the states in progress rows. A row without a state is that of a job without progress.
 var validStates = map[taskgraph.State]bool{
 	"": true, taskgraph.Queued: true, taskgraph.Running: true,
--- a/internal/pool/progress_restore.go
+++ b/internal/pool/progress_restore.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/fleet"
@@ -18,10 +19,10 @@
 		p.trackWorkersOfEndedJob(&record)
 		return
 	}
-	j.repetitionAt(0)
 	if record.State != "" {
 		j.state, j.pendingState = record.State, record.State
 		p.restore(j, record)
+		p.chooseRowForm(j)
 	}
 	if p.pendingCancels[id] {
 		p.applyCancel(id)
@@ -33,14 +34,33 @@
 
 // restore applies the progress that an earlier owner persisted for a job.
 func (p *Pool) restore(j *job, record Progress) {
+	j.compactRow = record.compact()
+	j.placed, j.startSent = j.compactRow, j.compactRow
+	j.repetitions.restore(&j.Spec, record.EndedRepetitions, record.begunRepetitions())
+	for i := range record.CompleteSteps {
+		entry := &record.CompleteSteps[i]
+		j.repetitions.find(entry.Repetition).restoreComplete(entry.Steps)
+	}
 	for i := range record.Steps {
 		saved := &record.Steps[i]
-		t := j.repetitionAt(saved.Repetition)
-		if saved.Step >= len(t.steps) {
-			continue
-		}
+		t := j.repetitions.find(saved.Repetition)
 		p.restoreStep(j, t, t.steps[saved.Step], saved)
 	}
+	for _, t := range slices.Clone(j.repetitions.open) {
+		if t.over() {
+			j.repetitions.end(t)
+		}
+	}
+}
+
+// restoreComplete marks the steps in a bit set as complete.
+func (t *repetition) restoreComplete(steps bitset) {
+	for _, s := range t.steps {
+		if steps.has(s.index) {
+			s.complete = true
+			t.ended++
+		}
+	}
 }
 
 func (p *Pool) restoreStep(j *job, t *repetition, s *step, saved *stepProgress) {
--- a/internal/pool/rejected_rows.go
+++ b/internal/pool/rejected_rows.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"github.com/wheatroad/wheatroad/internal/compatibility"
 	"github.com/wheatroad/wheatroad/internal/rows"
 	"github.com/wheatroad/wheatroad/internal/taskgraph"
 	"github.com/wheatroad/wheatroad/internal/writequeue"
@@ -109,6 +110,7 @@
 
 // encodeProgress returns the contents of a row for a batch, and their encoded form.
 func (w *writer) encodeProgress(j *job) (Progress, []byte) {
+	w.pool.chooseRowForm(j)
 	progress := j.progress()
 	progress.Token, progress.Serial = w.pool.token, w.serial
 	value := mustEncode(progress)
@@ -132,8 +134,8 @@
 }
 
 // setAside makes a row smaller that the store does not take. The row first loses the losses of workers,
-// which are evidence for the next owner only. If that is not enough, its job ends, and then it lists
-// no units. A row that can't become smaller is not written.
+// which are evidence for the next owner only, and becomes compact if the pool's format allows it. If that
+// is not enough, its job ends, and then it lists no units. A row that can't become smaller is not written.
 func (w *writer) setAside(row *writequeue.Row[*job], bytes int, reason string) {
 	j := row.Value
 	w.pool.record.Count("refusals", "progress_row_rejected")
@@ -143,6 +145,9 @@
 	case !j.withoutLosses:
 		j.withoutLosses = true
 		w.pool.persist(j)
+	case !j.pendingState.Final() && !j.compactRow && w.pool.options.RowFormat >= compatibility.CompactProgress:
+		j.compactRow = true
+		w.pool.persist(j)
 	case !j.pendingState.Final():
 		w.pool.finishJob(j, taskgraph.Failed)
 	case !j.withoutUnits:
--- a/internal/pool/reliability.go
+++ b/internal/pool/reliability.go
@@ -129,7 +129,8 @@
 // selectComparison selects the runs that failed runs of the unit's step are compared with.
 func (u *unit) selectComparison(now time.Time) comparison {
 	selected := comparison{selectedAt: now}
-	for _, t := range u.job.repetitions {
+	selected.succeeded = u.job.repetitions.ended.count() > 0
+	for _, t := range u.job.repetitions.open {
 		s := t.steps[u.step.index]
 		selected.succeeded = selected.succeeded || s.ended > 0 || s.complete
 		for _, other := range s.units {
--- a/internal/pool/reliability_internal_test.go
+++ b/internal/pool/reliability_internal_test.go
@@ -23,7 +23,7 @@
 			}
 			t.steps = append(t.steps, s)
 		}
-		j.repetitions = append(j.repetitions, t)
+		j.repetitions.open = append(j.repetitions.open, t)
 	}
 	return j
 }
@@ -38,14 +38,14 @@
 		want   health.OtherRuns
 	}{
 		{"the step runs elsewhere", func(*job) {}, health.OtherRunLasts},
-		{"an earlier step has a success", func(j *job) { j.repetitions[0].steps[0].ended = 1 }, health.OtherRunLasts},
-		{"the step has a success in another repetition", func(j *job) { j.repetitions[0].steps[1].ended = 1 }, health.OtherRunSucceeds},
+		{"an earlier step has a success", func(j *job) { j.repetitions.open[0].steps[0].ended = 1 }, health.OtherRunLasts},
+		{"the step has a success in another repetition", func(j *job) { j.repetitions.open[0].steps[1].ended = 1 }, health.OtherRunSucceeds},
 		{"the step has progress in another repetition", func(j *job) {
-			progressing := j.repetitions[0].steps[1].units[2]
+			progressing := j.repetitions.open[0].steps[1].units[2]
 			progressing.members = []*member{{unit: progressing, percent: 1}}
 		}, health.OtherRunSucceeds},
 		{"only other steps run", func(j *job) {
-			for _, t := range j.repetitions {
+			for _, t := range j.repetitions.open {
 				for _, u := range t.steps[1].units {
 					u.state = unitWaiting
 				}
@@ -55,7 +55,7 @@
 	for _, c := range cases {
 		j := stepsOfUnits(3, now)
 		c.change(j)
-		require.Equal(t, c.want, j.repetitions[1].steps[1].units[0].otherRuns(time.Millisecond, now), c.name)
+		require.Equal(t, c.want, j.repetitions.open[1].steps[1].units[0].otherRuns(time.Millisecond, now), c.name)
 	}
 }
 
@@ -64,12 +64,12 @@
 func TestComparedRunsAreBounded(t *testing.T) {
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	j := stepsOfUnits(1000, now)
-	s := j.repetitions[1].steps[1]
+	s := j.repetitions.open[1].steps[1]
 	for _, u := range s.units {
 		require.Equal(t, health.OtherRunLasts, u.otherRuns(time.Millisecond, now))
 		require.Len(t, s.compared.units, comparedRuns)
 	}
-	j.repetitions[0].steps[1].ended = 1
+	j.repetitions.open[0].steps[1].ended = 1
 	require.Equal(t, health.OtherRunLasts, s.units[0].otherRuns(time.Millisecond, now.Add(comparisonPeriod-1)))
 	require.Equal(t, health.OtherRunSucceeds, s.units[0].otherRuns(time.Millisecond, now.Add(comparisonPeriod)))
 }
--- a/internal/pool/tenant_order_test.go
+++ b/internal/pool/tenant_order_test.go
@@ -67,7 +67,7 @@
 	p.jobs[j.id] = j
 	p.createReadyUnits(j)
 	if waiting.claims {
-		j.repetitions[0].steps[0].units[0].preemptedAt = now
+		j.repetitions.open[0].steps[0].units[0].preemptedAt = now
 	}
 }
 
--- a/internal/pool/unit.go
+++ b/internal/pool/unit.go
@@ -13,6 +13,7 @@
 func (p *Pool) memberEnded(m *member, outcome fleet.EndReason) {
 	u := m.unit
 	p.unassign(m)
+	p.endRepetition(u.job, u.repetition)
 	p.scheduleCycle()
 	if u.state == unitActive && outcome != fleet.EndDone && u.activeMembers() > 0 {
 		p.stopUnit(u, "member "+string(outcome))
@@ -77,18 +78,19 @@
 	if s.ended == len(s.units) {
 		s.complete = true
 		u.repetition.ended++
-		p.createReadyUnits(j)
+		u.repetition.createReadyUnits(j, p.loop.Now())
+		p.endRepetition(j, u.repetition)
 		p.completeJobIfDone(j)
 	}
 	p.persistEnd(j)
 }
 
 func (p *Pool) completeJobIfDone(j *job) {
-	if len(j.repetitions) < j.Spec.RepetitionCount() {
+	if j.repetitions.begun < j.Spec.RepetitionCount() {
 		return
 	}
-	for _, t := range j.repetitions {
-		if t.ended < len(t.steps) {
+	for _, t := range j.repetitions.open {
+		if !t.complete() {
 			return
 		}
 	}
--- a/internal/simulation/cluster.go
+++ b/internal/simulation/cluster.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/catalog"
+	"github.com/wheatroad/wheatroad/internal/compatibility"
 	"github.com/wheatroad/wheatroad/internal/emulator"
 	"github.com/wheatroad/wheatroad/internal/features"
 	"github.com/wheatroad/wheatroad/internal/fleet"
@@ -59,6 +60,8 @@
 	LateOrdersReachRestartedWorkers bool
 	// StopTime is how long a run takes to stop.
 	StopTime time.Duration
+	// CommonFormat returns the newest format of rows that all nodes read.
+	CommonFormat func() compatibility.Format
 	// MaxRowBytes is the limit of a row that every owner knows; 0 means the default.
 	MaxRowBytes int
 	// Features is passed to every owner.
@@ -115,10 +118,11 @@
 			GuaranteedStartTimeout: 3 * time.Second, CheckpointInterval: time.Second, StatusRetention: 120 * time.Second, CrossRackSlowdown: 3,
 			EvacuationTimeout: EvacuationBound, MaxOrderDelay: MaxOrderDelay, MaxListedEnds: maxListedEnds,
 		},
-		Catalog:     &catalog.Catalog{Version: 1, Pools: []catalog.Pool{{Name: PoolName, EnforcesCapacity: true}}},
-		OrderDelay:  FixedDelay(defaultLateDelay),
-		StopTime:    StopTime,
-		WorkerTable: "workers", EncodeWorker: encodeWorker,
+		Catalog:      &catalog.Catalog{Version: 1, Pools: []catalog.Pool{{Name: PoolName, EnforcesCapacity: true}}},
+		OrderDelay:   FixedDelay(defaultLateDelay),
+		CommonFormat: func() compatibility.Format { return compatibility.Newest },
+		StopTime:     StopTime,
+		WorkerTable:  "workers", EncodeWorker: encodeWorker,
 		Work: func(taskgraph.TaskName) time.Duration { return time.Second },
 	}
 	c.Store.readOnly = func(table string) bool { return table == c.WorkerTable || table == c.OperatorTable }
--- a/internal/simulation/owner.go
+++ b/internal/simulation/owner.go
@@ -1,10 +1,12 @@
 package simulation
 
 import (
+	"encoding/json"
 	"fmt"
 	"time"
 
 	"github.com/wheatroad/wheatroad/internal/catalog"
+	"github.com/wheatroad/wheatroad/internal/compatibility"
 	"github.com/wheatroad/wheatroad/internal/emulator"
 	"github.com/wheatroad/wheatroad/internal/pool"
 	"github.com/wheatroad/wheatroad/internal/rows"
@@ -40,6 +42,7 @@
 		Catalog:          func() *catalog.Catalog { return c.Catalog },
 		OnOwnershipEnded: func(reason string) { owner.Ended = reason },
 	}
+	options.RowFormat, options.CommonFormat = c.rowFormat(poolName), c.CommonFormat
 	result := c.Store.Apply(pool.Acquire(options, c.leaseVersion(poolName), name))
 	c.ownerOf[result.Version] = owner
 	owner.Pool = pool.New(options, owner.Process, &ports{cluster: c, owner: owner, process: owner.Process}, c.Checker, result.Version)
@@ -67,6 +70,18 @@
 	c.Clock.After(peerCheckPeriod, func() { c.confirmOwnership(owner) })
 }
 
+// rowFormat returns the format that a pool's lease states.
+func (c *Cluster) rowFormat(poolName string) compatibility.Format {
+	var lease pool.Lease
+	listing := c.Store.List(pool.NodeTable, poolName, pool.LeaseRow)
+	if len(listing.Rows) > 0 {
+		if err := json.Unmarshal(listing.Rows[0].Value, &lease); err != nil {
+			panic(err)
+		}
+	}
+	return compatibility.Effective(lease.Format)
+}
+
 func (c *Cluster) leaseVersion(poolName string) int64 {
 	listing := c.Store.List(pool.NodeTable, poolName, pool.LeaseRow)
 	if len(listing.Rows) == 0 {
--- a/internal/simulation/store.go
+++ b/internal/simulation/store.go
@@ -54,6 +54,8 @@
 	// LargestRows holds the size in bytes of the largest row that was written or rejected, by the kind
 	// that pool.KindOf returns.
 	LargestRows map[string]int
+	// WrittenBytes holds the sum of the sizes in bytes of the rows that were written, by the same kind.
+	WrittenBytes map[string]int
 	// OnRejection is called with the reason of each rejected transaction; nil means no call.
 	OnRejection func(error)
 	// Latency is the round-trip time of a call.
@@ -107,7 +109,7 @@
 // NewStore returns an empty store.
 func NewStore(clock *emulator.Clock) *Store {
 	return &Store{clock: clock, rows: map[rows.Key]rows.Row{}, UnavailablePartitions: map[string]bool{}, UnresponsivePartitions: map[string]bool{}, Feeds: map[string]int{}, freeAt: map[string]time.Time{}, leases: map[string][]int64{}, Latency: 5 * time.Millisecond, LateWriteDelay: FixedDelay(defaultLateDelay),
-		Limits: rows.DefaultLimits(), LargestRows: map[string]int{}, tables: map[string]bool{}}
+		Limits: rows.DefaultLimits(), LargestRows: map[string]int{}, WrittenBytes: map[string]int{}, tables: map[string]bool{}}
 }
 
 func (s *Store) unavailable(part string) bool { return s.Unavailable || s.UnavailablePartitions[part] }
@@ -256,6 +258,7 @@
 	for _, put := range transaction.Puts {
 		row := rows.Row{Key: put.Key, Value: put.Value, Version: s.version}
 		s.rows[put.Key] = row
+		s.WrittenBytes[pool.KindOf(put.Key)] += len(put.Value)
 		if pool.KindOf(put.Key) == "lease" {
 			s.leases[put.Key.Part] = append(s.leases[put.Key.Part], s.version)
 		}
