Place a unit again whatever its job's row has left

Cause: the budget of the job's row counted the waiting unit among those that the row lists, and asked for room for it a second time. A gang of 894 members or more takes over half of the row.

A unit that was started before has its place in the row: it is counted as if all its members ran, also while it waits, so that placing it adds nothing. Units that start for the first time wait for room as before.

Evidence: TestWideJobsRunAgainAfterACrash fails before with the gang of 1,024 ("1" is not greater than "1" start), and holds now.

--- a/internal/pool/row_budget.go
+++ b/internal/pool/row_budget.go
@@ -4,7 +4,8 @@
 
 // A job's progress is one row, which lists each unit that was started and has not ended, and what of the
 // job's repetitions is complete. The store limits the size of a row, so an owner starts no further units of
-// a job while the row is full. They are started as earlier ones end.
+// a job while the row is full. They are started as earlier ones end. A unit that was started before has its
+// place in the row, also while it waits to run again.
 
 const (
 	// rowBudgetRatio is the share of the store's limit that a row may fill. The rest is for losses of
@@ -63,7 +64,7 @@
 
 // allow reports whether the row of the unit's job has room for the unit.
 func (b *rowBudgets) allow(u *unit) bool {
-	if !b.mayFill(u.job) {
+	if u.run > 0 || !b.mayFill(u.job) {
 		return true
 	}
 	budget := b.of(u.job)
--- a/internal/pool/row_budget_test.go
+++ b/internal/pool/row_budget_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -33,3 +34,35 @@
 		}
 	}
 }
+
+// TestWideJobsRunAgainAfterACrash guards against units that are never placed again, as the row's budget
+// counted the room that they have already as taken by others (review case 9).
+func TestWideJobsRunAgainAfterACrash(t *testing.T) {
+	cases := map[string]taskgraph.Step{
+		"gang of 1,024":            {Count: 1024, Resources: taskgraph.Resources{CPU: 500}, EstimateMillis: 3000, Gang: true},
+		"most single tasks in row": {Count: 760, Resources: taskgraph.Resources{CPU: 500}, EstimateMillis: 3000},
+	}
+	for name, step := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := simulation.NewCluster(6, 8)
+			w.Checker.Quiet = true
+			w.Work = func(taskgraph.TaskName) time.Duration { return 3 * time.Second }
+			w.AcquirePool()
+			w.Run(time.Second)
+			w.Submit(spec(1, step), batch)
+			w.Run(1500 * time.Millisecond)
+			if step.Gang {
+				busyWorker(w).Restart(50*time.Millisecond, 0)
+			} else {
+				for _, worker := range w.RunningWorkers() {
+					worker.Restart(50*time.Millisecond, 0)
+				}
+			}
+			w.Run(60 * time.Second)
+			require.Greater(t, w.Checker.Starts(taskOf(1, 0, 0)), 1, "the task runs again")
+			requireInvariants(t, w)
+			require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
+		})
+	}
+}
