Poll workers with held ends by their number, and let a rejected fence row stop nobody

Each such worker is polled every 0.1 to 0.3 s, so that all of them take one poll in 4 ms; and no poll goes out beside the write that precedes an acknowledgement.

A store that rejects the row by which an owner raises its token would have kept restarted workers from work for good; they work unfenced then (TestWorkersTakeWorkIfTheStoreRejectsFences). The retry pause is that of other calls that wait for the store.

--- a/internal/node/ownership.go
+++ b/internal/node/ownership.go
@@ -242,7 +242,7 @@
 
 func (n *Node) addOwnedPool(name string, token int64, nonce string) {
 	options := n.poolOptions(name)
-	lease := pool.Lease{Owner: options.Node, Incarnation: options.Incarnation, Address: options.Address, Nonce: nonce, ComparesPools: true}
+	lease := pool.Lease{Owner: options.Node, Incarnation: options.Incarnation, Address: options.Address, Nonce: nonce, Format: options.RowFormat, ComparesPools: true}
 	if n.leases[name].version < token {
 		n.leases[name] = versionedLease{Lease: lease, version: token}
 	}
--- a/internal/pool/poll.go
+++ b/internal/pool/poll.go
@@ -134,10 +134,14 @@
 		p.poll(w)
 		return
 	}
+	if w.endAcks.writing > 0 {
+		// The poll after the write acknowledges; until then the lease must be renewed.
+		p.pollAfter(w, pollRetryDelay)
+		return
+	}
 	if w.endAcks.pending() {
-		// A later poll acknowledges; until then the lease must be renewed. A worker that lists ended
-		// runs may answer polls without waiting.
-		p.pollAfter(w, max(0, requestedAt.Add(pollRetryDelay).Sub(now)))
+		// A worker that lists held ends may answer polls without waiting.
+		p.pollAfter(w, max(0, requestedAt.Add(p.heldPollDelay).Sub(now)))
 		return
 	}
 	if w.awaitsFence() && w.token > w.fenceAbove {
@@ -159,6 +163,23 @@
 	p.poll(w)
 }
 
+// heldPollInterval is the share of time that each worker with held ends has for its polls: one poll in that
+// time for all of them. The delay between two polls of one such worker is from quickPollDelay to
+// pollRetryDelay.
+const heldPollInterval = 4 * time.Millisecond
+
+// updateHeldPollDelay adjusts the delay between polls of a worker with held ends to the number of such
+// workers.
+func (p *Pool) updateHeldPollDelay() {
+	held := 0
+	for _, w := range p.workers {
+		if len(w.endAcks.held) > 0 {
+			held++
+		}
+	}
+	p.heldPollDelay = min(pollRetryDelay, max(quickPollDelay, time.Duration(held)*heldPollInterval))
+}
+
 // quickPollDelay is the delay between two polls of a worker whose state is uncertain.
 const quickPollDelay = 100 * time.Millisecond
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -52,7 +52,9 @@
 	workerOrder     []*worker
 	snapshotBuffers snapshotBuffers
 	pollQueue       pollQueue
-	writer          writer
+	// heldPollDelay is the delay between two polls of a worker that lists held ends.
+	heldPollDelay time.Duration
+	writer        writer
 	// storeRetries schedules the retries of store calls.
 	storeRetries *loop.Retries
 	// loaded is true once the pool's rows are read; no commands are sent before.
@@ -245,6 +247,7 @@
 	p.checkHealth()
 	p.removeExpiredJobs()
 	p.forgetRemovedWorkers()
+	p.updateHeldPollDelay()
 	p.refreshEstimates()
 	p.updateTenants()
 	p.kept.writeIfDue()
--- a/internal/pool/restart_fencing.go
+++ b/internal/pool/restart_fencing.go
@@ -76,9 +76,11 @@
 	p.raisingToken = false
 	switch {
 	case p.closed:
+	case errors.Is(err, rows.ErrRejected):
+		p.workWithoutFences(err)
 	case err != nil:
 		p.record.Count("retries", raiseRetryReason(err))
-		p.storeRetries.After(retryDelay, p.raiseToken)
+		p.storeRetries.After(maxRetryDelay, p.raiseToken)
 	case !result.Committed:
 		p.Abandon("lease row replaced")
 	default:
@@ -89,15 +91,23 @@
 }
 
 func raiseRetryReason(err error) string {
-	switch {
-	case errors.Is(err, rows.ErrRejected):
-		return "token_rejected"
-	case errors.Is(err, rows.ErrNoEffect):
+	if errors.Is(err, rows.ErrNoEffect) {
 		return "token_refused"
 	}
 	return "token_no_answer"
 }
 
+// workWithoutFences lets the workers that await a higher token take work, since the store does not take the
+// row that raises it.
+func (p *Pool) workWithoutFences(err error) {
+	p.record.Count("refusals", "fence_row_rejected")
+	p.record.LogEvent("fence row rejected", "pool", p.options.Pool, "reason", err.Error())
+	for _, w := range p.workers {
+		w.fenceAbove = 0
+	}
+	p.scheduleCycle()
+}
+
 // fenceWaitingWorkers polls the workers that await a higher token.
 func (p *Pool) fenceWaitingWorkers() {
 	for _, w := range p.sortedWorkers() {
--- a/internal/pool/restart_fencing_test.go
+++ b/internal/pool/restart_fencing_test.go
@@ -119,3 +119,18 @@
 	requireInvariants(t, w)
 	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
 }
+
+// TestWorkersTakeWorkIfTheStoreRejectsFences: a store that takes no further tables must not keep restarted
+// workers from work.
+func TestWorkersTakeWorkIfTheStoreRejectsFences(t *testing.T) {
+	w, _ := newLateStartCluster(pool.DisabledSafeguards{}, 1, 500*time.Millisecond)
+	w.Checker.RejectionsExpected = true
+	w.Store.RejectTable = pool.FenceTable
+	w.Submit(spec(1, singleTaskStep(1)), batch)
+	w.Run(300 * time.Millisecond)
+	w.Workers[0].Restart(50*time.Millisecond, 0)
+	w.Run(10 * time.Second)
+	requireInvariants(t, w)
+	require.Equal(t, taskgraph.Completed, w.StoredState(jobID(1)))
+	require.Positive(t, w.Checker.Metrics["refusals/fence_row_rejected"])
+}
--- a/internal/simulation/store.go
+++ b/internal/simulation/store.go
@@ -49,6 +49,8 @@
 	Limits rows.Limits
 	// readOnly reports whether callers may not write a table; nil if they may write all tables.
 	readOnly func(table string) bool
+	// RejectTable is a table that the store does not take; empty for none.
+	RejectTable string
 	// tables are the tables that have been written.
 	tables map[string]bool
 	// LargestRows holds the size in bytes of the largest row that was written or rejected, by the kind
@@ -179,6 +181,9 @@
 		written = append(written[:len(written):len(written)], transaction.Puts[i].Key)
 	}
 	for _, key := range written {
+		if s.RejectTable != "" && key.Table == s.RejectTable {
+			return rows.Rejected(errors.Newf("table %s is not taken", key.Table))
+		}
 		if s.readOnly != nil && s.readOnly(key.Table) {
 			return rows.Rejected(errors.Wrap(ErrReadOnly, key.Table))
 		}
