Play late orders of all ages in the soak, and evacuations beside them

The simulated judge applied the bounds of evacuations and of cancellations to orders that a worker carries out late. The judge knows such orders now and applies both bounds to all others. So the random faults with late orders play evacuations too.

--- a/internal/simulation/checker.go
+++ b/internal/simulation/checker.go
@@ -210,7 +210,8 @@
 // Crashes returns the number of workers that crashed while running a task.
 func (c *Checker) Crashes(name taskgraph.TaskName) int { return c.task(name).crashes }
 
-// cancelBound is the time after a cancellation from which no run may start.
+// cancelBound is the time after a cancellation from which no run may start. It does not apply to orders
+// that a worker carries out late.
 const cancelBound = 3 * time.Second
 
 func (c *Checker) started(r *run, order fleet.Start) {
@@ -225,7 +226,7 @@
 		c.addViolation("%v run %d starts after the owner acknowledged the task's completion", r.name, r.number)
 	case !c.hasAttemptsLeft(r) && !c.cluster.step(r.name).LongRunning:
 		c.addViolation("%v run %d starts although the task has no attempts left", r.name, r.number)
-	case !job.cancelledAt.IsZero() && c.cluster.Clock.Now().Sub(job.cancelledAt) > cancelBound && c.recentlyFaultFree(r.worker.Pool, order.Token):
+	case !c.cluster.executingLate && !job.cancelledAt.IsZero() && c.cluster.Clock.Now().Sub(job.cancelledAt) > cancelBound && c.recentlyFaultFree(r.worker.Pool, order.Token):
 		c.addViolation("%v run %d starts after the cancellation bound", r.name, r.number)
 	}
 	if order.Payload != job.spec.Payload {
@@ -244,8 +245,11 @@
 
 // checkZone reports a violation if a run starts in an evacuated zone after EvacuationTimeout. The
 // bound applies during faults too: an owner that cannot read the evacuations starts no runs, and
-// workers refuse orders after their deadline.
+// workers refuse orders after their deadline. It does not apply to orders that a worker carries out late.
 func (c *Checker) checkZone(r *run) {
+	if c.cluster.executingLate {
+		return
+	}
 	if evacuatedFor := c.cluster.evacuatedFor(r.worker.Zone); evacuatedFor > c.cluster.Bounds.EvacuationTimeout {
 		c.addViolation("%v run %d starts on %s, whose zone was evacuated %v before", r.name, r.number, r.worker.ID, evacuatedFor)
 	}
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -154,7 +154,7 @@
 				r.replaceWorker(worker)
 			}
 	default:
-		return func() { worker.OrderOutcome = r.randomOutcomes(orderLoss, outcomesStream) }, func() { worker.OrderOutcome = nil }
+		return func() { r.loseOrders(worker) }, func() { answerOrders(worker) }
 	}
 }
 
