Make the tests of long schedules smaller, and one of them a true guard

TestLaterStepsOfManyRepetitionsGoOn held also without the room that is left for a job's largest unit: with single tasks the row always had room for one more. Its second step is a gang of 20 now, and the row's limit 10,000 bytes; without that room the job is still running at the end. The play with fifty open repetitions has 45 repetitions in place of 70; on the code before the mend it fails at 20.0 s as it did with 70.

--- a/internal/pool/long_schedules_test.go
+++ b/internal/pool/long_schedules_test.go
@@ -97,7 +97,7 @@
 func TestLongSchedulesKeepToRowLimit(t *testing.T) {
 	cases := map[string]schedule{
 		"many steps, one after another":    {steps: smallSteps(30), repetitions: 110, interval: 500 * time.Millisecond, work: 100 * time.Millisecond},
-		"fifty repetitions open at a time": {steps: chainedSteps(75, 50), repetitions: 70, interval: 500 * time.Millisecond, work: time.Second},
+		"fifty repetitions open at a time": {steps: chainedSteps(75, 50), repetitions: 45, interval: 500 * time.Millisecond, work: time.Second},
 		"one step, very often":             {steps: smallSteps(1), repetitions: 3000, interval: 20 * time.Millisecond, work: 50 * time.Millisecond},
 		"all due at once":                  {steps: smallSteps(30), repetitions: 110, work: 100 * time.Millisecond},
 	}
@@ -151,6 +151,7 @@
 // TestLongScheduleWaitsForOlderNodes: a node of an earlier version could take the pool over. The job must
 // neither fail nor be written in a form that the node would misread, and goes on once it is gone.
 func TestLongScheduleWaitsForOlderNodes(t *testing.T) {
+	t.Parallel()
 	s := schedule{steps: smallSteps(30), repetitions: 110, interval: 500 * time.Millisecond, work: 100 * time.Millisecond}
 	w := newScheduleCluster()
 	oldest := compatibility.Baseline
@@ -239,16 +240,19 @@
 // TestLaterStepsOfManyRepetitionsGoOn guards against repetitions that fill the row while their second steps
 // wait for a worker, so that there is no room for these once there is one.
 func TestLaterStepsOfManyRepetitionsGoOn(t *testing.T) {
-	second := smallStep(1)
-	second.After, second.RequiredLabel = []int{0}, "rare"
-	s := schedule{steps: []taskgraph.Step{smallStep(1), second}, repetitions: 2500, work: 100 * time.Millisecond}
+	t.Parallel()
+	const rowLimit = 10_000
+	second := smallStep(20)
+	second.After, second.RequiredLabel, second.Gang = []int{0}, "rare", true
+	s := schedule{steps: []taskgraph.Step{smallStep(1), second}, repetitions: 300, work: 100 * time.Millisecond}
 	w := newScheduleCluster()
+	w.MaxRowBytes, w.Store.Limits.RowBytes = rowLimit, rowLimit
 	keepOwned(w)
 	s.submit(w)
-	w.Run(60 * time.Second)
+	w.Run(30 * time.Second)
 	rare := w.Workers[0]
 	rare.Labels = append(rare.Labels, "rare")
 	w.PutWorkerRow(rare)
-	w.Run(200 * time.Second)
+	w.Run(90 * time.Second)
 	s.requireEachTaskRanOnce(t, w)
 }
