--- a/internal/pool/writer.go
+++ b/internal/pool/writer.go
@@ -102,6 +102,10 @@
 // slow. While the store is fast, fn waits for all dirty rows, since waiting for them takes no longer.
 func (p *Pool) afterPersist(delay time.Duration, fn func(), jobs ...*job) {
 	w := &p.writer
+	if w.storeSlow && p.options.DisabledSafeguards.RowsBeforeCallbacks {
+		p.afterUnsafeDelay(fn)
+		return
+	}
 	callback := pendingCallback{run: fn, mark: w.queue.Mark(), jobs: jobIDs(jobs)}
 	if !w.busy() || w.storeSlow && w.written(&callback) {
 		fn()
@@ -111,6 +115,19 @@
 	w.flushWithin(delay)
 }
 
+// unsafeCallbackDelay is the delay of a callback that does not wait for its rows, so that a placement
+// that is not valid is not repeated without end at the same moment.
+const unsafeCallbackDelay = time.Millisecond
+
+// afterUnsafeDelay runs fn although rows may not be written, for tests that show what this breaks.
+func (p *Pool) afterUnsafeDelay(fn func()) {
+	p.loop.After(unsafeCallbackDelay, func() {
+		if !p.closed {
+			fn()
+		}
+	})
+}
+
 func jobIDs(jobs []*job) []string {
 	var ids []string
 	for _, j := range jobs {
