--- a/internal/pool/latestarts.go
+++ b/internal/pool/latestarts.go
@@ -14,7 +14,8 @@
 // that time it polls the worker to learn of a restart, blocks the starts in the next incarnation, and
 // does not acknowledge that the run has completed or failed.
 
-// orderTransferTime is the longest time from the sending of an order to its arrival at the worker.
+// orderTransferTime is allowed for the way of an order to its worker. On a full link the wait for the rate
+// limiter comes on top of it.
 const orderTransferTime = time.Second
 
 // lateOrderWindow returns how long after its sending an order without a response may be carried out.
